--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small system on loopback."""
--- /dev/null
+++ b/demo/kettlewell.py
@@ -0,0 +1,4 @@
+"""Run the demo."""
+
+if __name__ == "__main__":
+    print("demo")
--- /dev/null
+++ b/toucanspool/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: the last check beside one upstream."""
--- /dev/null
+++ b/toucanspool/config/__init__.py
@@ -0,0 +1,1 @@
+"""Labels, selectors and teams: what operators decide, by revision."""
--- /dev/null
+++ b/toucanspool/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators."""
--- /dev/null
+++ b/toucanspool/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' API, relay and admin API."""
--- /dev/null
+++ b/toucanspool/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Place experts on ranks and switch a group's expert map."""
--- /dev/null
+++ b/toucanspool/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Services found by name, tasks with mailboxes, and the order of their closing."""
--- /dev/null
+++ b/toucanspool/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shares, priorities and shedding."""
--- /dev/null
+++ b/toucanspool/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances live, and how news spreads between them."""
--- /dev/null
+++ b/toucanspool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform's table, object store and instance list."""
--- /dev/null
+++ b/toucanspool/protected/__init__.py
@@ -0,0 +1,1 @@
+"""Run non-idempotent calls at most once."""
--- /dev/null
+++ b/toucanspool/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets, deadlines, ejection and slow start."""
--- /dev/null
+++ b/toucanspool/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the upstream of each request."""
--- /dev/null
+++ b/toucanspool/routing/policy.py
@@ -0,0 +1,91 @@
+"""The choice among upstreams that a request may go to."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from toucanspool.routing.candidate import Candidate
+
+
+@dataclass(slots=True, frozen=True)
+class Work:
+    """Hold what a policy may know of a request.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where the entry runs.
+    prefixes : tuple of str
+        Hashes of the prompt's leading blocks, longest prefix last.
+    prompt_tokens : int
+        Estimated length of the prompt.
+    """
+
+    failure_domain: str
+    prefixes: tuple[str, ...] = ()
+    prompt_tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """Hold a choice and its reason.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The upstream chosen.
+    reason : str
+        Why, in words for the decision log.
+    """
+
+    candidate: Candidate
+    reason: str
+
+
+class Policy(Protocol):
+    """Choose one of the candidates."""
+
+    def choose(self, work: Work, candidates: Sequence[Candidate], now: float) -> Choice:
+        """Return the choice.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        candidates : sequence of Candidate
+            At least one.
+        now : float
+            Seconds on this process's monotonic clock.
+
+        Returns
+        -------
+        Choice
+        """
+        ...
+
+
+class PowerOfTwo:
+    """Choose the less loaded of two candidates drawn at random.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the draws.
+
+    References
+    ----------
+    M. Mitzenmacher, "The power of two choices in randomized load balancing",
+    IEEE TPDS 12(10), 2001.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, work: Work, candidates: Sequence[Candidate], now: float) -> Choice:
+        """Return the less loaded of two candidates; see `Policy`."""
+        drawn = self._rng.sample(candidates, min(2, len(candidates)))
+        best = min(drawn, key=lambda c: c.running + c.waiting + c.in_flight)
+        return Choice(best, f"least load of {len(drawn)} drawn")
--- /dev/null
+++ b/toucanspool/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from YAML and checked whole."""
--- /dev/null
+++ b/toucanspool/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/toucanspool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the project's own processes."""
--- /dev/null
+++ b/toucanspool/wire/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/toucanspool/wire/wire.thrift
@@ -0,0 +1,77 @@
+// Messages between toucanspool's own processes. One frame carries one message.
+namespace py messages
+
+enum Outcome { COMPLETED = 1, NOT_RUN = 2, UNKNOWN = 3 }
+
+enum Refusal {
+  DRAINING = 1, BUSY = 2, DEADLINE = 3, WRONG_UPSTREAM = 4, TABLE_DOWN = 5,
+  IN_PROGRESS = 6, KEY_REUSED = 7, UNREACHABLE = 8, CANCELLED = 9, NO_CONFIG = 10,
+  BROKEN = 11, UNCERTAIN = 12
+}
+
+// Hand a call over to the agent beside an upstream.
+struct Open {
+  1: i64 call, 2: string request_id, 3: i32 attempt, 4: string team,
+  5: string upstream, 6: string method, 7: string path,
+  8: map<string, string> headers, 9: binary body, 10: i32 deadline_ms,
+  11: string idempotency_key, 12: bool guarded, 13: i32 priority,
+  14: i64 revision, 15: i32 window
+}
+
+// Status line and headers of the upstream's reply.
+struct Head { 1: i64 call, 2: i32 status, 3: map<string, string> headers }
+
+// A piece of the reply's body; offset counts bytes from the start of the body.
+struct Chunk { 1: i64 call, 2: i64 offset, 3: binary data }
+
+// The last message of a call; offset is the body's whole length in bytes.
+struct End {
+  1: i64 call, 2: Outcome outcome, 3: i64 offset, 4: optional Refusal refusal,
+  5: string detail, 6: i32 retry_after_ms, 7: bool replayed
+}
+
+// Let the agent send this many more chunks.
+struct Credit { 1: i64 call, 2: i32 chunks }
+
+struct Cancel { 1: i64 call }
+
+// What an agent says of its upstream, sent alone or after an End.
+struct Report {
+  1: string upstream, 2: i64 seq, 3: i32 running, 4: i32 waiting, 5: double step_ms,
+  6: string state, 7: i64 revision, 8: i32 age_ms, 9: list<string> prefixes
+}
+
+// The first message on a connection, from either side.
+struct Hello {
+  1: string instance, 2: string role, 3: string failure_domain, 4: i64 revision
+}
+
+// Ask for the changes of configuration after a revision.
+struct Pull { 1: i64 call, 2: i64 after, 3: i32 limit }
+
+// Changes of configuration in order of revision, each an encoded record.
+struct Changes { 1: i64 call, 2: i64 newest, 3: list<binary> records }
+
+enum OrderKind { STATUS = 1, LOAD = 2, HOLD = 3, SWITCH = 4, RESUME = 5, FENCE = 6 }
+
+enum OrderResult { OK = 1, STALE_FENCE = 2, NOT_READY = 3, UNREACHABLE = 4, TABLE_DOWN = 5 }
+
+// An order of the group's coordinator to the agent of one rank.
+struct Order {
+  1: i64 call, 2: string group, 3: i32 rank, 4: i64 fence, 5: OrderKind kind,
+  6: i64 version, 7: binary experts
+}
+
+struct OrderReply {
+  1: i64 call, 2: OrderResult result, 3: i64 fence, 4: i64 version, 5: i64 loaded,
+  6: bool held, 7: i64 step, 8: string detail
+}
+
+// Exactly one field is set.
+struct Frame {
+  1: optional Open open, 2: optional Head head, 3: optional Chunk chunk,
+  4: optional End end, 5: optional Credit credit, 6: optional Cancel cancel,
+  7: optional Report report, 8: optional Hello hello, 9: optional Pull pull,
+  10: optional Changes changes, 11: optional Order order,
+  12: optional OrderReply order_reply
+}
