Claim idempotency keys beside the upstream, with group commit

Cause: a call that must not be repeated needs a record, made before the hand-over, that no second agent can make too. The agent beside the upstream makes it, so that no process stands between the claim and the hand-over.

Ruled out: deleting the row to free a key, since a claim whose commit is uncertain may still take effect on the absent row; a free row with a new version makes it fail its check. Reading back by the caller's attempt, since an attempt may reach two agents; the agent draws an identity of its own.

Conclusion: two row writes a call, no read on the common path.

--- /dev/null
+++ b/tests/protected/test_claims.py
@@ -0,0 +1,161 @@
+"""A key is claimed once, and each refusal tells its true outcome."""
+
+import itertools
+import random
+
+import gevent
+import pytest
+from virtual import GatedTable, VirtualClock, settle
+
+from standins.memory import MemoryObjects
+from toucanspool.protected.claims import Answer, Claims, Replay, Started
+from toucanspool.protected.committer import Committer
+from toucanspool.protected.errors import (
+    AnswerUnreachable,
+    DeadlinePassed,
+    InProgress,
+    KeyReused,
+    TableDown,
+)
+from toucanspool.wire.gen.messages.ttypes import Outcome
+
+ANSWER = Answer(201, {"x": "y"}, b"seat 12A")
+LARGE = Answer(200, {}, b"z" * 100_000)
+
+
+class Bench:
+    """Two agents, a table and an object store in virtual time."""
+
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.table = GatedTable()
+        self.objects = MemoryObjects()
+        self.agents = [self.agent(f"agent-{i}") for i in range(2)]
+
+    def agent(self, name):
+        """Return the claims of a new agent."""
+        committer = Committer(self.table, clock=self.clock, rng=random.Random(1))
+        committer.start()
+        ids = (f"{name}/{i}" for i in itertools.count())
+        return Claims(
+            committer,
+            self.table,
+            self.objects,
+            name,
+            clock=self.clock,
+            new_id=lambda: next(ids),
+        )
+
+    def begin(self, agent=0, *, key="k", body="h", attempt="a", deadline=10.0):
+        """Claim a key through an agent."""
+        return self.agents[agent].begin("team", key, attempt, body, deadline=deadline)
+
+    def finish(self, started, answer=ANSWER, agent=0):
+        """Record an answer, with the time that takes."""
+        self.run(self.agents[agent].finish, started.claim, answer)
+
+    def run(self, func, *args):
+        """Return what a function returns within a second."""
+        job = gevent.spawn(func, *args)
+        settle()
+        self.clock.advance(1.0)
+        return job.get(block=False)
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+@pytest.mark.parametrize("answer", [ANSWER, LARGE])
+def test_finished_key_replays_its_answer_at_another_agent(bench, answer):
+    bench.finish(bench.begin(), answer)
+    assert bench.begin(1, attempt="b") == Replay(answer)
+
+
+def test_started_key_is_in_progress_elsewhere(bench):
+    bench.begin()
+    with pytest.raises(InProgress) as caught:
+        bench.begin(1)
+    assert caught.value.outcome == Outcome.UNKNOWN
+
+
+def test_key_with_another_body_is_not_run(bench):
+    bench.begin()
+    with pytest.raises(KeyReused) as caught:
+        bench.begin(1, body="other")
+    assert caught.value.outcome == Outcome.NOT_RUN
+
+
+def test_released_key_runs_again(bench):
+    bench.agents[0].release(bench.begin().claim)
+    assert isinstance(bench.begin(1), Started)
+
+
+def test_table_down_refuses_and_leaves_no_work(bench):
+    bench.table.faults.set(down=True)
+    with pytest.raises(TableDown) as caught:
+        bench.begin()
+    assert caught.value.outcome == Outcome.NOT_RUN
+    assert caught.value.retry_after_s > 0
+    assert not len(bench.agents[0].pending)
+
+
+def test_lost_answer_is_read_back(bench):
+    bench.table.faults.set(lose_answers=1)
+    assert isinstance(bench.begin(), Started)
+
+
+def test_lost_finish_is_repeated_without_harm(bench):
+    started = bench.begin()
+    bench.table.faults.set(lose_answers=1)
+    bench.finish(started)
+    assert bench.run(bench.agents[0].retry_pending) == 0
+    assert bench.begin(1) == Replay(ANSWER)
+
+
+def test_commit_slower_than_the_deadline_frees_the_key_later(bench):
+    bench.table.gated = ("commit.after",)
+    job = gevent.spawn(bench.begin, deadline=2.0)
+    settle()
+    bench.clock.advance(3.0)
+    with pytest.raises(DeadlinePassed):
+        job.get(block=False)
+    bench.table.gated = ()
+    bench.table.open_all()
+    assert bench.agents[0].retry_pending() == 0
+    assert isinstance(bench.begin(1, deadline=20.0), Started)
+
+
+def test_release_bars_a_commit_that_takes_effect_late(bench):
+    """The refused claim's commit reaches the table after its release."""
+    bench.table.gated = ("commit.before",)
+    job = gevent.spawn(bench.begin, deadline=2.0)
+    settle()
+    bench.clock.advance(3.0)
+    with pytest.raises(DeadlinePassed):
+        job.get(block=False)
+    bench.table.gated = ()
+    other = Committer(bench.table, clock=bench.clock)
+    other.start()
+    bench.agents[0].pending._tasks[0]._committer = other
+    assert bench.agents[0].retry_pending() == 0
+    bench.table.open_all()
+    assert isinstance(bench.begin(1, deadline=20.0), Started)
+
+
+def test_replay_without_object_store_is_unknown(bench):
+    bench.finish(bench.begin(), LARGE)
+    bench.objects.faults.set(down=True)
+    with pytest.raises(AnswerUnreachable):
+        bench.begin(1)
+
+
+def test_finish_waits_for_the_table_to_come_back(bench):
+    started = bench.begin()
+    bench.table.faults.set(down=True)
+    bench.finish(started)
+    assert len(bench.agents[0].pending) == 1
+    bench.table.faults.clear()
+    assert bench.run(bench.agents[0].retry_pending) == 0
+    assert bench.begin(1) == Replay(ANSWER)
--- /dev/null
+++ b/toucanspool/protected/claims.py
@@ -0,0 +1,306 @@
+"""Claims on idempotency keys, made by the agent right beside the upstream.
+
+A call may be handed over only while its claim is held, and a key is claimed by
+compare-and-set. A claim that is neither released nor finished stays: its key
+never runs again.
+"""
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from toucanspool.platform.objects import Objects, ObjectsUnavailable
+from toucanspool.platform.table import (
+    Check,
+    Row,
+    Table,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+    TableUncertain,
+    Write,
+)
+from toucanspool.protected.clock import Clock, HubClock
+from toucanspool.protected.committer import Committer
+from toucanspool.protected.errors import (
+    Abandoned,
+    AnswerGone,
+    AnswerUnreachable,
+    ClaimRefused,
+    DeadlinePassed,
+    InProgress,
+    KeyReused,
+    TableDown,
+)
+from toucanspool.protected.pending import PendingWrites
+from toucanspool.protected.row import (
+    ABANDONED,
+    DONE,
+    FREE,
+    GONE,
+    OBJECT,
+    STARTED,
+    Answer,
+    BadRow,
+    ClaimRow,
+    decode_row,
+    encode_row,
+    row_key,
+    whole_answer,
+)
+from toucanspool.protected.writes import Claim, FinishWrite, ReleaseWrite
+
+CLAIM_ID_BYTES = 16
+MAX_TRIES = 8
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    """Permit one hand-over of the call.
+
+    Parameters
+    ----------
+    claim : Claim
+        To be finished, or released where nothing was handed over.
+    """
+
+    claim: Claim
+
+
+@dataclass(slots=True, frozen=True)
+class Replay:
+    """Hold the answer of the key's only execution.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer recorded.
+    """
+
+    answer: Answer
+
+
+class Claims:
+    """Claim keys, release them and record their answers.
+
+    Parameters
+    ----------
+    committer : Committer
+        Commits the writes.
+    table : Table
+        The same table, for reading back.
+    objects : Objects
+        Keeps large bodies.
+    instance : str
+        Name of the agent's instance.
+    clock : Clock, optional
+        Time.
+    pending : PendingWrites, optional
+        Keeps writes through an outage.
+    new_id : callable, optional
+        Draws an identity that was never drawn before.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_committer",
+        "_instance",
+        "_new_id",
+        "_objects",
+        "_table",
+        "pending",
+    )
+
+    def __init__(
+        self,
+        committer: Committer,
+        table: Table,
+        objects: Objects,
+        instance: str,
+        *,
+        clock: Clock | None = None,
+        pending: PendingWrites | None = None,
+        new_id: Callable[[], str] | None = None,
+    ) -> None:
+        self._committer = committer
+        self._table = table
+        self._objects = objects
+        self._instance = instance
+        self._clock = clock or HubClock()
+        self.pending = pending or PendingWrites()
+        self._new_id = new_id or _random_id
+
+    def begin(
+        self, team: str, key: str, attempt: str, body_hash: str, *, deadline: float
+    ) -> Started | Replay:
+        """Claim a key for one execution.
+
+        Parameters
+        ----------
+        team : str
+            The caller's team.
+        key : str
+            The caller's idempotency key.
+        attempt : str
+            The caller's attempt, for the record.
+        body_hash : str
+            Hash of the call's method, path and body.
+        deadline : float
+            Moment of the clock after which the call must not start.
+
+        Returns
+        -------
+        Started or Replay
+            The permit to run, or the answer of the run before.
+
+        Raises
+        ------
+        ClaimRefused
+            The call must not run; the subclass has the outcome to tell.
+        """
+        if self.pending.full:
+            raise TableDown("too many earlier claims wait to be recorded")
+        row = ClaimRow(STARTED, self._new_id(), attempt, body_hash, self._instance)
+        claim = Claim(row_key(team, key), row, 0)
+        settled = False
+        try:
+            result = self._acquire(claim, deadline)
+            settled = True
+        except (KeyReused, InProgress, AnswerGone, AnswerUnreachable):
+            settled = True
+            raise
+        finally:
+            if claim.risked and not settled:
+                self.release(claim, later=True)
+        return result
+
+    def release(self, claim: Claim, *, later: bool = False) -> None:
+        """Free a key whose call was certainly never handed over.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim.
+        later : bool, default=False
+            Whether to leave the work to `retry_pending`.
+        """
+        task = ReleaseWrite(claim, self._committer, self._table)
+        if later:
+            self.pending.add(task)
+        else:
+            self.pending.run(task)
+
+    def finish(self, claim: Claim, answer: Answer) -> None:
+        """Record the answer of a claim's execution, now or later.
+
+        The caller's answer need not wait for this.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim.
+        answer : Answer
+            The whole reply of the upstream.
+        """
+        task = FinishWrite(claim, answer, self._committer, self._table, self._objects)
+        self.pending.run(task)
+
+    def retry_pending(self) -> int:
+        """Try again what could not be recorded.
+
+        Returns
+        -------
+        int
+            Writes still pending.
+        """
+        return self.pending.retry()
+
+    def _acquire(self, claim: Claim, deadline: float) -> Started | Replay:
+        for _ in range(MAX_TRIES):
+            try:
+                claim.version = self._commit(claim, deadline)
+            except TableConflict:
+                found = self._read(claim, deadline)
+            except TableUncertain:
+                self._check_deadline(deadline)
+                found = self._read(claim, deadline)
+            except TableError as exc:
+                self._check_deadline(deadline)
+                raise TableDown(f"the claim was not recorded: {exc}") from exc
+            else:
+                self._check_deadline(deadline)
+                return Started(claim)
+            result = self._judge(claim, found)
+            if result is not None:
+                self._check_deadline(deadline)
+                return result
+            claim.version = found.version if found else 0
+        raise TableDown("the claim was not recorded in several tries")
+
+    def _commit(self, claim: Claim, deadline: float) -> int:
+        self._check_deadline(deadline)
+        try:
+            version = self._committer.submit(
+                [Check(claim.key, claim.version)],
+                [Write(claim.key, encode_row(claim.row))],
+                timeout_s=deadline - self._clock.now(),
+            )
+        except (TableConflict, TableUnavailable):
+            raise
+        except BaseException:
+            claim.risked = True
+            raise
+        claim.risked = True
+        return version
+
+    def _read(self, claim: Claim, deadline: float) -> Row | None:
+        try:
+            return self._table.get([claim.key]).get(claim.key)
+        except TableError as exc:
+            self._check_deadline(deadline)
+            raise TableDown(f"the claim can't be read back: {exc}") from exc
+
+    def _judge(self, claim: Claim, found: Row | None) -> Started | Replay | None:
+        if found is None:
+            return None
+        try:
+            row = decode_row(found.value)
+        except BadRow as exc:
+            raise AnswerGone("the key's row can't be read by this version") from exc
+        if row.state == FREE:
+            return None
+        if row.claim == claim.row.claim:
+            claim.version = found.version
+            return Started(claim)
+        if row.body_hash != claim.row.body_hash:
+            raise KeyReused("the key stands for another call")
+        if row.state == DONE:
+            return Replay(self._recorded_answer(row))
+        if row.state == ABANDONED:
+            raise Abandoned(f"the agent on {row.instance} went before its answer")
+        raise InProgress(f"attempt {row.attempt} has it on {row.instance}")
+
+    def _recorded_answer(self, row: ClaimRow) -> Answer:
+        kept = row.answer
+        if kept is None or kept.kept == GONE:
+            raise AnswerGone("the call ran, and its answer is no longer kept")
+        if kept.kept != OBJECT:
+            return whole_answer(kept)
+        try:
+            body = self._objects.get(kept.body)
+        except ObjectsUnavailable as exc:
+            raise AnswerUnreachable("the call ran, its answer can't be read") from exc
+        if body is None:
+            raise AnswerGone("the call ran, and its answer is no longer kept")
+        return whole_answer(kept, body)
+
+    def _check_deadline(self, deadline: float) -> None:
+        if self._clock.now() >= deadline:
+            raise DeadlinePassed("the deadline passed before the start")
+
+
+def _random_id() -> str:
+    return secrets.token_hex(CLAIM_ID_BYTES)
+
+
+__all__ = ["Answer", "Claim", "ClaimRefused", "Claims", "Replay", "Started"]
--- /dev/null
+++ b/toucanspool/protected/writes.py
@@ -0,0 +1,183 @@
+"""The writes that end a claim; each may be repeated without harm."""
+
+from dataclasses import dataclass
+
+from toucanspool.platform.objects import Objects
+from toucanspool.platform.table import Check, Table, TableConflict, Write
+from toucanspool.protected.committer import Committer
+from toucanspool.protected.row import (
+    ABANDONED,
+    DONE,
+    FREE,
+    GONE,
+    INLINE,
+    OBJECT,
+    OBJECT_PREFIX,
+    STARTED,
+    Answer,
+    ClaimRow,
+    KeptAnswer,
+    decode_row,
+    encode_row,
+    inline_answer,
+)
+
+MAX_INLINE_BYTES = 16 << 10
+WRITE_TIMEOUT_S = 5.0
+FINISH_LINGER_S = 0.05
+
+
+@dataclass(slots=True)
+class Claim:
+    """Hold a claim on a key.
+
+    Parameters
+    ----------
+    key : str
+        Key of the claim's row.
+    row : ClaimRow
+        The row as started.
+    version : int
+        Version of the row that the claim's commit wrote, or of the one that it
+        expects.
+    risked : bool, default=False
+        Whether the row may have been written, or may still be.
+    """
+
+    key: str
+    row: ClaimRow
+    version: int
+    risked: bool = False
+
+
+class _ClaimWrite:
+    """Replace the row of a claim that is not finished."""
+
+    __slots__ = ("_claim", "_committer", "_table", "_version")
+
+    def __init__(self, claim: Claim, committer: Committer, table: Table) -> None:
+        self._claim = claim
+        self._version = claim.version
+        self._committer = committer
+        self._table = table
+
+    def _replace(self, row: ClaimRow, *, linger_s: float = 0.0) -> None:
+        try:
+            self._submit(row, linger_s)
+        except TableConflict:
+            if not self._refresh():
+                return
+            self._submit(row, linger_s)
+
+    def _submit(self, row: ClaimRow, linger_s: float) -> None:
+        self._committer.submit(
+            [Check(self._claim.key, self._version)],
+            [Write(self._claim.key, encode_row(row))],
+            timeout_s=WRITE_TIMEOUT_S + linger_s,
+            linger_s=linger_s,
+        )
+
+    def _refresh(self) -> bool:
+        found = self._table.get([self._claim.key]).get(self._claim.key)
+        if found is None:
+            return False
+        row = decode_row(found.value)
+        self._version = found.version
+        return row.claim == self._claim.row.claim and row.state in (STARTED, ABANDONED)
+
+
+class ReleaseWrite(_ClaimWrite):
+    """Free the key of a claim that was never handed over.
+
+    A claim whose commit is uncertain may still appear later. The free row has a
+    new version, so that such a late commit fails its check.
+
+    Parameters
+    ----------
+    claim : Claim
+        The claim.
+    committer : Committer
+        Commits the write.
+    table : Table
+        The same table.
+    """
+
+    __slots__ = ()
+
+    def attempt(self) -> None:
+        """Try once."""
+        self._replace(ClaimRow(FREE, self._claim.row.claim))
+
+    def size(self) -> int:
+        """Return the bytes held in memory."""
+        return 0
+
+    def shrink(self) -> None:
+        """Do nothing: a release holds no body."""
+
+
+class FinishWrite(_ClaimWrite):
+    """Record the answer of a claim.
+
+    Parameters
+    ----------
+    claim : Claim
+        The claim.
+    answer : Answer
+        The upstream's reply.
+    committer : Committer
+        Commits the write.
+    table : Table
+        The same table.
+    objects : Objects
+        Keeps a large body.
+    """
+
+    __slots__ = ("_answer", "_kept", "_objects")
+
+    def __init__(
+        self,
+        claim: Claim,
+        answer: Answer,
+        committer: Committer,
+        table: Table,
+        objects: Objects,
+    ) -> None:
+        super().__init__(claim, committer, table)
+        self._objects = objects
+        self._answer: Answer | None = answer
+        self._kept: KeptAnswer | None = None
+
+    def attempt(self) -> None:
+        """Try once."""
+        if self._kept is None:
+            self._kept = self._keep()
+            self._answer = None
+        row = self._claim.row
+        done = ClaimRow(
+            DONE, row.claim, row.attempt, row.body_hash, row.instance, self._kept
+        )
+        self._replace(done, linger_s=FINISH_LINGER_S)
+
+    def size(self) -> int:
+        """Return the bytes held in memory."""
+        if self._kept is not None:
+            return len(self._kept.body)
+        return len(self._answer.body) if self._answer else 0
+
+    def shrink(self) -> None:
+        """Let go of the body, but not of the fact that the call ran."""
+        source = self._kept or self._answer
+        assert source is not None
+        if self._kept is None or self._kept.kept == INLINE:
+            self._kept = KeptAnswer(source.status, dict(source.headers), GONE)
+            self._answer = None
+
+    def _keep(self) -> KeptAnswer:
+        answer = self._answer
+        assert answer is not None
+        if len(answer.body) <= MAX_INLINE_BYTES:
+            return inline_answer(answer)
+        name = OBJECT_PREFIX + self._claim.row.claim
+        self._objects.put(name, answer.body)
+        return KeptAnswer(answer.status, dict(answer.headers), OBJECT, name)
--- /dev/null
+++ b/toucanspool/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Leases for the elected duties, with fencing tokens."""
