Split the claims' verdict and the committer's transaction into modules

An answer kept as an object now has its size in the row, so that an object blanked meanwhile never looks like a whole answer.

--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -7,9 +7,8 @@
 
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from toucanspool.platform.objects import Objects, ObjectsUnavailable
+from toucanspool.platform.objects import Objects
 from toucanspool.platform.table import (
     Check,
     Row,
@@ -23,7 +22,6 @@
 from toucanspool.protected.clock import Clock, HubClock
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import (
-    Abandoned,
     AnswerGone,
     AnswerUnreachable,
     ClaimRefused,
@@ -34,52 +32,19 @@
 )
 from toucanspool.protected.pending import PendingWrites
 from toucanspool.protected.row import (
-    ABANDONED,
-    DONE,
-    FREE,
-    GONE,
-    OBJECT,
     STARTED,
     Answer,
-    BadRow,
     ClaimRow,
-    decode_row,
     encode_row,
     row_key,
-    whole_answer,
 )
+from toucanspool.protected.verdict import Replay, Started, judge
 from toucanspool.protected.writes import Claim, FinishWrite, ReleaseWrite
 
 CLAIM_ID_BYTES = 16
 MAX_TRIES = 8
 
 
-@dataclass(slots=True, frozen=True)
-class Started:
-    """Permit one hand-over of the call.
-
-    Parameters
-    ----------
-    claim : Claim
-        To be finished, or released where nothing was handed over.
-    """
-
-    claim: Claim
-
-
-@dataclass(slots=True, frozen=True)
-class Replay:
-    """Hold the answer of the key's only execution.
-
-    Parameters
-    ----------
-    answer : Answer
-        The answer recorded.
-    """
-
-    answer: Answer
-
-
 class Claims:
     """Claim keys, release them and record their answers.
 
@@ -230,7 +195,7 @@
             else:
                 self._check_deadline(deadline)
                 return Started(claim)
-            result = self._judge(claim, found)
+            result = judge(claim, found, self._objects)
             if result is not None:
                 self._check_deadline(deadline)
                 return result
@@ -260,40 +225,6 @@
             self._check_deadline(deadline)
             raise TableDown(f"the claim can't be read back: {exc}") from exc
 
-    def _judge(self, claim: Claim, found: Row | None) -> Started | Replay | None:
-        if found is None:
-            return None
-        try:
-            row = decode_row(found.value)
-        except BadRow as exc:
-            raise AnswerGone("the key's row can't be read by this version") from exc
-        if row.state == FREE:
-            return None
-        if row.claim == claim.row.claim:
-            claim.version = found.version
-            return Started(claim)
-        if row.body_hash != claim.row.body_hash:
-            raise KeyReused("the key stands for another call")
-        if row.state == DONE:
-            return Replay(self._recorded_answer(row))
-        if row.state == ABANDONED:
-            raise Abandoned(f"the agent on {row.instance} went before its answer")
-        raise InProgress(f"attempt {row.attempt} has it on {row.instance}")
-
-    def _recorded_answer(self, row: ClaimRow) -> Answer:
-        kept = row.answer
-        if kept is None or kept.kept == GONE:
-            raise AnswerGone("the call ran, and its answer is no longer kept")
-        if kept.kept != OBJECT:
-            return whole_answer(kept)
-        try:
-            body = self._objects.get(kept.body)
-        except ObjectsUnavailable as exc:
-            raise AnswerUnreachable("the call ran, its answer can't be read") from exc
-        if body is None:
-            raise AnswerGone("the call ran, and its answer is no longer kept")
-        return whole_answer(kept, body)
-
     def _check_deadline(self, deadline: float) -> None:
         if self._clock.now() >= deadline:
             raise DeadlinePassed("the deadline passed before the start")
--- a/toucanspool/protected/committer.py
+++ b/toucanspool/protected/committer.py
@@ -6,7 +6,7 @@
 from contextlib import ExitStack
 
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import Event
 
 from toucanspool.platform.table import (
     Check,
@@ -19,6 +19,12 @@
     Write,
 )
 from toucanspool.protected.clock import Clock, HubClock
+from toucanspool.protected.transaction import (
+    Transaction,
+    broken_off,
+    fail,
+    succeed,
+)
 
 MAX_WAITING = 4096
 MAX_BATCH = 256
@@ -30,21 +36,6 @@
     """Report that too many transactions wait, so that nothing was written."""
 
 
-class _Transaction:
-    __slots__ = ("checks", "dropped", "due", "keys", "result", "sent", "writes")
-
-    def __init__(
-        self, checks: Sequence[Check], writes: Sequence[Write], due: float
-    ) -> None:
-        self.checks = checks
-        self.writes = writes
-        self.due = due
-        self.keys = {check.key for check in checks} | {w.key for w in writes}
-        self.result = AsyncResult()
-        self.sent = False
-        self.dropped = False
-
-
 class Committer:
     """Commit what waits together, while earlier commits are in flight.
 
@@ -111,7 +102,7 @@
         self._workers = workers
         self._max_waiting = max_waiting
         self._max_batch = max_batch
-        self._waiting: deque[_Transaction] = deque()
+        self._waiting: deque[Transaction] = deque()
         self._wake = Event()
         self._closing = False
         self._greenlets: list[gevent.Greenlet] = []
@@ -176,7 +167,7 @@
         """
         if self._closing or len(self._waiting) >= self._max_waiting:
             raise QueueFull("too many transactions wait for the table")
-        entry = _Transaction(checks, writes, self._clock.now() + linger_s)
+        entry = Transaction(checks, writes, self._clock.now() + linger_s)
         self._waiting.append(entry)
         self._wake.set()
         try:
@@ -189,7 +180,7 @@
             raise TableUncertain("no answer of the table in time")
         raise TableUnavailable("no commit in time")
 
-    def _drop(self, entry: _Transaction) -> None:
+    def _drop(self, entry: Transaction) -> None:
         entry.dropped = True
         if not entry.sent and not entry.result.ready():
             self._waiting.remove(entry)
@@ -213,10 +204,10 @@
                 return True
             self._clock.wait(self._wake, wait_s)
 
-    def _take(self) -> list[_Transaction]:
-        batch: list[_Transaction] = []
+    def _take(self) -> list[Transaction]:
+        batch: list[Transaction] = []
         taken: set[str] = set()
-        left: deque[_Transaction] = deque()
+        left: deque[Transaction] = deque()
         for entry in self._waiting:
             if len(batch) < self._max_batch and taken.isdisjoint(entry.keys):
                 batch.append(entry)
@@ -227,7 +218,7 @@
         self._waiting = left
         return batch
 
-    def _commit(self, batch: list[_Transaction]) -> None:
+    def _commit(self, batch: list[Transaction]) -> None:
         pauses = 0
         while batch:
             try:
@@ -240,28 +231,28 @@
                 pauses += 1
                 batch = self._take()
             except TableError as exc:
-                _fail(batch, exc)
+                fail(batch, exc)
                 return
             except Exception as exc:
-                _fail(batch, _broken_off(exc))
+                fail(batch, broken_off(exc))
                 return
             except BaseException as exc:
-                _fail(batch, _broken_off(exc))
+                fail(batch, broken_off(exc))
                 raise
             else:
                 self.transactions += len(batch)
-                _succeed(batch, version)
+                succeed(batch, version)
                 return
 
-    def _send(self, batch: list[_Transaction]) -> int:
+    def _send(self, batch: list[Transaction]) -> int:
         self.commits += 1
         checks = [check for entry in batch for check in entry.checks]
         writes = [write for entry in batch for write in entry.writes]
         return self._table.commit(checks, writes)
 
     def _fail_conflicting(
-        self, batch: list[_Transaction], exc: TableConflict
-    ) -> list[_Transaction]:
+        self, batch: list[Transaction], exc: TableConflict
+    ) -> list[Transaction]:
         failed = set(exc.keys)
         hit = [entry for entry in batch if not failed.isdisjoint(entry.keys)]
         for entry in hit or batch:
@@ -269,7 +260,7 @@
             entry.result.set_exception(TableConflict(own))
         return [e for e in batch if not e.dropped and not e.result.ready()]
 
-    def _put_back(self, batch: list[_Transaction]) -> list[_Transaction]:
+    def _put_back(self, batch: list[Transaction]) -> list[Transaction]:
         kept = [entry for entry in batch if not entry.dropped]
         for entry in kept:
             entry.sent = False
@@ -279,17 +270,3 @@
     def _backoff_s(self, pauses: int) -> float:
         ceiling = min(BACKOFF_CAP_S, BACKOFF_FIRST_S * 2**pauses)
         return ceiling * self._rng.uniform(0.5, 1.0)
-
-
-def _succeed(batch: list[_Transaction], version: int) -> None:
-    for entry in batch:
-        entry.result.set(version)
-
-
-def _fail(batch: list[_Transaction], exc: Exception) -> None:
-    for entry in batch:
-        entry.result.set_exception(exc)
-
-
-def _broken_off(exc: BaseException) -> TableUncertain:
-    return TableUncertain(f"the commit broke off: {exc!r}")
--- a/toucanspool/protected/row.py
+++ b/toucanspool/protected/row.py
@@ -62,12 +62,15 @@
         Where the body is.
     body : str
         Base64 of the body, or the name of its object, or empty.
+    size : int, default=0
+        Bytes of the whole body.
     """
 
     status: int
     headers: dict[str, str]
     kept: Kept = INLINE
     body: str = ""
+    size: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -170,7 +173,8 @@
     KeptAnswer
     """
     text = base64.b64encode(answer.body).decode()
-    return KeptAnswer(answer.status, dict(answer.headers), INLINE, text)
+    size = len(answer.body)
+    return KeptAnswer(answer.status, dict(answer.headers), INLINE, text, size)
 
 
 def whole_answer(kept: KeptAnswer, body: bytes | None = None) -> Answer:
--- a/toucanspool/protected/writes.py
+++ b/toucanspool/protected/writes.py
@@ -133,7 +133,7 @@
         Keeps a large body.
     """
 
-    __slots__ = ("_answer", "_kept", "_objects")
+    __slots__ = ("_answer", "_kept", "_linger_s", "_objects")
 
     def __init__(
         self,
@@ -147,6 +147,7 @@
         self._objects = objects
         self._answer: Answer | None = answer
         self._kept: KeptAnswer | None = None
+        self._linger_s = FINISH_LINGER_S
 
     def attempt(self) -> None:
         """Try once."""
@@ -157,7 +158,8 @@
         done = ClaimRow(
             DONE, row.claim, row.attempt, row.body_hash, row.instance, self._kept
         )
-        self._replace(done, linger_s=FINISH_LINGER_S)
+        linger_s, self._linger_s = self._linger_s, 0.0
+        self._replace(done, linger_s=linger_s)
 
     def size(self) -> int:
         """Return the bytes held in memory."""
@@ -180,4 +182,5 @@
             return inline_answer(answer)
         name = OBJECT_PREFIX + self._claim.row.claim
         self._objects.put(name, answer.body)
-        return KeptAnswer(answer.status, dict(answer.headers), OBJECT, name)
+        size = len(answer.body)
+        return KeptAnswer(answer.status, dict(answer.headers), OBJECT, name, size)
