--- a/tests/protected/test_claims.py
+++ b/tests/protected/test_claims.py
@@ -5,9 +5,9 @@
 
 import gevent
 import pytest
-from virtual import GatedTable, VirtualClock, settle
 
 from standins.memory import MemoryObjects
+from standins.virtual import GatedTable, Gates, VirtualClock, settle
 from toucanspool.protected.claims import Answer, Claims, Replay, Started
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import (
@@ -28,13 +28,16 @@
 
     def __init__(self):
         self.clock = VirtualClock()
-        self.table = GatedTable()
+        self.gates = Gates()
+        self.table = GatedTable(self.gates)
         self.objects = MemoryObjects()
         self.agents = [self.agent(f"agent-{i}") for i in range(2)]
 
     def agent(self, name):
         """Return the claims of a new agent."""
-        committer = Committer(self.table, clock=self.clock, rng=random.Random(1))
+        committer = Committer(
+            self.table, clock=self.clock, rng=random.Random(1), workers=2
+        )
         committer.start()
         ids = (f"{name}/{i}" for i in itertools.count())
         return Claims(
@@ -115,32 +118,28 @@
 
 
 def test_commit_slower_than_the_deadline_frees_the_key_later(bench):
-    bench.table.gated = ("commit.after",)
+    bench.gates.close(["commit.after"])
     job = gevent.spawn(bench.begin, deadline=2.0)
     settle()
     bench.clock.advance(3.0)
     with pytest.raises(DeadlinePassed):
         job.get(block=False)
-    bench.table.gated = ()
-    bench.table.open_all()
+    bench.gates.open()
     assert bench.agents[0].retry_pending() == 0
     assert isinstance(bench.begin(1, deadline=20.0), Started)
 
 
 def test_release_bars_a_commit_that_takes_effect_late(bench):
     """The refused claim's commit reaches the table after its release."""
-    bench.table.gated = ("commit.before",)
+    bench.gates.close(["commit.before"])
     job = gevent.spawn(bench.begin, deadline=2.0)
     settle()
     bench.clock.advance(3.0)
     with pytest.raises(DeadlinePassed):
         job.get(block=False)
-    bench.table.gated = ()
-    other = Committer(bench.table, clock=bench.clock)
-    other.start()
-    bench.agents[0].pending._tasks[0]._committer = other
-    assert bench.agents[0].retry_pending() == 0
-    bench.table.open_all()
+    bench.gates.closed.clear()
+    assert bench.run(bench.agents[0].retry_pending) == 0
+    bench.gates.open()
     assert isinstance(bench.begin(1, deadline=20.0), Started)
 
 
