--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -81,12 +81,15 @@
     ----------
     closed : set of str
         Gates that hold who comes.
+    traps : set of str
+        Gates that hold only the next who comes.
     held : list of Held
         Who waits, in order.
     """
 
     def __init__(self) -> None:
         self.closed: set[str] = set()
+        self.traps: set[str] = set()
         self.held: list[Held] = []
 
     def close(self, names: Iterable[str]) -> None:
@@ -107,8 +110,9 @@
         name : str
             The gate.
         """
-        if name not in self.closed:
+        if name not in self.closed | self.traps:
             return
+        self.traps.discard(name)
         held = Held(name)
         self.held.append(held)
         try:
@@ -131,6 +135,7 @@
     def open(self) -> None:
         """Open all gates and let everyone go on."""
         self.closed.clear()
+        self.traps.clear()
         while self.held:
             self.let()
 
--- a/toucanspool/recovery/lease.py
+++ b/toucanspool/recovery/lease.py
@@ -85,6 +85,7 @@
 
     __slots__ = (
         "_beat",
+        "_closed",
         "_holder",
         "_key",
         "_name",
@@ -117,6 +118,7 @@
         self._seen_s: float | None = None
         self._until_s: float | None = None
         self._beat = 0
+        self._closed = False
         self.ttl_s = ttl_s
         self.interval_s = ttl_s / RENEWALS_PER_TTL
         self.token = 0
@@ -134,7 +136,9 @@
         bool
             False well before another process may take the lease.
         """
-        return self._until_s is not None and now < self._until_s
+        if self._closed or self._until_s is None:
+            return False
+        return now < self._until_s
 
     def guard(self) -> int:
         """Return the fencing token for an order to be given at once.
@@ -178,6 +182,8 @@
         bool
             Whether the lease is held.
         """
+        if self._closed:
+            return False
         try:
             if not self.held(self._now()) or self._row is None:
                 self._observe()
@@ -188,21 +194,19 @@
         return self.held(self._now())
 
     def release(self) -> None:
-        """Give the lease up, so that another may take it at once.
+        """Give the lease up for good, so that another may take it at once.
 
         Raises
         ------
         TableError
             It may not be recorded; others then wait for the TTL.
         """
-        if self._until_s is None:
-            return
-        self._until_s = None
-        row, self._row = self._row, None
-        if row is None:
+        self._closed = True
+        lease = decode_lease(self._row)
+        if lease.holder != self._holder:
             return
-        free = LeaseRow("", self.token, 0)
-        checks = [Check(self._key, row.version)]
+        free = LeaseRow("", lease.token, 0)
+        checks = [Check(self._key, _version(self._row))]
         self._table.commit(checks, [Write(self._key, encode_lease(free))])
 
     def _observe(self) -> None:
