--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -233,7 +233,7 @@
             outcomes.setdefault(key, set()).add(self.told[delivery][0])
         for key, told in outcomes.items():
             if told == {Outcome.NOT_RUN} and not self.deaths:
-                last = self.call(0, key, "last")
+                last = self.call(0, key)
                 self.clock.advance(TIMEOUT_S)
                 outcome = self.told[last][0]
                 assert outcome == Outcome.COMPLETED, f"{key} is stuck: {outcome}"
