Add the janitor, and a bench of claims

Cause: done rows must not pile up for ever. Ages are told by the versions of marks and by no wall clock, so that a janitor with a wrong clock removes nothing early; a started row is never removed.

--- a/tests/protected/test_claims.py
+++ b/tests/protected/test_claims.py
@@ -2,21 +2,25 @@
 
 import itertools
 import random
+from dataclasses import replace
 
 import gevent
 import pytest
 
 from standins.memory import MemoryObjects
 from standins.virtual import GatedTable, Gates, VirtualClock, settle
+from toucanspool.platform.table import Write
 from toucanspool.protected.claims import Answer, Claims, Replay, Started
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import (
+    Abandoned,
     AnswerUnreachable,
     DeadlinePassed,
     InProgress,
     KeyReused,
     TableDown,
 )
+from toucanspool.protected.row import ABANDONED, encode_row
 from toucanspool.wire.gen.messages.ttypes import Outcome
 
 ANSWER = Answer(201, {"x": "y"}, b"seat 12A")
@@ -158,3 +162,14 @@
     bench.table.faults.clear()
     assert bench.run(bench.agents[0].retry_pending) == 0
     assert bench.begin(1) == Replay(ANSWER)
+
+
+def test_finish_overrides_an_abandoned_row(bench):
+    """The janitor took a slow agent for a dead one."""
+    started = bench.begin()
+    row = replace(started.claim.row, state=ABANDONED)
+    bench.table.arrive([], [Write(started.claim.key, encode_row(row))])
+    with pytest.raises(Abandoned):
+        bench.begin(1)
+    bench.finish(started)
+    assert bench.begin(1) == Replay(ANSWER)
--- /dev/null
+++ b/tests/protected/test_janitor.py
@@ -0,0 +1,134 @@
+"""Old rows go, started ones stay, whatever the clocks say."""
+
+import pytest
+
+from standins.memory import MemoryObjects, MemoryTable
+from toucanspool.platform.table import TableUncertain, Write
+from toucanspool.protected.janitor import Cleaned, Janitor
+from toucanspool.protected.marks import TICK_S
+from toucanspool.protected.row import (
+    ABANDONED,
+    DONE,
+    FREE,
+    STARTED,
+    Answer,
+    ClaimRow,
+    KeptAnswer,
+    decode_row,
+    encode_row,
+    inline_answer,
+    row_key,
+)
+
+ANSWER = inline_answer(Answer(200, {}, b"ok"))
+KEY = row_key("team", "k")
+RETENTION_TICKS = 3
+
+
+class Bench:
+    """A table, and janitors in virtual time."""
+
+    def __init__(self):
+        self.time = 0.0
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+
+    def janitor(self):
+        """Return a new janitor."""
+        return Janitor(
+            self.table,
+            self.objects,
+            now=lambda: self.time,
+            retention_s=RETENTION_TICKS * TICK_S,
+        )
+
+    def put(self, state, answer=None):
+        """Write the key's row."""
+        row = ClaimRow(state, "c", "a", "h", "agent", answer)
+        self.table.commit([], [Write(KEY, encode_row(row))])
+
+    def pass_ticks(self, janitor, ticks, live=("agent",)):
+        """Let a janitor work for some ticks."""
+        for _ in range(ticks):
+            self.time += TICK_S
+            janitor.step(live)
+
+    def state(self):
+        """Return the state of the key's row."""
+        row = self.table.get([KEY]).get(KEY)
+        return decode_row(row.value).state if row else None
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+@pytest.mark.parametrize(("state", "ticks"), [(DONE, RETENTION_TICKS), (FREE, 2)])
+def test_old_row_is_removed_after_its_ticks_and_no_sooner(bench, state, ticks):
+    janitor = bench.janitor()
+    bench.put(state, ANSWER if state == DONE else None)
+    janitor.step(["agent"])
+    bench.pass_ticks(janitor, ticks - 1)
+    assert bench.state() == state
+    bench.pass_ticks(janitor, 1)
+    assert bench.state() is None
+
+
+@pytest.mark.parametrize("state", [STARTED, ABANDONED])
+def test_unfinished_claim_is_never_removed(bench, state):
+    bench.put(state)
+    bench.pass_ticks(bench.janitor(), 10 * RETENTION_TICKS, live=())
+    assert bench.state() == ABANDONED
+
+
+def test_claim_of_a_listed_agent_stays_started(bench):
+    bench.put(STARTED)
+    bench.pass_ticks(bench.janitor(), 10, live=["agent"])
+    assert bench.state() == STARTED
+
+
+def test_new_janitors_never_shorten_the_retention(bench):
+    bench.put(DONE, ANSWER)
+    for _ in range(50):
+        janitor = bench.janitor()
+        janitor.step([])
+        bench.time += 0.9 * TICK_S
+        janitor.step([])
+    assert bench.state() == DONE
+
+
+def test_row_rewritten_meanwhile_stays(bench, monkeypatch):
+    bench.put(STARTED)
+    janitor = bench.janitor()
+    bench.pass_ticks(janitor, 2)
+    scan = bench.table.scan
+
+    def scan_then_finish(*args, **kwargs):
+        found = scan(*args, **kwargs)
+        bench.put(DONE, ANSWER)
+        return found
+
+    monkeypatch.setattr(bench.table, "scan", scan_then_finish)
+    assert janitor.step(()) == Cleaned()
+    assert bench.state() == DONE
+
+
+def test_object_of_a_removed_row_is_blanked(bench):
+    bench.objects.put("answer/c", b"z" * 100)
+    bench.put(DONE, KeptAnswer(200, {}, "object", "answer/c", 100))
+    bench.pass_ticks(bench.janitor(), RETENTION_TICKS + 2)
+    assert bench.objects.get("answer/c") == b""
+
+
+def test_lost_answer_of_a_mark_is_no_second_mark(bench):
+    bench.put(DONE, ANSWER)
+    janitor = bench.janitor()
+    for _ in range(20):
+        bench.table.faults.set(lose_answers=1)
+        with pytest.raises(TableUncertain):
+            bench.pass_ticks(janitor, 1)
+        janitor.step([])
+        if bench.state() is None:
+            break
+    assert bench.time > RETENTION_TICKS * TICK_S
--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -20,7 +20,6 @@
     Write,
 )
 from toucanspool.protected.clock import Clock, HubClock
-from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import (
     AnswerGone,
     AnswerUnreachable,
@@ -38,8 +37,14 @@
     encode_row,
     row_key,
 )
+from toucanspool.protected.submitter import Submitter
 from toucanspool.protected.verdict import Replay, Started, judge
-from toucanspool.protected.writes import Claim, FinishWrite, ReleaseWrite
+from toucanspool.protected.writes import (
+    FINISH_LINGER_S,
+    Claim,
+    FinishWrite,
+    ReleaseWrite,
+)
 
 CLAIM_ID_BYTES = 16
 MAX_TRIES = 8
@@ -50,7 +55,7 @@
 
     Parameters
     ----------
-    committer : Committer
+    committer : Submitter
         Commits the writes.
     table : Table
         The same table, for reading back.
@@ -64,11 +69,15 @@
         Keeps writes through an outage.
     new_id : callable, optional
         Draws an identity that was never drawn before.
+    finish_linger_s : float, default=0.05
+        Seconds that the record of an answer waits for the company of other writes.
+        An agent that dies meanwhile leaves the key unknown.
     """
 
     __slots__ = (
         "_clock",
         "_committer",
+        "_finish_linger_s",
         "_instance",
         "_new_id",
         "_objects",
@@ -78,7 +87,7 @@
 
     def __init__(
         self,
-        committer: Committer,
+        committer: Submitter,
         table: Table,
         objects: Objects,
         instance: str,
@@ -86,6 +95,7 @@
         clock: Clock | None = None,
         pending: PendingWrites | None = None,
         new_id: Callable[[], str] | None = None,
+        finish_linger_s: float = FINISH_LINGER_S,
     ) -> None:
         self._committer = committer
         self._table = table
@@ -94,6 +104,7 @@
         self._clock = clock or HubClock()
         self.pending = pending or PendingWrites()
         self._new_id = new_id or _random_id
+        self._finish_linger_s = finish_linger_s
 
     def begin(
         self, team: str, key: str, attempt: str, body_hash: str, *, deadline: float
@@ -167,7 +178,14 @@
         answer : Answer
             The whole reply of the upstream.
         """
-        task = FinishWrite(claim, answer, self._committer, self._table, self._objects)
+        task = FinishWrite(
+            claim,
+            answer,
+            self._committer,
+            self._table,
+            self._objects,
+            linger_s=self._finish_linger_s,
+        )
         self.pending.run(task)
 
     def retry_pending(self) -> int:
--- a/toucanspool/protected/writes.py
+++ b/toucanspool/protected/writes.py
@@ -4,7 +4,6 @@
 
 from toucanspool.platform.objects import Objects
 from toucanspool.platform.table import Check, Table, TableConflict, Write
-from toucanspool.protected.committer import Committer
 from toucanspool.protected.row import (
     ABANDONED,
     DONE,
@@ -21,6 +20,7 @@
     encode_row,
     inline_answer,
 )
+from toucanspool.protected.submitter import Submitter
 
 MAX_INLINE_BYTES = 16 << 10
 WRITE_TIMEOUT_S = 5.0
@@ -55,7 +55,7 @@
 
     __slots__ = ("_claim", "_committer", "_table", "_version")
 
-    def __init__(self, claim: Claim, committer: Committer, table: Table) -> None:
+    def __init__(self, claim: Claim, committer: Submitter, table: Table) -> None:
         self._claim = claim
         self._version = claim.version
         self._committer = committer
@@ -96,7 +96,7 @@
     ----------
     claim : Claim
         The claim.
-    committer : Committer
+    committer : Submitter
         Commits the write.
     table : Table
         The same table.
@@ -125,12 +125,14 @@
         The claim.
     answer : Answer
         The upstream's reply.
-    committer : Committer
+    committer : Submitter
         Commits the write.
     table : Table
         The same table.
     objects : Objects
         Keeps a large body.
+    linger_s : float, default=0.05
+        Seconds that the first try waits for the company of other writes.
     """
 
     __slots__ = ("_answer", "_kept", "_linger_s", "_objects")
@@ -139,15 +141,17 @@
         self,
         claim: Claim,
         answer: Answer,
-        committer: Committer,
+        committer: Submitter,
         table: Table,
         objects: Objects,
+        *,
+        linger_s: float = FINISH_LINGER_S,
     ) -> None:
         super().__init__(claim, committer, table)
         self._objects = objects
         self._answer: Answer | None = answer
         self._kept: KeptAnswer | None = None
-        self._linger_s = FINISH_LINGER_S
+        self._linger_s = linger_s
 
     def attempt(self) -> None:
         """Try once."""
