--- a/tests/protected/test_committer.py
+++ b/tests/protected/test_committer.py
@@ -78,6 +78,16 @@
     assert (committer.commits, committer.transactions) == (2, 10)
 
 
+def test_batch_is_bounded_in_bytes(clock, gates, monkeypatch):
+    monkeypatch.setattr("toucanspool.protected.committer.MAX_BATCH_BYTES", 3)
+    committer = committer_of(GatedTable(gates), clock)
+    gates.close(["commit.before"])
+    for index in range(7):
+        submit(committer, f"k{index}")
+    gates.open()
+    assert (committer.commits, committer.transactions) == (3, 7)
+
+
 def test_conflict_fails_only_its_own_transaction(clock, gates):
     table = GatedTable(gates)
     table.arrive([], [Write("k1", b"taken")])
--- a/toucanspool/protected/committer.py
+++ b/toucanspool/protected/committer.py
@@ -28,6 +28,7 @@
 
 MAX_WAITING = 4096
 MAX_BATCH = 256
+MAX_BATCH_BYTES = 1 << 20
 BACKOFF_FIRST_S = 0.01
 BACKOFF_CAP_S = 1.0
 
@@ -208,9 +209,12 @@
         batch: list[Transaction] = []
         taken: set[str] = set()
         left: deque[Transaction] = deque()
+        size = 0
         for entry in self._waiting:
-            if len(batch) < self._max_batch and taken.isdisjoint(entry.keys):
+            fits = len(batch) < self._max_batch and size < MAX_BATCH_BYTES
+            if fits and taken.isdisjoint(entry.keys):
                 batch.append(entry)
+                size += entry.size
                 entry.sent = True
             else:
                 left.append(entry)
--- a/toucanspool/protected/transaction.py
+++ b/toucanspool/protected/transaction.py
@@ -23,6 +23,8 @@
     ----------
     keys : frozenset of str
         Keys checked or written.
+    size : int
+        Bytes written.
     result : AsyncResult
         The version written, or the failure.
     sent : bool
@@ -31,7 +33,7 @@
         Whether nobody waits for it any more.
     """
 
-    __slots__ = ("checks", "dropped", "due", "keys", "result", "sent", "writes")
+    __slots__ = ("checks", "dropped", "due", "keys", "result", "sent", "size", "writes")
 
     def __init__(
         self, checks: Sequence[Check], writes: Sequence[Write], due: float
@@ -41,6 +43,7 @@
         self.due = due
         checked = frozenset(check.key for check in checks)
         self.keys = checked.union(write.key for write in writes)
+        self.size = sum(len(write.value or b"") for write in writes)
         self.result = AsyncResult()
         self.sent = False
         self.dropped = False
