Carry frames between processes and stand in for the platform

Cause: entries and agents need one connection for many calls, and the whole path needs a platform to run against. Ruled out: a thrift RPC call a chunk, which costs a round trip for each token. Conclusion: one multiplexed connection a pair of processes, with credit a call.

--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,314 @@
+"""A streaming model engine as a process: ``python -m standins.engine --port=N``.
+
+It batches continuously, honours priorities, goes on from a given start of the
+answer, stops when its caller leaves, reports load with a lag, and caches prompt
+prefixes in limited memory. Answers are a function of the prompt, so that tests
+know them beforehand.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import itertools
+import time
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+
+import falcon
+import gevent
+import orjson
+import xxhash
+from absl import app as absl_app
+from absl import flags
+from gevent.queue import Queue
+
+from standins.faults import Faults
+from standins.http import make_app, serve
+
+MODEL = flags.DEFINE_string("model", "guide", "Model served.")
+STEP_MS = flags.DEFINE_float("step_ms", 10.0, "Time of a step of one sequence, ms.")
+BATCH = flags.DEFINE_integer("batch", 16, "Sequences that run at once.")
+LAG_S = flags.DEFINE_float("lag_s", 0.5, "Age of the load that is reported, seconds.")
+FENCED = flags.DEFINE_bool("fenced", True, "Refuse orders with an old fencing number.")
+
+STEP_MS_PER_SEQUENCE = 0.1
+CACHE_BLOCKS = 4096
+BLOCK_CHARS = 64
+DEFAULT_TOKENS = 32
+ANSWER = """the steam train leaves Dunedin at nine and stops at every station until
+Arthur Pass where guards check seats couple wagons and wave to the crew"""
+WORDS = tuple(ANSWER.split())
+
+
+def answer_token(seed: int, index: int) -> str:
+    """Return one token of the answer to a prompt.
+
+    Parameters
+    ----------
+    seed : int
+        From `prompt_seed`.
+    index : int
+        Place of the token in the answer.
+
+    Returns
+    -------
+    str
+        A word and a space.
+    """
+    return WORDS[(seed + index * 7) % len(WORDS)] + f"-{index} "
+
+
+def prompt_seed(messages: list[dict]) -> int:
+    """Return what an answer depends on.
+
+    Parameters
+    ----------
+    messages : list of dict
+        The conversation, without a started answer.
+
+    Returns
+    -------
+    int
+    """
+    return xxhash.xxh32_intdigest(orjson.dumps(messages))
+
+
+class Sequence:
+    """Hold one answer in the making.
+
+    Parameters
+    ----------
+    seed : int
+        From `prompt_seed`.
+    start : int
+        The first token wanted.
+    stop : int
+        One past the last token.
+    priority : int
+        Lower runs first.
+    """
+
+    def __init__(self, seed: int, start: int, stop: int, priority: int) -> None:
+        self.seed = seed
+        self.next = start
+        self.stop = stop
+        self.priority = priority
+        self.tokens: Queue[str | None] = Queue()
+        self.cancelled = False
+
+
+class Engine:
+    """Run sequences in steps.
+
+    Parameters
+    ----------
+    step_ms : float
+        Time of a step of one sequence.
+    batch : int
+        Sequences that run at once.
+    faults : Faults
+        The faults in force; ``delay_s`` slows each step.
+    """
+
+    def __init__(self, step_ms: float, batch: int, faults: Faults) -> None:
+        self._step_ms = step_ms
+        self._batch = batch
+        self._faults = faults
+        self._running: list[Sequence] = []
+        self._waiting: list[Sequence] = []
+        self._loads: deque[tuple[float, dict]] = deque(maxlen=1000)
+        self._cached: OrderedDict[str, None] = OrderedDict()
+        self.step_ms = step_ms
+        gevent.spawn(self._run)
+
+    def submit(self, sequence: Sequence) -> None:
+        """Queue a sequence."""
+        if sequence.next >= sequence.stop:
+            sequence.tokens.put(None)
+            return
+        self._waiting.append(sequence)
+        self._waiting.sort(key=lambda s: s.priority)
+
+    def cache(self, prompt: str) -> float:
+        """Remember a prompt's blocks and return the share cached before."""
+        blocks = [
+            xxhash.xxh64_hexdigest(prompt[:end])
+            for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS)
+        ]
+        hits = sum(1 for block in blocks if block in self._cached)
+        for block in blocks:
+            self._cached[block] = None
+            self._cached.move_to_end(block)
+        while len(self._cached) > CACHE_BLOCKS:
+            self._cached.popitem(last=False)
+        return hits / len(blocks) if blocks else 0.0
+
+    def load(self, lag_s: float) -> dict:
+        """Return the load as it was a lag ago."""
+        horizon = time.monotonic() - lag_s
+        past = [load for at, load in self._loads if at <= horizon]
+        return past[-1] if past else {"running": 0, "waiting": 0, "step_ms": 0.0}
+
+    def _run(self) -> None:
+        while True:
+            self._admit()
+            step_ms = self._step_ms + STEP_MS_PER_SEQUENCE * len(self._running)
+            self.step_ms = step_ms + self._faults.delay_s * 1000.0
+            gevent.sleep(self.step_ms / 1000.0)
+            for sequence in self._running:
+                self._step(sequence)
+            self._running = [s for s in self._running if s.next < s.stop]
+            self._running = [s for s in self._running if not s.cancelled]
+            self._loads.append((time.monotonic(), self._now()))
+
+    def _now(self) -> dict:
+        return {
+            "running": len(self._running),
+            "waiting": len(self._waiting),
+            "step_ms": self.step_ms,
+        }
+
+    def _admit(self) -> None:
+        self._waiting = [s for s in self._waiting if not s.cancelled]
+        while self._waiting and len(self._running) < self._batch:
+            self._running.append(self._waiting.pop(0))
+
+    def _step(self, sequence: Sequence) -> None:
+        sequence.tokens.put(answer_token(sequence.seed, sequence.next))
+        sequence.next += 1
+        if sequence.next >= sequence.stop:
+            sequence.tokens.put(None)
+
+
+class ChatPage:
+    """Serve chat completions in the usual form.
+
+    Parameters
+    ----------
+    engine : Engine
+        What runs them.
+    model : str
+        The model's name.
+    """
+
+    def __init__(self, engine: Engine, model: str) -> None:
+        self._engine = engine
+        self._model = model
+        self._ids = itertools.count(1)
+        self.seen: list[dict] = []
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer a conversation, whole or streamed."""
+        body = orjson.loads(req.bounded_stream.read())
+        sequence = self._sequence(body, int(req.get_header("x-priority") or 0))
+        self._note(req, body, sequence)
+        self._engine.submit(sequence)
+        name = f"chatcmpl-{next(self._ids)}"
+        if body.get("stream"):
+            resp.content_type = "text/event-stream"
+            resp.stream = self._events(name, sequence)
+        else:
+            text = "".join(iter(sequence.tokens.get, None))
+            resp.media = self._whole(name, text, sequence)
+
+    def _sequence(self, body: dict, priority: int) -> Sequence:
+        messages = body["messages"]
+        start = 0
+        if body.get("continue_final_message"):
+            start = len(messages[-1]["content"].split())
+            messages = messages[:-1]
+        wanted = body.get("max_tokens")
+        stop = start + int(wanted) if wanted else max(DEFAULT_TOKENS, start)
+        return Sequence(prompt_seed(messages), start, stop, priority)
+
+    def _note(self, req: falcon.Request, body: dict, sequence: Sequence) -> None:
+        text = "".join(str(m.get("content")) for m in body["messages"])
+        self.seen.append(
+            {
+                "request": req.get_header("x-request-id"),
+                "start": sequence.next,
+                "prefix_hit": self._engine.cache(text),
+            }
+        )
+
+    def _events(self, name: str, sequence: Sequence) -> Iterator[bytes]:
+        try:
+            for token in iter(sequence.tokens.get, None):
+                yield self._event(name, {"content": token}, None)
+            yield self._event(name, {}, "stop")
+            yield b"data: [DONE]\n\n"
+        finally:
+            sequence.cancelled = True
+
+    def _event(self, name: str, delta: dict, finish: str | None) -> bytes:
+        choice = {"index": 0, "delta": delta, "finish_reason": finish}
+        body = {
+            "id": name,
+            "object": "chat.completion.chunk",
+            "model": self._model,
+            "choices": [choice],
+        }
+        return b"data: " + orjson.dumps(body) + b"\n\n"
+
+    def _whole(self, name: str, text: str, sequence: Sequence) -> dict:
+        message = {"role": "assistant", "content": text}
+        return {
+            "id": name,
+            "object": "chat.completion",
+            "model": self._model,
+            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+            "usage": {"completion_tokens": sequence.stop},
+        }
+
+
+class StatePages:
+    """Serve load, orders, and what the engine saw.
+
+    Parameters
+    ----------
+    engine : Engine
+        The engine.
+    chat : ChatPage
+        Where requests came in.
+    """
+
+    def __init__(self, engine: Engine, chat: ChatPage) -> None:
+        self._engine = engine
+        self._chat = chat
+        self._token = 0
+        self.orders: list[dict] = []
+
+    def on_get_load(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return the lagging load."""
+        resp.media = self._engine.load(LAG_S.value)
+
+    def on_get_seen(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return requests and orders seen."""
+        resp.media = {"requests": self._chat.seen, "orders": self.orders}
+
+    def on_post_orders(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Carry out an order, unless its fencing number is old and checked."""
+        order = orjson.loads(req.bounded_stream.read())
+        if FENCED.value and order["token"] < self._token:
+            raise falcon.HTTPConflict(title="old fencing number")
+        self._token = max(self._token, order["token"])
+        self.orders.append(order)
+
+
+def main(argv: list[str]) -> None:
+    """Serve the engine."""
+    faults = Faults(sleep=gevent.sleep)
+    engine = Engine(STEP_MS.value, BATCH.value, faults)
+    chat = ChatPage(engine, MODEL.value)
+    state = StatePages(engine, chat)
+    app = make_app(faults)
+    app.add_route("/v1/chat/completions", chat)
+    app.add_route("/load", state, suffix="load")
+    app.add_route("/seen", state, suffix="seen")
+    app.add_route("/orders", state, suffix="orders")
+    serve(app)
+
+
+if __name__ == "__main__":
+    absl_app.run(main)
--- /dev/null
+++ b/toucanspool/agent/call.py
@@ -0,0 +1,315 @@
+"""One call handed over to an agent, from its first check to its last message."""
+
+from collections.abc import Iterator
+from typing import Any, Protocol
+
+import gevent
+import structlog
+import xxhash
+from gevent.lock import Semaphore
+
+from toucanspool.agent.upstream_client import (
+    Reply,
+    UpstreamBroken,
+    UpstreamClient,
+    UpstreamUnreachable,
+)
+from toucanspool.protected.claims import Answer, Claims, Replay
+from toucanspool.protected.clock import Clock
+from toucanspool.protected.errors import ClaimRefused
+from toucanspool.protected.writes import Claim
+from toucanspool.wire.connection import Connection, ConnectionLost
+from toucanspool.wire.gen.messages.ttypes import (
+    Chunk,
+    End,
+    Frame,
+    Head,
+    Open,
+    Outcome,
+    Refusal,
+)
+
+RETRY_AFTER_MS = 1000
+# A claimed call is read to its end for the record, also when its caller is gone.
+ANSWER_PATIENCE_S = 120.0
+
+_log = structlog.get_logger()
+
+
+class CallRefused(Exception):
+    """Report that a call ends without a whole reply.
+
+    Parameters
+    ----------
+    outcome : int
+        One of `Outcome`: what is known of the call.
+    refusal : int
+        One of `Refusal`.
+    detail : str
+        What happened, in a sentence.
+    retry_after_ms : int, default=RETRY_AFTER_MS
+        Time after which another attempt makes sense; 0 where none does.
+    """
+
+    def __init__(
+        self,
+        outcome: int,
+        refusal: int,
+        detail: str,
+        *,
+        retry_after_ms: int = RETRY_AFTER_MS,
+    ) -> None:
+        super().__init__(detail)
+        self.outcome = outcome
+        self.refusal = refusal
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+
+class Gate(Protocol):
+    """Say whether a call may start now."""
+
+    def check(self, opened: Open) -> None:
+        """Pass a call or refuse it.
+
+        Parameters
+        ----------
+        opened : Open
+            The call.
+
+        Raises
+        ------
+        CallRefused
+            The call must not start here.
+        """
+        ...
+
+
+class Call:
+    """Run one call in a greenlet of its own.
+
+    Parameters
+    ----------
+    opened : Open
+        The call as handed over.
+    conn : Connection
+        Where its messages go.
+    gate : Gate
+        The last check before the upstream.
+    upstream : UpstreamClient
+        The upstream.
+    claims : Claims
+        Claims of calls that run at most once.
+    clock : Clock
+        Time.
+    """
+
+    __slots__ = (
+        "_claims",
+        "_clock",
+        "_conn",
+        "_credit",
+        "_deadline",
+        "_gate",
+        "_greenlet",
+        "_handed_over",
+        "_opened",
+        "_sent",
+        "_upstream",
+    )
+
+    def __init__(
+        self,
+        opened: Open,
+        conn: Connection,
+        *,
+        gate: Gate,
+        upstream: UpstreamClient,
+        claims: Claims,
+        clock: Clock,
+    ) -> None:
+        self._opened = opened
+        self._conn = conn
+        self._gate = gate
+        self._upstream = upstream
+        self._claims = claims
+        self._clock = clock
+        self._credit = Semaphore(opened.window)
+        self._deadline = clock.now() + opened.deadline_ms / 1000.0
+        self._handed_over = False
+        self._sent = 0
+        self._greenlet = gevent.Greenlet(self._run)
+
+    @property
+    def guarded(self) -> bool:
+        """Whether the call runs at most once."""
+        return bool(self._opened.guarded)
+
+    def start(self) -> gevent.Greenlet:
+        """Begin, and return the greenlet that runs the call."""
+        self._greenlet.start()
+        return self._greenlet
+
+    def allow(self, chunks: int) -> None:
+        """Let more chunks be sent.
+
+        Parameters
+        ----------
+        chunks : int
+            How many.
+        """
+        for _ in range(chunks):
+            self._credit.release()
+
+    def cancel(self) -> None:
+        """End a call whose caller has gone; one that runs at most once goes on."""
+        if not self.guarded:
+            self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        remaining_s = max(0.0, self._deadline - self._clock.now())
+        try:
+            with gevent.Timeout(None if self.guarded else remaining_s):
+                self._serve()
+        except gevent.Timeout:
+            self._end_late()
+        except CallRefused as exc:
+            self._end(exc)
+        except ConnectionLost:
+            _log.info("entry left", request_id=self._opened.request_id)
+
+    def _serve(self) -> None:
+        self._gate.check(self._opened)
+        if self.guarded:
+            self._serve_once()
+            return
+        reply = self._hand_over(self._upstream.send)
+        try:
+            self._relay(reply)
+        finally:
+            reply.close()
+
+    def _serve_once(self) -> None:
+        opened = self._opened
+        try:
+            begun = self._claims.begin(
+                opened.team,
+                opened.idempotency_key,
+                f"{opened.request_id}/{opened.attempt}",
+                _body_hash(opened),
+                deadline=self._deadline,
+            )
+        except ClaimRefused as exc:
+            raise CallRefused(
+                exc.outcome,
+                exc.refusal,
+                exc.detail,
+                retry_after_ms=int(exc.retry_after_s * 1000),
+            ) from exc
+        if isinstance(begun, Replay):
+            self._send_whole(begun.answer, replayed=True)
+        else:
+            self._send_whole(self._run_claimed(begun.claim), replayed=False)
+
+    def _run_claimed(self, claim: Claim) -> Answer:
+        try:
+            # The claim may have taken long: what was true before may not be now.
+            self._gate.check(self._opened)
+            with gevent.Timeout(ANSWER_PATIENCE_S, _late_reply()):
+                reply = self._hand_over(self._upstream.send_once)
+                body = b"".join(self._read(reply))
+        except CallRefused as exc:
+            if exc.outcome == Outcome.NOT_RUN:
+                self._claims.release(claim)
+            raise
+        answer = Answer(reply.status, reply.headers, body)
+        self._claims.finish(claim, answer)
+        return answer
+
+    def _hand_over(self, send: Any) -> Reply:
+        opened = self._opened
+        headers = {**opened.headers, "x-request-id": opened.request_id}
+        self._handed_over = True
+        try:
+            return send(opened.method, opened.path, headers, opened.body)
+        except UpstreamUnreachable as exc:
+            self._handed_over = False
+            raise CallRefused(
+                Outcome.NOT_RUN, Refusal.UNREACHABLE, "The upstream did not answer."
+            ) from exc
+        except UpstreamBroken as exc:
+            raise _broken() from exc
+
+    def _read(self, reply: Reply) -> Iterator[bytes]:
+        try:
+            yield from reply.pieces()
+        except UpstreamBroken as exc:
+            raise _broken() from exc
+
+    def _relay(self, reply: Reply) -> None:
+        self._send_head(reply.status, reply.headers)
+        for piece in self._read(reply):
+            self._credit.acquire()
+            self._send_chunk(piece)
+        self._send_end(replayed=False)
+
+    def _send_whole(self, answer: Answer, *, replayed: bool) -> None:
+        self._send_head(answer.status, dict(answer.headers))
+        self._send_chunk(answer.body)
+        self._send_end(replayed=replayed)
+
+    def _send_head(self, status: int, headers: dict[str, str]) -> None:
+        head = Head(call=self._opened.call, status=status, headers=headers)
+        self._conn.send(Frame(head=head))
+
+    def _send_chunk(self, data: bytes) -> None:
+        chunk = Chunk(call=self._opened.call, offset=self._sent, data=data)
+        self._sent += len(data)
+        self._conn.send(Frame(chunk=chunk))
+
+    def _send_end(self, *, replayed: bool) -> None:
+        end = End(
+            call=self._opened.call,
+            outcome=Outcome.COMPLETED,
+            offset=self._sent,
+            replayed=replayed,
+        )
+        self._conn.send(Frame(end=end))
+
+    def _end_late(self) -> None:
+        outcome = Outcome.UNKNOWN if self._handed_over else Outcome.NOT_RUN
+        self._end(CallRefused(outcome, Refusal.DEADLINE, "The time was over."))
+
+    def _end(self, exc: CallRefused) -> None:
+        end = End(
+            call=self._opened.call,
+            outcome=exc.outcome,
+            offset=self._sent,
+            refusal=exc.refusal,
+            detail=exc.detail,
+            retry_after_ms=exc.retry_after_ms,
+        )
+        try:
+            self._conn.send(Frame(end=end))
+        except ConnectionLost:
+            _log.info("entry left", request_id=self._opened.request_id)
+
+
+def _broken() -> CallRefused:
+    return CallRefused(
+        Outcome.UNKNOWN, Refusal.BROKEN, "The upstream's reply did not come whole."
+    )
+
+
+def _late_reply() -> CallRefused:
+    return CallRefused(
+        Outcome.UNKNOWN, Refusal.DEADLINE, "The upstream's reply did not come in time."
+    )
+
+
+def _body_hash(opened: Open) -> str:
+    digest = xxhash.xxh3_128()
+    for part in (opened.method, opened.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(opened.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/toucanspool/entry/link.py
@@ -0,0 +1,268 @@
+"""An entry's connection to one agent, shared by all calls to it."""
+
+import itertools
+from collections.abc import Callable
+from typing import Protocol
+
+from gevent.lock import Semaphore
+from gevent.queue import Empty, Queue
+
+from toucanspool.wire.connection import Connection, ConnectionLost, connect
+from toucanspool.wire.gen.messages.ttypes import (
+    Cancel,
+    Changes,
+    Chunk,
+    Credit,
+    End,
+    Frame,
+    Head,
+    Hello,
+    Open,
+    Outcome,
+    Pull,
+    Refusal,
+    Report,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+CREDIT_BATCH = 16
+WINDOW_CHUNKS = 64
+
+Message = Head | Chunk | End
+
+
+class LinkEvents(Protocol):
+    """Take what agents say besides calls."""
+
+    def reported(self, report: Report) -> None:
+        """Take a load report."""
+        ...
+
+    def greeted(self, conn: Connection, hello: Hello) -> None:
+        """Take the other side's introduction."""
+        ...
+
+    def changed(self, changes: Changes) -> None:
+        """Take changes of configuration."""
+        ...
+
+    def pulled(self, conn: Connection, pull: Pull) -> None:
+        """Answer a demand for changes."""
+        ...
+
+
+class CallTimeout(Exception):
+    """Report that no message of a call came in time."""
+
+
+class LinkedCall:
+    """Receive the messages of one call.
+
+    Parameters
+    ----------
+    number : int
+        The call's number on its link.
+    link : Link
+        The link.
+    """
+
+    __slots__ = ("_link", "_messages", "_read", "ended", "number")
+
+    def __init__(self, number: int, link: "Link") -> None:
+        self.number = number
+        self.ended = False
+        self._link = link
+        self._messages: Queue[Message] = Queue()
+        self._read = 0
+
+    def deliver(self, message: Message) -> None:
+        """Queue a message.
+
+        Parameters
+        ----------
+        message : Head, Chunk or End
+            The message.
+        """
+        self._messages.put(message)
+
+    def next(self, timeout_s: float) -> Message:
+        """Return the next message.
+
+        Parameters
+        ----------
+        timeout_s : float
+            The longest wait, in seconds.
+
+        Returns
+        -------
+        Head, Chunk or End
+
+        Raises
+        ------
+        CallTimeout
+            None came in time.
+        """
+        try:
+            message = self._messages.get(timeout=max(0.0, timeout_s))
+        except Empty:
+            raise CallTimeout from None
+        if isinstance(message, Chunk):
+            self._count_read()
+        elif isinstance(message, End):
+            self.ended = True
+        return message
+
+    def close(self) -> None:
+        """Take no more messages; the agent is told unless the call has ended."""
+        self._link.forget(self)
+
+    def _count_read(self) -> None:
+        self._read += 1
+        if self._read % CREDIT_BATCH == 0:
+            self._link.tell(Frame(credit=Credit(call=self.number, chunks=CREDIT_BATCH)))
+
+
+class Link:
+    """Own the connection to one agent and open it when needed.
+
+    Parameters
+    ----------
+    host : str
+        The agent's IP number.
+    port : int
+        The agent's port.
+    events : LinkEvents
+        Who takes what is not of a call.
+    hello : callable
+        Returns the introduction that is sent first.
+    """
+
+    __slots__ = ("_calls", "_conn", "_events", "_hello", "_lock", "_numbers", "host", "port")
+
+    def __init__(
+        self, host: str, port: int, events: LinkEvents, hello: Callable[[], Hello]
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._events = events
+        self._hello = hello
+        self._conn: Connection | None = None
+        self._calls: dict[int, LinkedCall] = {}
+        self._numbers = itertools.count(1)
+        self._lock = Semaphore()
+
+    @property
+    def calls(self) -> int:
+        """Calls that have not ended."""
+        return len(self._calls)
+
+    def ensure(self) -> Connection:
+        """Return the connection, opened if need be.
+
+        Returns
+        -------
+        Connection
+
+        Raises
+        ------
+        ConnectionLost
+            It can't be opened.
+        """
+        with self._lock:
+            if self._conn is None or self._conn.closed:
+                self._conn = connect(
+                    self.host, self.port, self, timeout_s=CONNECT_TIMEOUT_S
+                )
+                self._conn.send(Frame(hello=self._hello()))
+            return self._conn
+
+    def open(self, opened: Open) -> LinkedCall:
+        """Hand a call over.
+
+        Parameters
+        ----------
+        opened : Open
+            The call; its number and window are set here.
+
+        Returns
+        -------
+        LinkedCall
+
+        Raises
+        ------
+        ConnectionLost
+            The call was not handed over.
+        """
+        conn = self.ensure()
+        call = LinkedCall(next(self._numbers), self)
+        opened.call = call.number
+        opened.window = WINDOW_CHUNKS
+        self._calls[call.number] = call
+        try:
+            conn.send(Frame(open=opened))
+        except ConnectionLost:
+            self._calls.pop(call.number, None)
+            raise
+        return call
+
+    def tell(self, frame: Frame) -> None:
+        """Send a message if the connection is open.
+
+        Parameters
+        ----------
+        frame : Frame
+            The message.
+        """
+        if self._conn is not None and not self._conn.closed:
+            self._conn.send(frame)
+
+    def forget(self, call: LinkedCall) -> None:
+        """Drop a call.
+
+        Parameters
+        ----------
+        call : LinkedCall
+            The call.
+        """
+        known = self._calls.pop(call.number, None)
+        if known is not None and not call.ended:
+            self.tell(Frame(cancel=Cancel(call=call.number)))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+
+    def received(self, conn: Connection, frame: Frame) -> None:
+        """Take a message of the agent; see `Receiver`."""
+        message = frame.chunk or frame.head or frame.end
+        if message is not None:
+            call = self._calls.get(message.call)
+            if call is not None:
+                call.deliver(message)
+        elif frame.report is not None:
+            self._events.reported(frame.report)
+        elif frame.hello is not None:
+            self._events.greeted(conn, frame.hello)
+        elif frame.changes is not None:
+            self._events.changed(frame.changes)
+        elif frame.pull is not None:
+            self._events.pulled(conn, frame.pull)
+
+    def lost(self, conn: Connection) -> None:
+        """End all calls with an unknown outcome; see `Receiver`."""
+        if conn is not self._conn:
+            return
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            call.deliver(_lost_end(call.number))
+
+
+def _lost_end(number: int) -> End:
+    return End(
+        call=number,
+        outcome=Outcome.UNKNOWN,
+        refusal=Refusal.BROKEN,
+        detail="The connection to the upstream's agent was lost.",
+        retry_after_ms=0,
+    )
--- /dev/null
+++ b/toucanspool/platform/http_client.py
@@ -0,0 +1,83 @@
+"""Small JSON calls over HTTP, shared by the platform's adapters."""
+
+from typing import Any
+
+import orjson
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+POOL_SIZE = 8
+
+
+class CallRefused(Exception):
+    """Report a call that can't have reached the other side."""
+
+
+class CallLost(Exception):
+    """Report a call whose answer did not come."""
+
+
+class JsonClient:
+    """Call one HTTP service with JSON bodies.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    timeout_s : float
+        The longest wait for an answer, in seconds.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, host: str, port: int, *, timeout_s: float) -> None:
+        self._client = HTTPClient(
+            host,
+            port,
+            concurrency=POOL_SIZE,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
+        )
+
+    def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Return status and decoded body of a call.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path.
+        body : Any, optional
+            Sent as JSON; bytes are sent as they are.
+
+        Returns
+        -------
+        status : int
+            HTTP status.
+        body : Any
+            Decoded JSON, or bytes of another type; None where empty.
+
+        Raises
+        ------
+        CallRefused
+            The connection was refused.
+        CallLost
+            No whole answer came.
+        """
+        data = body if isinstance(body, bytes) else orjson.dumps(body)
+        try:
+            resp = self._client.request(method, path, body=data)
+            raw = resp.read()
+        except ConnectionRefusedError as exc:
+            raise CallRefused(str(exc)) from exc
+        except (OSError, HTTPParseError) as exc:
+            raise CallLost(repr(exc)) from exc
+        is_json = str(resp.get("content-type", "")).startswith("application/json")
+        return resp.status_code, (orjson.loads(raw) if is_json and raw else raw)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
--- /dev/null
+++ b/toucanspool/platform/http_instances.py
@@ -0,0 +1,39 @@
+"""The platform's instance list over HTTP; implements `InstanceList`."""
+
+from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.platform.instances import Instance, InstancesUnavailable
+
+HTTP_OK = 200
+
+
+class HttpInstances:
+    """Read and keep up the platform's list over HTTP.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    timeout_s : float, default=2.0
+        The longest wait for an answer, in seconds.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, host: str, port: int, *, timeout_s: float = 2.0) -> None:
+        self._client = JsonClient(host, port, timeout_s=timeout_s)
+
+    def read(self) -> list[Instance]:
+        """Return all instances listed now; see `InstanceList`."""
+        try:
+            status, body = self._client.call("GET", "/instances", b"")
+        except (CallRefused, CallLost) as exc:
+            raise InstancesUnavailable(str(exc)) from exc
+        if status != HTTP_OK:
+            raise InstancesUnavailable(f"the instance list answered {status}")
+        return [Instance(**item) for item in body]
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
--- /dev/null
+++ b/toucanspool/platform/http_table.py
@@ -0,0 +1,88 @@
+"""The platform's table over HTTP; implements `Table`."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.platform.table import (
+    Check,
+    Row,
+    TableConflict,
+    TableThrottled,
+    TableUnavailable,
+    TableUncertain,
+    Write,
+)
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_THROTTLED = 429
+HTTP_UNAVAILABLE = 503
+
+
+class HttpTable:
+    """Read rows and commit transactions over HTTP.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    timeout_s : float, default=2.0
+        The longest wait for an answer, in seconds.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, host: str, port: int, *, timeout_s: float = 2.0) -> None:
+        self._client = JsonClient(host, port, timeout_s=timeout_s)
+
+    def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return the rows present among `keys`; see `Table`."""
+        rows = self._read("/get", {"keys": list(keys)})
+        return {row.key: row for row in rows}
+
+    def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> list[Row]:
+        """Return rows by prefix in order of key; see `Table`."""
+        return self._read("/scan", {"prefix": prefix, "after": after, "limit": limit})
+
+    def commit(self, checks: Sequence[Check], writes: Sequence[Write]) -> int:
+        """Make all writes at once if all checks hold; see `Table`."""
+        body = {
+            "checks": [[check.key, check.version] for check in checks],
+            "writes": [[write.key, _text(write.value)] for write in writes],
+        }
+        try:
+            status, answer = self._client.call("POST", "/commit", body)
+        except CallRefused as exc:
+            raise TableUnavailable(str(exc)) from exc
+        except CallLost as exc:
+            raise TableUncertain(str(exc)) from exc
+        if status == HTTP_OK:
+            return answer["version"]
+        if status == HTTP_CONFLICT:
+            raise TableConflict(answer["keys"])
+        if status == HTTP_THROTTLED:
+            raise TableThrottled("the table refused the commit's rate")
+        if status == HTTP_UNAVAILABLE:
+            raise TableUnavailable("the table is down")
+        raise TableUncertain(f"the table answered {status}")
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _read(self, path: str, body: Any) -> list[Row]:
+        try:
+            status, answer = self._client.call("POST", path, body)
+        except (CallRefused, CallLost) as exc:
+            raise TableUnavailable(str(exc)) from exc
+        if status != HTTP_OK:
+            raise TableUnavailable(f"the table answered {status}")
+        return [Row(k, b64decode(value), version) for k, value, version in answer]
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else b64encode(value).decode()
--- /dev/null
+++ b/toucanspool/settings/settings.py
@@ -0,0 +1,162 @@
+"""Settings of one process, read from a YAML file and checked whole."""
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Seconds = Annotated[float, Field(gt=0, le=3600)]
+Text = Annotated[str, Field(min_length=1, max_length=128)]
+
+
+class SettingsError(Exception):
+    """Report every mistake in a settings file.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+    mistakes : list of str
+        One line each: key path, what was found, what is allowed.
+    """
+
+    def __init__(self, path: str, mistakes: list[str]) -> None:
+        lines = "\n".join(f"  {line}" for line in mistakes)
+        super().__init__(f"{path}: {len(mistakes)} mistakes\n{lines}")
+        self.path = path
+        self.mistakes = mistakes
+
+
+class Model(BaseModel):
+    """Refuse unknown keys."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class Address(Model):
+    """Name a place to connect to."""
+
+    host: Text
+    port: Port
+
+
+class Platform(Model):
+    """Name the platform's services."""
+
+    table: Address
+    objects: Address
+    instances: Address
+    timeout_s: Seconds = 2.0
+
+
+class Http(Model):
+    """Set the callers' and operators' HTTP side of an entry."""
+
+    port: Port
+    max_body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
+    body_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 60.0
+
+
+class Entry(Model):
+    """Set the entry role."""
+
+    http: Http
+    max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 512
+    max_waiting: Annotated[int, Field(ge=0, le=100_000)] = 256
+    default_timeout_s: Seconds = 30.0
+    max_timeout_s: Seconds = 600.0
+    address_ttl_s: Seconds = 5.0
+    addresses_per_team: Annotated[int, Field(ge=1, le=64)] = 3
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    bootstrap_operator_key_hash: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = (
+        ""
+    )
+
+
+class Agent(Model):
+    """Set the agent role."""
+
+    upstream: Text
+    address: Address
+    kind: Literal["engine", "service"]
+    model: str = ""
+    guarded: bool = False
+    max_running: Annotated[int, Field(ge=1, le=100_000)] = 256
+    load_interval_s: Seconds = 0.25
+
+
+class Drain(Model):
+    """Set how a process stops."""
+
+    grace_s: Seconds = 30.0
+
+
+class Settings(Model):
+    """Hold all settings of a process."""
+
+    instance: Text
+    role: Literal["entry", "agent"]
+    failure_domain: Text
+    region: Text = "default"
+    host: Text
+    port: Port
+    platform: Platform
+    entry: Entry | None = None
+    agent: Agent | None = None
+    drain: Drain = Drain()
+    config_interval_s: Seconds = 2.0
+    instances_interval_s: Seconds = 2.0
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    seed: int = 0
+
+    @model_validator(mode="after")
+    def _role_section(self) -> "Settings":
+        if getattr(self, self.role) is None:
+            raise ValueError(f"role is {self.role}, so a section {self.role!r} is due")
+        other = "agent" if self.role == "entry" else "entry"
+        if getattr(self, other) is not None:
+            raise ValueError(f"role is {self.role}, so section {other!r} has no use")
+        return self
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read or holds mistakes; all are reported.
+    """
+    try:
+        data = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+    except OSError as exc:
+        raise SettingsError(path, [f"can't be read: {exc.strerror}"]) from exc
+    except yaml.YAMLError as exc:
+        raise SettingsError(path, [f"is not YAML: {exc}"]) from exc
+    try:
+        return Settings.model_validate(data)
+    except ValidationError as exc:
+        raise SettingsError(path, [_mistake(error) for error in exc.errors()]) from exc
+
+
+def _mistake(error: Any) -> str:
+    where = ".".join(str(part) for part in error["loc"]) or "(top)"
+    if error["type"] == "extra_forbidden":
+        return f"{where}: unknown key"
+    if error["type"] == "missing":
+        return f"{where}: missing; a value is due"
+    if error["type"] in ("value_error", "model_type"):
+        return f"{where}: {error['msg']}"
+    return f"{where}: found {error['input']!r}; {error['msg']}"
