Keep the configuration in the table and follow it in each process

Operators' changes had no home.

A view can be copied and indexes only what a change touches. The default values of Match and the records were mutable dicts, which dataclasses refuse on import.

--- /dev/null
+++ b/tests/config/test_follower.py
@@ -0,0 +1,99 @@
+"""A follower goes forward only and hands on what it knows."""
+
+import pytest
+
+from standins.memory import MemoryTable
+from toucanspool.config.follower import Follower, NoConfiguration
+from toucanspool.config.proposal import Proposal
+from toucanspool.config.records import BadRecord, Upstream, encode
+from toucanspool.config.store import ConfigStore
+from toucanspool.platform.table import TableUnavailable
+
+
+@pytest.fixture
+def table():
+    return MemoryTable()
+
+
+@pytest.fixture
+def store(table):
+    return ConfigStore(table, clock=lambda: 1.0, sleep=lambda _: None)
+
+
+def fill(store, number):
+    for n in range(number):
+        puts = (Upstream("u", {"n": str(n + 1)}),)
+        store.apply(Proposal(f"c{n}", "ana", n, puts))
+    return [encode(c) for c in store.changes_after(0)]
+
+
+def number(follower):
+    return follower.view.get("upstream", "u").labels["n"]
+
+
+def test_without_configuration_it_says_so(store):
+    follower = Follower(store)
+    with pytest.raises(NoConfiguration):
+        _ = follower.view
+    follower.poll()
+    with pytest.raises(NoConfiguration):
+        _ = follower.view
+
+
+def test_poll_reaches_the_newest(store):
+    fill(store, 3)
+    assert Follower(store).poll() == 3
+
+
+def test_older_and_repeated_offers_change_nothing(store):
+    changes = fill(store, 3)
+    follower = Follower(store)
+    follower.poll()
+    assert follower.offer([changes[1], changes[0], changes[2]])
+    assert number(follower) == "3"
+
+
+def test_offers_out_of_order_wait_for_the_missing_one(store):
+    first = fill(store, 1)
+    follower = Follower(store)
+    follower.poll()
+    store.apply(Proposal("d1", "ana", 1, (Upstream("u", {"n": "2"}),)))
+    store.apply(Proposal("d2", "ana", 2, (Upstream("u", {"n": "3"}),)))
+    late = [encode(c) for c in store.changes_after(1)]
+    assert not follower.offer([late[1], *first])
+    assert follower.revision == 1 and follower.behind
+    assert follower.offer([late[0]])
+    assert number(follower) == "3"
+
+
+def test_change_spreads_from_a_peer_while_the_table_is_down(store, table):
+    fill(store, 1)
+    near, far, fresh = Follower(store), Follower(store), Follower(store)
+    near.poll()
+    far.poll()
+    store.apply(Proposal("d1", "ana", 1, (Upstream("u", {"n": "2"}),)))
+    near.poll()
+    table.faults.set(down=True)
+    with pytest.raises(TableUnavailable):
+        far.poll()
+    far.pull(near)
+    fresh.pull(near)
+    assert (number(far), number(fresh)) == ("2", "2")
+
+
+def test_peer_with_few_recent_changes_gives_the_whole(store):
+    fill(store, 1)
+    near, far = Follower(store, recent=1), Follower(store)
+    far.poll()
+    for n in (1, 2, 3):
+        store.apply(Proposal(f"d{n}", "ana", n, (Upstream("u", {"n": f"{n + 1}"}),)))
+    near.poll()
+    assert far.pull(near) == 4
+
+
+def test_damaged_offer_is_refused_whole(store):
+    changes = fill(store, 1)
+    follower = Follower(store)
+    with pytest.raises(BadRecord):
+        follower.offer([*changes, b"{}"])
+    assert follower.revision == 0
--- /dev/null
+++ b/toucanspool/config/failures.py
@@ -0,0 +1,165 @@
+"""Failures of a proposed change, each with its sentence for the operator."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from toucanspool.config.rows import RecordKey
+
+
+class ApplyError(Exception):
+    """Base of the failures of a proposed change.
+
+    Parameters
+    ----------
+    sentence : str
+        What happened and what the operator can do, in plain words.
+    """
+
+    def __init__(self, sentence: str) -> None:
+        super().__init__(sentence)
+        self.sentence = sentence
+
+
+class BadProposal(ApplyError):
+    """Report a proposal that can't be accepted; nothing changed.
+
+    Parameters
+    ----------
+    mistakes : sequence of str
+        One sentence each.
+    """
+
+    def __init__(self, mistakes: Sequence[str]) -> None:
+        super().__init__(" ".join(mistakes))
+        self.mistakes = tuple(mistakes)
+
+
+@dataclass(slots=True, frozen=True)
+class Conflict:
+    """Hold a record that another operator changed first.
+
+    Parameters
+    ----------
+    key : RecordKey
+        The record.
+    operator : str
+        Who changed it.
+    revision : int
+        The revision of that change.
+    removed : bool
+        Whether the change removed the record.
+    """
+
+    key: RecordKey
+    operator: str
+    revision: int
+    removed: bool
+
+    def sentence(self) -> str:
+        """Return the conflict in words."""
+        verb = "removed" if self.removed else "changed"
+        return f"{self.operator} {verb} {self.key} at revision {self.revision}"
+
+
+class RecordConflict(ApplyError):
+    """Report records changed since the operator saw them; nothing changed.
+
+    Parameters
+    ----------
+    conflicts : sequence of Conflict
+        Every record in conflict.
+    """
+
+    def __init__(self, conflicts: Sequence[Conflict]) -> None:
+        winners = " and ".join(c.sentence() for c in conflicts)
+        super().__init__(
+            f"Your change was not made, because {winners}, after the revision that "
+            "you saw; look at it again and repeat your change with a new change id."
+        )
+        self.conflicts = tuple(conflicts)
+
+
+class ChangeIdReused(ApplyError):
+    """Report a change id that stands for another change; nothing changed.
+
+    Parameters
+    ----------
+    change_id : str
+        The change id.
+    revision : int
+        Revision of the change that it stands for.
+    """
+
+    def __init__(self, change_id: str, revision: int) -> None:
+        super().__init__(
+            f"Your change was not made, because change id {change_id} already stands "
+            f"for another change at revision {revision}; use a new change id."
+        )
+        self.change_id = change_id
+        self.revision = revision
+
+
+class ApplyUnavailable(ApplyError):
+    """Report that the table was out of reach; nothing changed."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "Your change was not made, because the table can't be reached; "
+            "try again later."
+        )
+
+
+class ApplyBusy(ApplyError):
+    """Report that other changes came first each time; nothing changed.
+
+    Parameters
+    ----------
+    attempts : int
+        How often it was tried.
+    """
+
+    def __init__(self, attempts: int) -> None:
+        super().__init__(
+            f"Your change was not made, because other changes came first "
+            f"{attempts} times in a row; try again."
+        )
+        self.attempts = attempts
+
+
+class ApplyUncertain(ApplyError):
+    """Report that the table's answer was lost and can't be read back.
+
+    Parameters
+    ----------
+    change_id : str
+        The change id to repeat the call with.
+    """
+
+    def __init__(self, change_id: str) -> None:
+        super().__init__(
+            "Your change may or may not have been made, because the table's answer "
+            f"was lost; a repeat with the same change id {change_id} is harmless and "
+            "will tell."
+        )
+        self.change_id = change_id
+
+
+class ChangesPruned(Exception):
+    """Report that changes asked for are no longer kept.
+
+    Parameters
+    ----------
+    after : int
+        The revision after which changes were asked for.
+    oldest : int
+        The oldest revision kept.
+    """
+
+    def __init__(self, after: int, oldest: int) -> None:
+        super().__init__(f"changes {after + 1} to {oldest - 1} are no longer kept")
+        self.after = after
+        self.oldest = oldest
+
+
+class LoadTorn(Exception):
+    """Report that the table changed too fast to be read whole."""
--- a/toucanspool/config/match.py
+++ b/toucanspool/config/match.py
@@ -1,6 +1,7 @@
 """A test of labels, written by operators as plain mappings."""
 
 from collections.abc import Mapping
+from dataclasses import field
 from typing import Any
 
 from pydantic import ConfigDict, field_validator
@@ -26,8 +27,8 @@
         No key may be present with one of its values; ``"*"`` is any value.
     """
 
-    has: dict[str, tuple[str, ...]] = {}
-    lacks: dict[str, tuple[str, ...]] = {}
+    has: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    lacks: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     @field_validator("has", "lacks", mode="before")
     @classmethod
--- a/toucanspool/config/records.py
+++ b/toucanspool/config/records.py
@@ -1,5 +1,6 @@
 """Records of the configuration: what operators put, and each change's account."""
 
+from dataclasses import field
 from typing import Annotated, Any, Literal
 
 import orjson
@@ -46,7 +47,7 @@
     """
 
     name: Name
-    labels: LabelMap = {}
+    labels: LabelMap = field(default_factory=dict)
     kind: Literal["upstream"] = "upstream"
 
 
@@ -65,7 +66,7 @@
     """
 
     name: Name
-    labels: LabelMap = {}
+    labels: LabelMap = field(default_factory=dict)
     key_hashes: tuple[KeyHash, ...] = ()
     kind: Literal["team"] = "team"
 
@@ -87,7 +88,7 @@
 
     name: Name
     when: Match = Match()
-    labels: LabelMap = {}
+    labels: LabelMap = field(default_factory=dict)
     kind: Literal["request"] = "request"
 
 
--- a/toucanspool/config/view.py
+++ b/toucanspool/config/view.py
@@ -43,14 +43,16 @@
         All records at that revision.
     """
 
-    __slots__ = ("_records", "_routes", "_states", "_teams", "revision")
+    __slots__ = ("_owners", "_records", "_routes", "_states", "revision")
 
     def __init__(self, *, revision: int = 0, records: Iterable[Record] = ()) -> None:
         self.revision = revision
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
+        self._owners: dict[tuple[str, str], Team | Operator] = {}
         for record in records:
             self._records[record.kind][record.name] = record
-        self._index()
+            self._index_keys(record)
+        self._index_selectors()
 
     def apply(self, change: Change) -> bool:
         """Put the next change in force.
@@ -74,14 +76,50 @@
             return False
         if change.revision != self.revision + 1:
             raise RevisionGap(self.revision, change.revision)
+        touched = {item.kind for item in (*change.puts, *change.removals)}
+        for item in (*change.puts, *change.removals):
+            self._forget_keys(self._records[item.kind].pop(item.name, None))
         for record in change.puts:
             self._records[record.kind][record.name] = record
-        for removal in change.removals:
-            self._records[removal.kind].pop(removal.name, None)
+            self._index_keys(record)
+        if "selector" in touched:
+            self._index_selectors()
         self.revision = change.revision
-        self._index()
         return True
 
+    def copy(self) -> "View":
+        """Return a view of the same records that changes apart from this one.
+
+        Returns
+        -------
+        View
+        """
+        twin = View()
+        twin.revision = self.revision
+        twin._records = {kind: dict(held) for kind, held in self._records.items()}
+        twin._routes = list(self._routes)
+        twin._states = list(self._states)
+        twin._owners = dict(self._owners)
+        return twin
+
+    def all_records(self) -> list[Record]:
+        """Return the records of all kinds by kind and name.
+
+        Returns
+        -------
+        list of Record
+        """
+        return [record for kind in KINDS for record in self.records(kind)]
+
+    def routes(self) -> list[Selector]:
+        """Return the selectors that say where work may go, the deciding one first.
+
+        Returns
+        -------
+        list of Selector
+        """
+        return list(self._routes)
+
     def records(self, kind: str) -> list[Record]:
         """Return the records of a kind by name.
 
@@ -124,7 +162,7 @@
         -------
         Team or None
         """
-        record = self._teams.get(("team", key_hash(key)))
+        record = self.key_owner("team", key_hash(key))
         return record if isinstance(record, Team) else None
 
     def operator_of(self, key: str) -> Operator | None:
@@ -139,9 +177,25 @@
         -------
         Operator or None
         """
-        record = self._teams.get(("operator", key_hash(key)))
+        record = self.key_owner("operator", key_hash(key))
         return record if isinstance(record, Operator) else None
 
+    def key_owner(self, kind: str, hashed: str) -> Team | Operator | None:
+        """Return the record that lists the hash of a key, or None.
+
+        Parameters
+        ----------
+        kind : {"team", "operator"}
+            Kind of the record.
+        hashed : str
+            The key's hash, in hexadecimal.
+
+        Returns
+        -------
+        Team or Operator or None
+        """
+        return self._owners.get((kind, hashed))
+
     def upstream_labels(self, name: str, given: Labels) -> dict[str, str]:
         """Return an upstream's labels, the operators' over the platform's.
 
@@ -215,18 +269,23 @@
                 return selector.action, selector
         return "serve", None
 
-    def _index(self) -> None:
+    def _index_selectors(self) -> None:
         selectors = sorted(
             self._records["selector"].values(), key=lambda s: (s.order, s.name)
         )
         self._routes = [s for s in selectors if s.action == "route"]
         self._states = [s for s in selectors if s.action != "route"]
-        self._teams = {
-            (kind, hashed): record
-            for kind in ("team", "operator")
-            for record in self._records[kind].values()
-            for hashed in record.key_hashes
-        }
+
+    def _index_keys(self, record: Record) -> None:
+        if isinstance(record, Team | Operator):
+            for hashed in record.key_hashes:
+                self._owners[record.kind, hashed] = record
+
+    def _forget_keys(self, record: Record | None) -> None:
+        if isinstance(record, Team | Operator):
+            for hashed in record.key_hashes:
+                if self._owners.get((record.kind, hashed)) is record:
+                    del self._owners[record.kind, hashed]
 
 
 def key_hash(key: str) -> str:
