--- a/demo/kettlewell.py
+++ b/demo/kettlewell.py
@@ -1,4 +1,308 @@
-"""Run the demo."""
+"""A small Kettlewell on loopback, step by step, each with what it proved."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+import orjson
+import yaml
+from absl import app, flags
+from geventhttpclient import HTTPClient
+
+from demo.launcher import HOST, DemoFailed, System, call
+from standins.answers import DEFAULT_TOKENS, answer_token, prompt_seed
+from toucanspool.config.view import key_hash
+
+KEEP = flags.DEFINE_bool("keep", False, "Stay up and print lines to try.")
+LOGS = flags.DEFINE_string("logs", "", "Folder to keep settings and logs in.")
+
+WAIT_S = 10.0
+HERE = Path(__file__).parent
+
+
+def main(argv: list[str]) -> int:
+    """Run the demo.
+
+    Parameters
+    ----------
+    argv : list of str
+        What is left of the command line.
+
+    Returns
+    -------
+    int
+        0 only if each step held.
+    """
+    began = time.monotonic()
+    plan = yaml.safe_load((HERE / "kettlewell.yaml").read_text())
+    with System(plan, logs=LOGS.value) as system:
+        demo = Demo(system)
+        steps = demo.steps()[:2] if KEEP.value else demo.steps()
+        for number, step in enumerate(steps, start=1):
+            try:
+                proved = step()
+            except (DemoFailed, OSError) as exc:
+                print(f"{number}. FAILED {step.__name__}: {exc}", flush=True)
+                return 1
+            print(f"{number}. {proved}", flush=True)
+        if KEEP.value:
+            demo.keep()
+    print(f"All steps held, in {time.monotonic() - began:.0f} s.")
+    return 0
+
+
+class Demo:
+    """Run the steps against a system.
+
+    Parameters
+    ----------
+    system : System
+        The system.
+    """
+
+    def __init__(self, system: System) -> None:
+        self._system = system
+        self._entries = [item["name"] for item in system.plan["entries"]]
+
+    def steps(self) -> list[Callable[[], str]]:
+        """Return the steps in order."""
+        return [
+            self.configure,
+            self.ask_addresses,
+            self.stream_answer,
+            self.book_twice,
+            self.drain_runner,
+            self.kill_entry,
+            self.stop_gracefully,
+        ]
+
+    def configure(self) -> str:
+        """Apply the first configuration and wait until it is in force."""
+        records = yaml.safe_load((HERE / "kettlewell-config.yaml").read_text())
+        keys = self._system.keys
+        for record in records:
+            if record["kind"] in ("team", "operator"):
+                drawn = secrets.token_urlsafe(24)
+                held = keys.teams if record["kind"] == "team" else keys.operators
+                held[record["name"]] = drawn
+                record["key_hashes"] = [key_hash(drawn)]
+        body = {"change_id": "first", "base": 0, "puts": records}
+        status, answer, _ = call(
+            self._port(0), "POST", "/admin/v1/changes", body, key=keys.bootstrap
+        )
+        _expect(status == 200, f"the first change was answered {status}: {answer}")
+        self._wait_ready()
+        return (
+            f"The first configuration is in force on {len(self._entries)} entries: "
+            f"revision {answer['revision']}."
+        )
+
+    def ask_addresses(self) -> str:
+        """Ask which entries to use."""
+        status, answer, _ = call(
+            self._port(0), "GET", "/v1/addresses", key=self._team("members")
+        )
+        _expect(status == 200, f"addresses were answered {status}: {answer}")
+        domains = {item["failure_domain"] for item in answer["addresses"]}
+        _expect(len(domains) == 3, f"addresses lie in {domains}")
+        return (
+            f"Team members was told {len(answer['addresses'])} entries in "
+            f"{len(domains)} failure domains, to keep for {answer['keep_for_s']:g} s."
+        )
+
+    def stream_answer(self) -> str:
+        """Stream an answer and compare it with what the engine must say."""
+        messages = [{"role": "user", "content": "Which trips run on Sunday?"}]
+        text = "".join(self._stream(self._port(1), messages))
+        _expect(text == expected(messages), f"the answer was {text!r}")
+        return f"An answer of {DEFAULT_TOKENS} tokens was streamed whole."
+
+    def book_twice(self) -> str:
+        """Book, repeat with the same key at another entry, and count bookings."""
+        headers = {"Idempotency-Key": "seat-14"}
+        answers = []
+        for index in (0, 1):
+            status, answer, _ = call(
+                self._port(index),
+                "POST",
+                "/services/booking-desk/bookings",
+                {"seat": 14},
+                key=self._team("clerks"),
+                headers=headers,
+            )
+            _expect(status == 201, f"the booking was answered {status}: {answer}")
+            answers.append(answer["booking"])
+        seen = [item for desk in ("desk-1", "desk-2") for item in self._seen(desk)]
+        _expect(len(seen) == 1, f"the desks saw {len(seen)} bookings")
+        _expect(answers[0] == answers[1], f"the answers differ: {answers}")
+        return (
+            "A booking sent twice with one key, through two entries, was made once: "
+            f"{answers[0]}."
+        )
+
+    def drain_runner(self) -> str:
+        """Drain a runner by a label and watch that no new work reaches it."""
+        _, state, _ = self._admin("GET", "/admin/v1/status")
+        body = {
+            "change_id": "drain-guide-2",
+            "base": state["revision"],
+            "puts": [
+                {"kind": "upstream", "name": "guide-2", "labels": {"state": "drain"}}
+            ],
+        }
+        status, answer, _ = self._admin("POST", "/admin/v1/changes", body)
+        _expect(status == 200, f"the drain was answered {status}: {answer}")
+        time.sleep(2.0)
+        before = len(self._seen("guide-2")["requests"])
+        for index in range(12):
+            messages = [{"role": "user", "content": f"Trip {index}?"}]
+            text = "".join(self._stream(self._port(index % 3), messages, tokens=4))
+            _expect(text == expected(messages, 4), f"the answer was {text!r}")
+        after = len(self._seen("guide-2")["requests"])
+        _expect(after == before, f"guide-2 got {after - before} more requests")
+        return f"{answer['sentence']} 12 more requests went elsewhere."
+
+    def kill_entry(self) -> str:
+        """Kill an entry and go on through another address."""
+        victim = self._entries[0]
+        self._system.signal(victim, signal.SIGKILL)
+        self._system.wait(victim)
+        self._system.unlist_instance(victim)
+        messages = [{"role": "user", "content": "Is the line open?"}]
+        text = "".join(self._stream(self._port(1), messages))
+        _expect(text == expected(messages), f"the answer was {text!r}")
+        return f"{victim} was killed; a caller went on at its next address at once."
+
+    def stop_gracefully(self) -> str:
+        """Stop every process while an answer is streamed, and lose nothing."""
+        messages = [{"role": "user", "content": "Tell me all."}]
+        tokens = 150
+        going = gevent.spawn(
+            lambda: list(self._stream(self._port(1), messages, tokens))
+        )
+        gevent.sleep(0.3)
+        names = self._entries[1:]
+        for name in names:
+            self._system.signal(name, signal.SIGTERM)
+        text = "".join(going.get(timeout=30.0))
+        _expect(text == expected(messages, tokens), "the answer was cut off")
+        for name in names:
+            _expect(self._system.wait(name) == 0, f"{name} did not stop cleanly")
+        agents = [n for n in self._system.members if n.startswith("agent-")]
+        for name in agents:
+            self._system.signal(name, signal.SIGTERM)
+        for name in agents:
+            _expect(self._system.wait(name) == 0, f"{name} did not stop cleanly")
+        return (
+            f"{len(names)} entries and {len(agents)} agents stopped gracefully; an "
+            f"answer of {tokens} tokens in flight came whole."
+        )
+
+    def keep(self) -> None:
+        """Print lines to try, and stay until interrupted."""
+        keys = self._system.keys
+        entry = f"http://{HOST}:{self._port(0)}"
+        print(f"export TOUCANSPOOL_ENTRY={entry}")
+        print(f"export TOUCANSPOOL_KEY={keys.operators['ana']}")
+        bearer = f"Authorization: Bearer {keys.teams['members']}"
+        print(f"curl -H '{bearer}' {entry}/v1/addresses")
+        print("toucanspoolctl status")
+        print("Press Ctrl-C to stop.", flush=True)
+        try:
+            while True:
+                gevent.sleep(3600)
+        except KeyboardInterrupt:
+            return
+
+    def _wait_ready(self) -> None:
+        limit = time.monotonic() + WAIT_S
+        while time.monotonic() < limit:
+            if all(self._ready(index) for index in range(len(self._entries))):
+                return
+            time.sleep(0.1)
+        raise DemoFailed("not every entry became ready")
+
+    def _ready(self, index: int) -> bool:
+        if call(self._port(index), "GET", "/readyz")[0] != 200:
+            return False
+        key = self._system.keys.operators["ana"]
+        _, state, _ = call(self._port(index), "GET", "/admin/v1/status", key=key)
+        return len(state["upstreams"]) == 7
+
+    def _port(self, index: int) -> int:
+        return self._system.ports[f"{self._entries[index]}/http"]
+
+    def _team(self, name: str) -> str:
+        return self._system.keys.teams[name]
+
+    def _admin(self, method: str, path: str, body: Any = None) -> Any:
+        key = self._system.keys.operators["ana"]
+        return call(self._port(1), method, path, body, key=key)
+
+    def _seen(self, name: str) -> Any:
+        return call(self._system.ports[name], "GET", "/seen")[1]
+
+    def _stream(self, port: int, messages: list[dict], tokens: int = 0) -> Any:
+        body: dict[str, Any] = {"model": "guide", "messages": messages, "stream": True}
+        if tokens:
+            body["max_tokens"] = tokens
+        headers = {
+            "authorization": f"Bearer {self._team('members')}",
+            "content-type": "application/json",
+        }
+        client = HTTPClient(HOST, port, network_timeout=20.0)
+        resp = client.request(
+            "POST", "/v1/chat/completions", body=orjson.dumps(body), headers=headers
+        )
+        _expect(resp.status_code == 200, f"the stream was answered {resp.status_code}")
+        done = False
+        for event in iter(lambda: resp.readline(b"\n\n"), b""):
+            data = event.removeprefix(b"data: ").strip()
+            done = data == b"[DONE]"
+            if not done:
+                _expect(event.startswith(b"data: "), f"the stream said {event!r}")
+                delta = orjson.loads(data)["choices"][0]["delta"]
+                yield delta.get("content", "")
+        client.close()
+        _expect(done, "the stream has no end")
+
+
+def expected(messages: list[dict], tokens: int = DEFAULT_TOKENS) -> str:
+    """Return the answer that the engine stand-in must give.
+
+    Parameters
+    ----------
+    messages : list of dict
+        The conversation.
+    tokens : int
+        Length of the answer.
+
+    Returns
+    -------
+    str
+    """
+    seed = prompt_seed(messages)
+    return "".join(answer_token(seed, index) for index in range(tokens))
+
+
+def _expect(holds: bool, sentence: str) -> None:
+    if not holds:
+        raise DemoFailed(sentence)
+
+
+def run(argv: list[str]) -> None:
+    """Exit with the demo's status."""
+    sys.exit(main(argv))
+
 
 if __name__ == "__main__":
-    print("demo")
+    app.run(run)
--- /dev/null
+++ b/demo/launcher.py
@@ -0,0 +1,418 @@
+"""Start and stop the processes of a small system on loopback."""
+
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import yaml
+from geventhttpclient import HTTPClient
+
+from toucanspool.config.view import key_hash
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 40.0
+
+
+class DemoFailed(Exception):
+    """Report a step of the demo that did not hold."""
+
+
+@dataclass(slots=True)
+class Member:
+    """Hold one process of the system.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    process : subprocess.Popen
+        The process.
+    port : int
+        Its main port: HTTP of an entry or stand-in, messages of an agent.
+    log : Path
+        Where its output goes.
+    """
+
+    name: str
+    process: subprocess.Popen
+    port: int
+    log: Path
+
+
+@dataclass(slots=True)
+class Keys:
+    """Hold the keys that the demo draws."""
+
+    bootstrap: str = field(default_factory=lambda: secrets.token_urlsafe(24))
+    operators: dict[str, str] = field(default_factory=dict)
+    teams: dict[str, str] = field(default_factory=dict)
+
+
+def free_port() -> int:
+    """Return a loopback port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def call(
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    *,
+    key: str = "",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 20.0,
+) -> tuple[int, Any, dict[str, str]]:
+    """Make one JSON call on loopback.
+
+    Parameters
+    ----------
+    port : int
+        The port.
+    method : str
+        HTTP method.
+    path : str
+        Path.
+    body : Any, optional
+        Sent as JSON.
+    key : str, default=""
+        Sent as bearer.
+    headers : dict, optional
+        Further headers.
+    timeout_s : float, default=20.0
+        The longest wait, in seconds.
+
+    Returns
+    -------
+    status : int
+    body : Any
+        Decoded JSON, or bytes.
+    headers : dict
+    """
+    sent = {"content-type": "application/json", **(headers or {})}
+    if key:
+        sent["authorization"] = f"Bearer {key}"
+    client = HTTPClient(
+        HOST, port, connection_timeout=timeout_s, network_timeout=timeout_s
+    )
+    data = b"" if body is None else orjson.dumps(body)
+    try:
+        resp = client.request(method, path, body=data, headers=sent)
+        raw = resp.read()
+    finally:
+        client.close()
+    found = {name.lower(): value for name, value in resp.items()}
+    if raw and "json" in found.get("content-type", ""):
+        return resp.status_code, orjson.loads(raw), found
+    return resp.status_code, raw, found
+
+
+class System:
+    """Own the processes of a small system; a context manager.
+
+    Parameters
+    ----------
+    plan : dict
+        The topology, as in ``demo/kettlewell.yaml``.
+    logs : str, default=""
+        Folder for settings and logs; empty for one that goes at the end.
+    """
+
+    def __init__(self, plan: dict[str, Any], *, logs: str = "") -> None:
+        self.plan = plan
+        self._logs = logs
+        self.keys = Keys()
+        self.members: dict[str, Member] = {}
+        self.ports: dict[str, int] = {}
+        self._closing = ExitStack()
+        self._dir = Path()
+
+    def __enter__(self) -> "System":
+        with ExitStack() as starting:
+            temp = starting.enter_context(tempfile.TemporaryDirectory())
+            self._dir = Path(self._logs or temp)
+            self._dir.mkdir(parents=True, exist_ok=True)
+            starting.callback(self._kill_all)
+            self._start_platform()
+            self._start_upstreams()
+            self._start_entries()
+            self._wait_for_processes()
+            self._list_instances()
+            self._closing = starting.pop_all()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._closing.close()
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+
+        Returns
+        -------
+        str
+        """
+        return self.members[name].log.read_text(errors="replace")
+
+    def fault(self, name: str, **orders: float) -> None:
+        """Set a stand-in's faults, replacing those in force.
+
+        Parameters
+        ----------
+        name : str
+            The stand-in.
+        **orders : float
+            Attributes of `standins.faults.Faults`.
+        """
+        call(self.ports[name], "PUT", "/faults", orders)
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process of this system.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+        number : int
+            The signal.
+        """
+        self.members[name].process.send_signal(number)
+
+    def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return a process's exit status once it has ended.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+        timeout_s : float
+            The longest wait, in seconds.
+
+        Returns
+        -------
+        int
+        """
+        return self.members[name].process.wait(timeout_s)
+
+    def list_instance(self, name: str, state: str = "live") -> None:
+        """Put an instance on the platform's list.
+
+        Parameters
+        ----------
+        name : str
+            An entry or upstream of the plan.
+        state : {"live", "leaving"}
+            Its state.
+        """
+        fields = self._listing(name, state)
+        call(self.ports["instances"], "PUT", f"/instances/{name}", fields)
+
+    def unlist_instance(self, name: str) -> None:
+        """Take an instance off the platform's list.
+
+        Parameters
+        ----------
+        name : str
+            An entry or upstream of the plan.
+        """
+        call(self.ports["instances"], "DELETE", f"/instances/{name}")
+
+    def start_agent(self, item: dict[str, Any]) -> None:
+        """Start the agent beside an upstream, again if need be.
+
+        Parameters
+        ----------
+        item : dict
+            The upstream's entry in the plan.
+        """
+        name = f"agent-{item['name']}"
+        kind = "engine" if "model" in item else "service"
+        agent = {
+            "upstream": item["name"],
+            "address": {"host": HOST, "port": self.ports[item["name"]]},
+            "kind": kind,
+            "guarded": bool(item.get("guarded")),
+        }
+        for key in ("model", "service"):
+            if key in item:
+                agent[key] = item[key]
+        self._start_daemon(name, "agent", item["failure_domain"], {"agent": agent})
+
+    def start_entry(self, item: dict[str, Any]) -> None:
+        """Start an entry, again if need be.
+
+        Parameters
+        ----------
+        item : dict
+            The entry in the plan.
+        """
+        port = self.ports.setdefault(f"{item['name']}/http", free_port())
+        http = {"port": port}
+        entry = {
+            "http": http,
+            "bootstrap_operator_key_hash": key_hash(self.keys.bootstrap),
+            **self.plan.get("entry_settings", {}),
+        }
+        self._start_daemon(
+            item["name"], "entry", item["failure_domain"], {"entry": entry}
+        )
+
+    def _start_platform(self) -> None:
+        lag = self.plan["instance_lag_s"]
+        self._start_standin("table", "standins.table")
+        self._start_standin("objects", "standins.objects")
+        self._start_standin("instances", "standins.instances", f"--lag_s={lag}")
+
+    def _start_upstreams(self) -> None:
+        step = self.plan["step_ms"]
+        for item in self.plan["runners"]:
+            self._start_standin(
+                item["name"],
+                "standins.engine",
+                f"--model={item['model']}",
+                f"--step_ms={step}",
+                f"--fenced={str(item.get('fenced', True)).lower()}",
+            )
+            self.start_agent(item)
+        for item in self.plan["services"]:
+            self._start_standin(
+                item["name"], "standins.service", f"--name={item['name']}"
+            )
+            self.start_agent(item)
+
+    def _start_entries(self) -> None:
+        for item in self.plan["entries"]:
+            self.start_entry(item)
+
+    def _start_standin(self, name: str, module: str, *args: str) -> None:
+        port = self.ports.setdefault(name, free_port())
+        self._start(name, [sys.executable, "-m", module, f"--port={port}", *args], port)
+
+    def _start_daemon(
+        self, name: str, role: str, domain: str, section: dict[str, Any]
+    ) -> None:
+        port = self.ports.setdefault(name, free_port())
+        settings = {
+            "instance": name,
+            "role": role,
+            "failure_domain": domain,
+            "region": self.plan["region"],
+            "host": HOST,
+            "port": port,
+            "platform": {
+                part: {"host": HOST, "port": self.ports[part]}
+                for part in ("table", "objects", "instances")
+            },
+            "drain": {"grace_s": self.plan["drain_grace_s"]},
+            "config_interval_s": self.plan["config_interval_s"],
+            "instances_interval_s": self.plan["instances_interval_s"],
+            **section,
+        }
+        path = self._dir / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        command = [sys.executable, "-m", "toucanspool.daemon", f"--settings={path}"]
+        self._start(name, command, self.ports.get(f"{name}/http", port))
+
+    def _start(self, name: str, command: list[str], port: int) -> None:
+        log = self._dir / f"{name}.log"
+        with log.open("ab") as out:
+            process = subprocess.Popen(
+                command, stdout=out, stderr=out, stdin=subprocess.DEVNULL
+            )
+        self.members[name] = Member(name, process, port, log)
+
+    def _wait_for_processes(self) -> None:
+        limit = time.monotonic() + START_TIMEOUT_S
+        for member in self.members.values():
+            self.wait_listening(member, limit)
+
+    def wait_listening(self, member: Member, limit: float) -> None:
+        """Wait until a process takes connections.
+
+        Parameters
+        ----------
+        member : Member
+            The process.
+        limit : float
+            The moment after which it has failed, on the monotonic clock.
+
+        Raises
+        ------
+        DemoFailed
+            It ended, or does not listen in time.
+        """
+        while time.monotonic() < limit and member.process.poll() is None:
+            try:
+                socket.create_connection((HOST, member.port), timeout=1.0).close()
+                return
+            except OSError:
+                time.sleep(0.05)
+        raise DemoFailed(
+            f"{member.name} did not start: {self.log(member.name)[-2000:]}"
+        )
+
+    def _list_instances(self) -> None:
+        for kind in ("entries", "runners", "services"):
+            for item in self.plan[kind]:
+                self.list_instance(item["name"])
+
+    def _listing(self, name: str, state: str) -> dict[str, Any]:
+        for item in self.plan["entries"]:
+            if item["name"] == name:
+                return self._fields(item, name, "entry", state, {})
+        for item in (*self.plan["runners"], *self.plan["services"]):
+            if item["name"] == name:
+                labels = {"failure-domain": item["failure_domain"]}
+                for key in ("model", "service"):
+                    if key in item:
+                        labels[key] = item[key]
+                if item.get("guarded"):
+                    labels["guarded"] = "yes"
+                return self._fields(item, f"agent-{name}", "agent", state, labels)
+        raise DemoFailed(f"{name} is not in the plan")
+
+    def _fields(
+        self,
+        item: dict[str, Any],
+        name: str,
+        role: str,
+        state: str,
+        labels: dict[str, str],
+    ) -> dict[str, Any]:
+        return {
+            "name": name,
+            "role": role,
+            "failure_domain": item["failure_domain"],
+            "region": self.plan["region"],
+            "host": HOST,
+            "port": self.ports[name],
+            "http_port": self.ports.get(f"{name}/http", 0),
+            "upstream": item["name"] if role == "agent" else "",
+            "state": state,
+            "labels": labels,
+        }
+
+    def _kill_all(self) -> None:
+        for member in self.members.values():
+            if member.process.poll() is None:
+                os.kill(member.process.pid, signal.SIGCONT)
+                member.process.kill()
+        for member in self.members.values():
+            member.process.wait()
--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,42 @@
+"""The answers that the engine stand-in gives: a function of the prompt."""
+
+import orjson
+import xxhash
+
+DEFAULT_TOKENS = 32
+ANSWER = """the steam train leaves Dunedin at nine and stops at every station until
+Arthur Pass where guards check seats couple wagons and wave to the crew"""
+WORDS = tuple(ANSWER.split())
+
+
+def answer_token(seed: int, index: int) -> str:
+    """Return one token of the answer to a prompt.
+
+    Parameters
+    ----------
+    seed : int
+        From `prompt_seed`.
+    index : int
+        Place of the token in the answer.
+
+    Returns
+    -------
+    str
+        A word and a space.
+    """
+    return WORDS[(seed + index * 7) % len(WORDS)] + f"-{index} "
+
+
+def prompt_seed(messages: list[dict]) -> int:
+    """Return what an answer depends on.
+
+    Parameters
+    ----------
+    messages : list of dict
+        The conversation, without a started answer.
+
+    Returns
+    -------
+    int
+    """
+    return xxhash.xxh32_intdigest(orjson.dumps(messages))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,7 @@
 from absl import flags
 from gevent.queue import Queue
 
+from standins.answers import DEFAULT_TOKENS, answer_token, prompt_seed
 from standins.faults import Faults
 from standins.http import make_app, serve
 
@@ -35,43 +36,6 @@
 STEP_MS_PER_SEQUENCE = 0.1
 CACHE_BLOCKS = 4096
 BLOCK_CHARS = 64
-DEFAULT_TOKENS = 32
-ANSWER = """the steam train leaves Dunedin at nine and stops at every station until
-Arthur Pass where guards check seats couple wagons and wave to the crew"""
-WORDS = tuple(ANSWER.split())
-
-
-def answer_token(seed: int, index: int) -> str:
-    """Return one token of the answer to a prompt.
-
-    Parameters
-    ----------
-    seed : int
-        From `prompt_seed`.
-    index : int
-        Place of the token in the answer.
-
-    Returns
-    -------
-    str
-        A word and a space.
-    """
-    return WORDS[(seed + index * 7) % len(WORDS)] + f"-{index} "
-
-
-def prompt_seed(messages: list[dict]) -> int:
-    """Return what an answer depends on.
-
-    Parameters
-    ----------
-    messages : list of dict
-        The conversation, without a started answer.
-
-    Returns
-    -------
-    int
-    """
-    return xxhash.xxh32_intdigest(orjson.dumps(messages))
 
 
 class Sequence:
@@ -133,7 +97,7 @@
     def cache(self, prompt: str) -> float:
         """Remember a prompt's blocks and return the share cached before."""
         blocks = [
-            xxhash.xxh64_hexdigest(prompt[:end])
+            xxhash.xxh64_hexdigest(prompt[:end].encode())
             for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS)
         ]
         hits = sum(1 for block in blocks if block in self._cached)
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -116,7 +116,9 @@
         if frame.open is not None:
             self._open(conn, frame.open)
         elif frame.credit is not None:
-            self._with_call(conn, frame.credit.call, lambda c: c.allow(frame.credit.chunks))
+            self._with_call(
+                conn, frame.credit.call, lambda c: c.allow(frame.credit.chunks)
+            )
         elif frame.cancel is not None:
             self._with_call(conn, frame.cancel.call, Call.cancel)
         elif frame.hello is not None:
@@ -252,6 +254,8 @@
     labels = {"kind": cfg.agent.kind, "failure-domain": cfg.failure_domain}
     if cfg.agent.model:
         labels["model"] = cfg.agent.model
+    if cfg.agent.service:
+        labels["service"] = cfg.agent.service
     if cfg.agent.guarded:
         labels["guarded"] = "yes"
     return labels
--- a/toucanspool/agent/load_watch.py
+++ b/toucanspool/agent/load_watch.py
@@ -29,7 +29,15 @@
         Whether the upstream reports load.
     """
 
-    __slots__ = ("_client", "_clock", "_load", "_read_at", "_reports", "_seq", "_upstream")
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_load",
+        "_read_at",
+        "_reports",
+        "_seq",
+        "_upstream",
+    )
 
     def __init__(
         self, upstream: str, client: UpstreamClient, clock: Clock, *, reports: bool
--- /dev/null
+++ b/toucanspool/daemon.py
@@ -0,0 +1,116 @@
+"""The daemon: one process in one role."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+import sys
+
+import gevent
+import structlog
+from absl import app, flags
+from gevent.event import Event
+
+from toucanspool.config.service import ConfigService
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.randoms import Randoms
+from toucanspool.membership.service import InstancesService
+from toucanspool.platform.service import PlatformService
+from toucanspool.settings.settings import Settings, SettingsError, load
+from toucanspool.telemetry.logs import set_up
+
+SETTINGS = flags.DEFINE_string("settings", None, "Settings file, YAML.", required=True)
+CHECK = flags.DEFINE_bool("check", False, "Only check the settings.")
+
+EXIT_BAD_SETTINGS = 2
+
+_log = structlog.get_logger()
+
+
+def build(cfg: Settings) -> Kernel:
+    """Return a kernel with the services of a role.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The process's settings.
+
+    Returns
+    -------
+    Kernel
+    """
+    kernel = Kernel()
+    kernel.add("rng", Randoms(cfg.seed, cfg.instance))
+    kernel.add("platform", PlatformService(cfg.platform))
+    kernel.add("config", ConfigService(cfg.config_interval_s))
+    if cfg.role == "entry":
+        _add_entry(kernel, cfg)
+    else:
+        _add_agent(kernel, cfg)
+    return kernel
+
+
+def main(argv: list[str]) -> int:
+    """Run until told to stop, then stop gracefully.
+
+    Parameters
+    ----------
+    argv : list of str
+        What is left of the command line.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        cfg = load(SETTINGS.value)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if CHECK.value:
+        print(f"{SETTINGS.value}: good settings of a process in role {cfg.role}")
+        return 0
+    set_up(cfg.instance, level=cfg.log_level)
+    told = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, told.set)
+    kernel = build(cfg)
+    kernel.start()
+    _log.info("started", role=cfg.role, failure_domain=cfg.failure_domain)
+    told.wait()
+    _log.info("stopping")
+    kernel.stop()
+    _log.info("stopped")
+    return 0
+
+
+def run() -> None:
+    """Run the daemon's command line."""
+    app.run(main)
+
+
+def _add_entry(kernel: Kernel, cfg: Settings) -> None:
+    from toucanspool.entry.decisions import Decisions
+    from toucanspool.entry.dispatcher import Dispatcher
+    from toucanspool.entry.http_service import HttpService
+    from toucanspool.entry.router import Router
+
+    decisions = Decisions()
+    kernel.add("instances", InstancesService(cfg.instances_interval_s))
+    kernel.add("router", Router(cfg, decisions))
+    kernel.add("dispatcher", Dispatcher(cfg.entry, decisions))
+    kernel.add("http", HttpService(cfg, decisions))
+
+
+def _add_agent(kernel: Kernel, cfg: Settings) -> None:
+    from toucanspool.agent.agent import Agent
+    from toucanspool.protected.service import ClaimsService
+
+    kernel.add("claims", ClaimsService(cfg.instance))
+    kernel.add("agent", Agent(cfg))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/toucanspool/entry/attempt.py
@@ -0,0 +1,205 @@
+"""One hand-over of a request to one upstream."""
+
+from collections.abc import Iterator
+
+from toucanspool.entry.caller_request import CallerRequest
+from toucanspool.entry.directory import Target
+from toucanspool.entry.link import CallTimeout, LinkedCall
+from toucanspool.protected.clock import Clock
+from toucanspool.wire.connection import ConnectionLost
+from toucanspool.wire.gen.messages.ttypes import (
+    Chunk,
+    End,
+    Head,
+    Open,
+    Outcome,
+    Refusal,
+)
+
+MS_PER_S = 1000
+MAX_WHOLE_BODY_BYTES = 32 * 1024 * 1024
+
+
+class AttemptFailed(Exception):
+    """Report an attempt without a whole answer.
+
+    Parameters
+    ----------
+    outcome : int
+        One of `Outcome`: what is known of the attempt.
+    refusal : int
+        One of `Refusal`.
+    detail : str
+        One plain sentence.
+    retry_after_s : float
+        Seconds after which another request makes sense; 0 where none does.
+    """
+
+    def __init__(
+        self, outcome: int, refusal: int, detail: str, retry_after_s: float
+    ) -> None:
+        super().__init__(detail)
+        self.outcome = outcome
+        self.refusal = refusal
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Attempt:
+    """Hand a request over and take the answer; to be closed.
+
+    Parameters
+    ----------
+    req : CallerRequest
+        The request.
+    target : Target
+        The upstream.
+    clock : Clock
+        Time.
+    """
+
+    __slots__ = ("_call", "_clock", "_req", "_target", "head", "received", "replayed")
+
+    def __init__(self, req: CallerRequest, target: Target, clock: Clock) -> None:
+        self._req = req
+        self._target = target
+        self._clock = clock
+        self._call: LinkedCall | None = None
+        self.head = Head()
+        self.received = 0
+        self.replayed = False
+
+    def open(self, number: int, revision: int, body: bytes) -> None:
+        """Hand the request over and wait for the answer's head.
+
+        Parameters
+        ----------
+        number : int
+            The attempt's number, from 1.
+        revision : int
+            This process's revision of the configuration.
+        body : bytes
+            The body, which differs from the request's where an answer goes on.
+
+        Raises
+        ------
+        AttemptFailed
+            There is no answer.
+        """
+        try:
+            self._call = self._target.link.open(self._opened(number, revision, body))
+        except ConnectionLost as exc:
+            raise AttemptFailed(
+                Outcome.NOT_RUN,
+                Refusal.UNREACHABLE,
+                "The upstream's agent did not answer.",
+                1.0,
+            ) from exc
+        self._target.candidate.in_flight += 1
+        self._target.candidate.since_report += 1
+        message = self._next()
+        if not isinstance(message, Head):
+            raise self._failed(message)
+        self.head = message
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the answer's body.
+
+        Yields
+        ------
+        bytes
+
+        Raises
+        ------
+        AttemptFailed
+            The body did not come whole.
+        """
+        while True:
+            message = self._next()
+            if isinstance(message, Chunk):
+                if message.offset != self.received:
+                    raise self._torn()
+                self.received += len(message.data)
+                yield message.data
+                continue
+            if message.outcome != Outcome.COMPLETED:
+                raise self._failed(message)
+            if message.offset != self.received:
+                raise self._torn()
+            self.replayed = bool(message.replayed)
+            return
+
+    def whole(self) -> bytes:
+        """Return the answer's whole body.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        AttemptFailed
+            The body did not come whole.
+        """
+        return b"".join(self.pieces())
+
+    def cancel(self) -> None:
+        """End the attempt for whoever waits for its answer."""
+        if self._call is not None:
+            self._call.cancel()
+
+    def close(self) -> None:
+        """Give the call up if it has not ended; harmless when repeated."""
+        if self._call is not None:
+            self._call.close()
+            self._call = None
+            self._target.candidate.in_flight -= 1
+
+    def _opened(self, number: int, revision: int, body: bytes) -> Open:
+        req = self._req
+        left_s = req.deadline.left_s(self._clock.now())
+        return Open(
+            request_id=req.request_id,
+            attempt=number,
+            team=req.team.name,
+            upstream=self._target.instance.upstream,
+            method=req.method,
+            path=req.path,
+            headers=dict(req.headers),
+            body=body,
+            deadline_ms=int(left_s * MS_PER_S),
+            idempotency_key=req.idempotency_key,
+            guarded=req.guarded,
+            priority=req.priority,
+            revision=revision,
+        )
+
+    def _next(self) -> Head | Chunk | End:
+        assert self._call is not None
+        try:
+            return self._call.next(self._req.deadline.left_s(self._clock.now()))
+        except CallTimeout as exc:
+            raise AttemptFailed(
+                Outcome.UNKNOWN,
+                Refusal.DEADLINE,
+                "The answer did not come before the deadline.",
+                0.0,
+            ) from exc
+
+    def _failed(self, message: Head | Chunk | End) -> AttemptFailed:
+        if not isinstance(message, End) or message.refusal is None:
+            return self._torn()
+        return AttemptFailed(
+            message.outcome,
+            message.refusal,
+            message.detail,
+            message.retry_after_ms / MS_PER_S,
+        )
+
+    def _torn(self) -> AttemptFailed:
+        return AttemptFailed(
+            Outcome.UNKNOWN,
+            Refusal.BROKEN,
+            "The answer's pieces did not fit together.",
+            0.0,
+        )
--- /dev/null
+++ b/toucanspool/entry/http_service.py
@@ -0,0 +1,196 @@
+"""The HTTP side of an entry, from its start to its graceful stop."""
+
+from contextlib import ExitStack
+from typing import Any
+
+import falcon
+import gevent
+import structlog
+
+from toucanspool.config.service import ConfigService
+from toucanspool.entry.access import Access
+from toucanspool.entry.admin_api import AdminPages
+from toucanspool.entry.callers_api import (
+    AddressPage,
+    ChatPage,
+    RequestPage,
+    ServicePage,
+)
+from toucanspool.entry.decisions import Decisions
+from toucanspool.entry.dispatcher import Dispatcher
+from toucanspool.entry.http_server import HttpServer
+from toucanspool.entry.presence import Presence
+from toucanspool.entry.problems import Problem
+from toucanspool.entry.request_reader import RequestReader, new_request_id
+from toucanspool.entry.router import Router
+from toucanspool.entry.status_api import HealthPage, MetricsPage, ReadyPage
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.protected.clock import HubClock
+from toucanspool.settings.settings import Settings
+from toucanspool.telemetry.metrics import Metrics
+from toucanspool.wire.gen.messages.ttypes import Outcome
+
+REQUEST_ID_HEADER = "X-Request-Id"
+POLL_S = 0.02
+
+_log = structlog.get_logger()
+
+
+class RequestIds:
+    """Name each request and say its name in the reply; a falcon middleware.
+
+    Parameters
+    ----------
+    instance : str
+        The entry, the first part of each name.
+    presence : Presence
+        Connections of a leaving entry are not kept open.
+    """
+
+    __slots__ = ("_instance", "_presence")
+
+    def __init__(self, instance: str, presence: Presence) -> None:
+        self._instance = instance
+        self._presence = presence
+
+    def process_request(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Name the request."""
+        req.context.request_id = new_request_id(self._instance)
+        resp.set_header(REQUEST_ID_HEADER, req.context.request_id)
+        if self._presence.leaving:
+            resp.set_header("Connection", "close")
+
+
+class HttpService:
+    """Serve callers and operators.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The process's settings.
+    decisions : Decisions
+        What was decided.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_closing",
+        "_decisions",
+        "_dispatcher",
+        "_presence",
+        "_server",
+    )
+
+    def __init__(self, cfg: Settings, decisions: Decisions) -> None:
+        self._cfg = cfg
+        self._decisions = decisions
+        self._presence = Presence()
+        self._closing = ExitStack()
+
+    def start(self, kernel: Kernel) -> None:
+        """Begin serving; see `Service`."""
+        self._dispatcher: Dispatcher = kernel.find("dispatcher")
+        http = self._cfg.entry.http
+        self._server = HttpServer(
+            self._cfg.host,
+            http.port,
+            self._app(kernel),
+            idle_timeout_s=http.idle_timeout_s,
+        )
+        self._server.start()
+        self._closing.callback(self._server.stop, timeout=1.0)
+
+    def stop(self) -> None:
+        """Leave the address answer, serve on, then end; see `Service`."""
+        self._presence.leaving = True
+        _log.info("leaving", keep_for_s=self._cfg.entry.address_ttl_s)
+        # Callers hold this entry's address for so long.
+        gevent.sleep(self._cfg.entry.address_ttl_s)
+        self._server.close()
+        with gevent.Timeout(self._cfg.drain.grace_s, False):
+            while self._dispatcher.running:
+                gevent.sleep(POLL_S)
+        self._closing.close()
+
+    def _app(self, kernel: Kernel) -> falcon.App:
+        config: ConfigService = kernel.find("config")
+        router: Router = kernel.find("router")
+        metrics = Metrics()
+        access = Access(
+            config, bootstrap_hash=self._cfg.entry.bootstrap_operator_key_hash
+        )
+        reader = RequestReader(self._cfg, config, router.directory, HubClock())
+        parts = (access, reader, self._dispatcher, metrics)
+        app = falcon.App(middleware=[RequestIds(self._cfg.instance, self._presence)])
+        app.req_options.strip_url_path_trailing_slash = False
+        app.set_error_serializer(_serialize)
+        app.add_error_handler(Exception, _unexpected)
+        app.add_error_handler(falcon.HTTPError, _http_error)
+        app.add_error_handler(Problem, _problem)
+        app.add_route(
+            "/v1/addresses",
+            AddressPage(self._cfg, access, kernel.find("instances"), self._presence),
+        )
+        app.add_route("/v1/chat/completions", ChatPage(*parts))
+        app.add_route(
+            "/v1/requests/{request_id}", RequestPage(access, self._dispatcher)
+        )
+        app.add_route("/services/{name}/{path:path}", ServicePage(*parts))
+        app.add_route("/healthz", HealthPage())
+        app.add_route("/readyz", ReadyPage(config, self._presence))
+        app.add_route("/metrics", MetricsPage(metrics, self._dispatcher, config))
+        admin = AdminPages(
+            self._cfg, access, config, router, self._decisions, self._presence
+        )
+        _add_admin_routes(app, admin)
+        return app
+
+
+def _add_admin_routes(app: falcon.App, admin: AdminPages) -> None:
+    app.add_route("/admin/v1/records/{kind}", admin, suffix="records")
+    app.add_route("/admin/v1/changes", admin, suffix="changes")
+    app.add_route("/admin/v1/status", admin, suffix="status")
+    app.add_route(
+        "/admin/v1/explain/requests/{request_id}", admin, suffix="explain_request"
+    )
+    app.add_route(
+        "/admin/v1/explain/changes/{revision:int}", admin, suffix="explain_change"
+    )
+
+
+def _request_id(req: falcon.Request) -> str:
+    return getattr(req.context, "request_id", "")
+
+
+def _problem(
+    req: falcon.Request, resp: falcon.Response, exc: Problem, params: Any
+) -> None:
+    exc.write(resp, _request_id(req))
+
+
+def _http_error(
+    req: falcon.Request, resp: falcon.Response, exc: falcon.HTTPError, params: Any
+) -> None:
+    title = exc.title or "error"
+    kind = title.split(" ", 1)[-1].lower().replace(" ", "-")
+    detail = exc.description or f"{title}."
+    Problem(exc.status_code, kind, detail).write(resp, _request_id(req))
+
+
+def _unexpected(
+    req: falcon.Request, resp: falcon.Response, exc: Exception, params: Any
+) -> None:
+    _log.error("unexpected failure", request_id=_request_id(req), exc_info=exc)
+    problem = Problem(
+        500,
+        "internal-error",
+        "The entry failed on this request; whether it ran is not known.",
+        outcome=Outcome.UNKNOWN,
+    )
+    problem.write(resp, _request_id(req))
+
+
+def _serialize(
+    req: falcon.Request, resp: falcon.Response, exc: falcon.HTTPError
+) -> None:
+    _http_error(req, resp, exc, {})
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -1,6 +1,7 @@
 """An entry's connection to one agent, shared by all calls to it."""
 
 import itertools
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -112,6 +113,19 @@
             self.ended = True
         return message
 
+    def cancel(self) -> None:
+        """Tell the agent to stop, and the waiting task that it has."""
+        self._link.tell(Frame(cancel=Cancel(call=self.number)))
+        self._messages.put(
+            End(
+                call=self.number,
+                outcome=Outcome.UNKNOWN,
+                refusal=Refusal.CANCELLED,
+                detail="The caller cancelled the request.",
+                retry_after_ms=0,
+            )
+        )
+
     def close(self) -> None:
         """Take no more messages; the agent is told unless the call has ended."""
         self._link.forget(self)
@@ -137,7 +151,17 @@
         Returns the introduction that is sent first.
     """
 
-    __slots__ = ("_calls", "_conn", "_events", "_hello", "_lock", "_numbers", "host", "port")
+    __slots__ = (
+        "_calls",
+        "_conn",
+        "_events",
+        "_heard_at",
+        "_hello",
+        "_lock",
+        "_numbers",
+        "host",
+        "port",
+    )
 
     def __init__(
         self, host: str, port: int, events: LinkEvents, hello: Callable[[], Hello]
@@ -148,6 +172,7 @@
         self._hello = hello
         self._conn: Connection | None = None
         self._calls: dict[int, LinkedCall] = {}
+        self._heard_at = 0.0
         self._numbers = itertools.count(1)
         self._lock = Semaphore()
 
@@ -173,6 +198,7 @@
                 self._conn = connect(
                     self.host, self.port, self, timeout_s=CONNECT_TIMEOUT_S
                 )
+                self._heard_at = time.monotonic()
                 self._conn.send(Frame(hello=self._hello()))
             return self._conn
 
@@ -228,6 +254,19 @@
         if known is not None and not call.ended:
             self.tell(Frame(cancel=Cancel(call=call.number)))
 
+    def check_silence(self, now: float, limit_s: float) -> None:
+        """Close a connection that owes answers and says nothing.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        limit_s : float
+            The longest silence, in seconds.
+        """
+        if self._calls and now - self._heard_at > limit_s:
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._conn is not None:
@@ -235,6 +274,7 @@
 
     def received(self, conn: Connection, frame: Frame) -> None:
         """Take a message of the agent; see `Receiver`."""
+        self._heard_at = time.monotonic()
         message = frame.chunk or frame.head or frame.end
         if message is not None:
             call = self._calls.get(message.call)
--- /dev/null
+++ b/toucanspool/entry/request_reader.py
@@ -0,0 +1,312 @@
+"""A caller's HTTP request, checked and turned into a `CallerRequest`."""
+
+import re
+import uuid
+from typing import Any
+
+import falcon
+import gevent
+import orjson
+
+from toucanspool.config.records import Team
+from toucanspool.config.service import ConfigService
+from toucanspool.entry.caller_request import CallerRequest
+from toucanspool.entry.directory import Directory
+from toucanspool.entry.problems import Problem
+from toucanspool.protected.clock import Clock
+from toucanspool.retries.deadline import Deadline
+from toucanspool.routing.policy import Work
+from toucanspool.settings.settings import Settings
+
+TIMEOUT_HEADER = "Request-Timeout"
+KEY_HEADER = "Idempotency-Key"
+KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,200}$")
+PRIORITIES = {"low": -1, "normal": 0, "high": 1}
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
+ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
+
+
+class RequestReader:
+    """Read and check callers' requests.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The process's settings.
+    config : ConfigService
+        Labels and selectors.
+    directory : Directory
+        Knows which services are guarded.
+    clock : Clock
+        Time.
+    """
+
+    __slots__ = ("_cfg", "_clock", "_config", "_directory")
+
+    def __init__(
+        self,
+        cfg: Settings,
+        config: ConfigService,
+        directory: Directory,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._config = config
+        self._directory = directory
+        self._clock = clock
+
+    def chat(self, req: falcon.Request, team: Team, request_id: str) -> CallerRequest:
+        """Return a chat completion's request.
+
+        Parameters
+        ----------
+        req : falcon.Request
+            The HTTP request.
+        team : Team
+            The caller's team.
+        request_id : str
+            The request's id.
+
+        Returns
+        -------
+        CallerRequest
+
+        Raises
+        ------
+        Problem
+            The request is malformed.
+        """
+        body = self._body(req)
+        fields = _chat_fields(body)
+        key = _idempotency_key(req)
+        own = {"model": fields["model"], "method": "POST"}
+        own["stream"] = "yes" if fields.get("stream") else "no"
+        return self._made(
+            req,
+            team,
+            request_id,
+            own=own,
+            path="/v1/chat/completions",
+            body=body,
+            streamed=bool(fields.get("stream")),
+            idempotent=not key,
+            guarded=bool(key),
+        )
+
+    def service(
+        self, req: falcon.Request, team: Team, request_id: str, name: str, path: str
+    ) -> CallerRequest:
+        """Return a plain service's request.
+
+        Parameters
+        ----------
+        req : falcon.Request
+            The HTTP request.
+        team : Team
+            The caller's team.
+        request_id : str
+            The request's id.
+        name : str
+            The service.
+        path : str
+            Path within the service, without the leading slash.
+
+        Returns
+        -------
+        CallerRequest
+
+        Raises
+        ------
+        Problem
+            The request is malformed, or there is no such service.
+        """
+        key = _idempotency_key(req)
+        guarded = self._guarded(name)
+        safe = req.method in SAFE_METHODS
+        if guarded and not safe:
+            _check_guarded(req.method, key)
+        query = f"?{req.query_string}" if req.query_string else ""
+        return self._made(
+            req,
+            team,
+            request_id,
+            own={"service": name, "method": req.method},
+            path=f"/{path}{query}",
+            body=self._body(req),
+            streamed=False,
+            idempotent=req.method in IDEMPOTENT_METHODS,
+            guarded=bool(key) and req.method == "POST",
+        )
+
+    def _made(
+        self,
+        req: falcon.Request,
+        team: Team,
+        request_id: str,
+        *,
+        own: dict[str, str],
+        path: str,
+        body: bytes,
+        streamed: bool,
+        idempotent: bool,
+        guarded: bool,
+    ) -> CallerRequest:
+        labels = self._config.view.request_labels(own, team)
+        headers = {"accept": req.get_header("Accept") or "*/*"}
+        if body:
+            headers["content-type"] = req.content_type or "application/octet-stream"
+        key = _idempotency_key(req) if guarded else ""
+        if key:
+            headers["idempotency-key"] = key
+        priority = _priority(labels)
+        headers["x-priority"] = str(-priority)
+        return CallerRequest(
+            request_id=request_id,
+            team=team,
+            method=req.method,
+            path=path,
+            body=body,
+            headers=headers,
+            labels=labels,
+            work=Work(failure_domain=self._cfg.failure_domain),
+            deadline=self._deadline(req),
+            streamed=streamed,
+            idempotent=idempotent and not guarded,
+            idempotency_key=key,
+            guarded=guarded,
+            priority=priority,
+            share=_share(labels),
+        )
+
+    def _guarded(self, name: str) -> bool:
+        known = [t for t in self._directory.targets if t.given.get("service") == name]
+        if not known:
+            raise Problem(404, "no-such-service", f"No service is named {name!r}.")
+        return any(target.given.get("guarded") == "yes" for target in known)
+
+    def _body(self, req: falcon.Request) -> bytes:
+        cfg = self._cfg.entry.http
+        if (req.content_length or 0) > cfg.max_body_bytes:
+            raise _too_large(cfg.max_body_bytes)
+        try:
+            with gevent.Timeout(cfg.body_timeout_s):
+                body = req.bounded_stream.read(cfg.max_body_bytes + 1)
+        except gevent.Timeout as exc:
+            raise Problem(
+                408, "body-too-slow", "The request's body came too slowly."
+            ) from exc
+        if len(body) > cfg.max_body_bytes:
+            raise _too_large(cfg.max_body_bytes)
+        if req.content_length and len(body) < req.content_length:
+            raise Problem(400, "body-cut-off", "The request's body was cut off.")
+        return body
+
+    def _deadline(self, req: falcon.Request) -> Deadline:
+        entry = self._cfg.entry
+        header = req.get_header(TIMEOUT_HEADER)
+        if header is None:
+            return Deadline.after(entry.default_timeout_s, self._clock.now())
+        try:
+            timeout_s = float(header)
+        except ValueError:
+            timeout_s = -1.0
+        if not 0.0 < timeout_s <= entry.max_timeout_s:
+            raise Problem(
+                400,
+                "bad-timeout",
+                f"{TIMEOUT_HEADER} must be seconds from 0 to {entry.max_timeout_s:g}.",
+            )
+        return Deadline.after(timeout_s, self._clock.now())
+
+
+def new_request_id(instance: str) -> str:
+    """Return a name for a request.
+
+    Parameters
+    ----------
+    instance : str
+        The entry that takes it, the first part of the name.
+
+    Returns
+    -------
+    str
+    """
+    return f"{instance}-{uuid.uuid4().hex[:16]}"
+
+
+def _check_guarded(method: str, key: str) -> None:
+    if method != "POST":
+        raise Problem(
+            405, "method-not-allowed", "This service takes only GET, HEAD and POST."
+        )
+    if not key:
+        raise Problem(
+            400,
+            "idempotency-key-due",
+            f"This service's calls may not be repeated, so {KEY_HEADER} is due.",
+        )
+
+
+def _idempotency_key(req: falcon.Request) -> str:
+    key = req.get_header(KEY_HEADER)
+    if key is None:
+        return ""
+    if not KEY_PATTERN.match(key):
+        raise Problem(
+            400,
+            "bad-idempotency-key",
+            f"{KEY_HEADER} must be 1 to 200 printable characters without spaces.",
+        )
+    return key
+
+
+def _chat_fields(body: bytes) -> dict[str, Any]:
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        raise Problem(400, "not-json", "The body is not JSON.") from exc
+    mistake = _chat_mistake(fields)
+    if mistake:
+        raise Problem(422, "bad-request", mistake)
+    return fields
+
+
+def _chat_mistake(fields: Any) -> str:
+    if not isinstance(fields, dict):
+        return "The body must be a JSON object."
+    if not isinstance(fields.get("model"), str) or not fields["model"]:
+        return "model must be a name."
+    if not isinstance(fields.get("stream", False), bool):
+        return "stream must be true or false."
+    tokens = fields.get("max_tokens")
+    if tokens is not None and (type(tokens) is not int or tokens < 1):
+        return "max_tokens must be a whole number from 1."
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return "messages must be a list of at least one message."
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict) or message.get("role") not in ROLES:
+            return f"messages[{index}] must have a role of {', '.join(sorted(ROLES))}."
+        if not isinstance(message.get("content"), str | list | None):
+            return f"messages[{index}].content must be text or a list."
+    return ""
+
+
+def _priority(labels: dict[str, str]) -> int:
+    name = labels.get("priority") or labels.get("team.priority") or "normal"
+    return PRIORITIES.get(name, 0)
+
+
+def _share(labels: dict[str, str]) -> float:
+    try:
+        share = float(labels.get("team.share", "1"))
+    except ValueError:
+        return 1.0
+    return share if 0.0 < share < 1e6 else 1.0
+
+
+def _too_large(limit: int) -> Problem:
+    return Problem(
+        413, "body-too-large", f"The request's body has more than {limit} bytes."
+    )
--- /dev/null
+++ b/toucanspool/membership/service.py
@@ -0,0 +1,74 @@
+"""The platform's list of instances, read at an interval."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import structlog
+
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.platform.instances import (
+    Instance,
+    InstanceList,
+    InstancesUnavailable,
+)
+
+Listener = Callable[[list[Instance]], None]
+
+_log = structlog.get_logger()
+
+
+class InstancesService:
+    """Keep the newest list; an outage keeps the last one in use.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time between reads, in seconds.
+    """
+
+    __slots__ = ("_closing", "_instances", "_interval_s", "_listeners", "_source")
+
+    def __init__(self, interval_s: float) -> None:
+        self._interval_s = interval_s
+        self._instances: list[Instance] = []
+        self._listeners: list[Listener] = []
+        self._closing = ExitStack()
+
+    @property
+    def instances(self) -> list[Instance]:
+        """The newest list."""
+        return self._instances
+
+    def on_list(self, listener: Listener) -> None:
+        """Call a function with each list read.
+
+        Parameters
+        ----------
+        listener : callable
+            Takes the list.
+        """
+        self._listeners.append(listener)
+
+    def start(self, kernel: Kernel) -> None:
+        """Begin reading; see `Service`."""
+        self._source: InstanceList = kernel.find("platform").instances
+        rng = kernel.find("rng").named("instances")
+        ticker = Ticker("instances", self._interval_s, self.read, rng=rng)
+        self.read()
+        ticker.start()
+        self._closing.callback(ticker.stop)
+
+    def stop(self) -> None:
+        """End reading; see `Service`."""
+        self._closing.close()
+
+    def read(self) -> None:
+        """Read the list once."""
+        try:
+            self._instances = self._source.read()
+        except InstancesUnavailable as exc:
+            _log.warning("instance list unavailable", error=str(exc))
+            return
+        for listener in self._listeners:
+            listener(self._instances)
--- /dev/null
+++ b/toucanspool/protected/service.py
@@ -0,0 +1,59 @@
+"""The claims of an agent as a service."""
+
+from contextlib import ExitStack
+
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.protected.claims import Claims
+from toucanspool.protected.committer import Committer
+
+RETRY_INTERVAL_S = 1.0
+CLOSE_TIMEOUT_S = 3.0
+
+
+class ClaimsService:
+    """Own an agent's claims and the task that commits them.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the agent's instance.
+
+    Attributes
+    ----------
+    claims : Claims
+        The claims.
+    """
+
+    __slots__ = ("_closing", "_instance", "claims")
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._closing = ExitStack()
+
+    def start(self, kernel: Kernel) -> None:
+        """Start committing; see `Service`."""
+        platform = kernel.find("platform")
+        randoms = kernel.find("rng")
+        committer = Committer(platform.table, rng=randoms.named("committer"))
+        self.claims = Claims(
+            committer, platform.table, platform.objects, self._instance
+        )
+        committer.start()
+        self._closing.callback(committer.close, timeout_s=CLOSE_TIMEOUT_S)
+        ticker = Ticker(
+            "claims",
+            RETRY_INTERVAL_S,
+            self._retry,
+            rng=randoms.named("claims"),
+        )
+        ticker.start()
+        self._closing.callback(self._retry)
+        self._closing.callback(ticker.stop)
+
+    def stop(self) -> None:
+        """Record what is pending and stop; see `Service`."""
+        self._closing.close()
+
+    def _retry(self) -> None:
+        self.claims.retry_pending()
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -83,10 +83,18 @@
     address: Address
     kind: Literal["engine", "service"]
     model: str = ""
+    service: str = ""
     guarded: bool = False
     max_running: Annotated[int, Field(ge=1, le=100_000)] = 256
     load_interval_s: Seconds = 0.25
 
+    @model_validator(mode="after")
+    def _named(self) -> "Agent":
+        wanted = "model" if self.kind == "engine" else "service"
+        if not getattr(self, wanted):
+            raise ValueError(f"kind is {self.kind}, so {wanted!r} is due")
+        return self
+
 
 class Drain(Model):
     """Set how a process stops."""
