--- /dev/null
+++ b/tests/retries/test_ejection.py
@@ -0,0 +1,140 @@
+"""Proves that a failing upstream goes out, few at once, and returns slowly."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from toucanspool.retries.ejection import (
+    FAILURES_IN_A_ROW,
+    MAX_EJECT_S,
+    RAMP_S,
+    Ejector,
+    Result,
+)
+
+POOL = [f"u{n}" for n in range(7)]
+RESULTS = st.sampled_from(list(Result))
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["record", "probe", "members"]),
+        st.sampled_from(POOL),
+        RESULTS,
+        st.floats(0.0, 8.0),
+        st.integers(0, len(POOL)),
+    ),
+    max_size=80,
+)
+
+
+class Unbounded(Ejector):
+    """Take out any number at once."""
+
+    def _room(self):
+        return True
+
+    def _return_surplus(self, now):
+        pass
+
+
+def pool(cls=Ejector, members=POOL, **options):
+    ejector = cls(random.Random(3), **options)
+    ejector.update(members, 0.0)
+    return ejector
+
+
+def most_out_beyond(cls, steps):
+    ejector, now, members = pool(cls), 0.0, POOL
+    beyond = 0
+    for step, name, result, passed_s, size in steps:
+        now += passed_s
+        if step == "record":
+            ejector.record(name, result, now)
+        elif step == "probe" and name in ejector.due(now):
+            ejector.probed(name, result, now)
+        elif step == "members":
+            members = POOL[:size]
+            ejector.update(members, now)
+        assert all(ejector.weight(n, now) == 0.0 for n in ejector.ejected)
+        beyond = max(beyond, len(ejector.ejected) - len(members) // 2)
+    return beyond
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(STEPS)
+def test_no_more_than_the_bound_is_ever_out(steps):
+    assert most_out_beyond(Ejector, steps) == 0
+
+
+def test_the_oracle_notices_an_ejector_without_bound():
+    steps = [("record", name, Result.UNREACHABLE, 0.0, 0) for name in POOL]
+    assert most_out_beyond(Unbounded, steps) > 0
+
+
+@pytest.mark.parametrize(
+    ("result", "needed"), [(Result.UNREACHABLE, 1), (Result.FAILED, FAILURES_IN_A_ROW)]
+)
+def test_a_failing_upstream_goes_out(result, needed):
+    ejector = pool()
+    outs = [ejector.record("u0", result, 0.0) for _ in range(needed)]
+    assert outs == [False] * (needed - 1) + [True]
+    assert ejector.weight("u0", 0.0) == 0.0
+
+
+@pytest.mark.parametrize(("every", "out"), [(2, True), (10, False)])
+def test_an_upstream_that_fails_often_goes_out_and_one_that_rarely_does_not(every, out):
+    ejector = pool()
+    for n in range(60):
+        result = Result.FAILED if n % every == 0 else Result.OK
+        ejector.record("u0", result, float(n))
+    assert ("u0" in ejector.ejected) == out
+
+
+def test_an_upstream_returns_after_good_probes_and_starts_slowly():
+    ejector = pool()
+    ejector.record("u0", Result.UNREACHABLE, 0.0)
+    assert ejector.due(1.0) == []
+    back = []
+    for now in (3.0, 3.1):
+        assert ejector.due(now) == ["u0"]
+        back.append(ejector.probed("u0", Result.OK, now))
+    assert back == [False, True]
+    weights = [ejector.weight("u0", 3.1 + t) for t in (0.0, RAMP_S / 2, RAMP_S)]
+    assert weights == pytest.approx([0.1, 0.55, 1.0])
+
+
+def test_one_probe_is_out_at_a_time():
+    ejector = pool()
+    ejector.record("u0", Result.UNREACHABLE, 0.0)
+    assert [ejector.due(3.0), ejector.due(3.5), ejector.due(8.5)] == [
+        ["u0"],
+        [],
+        ["u0"],
+    ]
+
+
+def test_an_upstream_that_keeps_failing_is_probed_less_and_less():
+    ejector, now, gaps = pool(), 0.0, []
+    ejector.record("u0", Result.UNREACHABLE, now)
+    for _ in range(9):
+        start = now
+        while not ejector.due(now):
+            now += 0.1
+        gaps.append(now - start)
+        ejector.probed("u0", Result.FAILED, now)
+    assert gaps[3] > 2 * gaps[1]
+    assert max(gaps) <= MAX_EJECT_S * 1.25 + 0.2
+
+
+def test_a_newcomer_starts_slowly_but_the_first_pool_does_not():
+    ejector = pool()
+    ejector.update([*POOL, "new"], 5.0)
+    assert ejector.weight("u0", 5.0) == 1.0
+    assert ejector.weight("new", 5.0) == pytest.approx(0.1)
+
+
+def test_the_only_upstream_stays_in():
+    ejector = pool(members=["u0"])
+    assert not ejector.record("u0", Result.UNREACHABLE, 0.0)
+    assert ejector.weight("u0", 0.0) == 1.0
