--- a/toucanspool/config/failures.py
+++ b/toucanspool/config/failures.py
@@ -79,6 +79,26 @@
         self.conflicts = tuple(conflicts)
 
 
+class StaleBase(ApplyError):
+    """Report a base revision too old to tell what changed since; nothing changed.
+
+    Parameters
+    ----------
+    base : int
+        The revision that the operator saw.
+    oldest : int
+        The oldest revision that may be named.
+    """
+
+    def __init__(self, base: int, oldest: int) -> None:
+        super().__init__(
+            f"Your change was not made, because revision {base} that you saw is older "
+            f"than {oldest}, the oldest that can be compared; look again."
+        )
+        self.base = base
+        self.oldest = oldest
+
+
 class ChangeIdReused(ApplyError):
     """Report a change id that stands for another change; nothing changed.
 
@@ -100,29 +120,42 @@
 
 
 class ApplyUnavailable(ApplyError):
-    """Report that the table was out of reach; nothing changed."""
+    """Report that the table was out of reach; this call changed nothing.
+
+    An earlier call with the same change id may have made the change.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    change_id : str
+        The change id to repeat the call with.
+    """
+
+    def __init__(self, change_id: str) -> None:
         super().__init__(
-            "Your change was not made, because the table can't be reached; "
-            "try again later."
+            "This call changed nothing, because the table can't be reached; repeat it "
+            f"later with the same change id {change_id}, which also tells what became "
+            "of an earlier call."
         )
+        self.change_id = change_id
 
 
 class ApplyBusy(ApplyError):
-    """Report that other changes came first each time; nothing changed.
+    """Report that other changes came first each time; this call changed nothing.
 
     Parameters
     ----------
+    change_id : str
+        The change id to repeat the call with.
     attempts : int
         How often it was tried.
     """
 
-    def __init__(self, attempts: int) -> None:
+    def __init__(self, change_id: str, attempts: int) -> None:
         super().__init__(
-            f"Your change was not made, because other changes came first "
-            f"{attempts} times in a row; try again."
+            f"This call changed nothing, because other changes came first {attempts} "
+            f"times in a row; repeat it with the same change id {change_id}."
         )
+        self.change_id = change_id
         self.attempts = attempts
 
 
--- a/toucanspool/config/rows.py
+++ b/toucanspool/config/rows.py
@@ -15,6 +15,7 @@
 RECORD_PREFIX = "config/record/"
 CHANGE_ID_PREFIX = "config/change-id/"
 REVISION_DIGITS = 12
+KEPT_CHANGES = 4096
 
 
 @dataclass(slots=True, frozen=True, order=True)
--- a/toucanspool/config/store.py
+++ b/toucanspool/config/store.py
@@ -20,6 +20,7 @@
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.reader import ConfigReader
 from toucanspool.config.records import Change
+from toucanspool.config.rows import KEPT_CHANGES
 from toucanspool.config.transaction import Transaction, check_keys
 from toucanspool.config.view import View
 from toucanspool.platform.table import (
@@ -71,6 +72,8 @@
         Source of the jitter between attempts.
     offload : callable, optional
         Runs a pure function of some milliseconds, for example in a thread.
+    kept : int, default=4096
+        For how many changes a removal leaves a trace, as `SnapshotKeeper` keeps.
     """
 
     def __init__(
@@ -81,12 +84,14 @@
         sleep: Callable[[float], None] = gevent.sleep,
         rng: random.Random | None = None,
         offload: Callable[..., Description] | None = None,
+        kept: int = KEPT_CHANGES,
     ) -> None:
         super().__init__(table)
         self._clock = clock
         self._sleep = sleep
         self._rng = rng or random.Random()
         self._offload = offload or _run
+        self._kept = kept
 
     def apply(
         self,
@@ -113,10 +118,13 @@
 
         Raises
         ------
-        BadProposal, RecordConflict, ChangeIdReused, ApplyUnavailable, ApplyBusy
-            The change was not made.
         ApplyUncertain
             It is not known whether the change was made.
+        ApplyUnavailable, ApplyBusy
+            This call made no change; a call at the same time or before it, with the
+            same change id, may have.
+        ApplyError
+            The change was not made, for the reason that the subclass stands for.
         """
         proposal.check()
         lost = _LostCommit()
@@ -127,7 +135,7 @@
                 raise ApplyUncertain(proposal.change_id) from exc
             if isinstance(exc, ApplyError):
                 raise
-            raise ApplyUnavailable from exc
+            raise ApplyUnavailable(proposal.change_id) from exc
 
     def dry_run(
         self,
@@ -153,19 +161,19 @@
 
         Raises
         ------
-        BadProposal, RecordConflict, ChangeIdReused, ApplyUnavailable, ApplyBusy
-            The change would not be made.
+        ApplyError
+            The change would not be made now.
         """
         proposal.check()
         try:
             txn = Transaction.read(self._table, proposal)
             txn.earlier()
-            txn.check()
+            txn.check(self._kept)
             return self._draft(txn, _copy(view), given or {})[1]
         except TableUnavailable as exc:
-            raise ApplyUnavailable from exc
+            raise ApplyUnavailable(proposal.change_id) from exc
         except (ChangesPruned, LoadTorn) as exc:
-            raise ApplyBusy(1) from exc
+            raise ApplyBusy(proposal.change_id, 1) from exc
 
     def _apply(
         self,
@@ -180,7 +188,7 @@
             earlier = txn.earlier()
             if earlier is not None:
                 return Applied(earlier, True)
-            txn.check()
+            txn.check(self._kept)
             try:
                 change, _ = self._draft(txn, view, given)
                 self._table.commit(txn.checks(), txn.writes(change))
@@ -190,7 +198,7 @@
                 lost.counter_version = txn.counter_version
                 continue
             return Applied(change, False)
-        raise ApplyBusy(APPLY_ATTEMPTS)
+        raise ApplyBusy(proposal.change_id, APPLY_ATTEMPTS)
 
     def _read(self, proposal: Proposal, lost: "_LostCommit") -> Transaction:
         for number in range(1, READ_BACK_ATTEMPTS):
--- a/toucanspool/config/transaction.py
+++ b/toucanspool/config/transaction.py
@@ -7,10 +7,12 @@
     ChangeIdReused,
     Conflict,
     RecordConflict,
+    StaleBase,
 )
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.records import Change, Operator, Team, encode
 from toucanspool.config.rows import (
+    KEPT_CHANGES,
     REVISION_KEY,
     ChangeIdRow,
     RecordKey,
@@ -96,13 +98,20 @@
             raise ChangeIdReused(proposal.change_id, made.revision)
         return _change(proposal, made.revision, made.at, made.sentence)
 
-    def check(self) -> None:
+    def check(self, kept: int = KEPT_CHANGES) -> None:
         """Check that the operator saw the records as they are.
 
+        Parameters
+        ----------
+        kept : int, default=4096
+            For how many changes a removal leaves a trace.
+
         Raises
         ------
         RecordConflict
             Records were changed since.
+        StaleBase
+            A record is absent, and the trace of its removal may be gone.
         BadProposal
             The base revision does not exist, or a record removed does not.
         """
@@ -119,6 +128,10 @@
         ]
         if conflicts:
             raise RecordConflict(conflicts)
+        oldest = self.revision - kept
+        for key, row in held.items():
+            if row is None and proposal.seen_at(key) < oldest:
+                raise StaleBase(proposal.seen_at(key), oldest)
         _check_removals(proposal, held)
 
     def draft(self, at: float, sentence: str = "") -> Change:
