--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, each against baselines in one run."""
--- /dev/null
+++ b/bench/group_run.py
@@ -0,0 +1,248 @@
+"""Drive a policy over a trace and measure skew, moves and times."""
+
+import math
+import time
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import numpy as np
+
+from bench.traces import EXPERTS, RANKS, STEPS_PER_TICK, TICK_S, Trace
+from toucanspool.groups.expert_map import ExpertMap
+from toucanspool.groups.load import LoadEstimate, RankReport
+from toucanspool.groups.packing import pack
+from toucanspool.groups.placement import PlacementSettings, Planner
+from toucanspool.groups.rebalancer import Rebalancer
+from toucanspool.groups.split import SolvedSplit, Split
+from toucanspool.groups.straggler import RankState, StragglerJudge
+
+SLOTS = 3
+FIXED_PART = 0.1
+SECONDS_PER_UNIT = 0.025
+REPLACE_TICKS = 20
+SWITCH_TICKS = 1
+REPACK_EVERY_TICKS = 10
+MAX_FIRST_PLANS = 40
+
+
+class GroupPolicy(Protocol):
+    """Choose the maps of a group over time."""
+
+    map: ExpertMap
+
+    def tick(self, tick: int, reports: list[RankReport], run: "GroupRun") -> None:
+        """Take reports, and change ``map`` when the group switches."""
+        ...
+
+
+@dataclass(slots=True, eq=False)
+class GroupRun:
+    """Hold what was measured in one run.
+
+    Parameters
+    ----------
+    skew : list of float
+        Largest over mean step time of each tick.
+    step : list of float
+        Step time of each tick; 1 is the mean on healthy ranks.
+    moves : int
+        Expert copies loaded.
+    switches : int
+        Maps taken into use.
+    solves_s : list of float
+        Time of each decision that looked for a plan, in seconds.
+    slices_s : list of float
+        Time of each slice, in seconds.
+    verdicts : list of tuple
+        Tick, rank and state of each change of a rank's state.
+    replace_at : int or None
+        Tick at which the replaced rank runs.
+    """
+
+    skew: list[float] = field(default_factory=list)
+    step: list[float] = field(default_factory=list)
+    moves: int = 0
+    switches: int = 0
+    solves_s: list[float] = field(default_factory=list)
+    slices_s: list[float] = field(default_factory=list)
+    verdicts: list[tuple[int, int, RankState]] = field(default_factory=list)
+    replace_at: int | None = None
+
+
+class Fixed:
+    """Keep one map for ever."""
+
+    def __init__(self, map_: ExpertMap) -> None:
+        self.map = map_
+
+    def tick(self, tick: int, reports: list[RankReport], run: GroupRun) -> None:
+        """Do nothing."""
+
+
+class Repack:
+    """Pack anew at every interval and switch at once, without loading time."""
+
+    def __init__(self, map_: ExpertMap, split: Split) -> None:
+        self.map = map_
+        self._split = split
+        self._loads = LoadEstimate(map_.layers, map_.n_experts)
+        self._judge = StragglerJudge(map_.ranks, 0.0)
+
+    def tick(self, tick: int, reports: list[RankReport], run: GroupRun) -> None:
+        """Count reports; pack when the interval is over."""
+        now = tick * TICK_S
+        for report in reports:
+            self._judge.observe(report, now)
+            if report.version == self.map.version:
+                self._loads.observe(report, self.map)
+        self._loads.fold(now)
+        self._judge.judge(now)
+        if tick % REPACK_EVERY_TICKS or not self._loads.ready:
+            return
+        new = pack(
+            self._loads.loads,
+            self._judge.speeds,
+            SLOTS,
+            version=self.map.version + 1,
+            split=self._split,
+        )
+        run.moves += new.copies_new_to(self.map)
+        run.switches += 1
+        self.map = new
+
+
+class Rebalanced:
+    """Follow the product's rebalancer through a rate-limited weight store."""
+
+    def __init__(
+        self, map_: ExpertMap, cfg: PlacementSettings, split: Split | None = None
+    ) -> None:
+        self.map = map_
+        self._cfg = cfg
+        self._rebalancer = Rebalancer(cfg, map_, 0.0, split=split)
+        self._next: ExpertMap | None = None
+        self._switch_tick = 0
+
+    def tick(self, tick: int, reports: list[RankReport], run: GroupRun) -> None:
+        """Count reports, switch when the copies are loaded, decide."""
+        now = tick * TICK_S
+        if tick == run.replace_at:
+            for _, rank, state in run.verdicts:
+                if state is RankState.REPLACE:
+                    self._rebalancer.replaced(rank, now)
+        if self._next is not None and tick >= self._switch_tick:
+            self.map, self._next = self._next, None
+            self._rebalancer.adopted(self.map)
+            run.switches += 1
+        for report in reports:
+            self._rebalancer.observe(report, now)
+        decision = self._decide(now, run)
+        for verdict in decision.verdicts:
+            run.verdicts.append((tick, verdict.rank, verdict.state))
+            if verdict.state is RankState.REPLACE and run.replace_at is None:
+                run.replace_at = tick + REPLACE_TICKS
+        if decision.plan is not None:
+            plan = decision.plan
+            run.moves += len(plan.moves)
+            load_s = plan.load_bytes / self._cfg.store_bytes_per_s
+            self._next = plan.map
+            self._switch_tick = tick + SWITCH_TICKS + math.ceil(load_s / TICK_S)
+
+    def _decide(self, now: float, run: GroupRun):
+        slices = self._rebalancer.decide_slices(now)
+        spent = []
+        while True:
+            begun = time.perf_counter()
+            try:
+                next(slices)
+            except StopIteration as stop:
+                spent.append(time.perf_counter() - begun)
+                run.slices_s.extend(spent)
+                if len(spent) > 2:
+                    run.solves_s.append(sum(spent[2:]))
+                return stop.value
+            spent.append(time.perf_counter() - begun)
+
+
+def uniform_map(layers: int) -> ExpertMap:
+    """Return experts in turn over the ranks, with even shares."""
+    experts = np.arange(RANKS * SLOTS).reshape(SLOTS, RANKS).T % EXPERTS
+    experts[:, 2] = np.roll(experts[:, 2], RANKS // 2)
+    experts = np.broadcast_to(experts, (layers, RANKS, SLOTS))
+    return ExpertMap(version=0, n_experts=EXPERTS, experts=experts)
+
+
+def first_map(trace: Trace, split: Split | None = None) -> ExpertMap:
+    """Return the best map known for the popularity at the start.
+
+    It is packed, then bettered with the loads known until nothing pays.
+    """
+    split = split or SolvedSplit()
+    speeds = np.ones(RANKS)
+    map_ = pack(trace.first, speeds, SLOTS, split=split)
+    planner = Planner(PlacementSettings(), split=split)
+    for _ in range(MAX_FIRST_PLANS):
+        plan = planner.plan(map_, trace.first, speeds)
+        if plan is None:
+            break
+        map_ = plan.map
+    return map_
+
+
+def drive(trace: Trace, policy: GroupPolicy) -> GroupRun:
+    """Run a policy over a trace.
+
+    Parameters
+    ----------
+    trace : Trace
+        What happens.
+    policy : GroupPolicy
+        Who chooses the maps.
+
+    Returns
+    -------
+    GroupRun
+    """
+    run = GroupRun()
+    inbox: dict[int, list[RankReport]] = {}
+    for tick, tokens in enumerate(trace.tokens):
+        policy.tick(tick, inbox.pop(tick, []), run)
+        map_ = policy.map
+        replaced = run.replace_at is not None and tick >= run.replace_at
+        load = map_.gather(tokens.astype(float)) * map_.shares
+        by_rank = load.sum(axis=2)
+        relative = by_rank / by_rank.mean(axis=1, keepdims=True)
+        speeds = trace.speeds(tick, replaced=replaced)
+        times = (FIXED_PART + (1.0 - FIXED_PART) * relative) / speeds
+        peak = times.max(axis=1).sum()
+        run.skew.append(float(peak / times.mean(axis=1).sum()))
+        run.step.append(float(peak / trace.first.shape[0]))
+        if isinstance(policy, Fixed):
+            continue
+        busy = times.sum(axis=0) * trace.time_noise[tick] * SECONDS_PER_UNIT
+        _post(inbox, trace, tick, map_, np.rint(load).astype(int), busy, replaced)
+    return run
+
+
+def _post(
+    inbox: dict[int, list[RankReport]],
+    trace: Trace,
+    tick: int,
+    map_: ExpertMap,
+    load: np.ndarray,
+    busy: np.ndarray,
+    replaced: bool,
+) -> None:
+    for rank in range(RANKS):
+        arrives = int(trace.arrives[tick, rank])
+        if arrives < 0 or trace.silent(tick, rank, replaced=replaced):
+            continue
+        report = RankReport(
+            rank=rank,
+            version=map_.version,
+            at=tick * TICK_S,
+            steps=STEPS_PER_TICK,
+            busy_s=float(busy[rank]) * STEPS_PER_TICK,
+            tokens=load[:, rank, :],
+        )
+        inbox.setdefault(arrives, []).append(report)
