Switch a group's expert map in fenced rounds

Cause: a group must never run a step on two expert maps, whatever fails. A round fences all ranks, loads beside, holds at a step boundary, switches, and resumes only after every rank has confirmed the map under the round's token.

--- /dev/null
+++ b/standins/lockstep.py
@@ -0,0 +1,173 @@
+"""A lock-step group as a process: ``python -m standins.lockstep --port=N``."""
+
+from typing import Any
+
+import falcon
+import gevent
+import orjson
+from absl import app as absl_app
+from absl import flags
+from gevent import socket
+from gevent.pywsgi import WSGIServer
+
+from standins.lockstep_group import LockstepGroup
+from toucanspool.groups.engine import EngineRefused, EngineUnavailable
+
+HOST = flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
+PORT = flags.DEFINE_integer("port", None, "Port to listen on.", required=True)
+RANKS = flags.DEFINE_integer("ranks", 4, "Number of ranks.")
+VERSION = flags.DEFINE_integer("version", 0, "Map version at first.")
+TICK_MS = flags.DEFINE_float("tick_ms", 10.0, "Time of a step, in milliseconds.")
+CHECKS_FENCE = flags.DEFINE_bool(
+    "checks_fence", True, "Let every second rank refuse old fencing numbers."
+)
+
+
+class RankPages:
+    """Serve one rank's engine: ``GET /ranks/R`` and ``POST /ranks/R/ORDER``.
+
+    Parameters
+    ----------
+    group : LockstepGroup
+        The group.
+    """
+
+    def __init__(self, group: LockstepGroup) -> None:
+        self._group = group
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, rank: int) -> None:
+        """Return the rank's state."""
+        state = self._group.engines[rank].state()
+        resp.media = {
+            "version": state.version,
+            "spare": state.spare,
+            "held": state.held,
+            "step": state.step,
+        }
+
+    def on_post_order(
+        self, req: falcon.Request, resp: falcon.Response, rank: int, order: str
+    ) -> None:
+        """Carry out an order; the body has ``fence`` and, as needed, ``version``."""
+        body = orjson.loads(req.bounded_stream.read())
+        engine = self._group.engines[rank]
+        calls = {
+            "load": lambda: engine.load(body["version"], b"", body["fence"]),
+            "hold": lambda: engine.hold(body["fence"]),
+            "switch": lambda: engine.switch(body["version"], body["fence"]),
+            "resume": lambda: engine.resume(body["fence"]),
+        }
+        if order not in calls:
+            raise falcon.HTTPNotFound
+        calls[order]()
+        self.on_get(req, resp, rank)
+
+    def on_put_faults(
+        self, req: falcon.Request, resp: falcon.Response, rank: int
+    ) -> None:
+        """Replace the faults of one rank's engine."""
+        faults = self._group.engines[rank].faults
+        faults.clear()
+        faults.set(**orjson.loads(req.bounded_stream.read()))
+
+
+class GroupPages:
+    """Serve the record of steps, and restart, lose and stall ranks.
+
+    Parameters
+    ----------
+    group : LockstepGroup
+        The group.
+    """
+
+    def __init__(self, group: LockstepGroup) -> None:
+        self._group = group
+
+    def on_get_steps(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return the steps from ``?after=N`` on, each with its versions."""
+        after = req.get_param_as_int("after", default=0)
+        resp.media = [
+            {"step": s.step, "incarnation": s.incarnation, "versions": s.versions}
+            for s in self._group.steps[after:]
+        ]
+
+    def on_put_event(
+        self, req: falcon.Request, resp: falcon.Response, rank: int, event: str
+    ) -> None:
+        """Restart, lose or stall a rank; ``?ticks=N`` says for how long."""
+        if event == "restart":
+            self._group.restart(rank)
+        elif event == "lose":
+            self._group.lose(rank)
+        elif event == "stall":
+            self._group.stall(rank, req.get_param_as_int("ticks", default=10))
+        else:
+            raise falcon.HTTPNotFound
+
+
+class NoDelayServer(WSGIServer):
+    """Serve on sockets that do not delay small writes."""
+
+    def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        """Serve one connection; called by gevent."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
+def make_app(group: LockstepGroup) -> falcon.App:
+    """Return the application of a group.
+
+    Parameters
+    ----------
+    group : LockstepGroup
+        The group.
+
+    Returns
+    -------
+    falcon.App
+    """
+    app = falcon.App()
+    ranks, pages = RankPages(group), GroupPages(group)
+    app.add_route("/ranks/{rank:int}", ranks)
+    app.add_route("/ranks/{rank:int}/faults", ranks, suffix="faults")
+    app.add_route("/ranks/{rank:int}/events/{event}", pages, suffix="event")
+    app.add_route("/ranks/{rank:int}/orders/{order}", ranks, suffix="order")
+    app.add_route("/steps", pages, suffix="steps")
+    app.add_error_handler(EngineRefused, _refused)
+    app.add_error_handler(EngineUnavailable, _unavailable)
+    return app
+
+
+def _refused(
+    req: falcon.Request, resp: falcon.Response, exc: EngineRefused, params: Any
+) -> None:
+    resp.status = falcon.HTTP_409
+    resp.media = {"reason": exc.reason}
+
+
+def _unavailable(
+    req: falcon.Request, resp: falcon.Response, exc: Exception, params: Any
+) -> None:
+    resp.status = falcon.HTTP_503
+
+
+def _tick_forever(group: LockstepGroup, tick_s: float) -> None:
+    while True:
+        group.tick()
+        gevent.sleep(tick_s)
+
+
+def main(argv: list[str]) -> None:
+    """Serve a group."""
+    group = LockstepGroup(
+        RANKS.value,
+        version=VERSION.value,
+        checks_fence=range(0, RANKS.value, 2) if CHECKS_FENCE.value else (),
+    )
+    gevent.spawn(_tick_forever, group, TICK_MS.value / 1000)
+    address = (HOST.value, PORT.value)
+    NoDelayServer(address, make_app(group), log=None).serve_forever()
+
+
+if __name__ == "__main__":
+    absl_app.run(main)
--- /dev/null
+++ b/toucanspool/groups/switch.py
@@ -0,0 +1,330 @@
+"""One round of orders that brings all ranks of a group to one expert map.
+
+`Round` is a pure state machine: it is given replies and the time, and gives out
+orders. All orders of a round carry its fencing token, and under one token the group
+is brought to one map only; that and the rule that a rank resumes only after every
+rank has confirmed that map under that token are what makes two maps in one step
+impossible.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from toucanspool.groups.engine import NO_MAP
+from toucanspool.wire.gen.messages.ttypes import (
+    Order,
+    OrderKind,
+    OrderReply,
+    OrderResult,
+)
+
+
+class Outcome(Enum):
+    """How a round ended."""
+
+    FINISHED = "finished"
+    UNDONE = "undone"
+    AGENT_RESTARTED = "agent restarted"
+    SUPERSEDED = "superseded"
+    LAPSED = "lapsed"
+    UNREACHABLE = "unreachable"
+
+
+class Phase(Enum):
+    """What a round waits for from every rank; the value is the order's kind."""
+
+    FENCE = OrderKind.FENCE
+    LOAD = OrderKind.LOAD
+    HOLD = OrderKind.HOLD
+    SWITCH = OrderKind.SWITCH
+    RESUME = OrderKind.RESUME
+
+
+NEXT_PHASE = {
+    Phase.LOAD: Phase.HOLD,
+    Phase.HOLD: Phase.SWITCH,
+    Phase.SWITCH: Phase.RESUME,
+}
+SAFE_TO_LEAVE = (Phase.FENCE, Phase.LOAD, Phase.HOLD)
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bound the phases of a round, in seconds.
+
+    Parameters
+    ----------
+    resend_s : float, default=0.05
+        An order without an answer is sent again after this long.
+    fence_s : float, default=5.0
+        The longest wait for every rank's first answer.
+    load_s : float, default=300.0
+        The longest wait until a new map's experts are loaded.
+    hold_s : float, default=0.5
+        The longest time that a new switch may hold the group before the first rank
+        has switched.
+    """
+
+    resend_s: float = 0.05
+    fence_s: float = 5.0
+    load_s: float = 300.0
+    hold_s: float = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class Intent:
+    """Hold what a round is for.
+
+    Parameters
+    ----------
+    group : str
+        The group's name.
+    ranks : int
+        Number of ranks.
+    fence : int
+        The round's fencing token.
+    committed : int
+        Version that the group used last.
+    intended : int
+        Version that a switch goes to, or went to when it was broken off.
+    new : bool
+        True to start the switch; False to finish or undo one broken off.
+    """
+
+    group: str
+    ranks: int
+    fence: int
+    committed: int
+    intended: int
+    new: bool
+
+
+class Round:
+    """Bring all ranks to one map; never sends anything itself.
+
+    Parameters
+    ----------
+    intent : Intent
+        What the round is for.
+    now : float
+        Monotonic seconds.
+    limits : Limits, optional
+        Bounds of the phases.
+
+    Attributes
+    ----------
+    phase : Phase
+        What is waited for.
+    target : int
+        Version that the ranks are brought to; may still change to the committed
+        one while `decided` is false.
+    decided : bool
+        Whether the target is final.
+    outcome : Outcome or None
+        None while the round goes on.
+    """
+
+    __slots__ = (
+        "_acked",
+        "_calls",
+        "_holding",
+        "_intent",
+        "_last_call",
+        "_limits",
+        "_phase_call",
+        "_phase_since",
+        "_sent_at",
+        "_versions",
+        "decided",
+        "outcome",
+        "phase",
+        "target",
+    )
+
+    def __init__(
+        self, intent: Intent, *, now: float, limits: Limits | None = None
+    ) -> None:
+        self._intent = intent
+        self._limits = limits or Limits()
+        self._calls = 0
+        self._last_call: dict[int, int] = {}
+        self._versions: dict[int, int] = {}
+        self._holding = False
+        self.target = intent.intended
+        self.decided = False
+        self.outcome: Outcome | None = None
+        self._enter(Phase.FENCE, now)
+
+    @property
+    def versions(self) -> Mapping[int, int]:
+        """Return the map version last confirmed by each rank."""
+        return self._versions
+
+    @property
+    def holding(self) -> bool:
+        """Return whether the round may have held a rank."""
+        return self._holding
+
+    def poll(self, now: float, *, leased: bool = True) -> list[Order]:
+        """Return the orders to send now.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        leased : bool, default=True
+            Whether the coordinator's lease is held. A round that has begun to hold
+            ranks goes on without it, since the fencing token keeps it safe and
+            nobody else may be able to let the ranks go.
+
+        Returns
+        -------
+        list of Order
+            LOAD orders carry no map yet; the sender puts it in.
+        """
+        if self.outcome is not None:
+            return []
+        if not leased and not self._holding and self.phase in SAFE_TO_LEAVE:
+            self.outcome = Outcome.LAPSED
+            return []
+        self._check_limits(now)
+        if self.outcome is not None:
+            return []
+        due = [rank for rank in range(self._intent.ranks) if self._is_due(rank, now)]
+        return [self._order(rank, now) for rank in due]
+
+    def receive(self, rank: int, reply: OrderReply, now: float) -> None:
+        """Take a rank's reply, which may be late or repeated.
+
+        Parameters
+        ----------
+        rank : int
+            The rank.
+        reply : OrderReply
+            Its reply.
+        now : float
+            Monotonic seconds.
+        """
+        if self.outcome is not None:
+            return
+        if reply.result == OrderResult.STALE_FENCE:
+            self._refused(rank, reply)
+        elif reply.call < self._phase_call:
+            return
+        elif reply.result in (OrderResult.OK, OrderResult.NOT_READY):
+            self._answered(rank, reply, now)
+
+    def _refused(self, rank: int, reply: OrderReply) -> None:
+        if reply.fence > self._intent.fence:
+            self.outcome = Outcome.SUPERSEDED
+        elif reply.call == self._last_call.get(rank):
+            # Only an agent that lost its memory refuses the newest order.
+            self.outcome = Outcome.AGENT_RESTARTED
+
+    def _answered(self, rank: int, reply: OrderReply, now: float) -> None:
+        if self.phase is Phase.FENCE:
+            if reply.result == OrderResult.OK:
+                self._versions[rank] = reply.version
+                self._ack(rank, now)
+            return
+        if not self._is_expected(rank, reply):
+            self._start_again(rank, reply.version, now)
+        elif reply.result == OrderResult.OK:
+            self._versions[rank] = reply.version
+            self._ack(rank, now)
+
+    def _is_expected(self, rank: int, reply: OrderReply) -> bool:
+        if self.phase in (Phase.SWITCH, Phase.RESUME):
+            return reply.result == OrderResult.OK and reply.version == self.target
+        return reply.version in (self._versions[rank], self.target)
+
+    def _ack(self, rank: int, now: float) -> None:
+        self._acked.add(rank)
+        if len(self._acked) < self._intent.ranks:
+            return
+        if self.phase is Phase.FENCE:
+            self._decide(now)
+        elif self.phase is Phase.RESUME:
+            self._end()
+        else:
+            self._enter(NEXT_PHASE[self.phase], now)
+
+    def _decide(self, now: float) -> None:
+        intent = self._intent
+        found = set(self._versions.values())
+        if intent.intended in found:
+            self._aim(intent.intended)
+        elif found != {intent.committed}:
+            self._aim(intent.committed or intent.intended)
+        elif not intent.new:
+            self._aim(intent.committed)
+        if self.target == NO_MAP:
+            self._end()
+        elif found == {self.target}:
+            self._enter(Phase.RESUME, now)
+        else:
+            self._enter(Phase.LOAD, now)
+
+    def _aim(self, version: int) -> None:
+        self.target = version
+        self.decided = True
+
+    def _start_again(self, rank: int, version: int, now: float) -> None:
+        """Bring back a rank whose engine restarted, under the same token."""
+        self._versions[rank] = version
+        if not self.decided:
+            self._aim(self._intent.committed or self._intent.intended)
+        self._enter(Phase.LOAD, now)
+
+    def _undo(self, now: float) -> None:
+        self._aim(self._intent.committed)
+        if self.target == NO_MAP:
+            self._end()
+        else:
+            self._enter(Phase.RESUME, now)
+
+    def _end(self) -> None:
+        reached = self.target == self._intent.intended
+        self.outcome = Outcome.FINISHED if reached else Outcome.UNDONE
+
+    def _check_limits(self, now: float) -> None:
+        waited = now - self._phase_since
+        if self.phase is Phase.FENCE:
+            if self._intent.new and waited > self._limits.fence_s:
+                self.outcome = Outcome.UNREACHABLE
+        elif not self.decided and waited > self._limit_s():
+            self._undo(now)
+
+    def _limit_s(self) -> float:
+        return self._limits.load_s if self.phase is Phase.LOAD else self._limits.hold_s
+
+    def _enter(self, phase: Phase, now: float) -> None:
+        if phase is Phase.SWITCH:
+            self.decided = True
+        self.phase = phase
+        self._phase_call = self._calls + 1
+        self._phase_since = now
+        self._acked: set[int] = set()
+        self._sent_at: dict[int, float] = {}
+
+    def _is_due(self, rank: int, now: float) -> bool:
+        if rank in self._acked:
+            return False
+        sent_at = self._sent_at.get(rank)
+        return sent_at is None or now - sent_at >= self._limits.resend_s
+
+    def _order(self, rank: int, now: float) -> Order:
+        self._calls += 1
+        self._holding |= self.phase is Phase.HOLD
+        self._sent_at[rank] = now
+        self._last_call[rank] = self._calls
+        return Order(
+            call=self._calls,
+            group=self._intent.group,
+            rank=rank,
+            fence=self._intent.fence,
+            kind=self.phase.value,
+            version=self.target,
+            experts=b"",
+        )
