--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decisions, each against baselines in one run."""
+"""Benchmarks, each a module of its own: ``python -m bench.NAME``."""
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -32,6 +32,7 @@
 RETRY_AFTER_MS = 1000
 # A claimed call is read to its end for the record, also when its caller is gone.
 ANSWER_PATIENCE_S = 120.0
+MAX_CHUNK_BYTES = 16 * 1024
 
 _log = structlog.get_logger()
 
@@ -113,6 +114,8 @@
         "_gate",
         "_greenlet",
         "_handed_over",
+        "_last",
+        "_last_batch",
         "_opened",
         "_sent",
         "_upstream",
@@ -138,6 +141,8 @@
         self._deadline = clock.now() + opened.deadline_ms / 1000.0
         self._handed_over = False
         self._sent = 0
+        self._last: Chunk | None = None
+        self._last_batch = 0
         self._greenlet = gevent.Greenlet(self._run)
 
     @property
@@ -249,8 +254,9 @@
     def _relay(self, reply: Reply) -> None:
         self._send_head(reply.status, reply.headers)
         for piece in self._read(reply):
-            self._credit.acquire()
-            self._send_chunk(piece)
+            if not self._extended(piece):
+                self._credit.acquire()
+                self._send_chunk(piece)
         self._send_end(replayed=False)
 
     def _send_whole(self, answer: Answer, *, replayed: bool) -> None:
@@ -265,8 +271,21 @@
     def _send_chunk(self, data: bytes) -> None:
         chunk = Chunk(call=self._opened.call, offset=self._sent, data=data)
         self._sent += len(data)
+        self._last = chunk
+        self._last_batch = self._conn.batch
         self._conn.send(Frame(chunk=chunk))
 
+    def _extended(self, data: bytes) -> bool:
+        """Add to the last chunk if it is queued still and short."""
+        last = self._last
+        if last is None or self._conn.batch != self._last_batch:
+            return False
+        if len(last.data) + len(data) > MAX_CHUNK_BYTES:
+            return False
+        last.data += data
+        self._sent += len(data)
+        return True
+
     def _send_end(self, *, replayed: bool) -> None:
         end = End(
             call=self._opened.call,
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -10,6 +10,7 @@
 from toucanspool.settings.settings import Address
 
 CONNECT_TIMEOUT_S = 2.0
+READ_BLOCK_BYTES = 16 * 1024
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
 MAX_WHOLE_BODY_BYTES = 8 * 1024 * 1024
@@ -176,6 +177,7 @@
             self._address.host,
             self._address.port,
             concurrency=concurrency,
+            block_size=READ_BLOCK_BYTES,
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=self._timeout_s,
         )
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -2,11 +2,12 @@
 
 import itertools
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
+from gevent.event import Event
 from gevent.lock import Semaphore
-from gevent.queue import Empty, Queue
 
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
 from toucanspool.wire.gen.messages.ttypes import (
@@ -26,8 +27,8 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
-CREDIT_BATCH = 16
-WINDOW_CHUNKS = 64
+CREDIT_BATCH = 8
+WINDOW_CHUNKS = 32
 
 Message = Head | Chunk | End
 
@@ -67,13 +68,14 @@
         The link.
     """
 
-    __slots__ = ("_link", "_messages", "_read", "ended", "number")
+    __slots__ = ("_link", "_messages", "_read", "_ready", "ended", "number")
 
     def __init__(self, number: int, link: "Link") -> None:
         self.number = number
         self.ended = False
         self._link = link
-        self._messages: Queue[Message] = Queue()
+        self._messages: deque[Message] = deque()
+        self._ready = Event()
         self._read = 0
 
     def deliver(self, message: Message) -> None:
@@ -84,10 +86,11 @@
         message : Head, Chunk or End
             The message.
         """
-        self._messages.put(message)
+        self._messages.append(message)
+        self._ready.set()
 
     def next(self, timeout_s: float) -> Message:
-        """Return the next message.
+        """Return the next message; chunks that wait are joined into one.
 
         Parameters
         ----------
@@ -103,20 +106,21 @@
         CallTimeout
             None came in time.
         """
-        try:
-            message = self._messages.get(timeout=max(0.0, timeout_s))
-        except Empty:
-            raise CallTimeout from None
+        if not self._messages:
+            self._ready.clear()
+            if not self._ready.wait(max(0.0, timeout_s)):
+                raise CallTimeout
+        message = self._messages.popleft()
         if isinstance(message, Chunk):
-            self._count_read()
-        elif isinstance(message, End):
+            return self._joined(message)
+        if isinstance(message, End):
             self.ended = True
         return message
 
     def cancel(self) -> None:
         """Tell the agent to stop, and the waiting task that it has."""
         self._link.tell(Frame(cancel=Cancel(call=self.number)))
-        self._messages.put(
+        self.deliver(
             End(
                 call=self.number,
                 outcome=Outcome.UNKNOWN,
@@ -130,10 +134,24 @@
         """Take no more messages; the agent is told unless the call has ended."""
         self._link.forget(self)
 
-    def _count_read(self) -> None:
-        self._read += 1
-        if self._read % CREDIT_BATCH == 0:
-            self._link.tell(Frame(credit=Credit(call=self.number, chunks=CREDIT_BATCH)))
+    def _joined(self, first: Chunk) -> Chunk:
+        end = first.offset + len(first.data)
+        parts = [first.data]
+        messages = self._messages
+        while messages and isinstance(messages[0], Chunk) and messages[0].offset == end:
+            data = messages.popleft().data
+            parts.append(data)
+            end += len(data)
+        self._count_read(len(parts))
+        if len(parts) == 1:
+            return first
+        return Chunk(call=self.number, offset=first.offset, data=b"".join(parts))
+
+    def _count_read(self, chunks: int) -> None:
+        self._read += chunks
+        if self._read >= CREDIT_BATCH:
+            self._link.tell(Frame(credit=Credit(call=self.number, chunks=self._read)))
+            self._read = 0
 
 
 class Link:
--- a/toucanspool/wire/connection.py
+++ b/toucanspool/wire/connection.py
@@ -71,6 +71,7 @@
     """
 
     __slots__ = (
+        "_batches",
         "_closed",
         "_outbox",
         "_reader",
@@ -85,6 +86,7 @@
         self._sock = sock
         self._receiver = receiver
         self._outbox: list[Frame] = []
+        self._batches = 0
         self._wake = Event()
         self._closed = False
         self._reader = gevent.spawn(self._read)
@@ -95,8 +97,13 @@
         """Whether the connection is gone."""
         return self._closed
 
+    @property
+    def batch(self) -> int:
+        """Number of the batch that is queued now; it grows when one is written."""
+        return self._batches
+
     def send(self, frame: Frame) -> None:
-        """Queue a frame.
+        """Queue a frame; its content may be changed while its batch is queued.
 
         Parameters
         ----------
@@ -167,6 +174,7 @@
                 self._wake.clear()
                 while self._outbox and not self._closed:
                     batch, self._outbox = self._outbox, []
+                    self._batches += 1
                     self._sock.sendall(_framed(batch))
         except OSError:
             pass
