--- a/demo/kettlewell.py
+++ b/demo/kettlewell.py
@@ -4,8 +4,10 @@
 
 monkey.patch_all()
 
+import os
 import secrets
 import signal
+import subprocess
 import sys
 import time
 from collections.abc import Callable
@@ -151,16 +153,7 @@
 
     def drain_runner(self) -> str:
         """Drain a runner by a label and watch that no new work reaches it."""
-        _, state, _ = self._admin("GET", "/admin/v1/status")
-        body = {
-            "change_id": "drain-guide-2",
-            "base": state["revision"],
-            "puts": [
-                {"kind": "upstream", "name": "guide-2", "labels": {"state": "drain"}}
-            ],
-        }
-        status, answer, _ = self._admin("POST", "/admin/v1/changes", body)
-        _expect(status == 200, f"the drain was answered {status}: {answer}")
+        said = self._ctl("label", "upstream", "guide-2", "state=drain")
         time.sleep(2.0)
         before = len(self._seen("guide-2")["requests"])
         for index in range(12):
@@ -169,7 +162,7 @@
             _expect(text == expected(messages, 4), f"the answer was {text!r}")
         after = len(self._seen("guide-2")["requests"])
         _expect(after == before, f"guide-2 got {after - before} more requests")
-        return f"{answer['sentence']} 12 more requests went elsewhere."
+        return f"{said} 12 more requests went elsewhere."
 
     def kill_entry(self) -> str:
         """Kill an entry and go on through another address."""
@@ -244,9 +237,20 @@
     def _team(self, name: str) -> str:
         return self._system.keys.teams[name]
 
-    def _admin(self, method: str, path: str, body: Any = None) -> Any:
-        key = self._system.keys.operators["ana"]
-        return call(self._port(1), method, path, body, key=key)
+    def _ctl(self, *words: str) -> str:
+        env = {**os.environ, "TOUCANSPOOL_KEY": self._system.keys.operators["ana"]}
+        entry = f"--entry=http://{HOST}:{self._port(1)}"
+        command = [sys.executable, "-m", "toucanspool.ctl.main", entry, *words]
+        done = subprocess.run(
+            command,
+            env=env,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=WAIT_S,
+        )
+        _expect(done.returncode == 0, f"toucanspoolctl failed: {done.stderr}")
+        return done.stdout.strip()
 
     def _seen(self, name: str) -> Any:
         return call(self._system.ports[name], "GET", "/seen")[1]
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -1,4 +1,7 @@
-"""The daemon: one process in one role."""
+"""The daemon, one process in one role: ``toucanspoold --settings=FILE``.
+
+``--check`` only checks the settings. SIGTERM stops gracefully.
+"""
 
 from gevent import monkey
 
@@ -88,6 +91,8 @@
 
 def run() -> None:
     """Run the daemon's command line."""
+    # The program's help is this page, also where a script calls this function.
+    sys.modules["__main__"].__doc__ = __doc__
     app.run(main)
 
 
--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -7,6 +7,7 @@
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
+from toucanspool.config.diff import Description
 from toucanspool.config.failures import (
     ApplyBusy,
     ApplyError,
@@ -259,8 +260,13 @@
     }
 
 
-def _description(told: Any) -> dict[str, Any]:
-    return {"sentence": told.sentence, "effects": [e.sentence() for e in told.effects]}
+def _description(told: Description) -> dict[str, Any]:
+    effects = [
+        f"{effect.upstream} {singular}."
+        for effect in told.effects
+        for singular, _ in effect.outcomes()
+    ]
+    return {"sentence": told.sentence, "effects": effects}
 
 
 def _sentence(item: Any) -> str:
