Spread changes among entries and to their agents

Cause: every process polled the table: 243 reads/s at 970 processes and 4 s, up to 4 s for a change, and nothing at all once the table is down. Also: the entry that accepts the first change waited for its next poll, since it had no configuration that the change could follow; it polls at once.

--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -8,6 +8,7 @@
 from toucanspool.agent.call import Call, CallRefused
 from toucanspool.agent.load_watch import LoadWatch
 from toucanspool.agent.upstream_client import UpstreamClient
+from toucanspool.config.exchange import Exchange
 from toucanspool.config.service import ConfigService
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
@@ -16,12 +17,9 @@
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
-    Changes,
     Frame,
-    Hello,
     Open,
     Outcome,
-    Pull,
     Refusal,
 )
 from toucanspool.wire.listener import Listener
@@ -47,6 +45,7 @@
         "_closing",
         "_config",
         "_claims",
+        "_exchange",
         "_labels",
         "_listener",
         "_state",
@@ -86,6 +85,7 @@
         """Begin accepting calls; see `Service`."""
         self._config: ConfigService = kernel.find("config")
         self._claims: ClaimsService = kernel.find("claims")
+        self._exchange = Exchange(self._cfg, self._config)
         self._config.on_change(self._reconfigured)
         self._reconfigured()
         with ExitStack() as starting:
@@ -121,12 +121,8 @@
             )
         elif frame.cancel is not None:
             self._with_call(conn, frame.cancel.call, Call.cancel)
-        elif frame.hello is not None:
-            self._greet(conn, frame.hello)
-        elif frame.changes is not None:
-            self._config.offer(frame.changes)
-        elif frame.pull is not None:
-            self._answer_pull(conn, frame.pull)
+        else:
+            self._exchange.received(conn, frame)
 
     def lost(self, conn: Connection) -> None:
         """End the calls of an entry that has gone; see `Receiver`."""
@@ -162,7 +158,7 @@
         self._calls[key] = call
         call.start().link(lambda _: self._ended(conn, key))
         if opened.revision > self._config.revision:
-            self._pull(conn)
+            self._exchange.heard(conn, opened.revision)
 
     def _ended(self, conn: Connection, key: tuple[int, int]) -> None:
         self._calls.pop(key, None)
@@ -173,29 +169,6 @@
         if call is not None:
             act(call)
 
-    def _greet(self, conn: Connection, hello: Hello) -> None:
-        conn.send(
-            Frame(
-                hello=Hello(
-                    instance=self._cfg.instance,
-                    role=self._cfg.role,
-                    failure_domain=self._cfg.failure_domain,
-                    revision=self._config.revision,
-                )
-            )
-        )
-        self._send_report(conn)
-        if hello.revision > self._config.revision:
-            self._pull(conn)
-
-    def _pull(self, conn: Connection) -> None:
-        pull = Pull(call=0, after=self._config.revision, limit=0)
-        conn.send(Frame(pull=pull))
-
-    def _answer_pull(self, conn: Connection, pull: Pull) -> None:
-        changes: Changes = self._config.answer(pull)
-        conn.send(Frame(changes=changes))
-
     def _tick(self) -> None:
         self._watch.read()
         self._broadcast()
--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -1,13 +1,14 @@
 """The configuration of a process as a service."""
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from contextlib import ExitStack
 
 import structlog
 
 from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.follower import Follower
-from toucanspool.config.records import BadRecord, Change, encode
+from toucanspool.config.records import BadRecord, Change, decode_record, encode
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.view import View
 from toucanspool.kernel.kernel import Kernel
@@ -16,10 +17,28 @@
 from toucanspool.wire.gen.messages.ttypes import Changes, Pull
 
 MAX_CHANGES = 64
+QUIET_S = 10.0
 
 _log = structlog.get_logger()
 
 
+class _Whole:
+    """Give one view; implements `Source`."""
+
+    __slots__ = ("_view",)
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+
+    def load(self) -> View:
+        return self._view
+
+    def changes_after(self, revision: int, limit: int) -> Sequence[Change]:
+        if revision < self._view.revision:
+            raise ChangesPruned(revision, self._view.revision)
+        return []
+
+
 class ConfigService:
     """Keep the configuration in force and tell others of this process.
 
@@ -27,12 +46,25 @@
     ----------
     interval_s : float
         Time between polls of the table, in seconds.
+    told : bool, default=False
+        Whether other processes tell this one of changes; it polls only while none
+        does.
     """
 
-    __slots__ = ("_closing", "_follower", "_interval_s", "_listeners", "store")
-
-    def __init__(self, interval_s: float) -> None:
+    __slots__ = (
+        "_closing",
+        "_follower",
+        "_heard_at",
+        "_interval_s",
+        "_listeners",
+        "_told",
+        "store",
+    )
+
+    def __init__(self, interval_s: float, *, told: bool = False) -> None:
         self._interval_s = interval_s
+        self._told = told
+        self._heard_at = -QUIET_S
         self._listeners: list[Callable[[], None]] = []
         self._closing = ExitStack()
 
@@ -84,21 +116,47 @@
         """End polling; see `Service`."""
         self._closing.close()
 
-    def offer(self, changes: Changes) -> None:
-        """Take changes heard from another process.
+    def heard(self) -> None:
+        """Take note that another process tells this one of its revision."""
+        self._heard_at = time.monotonic()
+
+    def accepted(self, change: Change) -> None:
+        """Put a change in force that this process itself has made.
+
+        Parameters
+        ----------
+        change : Change
+            The change.
+        """
+        if not self._follower.offer([encode(change)]) or not self.ready:
+            self._poll()
+
+    def offer(self, changes: Changes) -> bool:
+        """Take what another process sent of its configuration.
 
         Parameters
         ----------
         changes : Changes
             The message.
+
+        Returns
+        -------
+        bool
+            Whether all changes heard of so far are in force.
         """
         try:
-            self._follower.offer(changes.records)
+            if changes.whole:
+                records = [decode_record(data) for data in changes.records]
+                view = View(revision=changes.newest, records=records)
+                self._follower.pull(_Whole(view))
+                return True
+            return self._follower.offer(changes.records)
         except BadRecord as exc:
-            _log.warning("bad change offered", error=str(exc))
+            _log.warning("bad configuration offered", error=str(exc))
+            return True
 
     def answer(self, pull: Pull) -> Changes:
-        """Return the changes that another process asks for.
+        """Return what another process that is behind lacks.
 
         Parameters
         ----------
@@ -109,17 +167,24 @@
         -------
         Changes
         """
+        whole = pull.after == 0 and self.ready
         try:
-            changes = self._follower.changes_after(pull.after, MAX_CHANGES)
+            items = self._follower.changes_after(pull.after, MAX_CHANGES)
         except ChangesPruned:
-            changes = []
+            whole = True
+        if whole:
+            items = self.view.all_records()
         return Changes(
             call=pull.call,
             newest=self.revision,
-            records=[encode(change) for change in changes],
+            records=[encode(item) for item in items],
+            whole=whole,
         )
 
     def _poll(self) -> None:
+        quiet = time.monotonic() - self._heard_at >= QUIET_S
+        if self._told and self.ready and not quiet:
+            return
         try:
             self._follower.poll()
         except TableError as exc:
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -46,7 +46,7 @@
     kernel = Kernel()
     kernel.add("rng", Randoms(cfg.seed, cfg.instance))
     kernel.add("platform", PlatformService(cfg.platform))
-    kernel.add("config", ConfigService(cfg.config_interval_s))
+    kernel.add("config", ConfigService(cfg.config_interval_s, told=cfg.role == "agent"))
     if cfg.role == "entry":
         _add_entry(kernel, cfg)
     else:
@@ -101,10 +101,12 @@
     from toucanspool.entry.dispatcher import Dispatcher
     from toucanspool.entry.http_service import HttpService
     from toucanspool.entry.router import Router
+    from toucanspool.membership.peers import PeersService
 
     decisions = Decisions()
     kernel.add("instances", InstancesService(cfg.instances_interval_s))
     kernel.add("router", Router(cfg, decisions))
+    kernel.add("peers", PeersService(cfg))
     kernel.add("dispatcher", Dispatcher(cfg.entry, decisions))
     kernel.add("http", HttpService(cfg, decisions))
 
--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -27,7 +27,7 @@
 from toucanspool.entry.problems import Problem
 from toucanspool.entry.router import Router
 from toucanspool.settings.settings import Settings
-from toucanspool.wire.gen.messages.ttypes import Changes, Frame, Outcome
+from toucanspool.wire.gen.messages.ttypes import Outcome
 
 MAX_CHANGE_BYTES = 1024 * 1024
 MAX_HISTORY = 500
@@ -109,11 +109,7 @@
             applied = store.apply(proposal, view=view, given=self._given())
         except ApplyError as exc:
             raise _problem(exc) from exc
-        changes = Changes(
-            call=0, newest=applied.change.revision, records=[encode(applied.change)]
-        )
-        self._config.offer(changes)
-        self._router.broadcast(Frame(changes=changes))
+        self._config.accepted(applied.change)
         resp.media = {
             "revision": applied.change.revision,
             "repeated": applied.repeated,
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -12,7 +12,6 @@
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
 from toucanspool.wire.gen.messages.ttypes import (
     Cancel,
-    Changes,
     Chunk,
     Credit,
     End,
@@ -21,7 +20,6 @@
     Hello,
     Open,
     Outcome,
-    Pull,
     Refusal,
     Report,
 )
@@ -40,16 +38,8 @@
         """Take a load report."""
         ...
 
-    def greeted(self, conn: Connection, hello: Hello) -> None:
-        """Take the other side's introduction."""
-        ...
-
-    def changed(self, changes: Changes) -> None:
-        """Take changes of configuration."""
-        ...
-
-    def pulled(self, conn: Connection, pull: Pull) -> None:
-        """Answer a demand for changes."""
+    def exchanged(self, conn: Connection, frame: Frame) -> None:
+        """Take a message of the exchange of configuration."""
         ...
 
 
@@ -300,12 +290,8 @@
                 call.deliver(message)
         elif frame.report is not None:
             self._events.reported(frame.report)
-        elif frame.hello is not None:
-            self._events.greeted(conn, frame.hello)
-        elif frame.changes is not None:
-            self._events.changed(frame.changes)
-        elif frame.pull is not None:
-            self._events.pulled(conn, frame.pull)
+        else:
+            self._events.exchanged(conn, frame)
 
     def lost(self, conn: Connection) -> None:
         """End all calls with an unknown outcome; see `Receiver`."""
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -6,6 +6,7 @@
 import gevent
 import structlog
 
+from toucanspool.config.exchange import Exchange
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.attempt import AttemptFailed
 from toucanspool.entry.caller_request import CallerRequest
@@ -23,10 +24,7 @@
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
-    Changes,
     Frame,
-    Hello,
-    Pull,
     Refusal,
     Report,
 )
@@ -61,6 +59,7 @@
         "_config",
         "_decisions",
         "_ejector",
+        "_exchange",
         "_policy",
         "directory",
     )
@@ -75,6 +74,7 @@
     def start(self, kernel: Kernel) -> None:
         """Begin following the platform's list; see `Service`."""
         self._config: ConfigService = kernel.find("config")
+        self._exchange = Exchange(self._cfg, self._config)
         randoms = kernel.find("rng")
         self._policy = PowerOfTwo(randoms.named("policy"))
         self._ejector = Ejector(randoms.named("ejection"))
@@ -155,47 +155,18 @@
         if result is not None:
             self._record(target, result)
 
-    def broadcast(self, frame: Frame) -> None:
-        """Send a message on every open link.
-
-        Parameters
-        ----------
-        frame : Frame
-            The message.
-        """
-        for target in self.directory.targets:
-            target.link.tell(frame)
-
     def reported(self, report: Report) -> None:
         """Take a load report; see `LinkEvents`."""
         target = self.directory.find(report.upstream)
         if target is not None:
             target.report(report, self._clock.now())
 
-    def greeted(self, conn: Connection, hello: Hello) -> None:
-        """Pull changes from an agent that is ahead; see `LinkEvents`."""
-        if hello.revision > self._config.revision:
-            pull = Pull(call=0, after=self._config.revision, limit=0)
-            conn.send(Frame(pull=pull))
-
-    def changed(self, changes: Changes) -> None:
-        """Take changes from an agent; see `LinkEvents`."""
-        self._config.offer(changes)
-
-    def pulled(self, conn: Connection, pull: Pull) -> None:
-        """Answer an agent's demand for changes; see `LinkEvents`."""
-        conn.send(Frame(changes=self._config.answer(pull)))
+    def exchanged(self, conn: Connection, frame: Frame) -> None:
+        """Take a message of the exchange of configuration; see `LinkEvents`."""
+        self._exchange.received(conn, frame)
 
     def _make_link(self, host: str, port: int) -> Link:
-        return Link(host, port, self, self._hello)
-
-    def _hello(self) -> Hello:
-        return Hello(
-            instance=self._cfg.instance,
-            role=self._cfg.role,
-            failure_domain=self._cfg.failure_domain,
-            revision=self._config.revision,
-        )
+        return Link(host, port, self, self._exchange.hello)
 
     def _listed(self, instances: list[Instance]) -> None:
         self.directory.update(instances)
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -1232,6 +1232,7 @@
      - call
      - newest
      - records
+     - whole
 
     """
 
@@ -1239,13 +1240,15 @@
         'call',
         'newest',
         'records',
+        'whole',
     )
 
 
-    def __init__(self, call=None, newest=None, records=None,):
+    def __init__(self, call=None, newest=None, records=None, whole=None,):
         self.call = call
         self.newest = newest
         self.records = records
+        self.whole = whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1276,6 +1279,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1301,6 +1309,10 @@
                 oprot.writeBinary(iter31)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 4)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1917,6 +1929,7 @@
     (1, TType.I64, 'call', None, None, ),  # 1
     (2, TType.I64, 'newest', None, None, ),  # 2
     (3, TType.LIST, 'records', (TType.STRING, 'BINARY', False), None, ),  # 3
+    (4, TType.BOOL, 'whole', None, None, ),  # 4
 )
 all_structs.append(Order)
 Order.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -49,8 +49,9 @@
 // Ask for the changes of configuration after a revision.
 struct Pull { 1: i64 call, 2: i64 after, 3: i32 limit }
 
-// Changes of configuration in order of revision, each an encoded record.
-struct Changes { 1: i64 call, 2: i64 newest, 3: list<binary> records }
+// Changes of configuration in order of revision; where whole is set, instead all
+// records of the configuration at the newest revision.
+struct Changes { 1: i64 call, 2: i64 newest, 3: list<binary> records, 4: bool whole }
 
 enum OrderKind { STATUS = 1, LOAD = 2, HOLD = 3, SWITCH = 4, RESUME = 5, FENCE = 6 }
 
