--- a/demo/kettlewell.py
+++ b/demo/kettlewell.py
@@ -5,24 +5,20 @@
 monkey.patch_all()
 
 import os
-import secrets
 import signal
 import subprocess
 import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import gevent
-import orjson
 import yaml
 from absl import app, flags
-from geventhttpclient import HTTPClient
 
+from demo.caller import Caller, expected
 from demo.launcher import HOST, DemoFailed, System, call
-from standins.answers import DEFAULT_TOKENS, answer_token, prompt_seed
-from toucanspool.config.view import key_hash
+from standins.answers import DEFAULT_TOKENS
 
 KEEP = flags.DEFINE_bool("keep", False, "Stay up and print lines to try.")
 LOGS = flags.DEFINE_string("logs", "", "Folder to keep settings and logs in.")
@@ -73,7 +69,8 @@
 
     def __init__(self, system: System) -> None:
         self._system = system
-        self._entries = [item["name"] for item in system.plan["entries"]]
+        self._caller = Caller(system)
+        self._entries = self._caller.entries
 
     def steps(self) -> list[Callable[[], str]]:
         """Return the steps in order."""
@@ -90,28 +87,19 @@
     def configure(self) -> str:
         """Apply the first configuration and wait until it is in force."""
         records = yaml.safe_load((HERE / "kettlewell-config.yaml").read_text())
-        keys = self._system.keys
-        for record in records:
-            if record["kind"] in ("team", "operator"):
-                drawn = secrets.token_urlsafe(24)
-                held = keys.teams if record["kind"] == "team" else keys.operators
-                held[record["name"]] = drawn
-                record["key_hashes"] = [key_hash(drawn)]
-        body = {"change_id": "first", "base": 0, "puts": records}
-        status, answer, _ = call(
-            self._port(0), "POST", "/admin/v1/changes", body, key=keys.bootstrap
-        )
-        _expect(status == 200, f"the first change was answered {status}: {answer}")
-        self._wait_ready()
+        revision = self._caller.configure(records)
         return (
             f"The first configuration is in force on {len(self._entries)} entries: "
-            f"revision {answer['revision']}."
+            f"revision {revision}."
         )
 
     def ask_addresses(self) -> str:
         """Ask which entries to use."""
         status, answer, _ = call(
-            self._port(0), "GET", "/v1/addresses", key=self._team("members")
+            self._caller.port(0),
+            "GET",
+            "/v1/addresses",
+            key=self._system.keys.teams["members"],
         )
         _expect(status == 200, f"addresses were answered {status}: {answer}")
         domains = {item["failure_domain"] for item in answer["addresses"]}
@@ -124,26 +112,18 @@
     def stream_answer(self) -> str:
         """Stream an answer and compare it with what the engine must say."""
         messages = [{"role": "user", "content": "Which trips run on Sunday?"}]
-        text = "".join(self._stream(self._port(1), messages))
+        text = "".join(self._caller.stream(1, messages, "members"))
         _expect(text == expected(messages), f"the answer was {text!r}")
         return f"An answer of {DEFAULT_TOKENS} tokens was streamed whole."
 
     def book_twice(self) -> str:
         """Book, repeat with the same key at another entry, and count bookings."""
-        headers = {"Idempotency-Key": "seat-14"}
         answers = []
         for index in (0, 1):
-            status, answer, _ = call(
-                self._port(index),
-                "POST",
-                "/services/booking-desk/bookings",
-                {"seat": 14},
-                key=self._team("clerks"),
-                headers=headers,
-            )
+            status, answer, _ = self._caller.book(index, "seat-14", "clerks")
             _expect(status == 201, f"the booking was answered {status}: {answer}")
             answers.append(answer["booking"])
-        seen = [item for desk in ("desk-1", "desk-2") for item in self._seen(desk)]
+        seen = self._caller.bookings()
         _expect(len(seen) == 1, f"the desks saw {len(seen)} bookings")
         _expect(answers[0] == answers[1], f"the answers differ: {answers}")
         return (
@@ -155,12 +135,12 @@
         """Drain a runner by a label and watch that no new work reaches it."""
         said = self._ctl("label", "upstream", "guide-2", "state=drain")
         time.sleep(2.0)
-        before = len(self._seen("guide-2")["requests"])
+        before = len(self._caller.seen("guide-2")["requests"])
         for index in range(12):
             messages = [{"role": "user", "content": f"Trip {index}?"}]
-            text = "".join(self._stream(self._port(index % 3), messages, tokens=4))
+            text = "".join(self._caller.stream(index % 3, messages, "members", 4))
             _expect(text == expected(messages, 4), f"the answer was {text!r}")
-        after = len(self._seen("guide-2")["requests"])
+        after = len(self._caller.seen("guide-2")["requests"])
         _expect(after == before, f"guide-2 got {after - before} more requests")
         return f"{said} 12 more requests went elsewhere."
 
@@ -171,7 +151,7 @@
         self._system.wait(victim)
         self._system.unlist_instance(victim)
         messages = [{"role": "user", "content": "Is the line open?"}]
-        text = "".join(self._stream(self._port(1), messages))
+        text = "".join(self._caller.stream(1, messages, "members"))
         _expect(text == expected(messages), f"the answer was {text!r}")
         return f"{victim} was killed; a caller went on at its next address at once."
 
@@ -180,7 +160,7 @@
         messages = [{"role": "user", "content": "Tell me all."}]
         tokens = 150
         going = gevent.spawn(
-            lambda: list(self._stream(self._port(1), messages, tokens))
+            lambda: list(self._caller.stream(1, messages, "members", tokens))
         )
         gevent.sleep(0.3)
         names = self._entries[1:]
@@ -203,7 +183,7 @@
     def keep(self) -> None:
         """Print lines to try, and stay until interrupted."""
         keys = self._system.keys
-        entry = f"http://{HOST}:{self._port(0)}"
+        entry = f"http://{HOST}:{self._caller.port(0)}"
         print(f"export TOUCANSPOOL_ENTRY={entry}")
         print(f"export TOUCANSPOOL_KEY={keys.operators['ana']}")
         bearer = f"Authorization: Bearer {keys.teams['members']}"
@@ -216,30 +196,9 @@
         except KeyboardInterrupt:
             return
 
-    def _wait_ready(self) -> None:
-        limit = time.monotonic() + WAIT_S
-        while time.monotonic() < limit:
-            if all(self._ready(index) for index in range(len(self._entries))):
-                return
-            time.sleep(0.1)
-        raise DemoFailed("not every entry became ready")
-
-    def _ready(self, index: int) -> bool:
-        if call(self._port(index), "GET", "/readyz")[0] != 200:
-            return False
-        key = self._system.keys.operators["ana"]
-        _, state, _ = call(self._port(index), "GET", "/admin/v1/status", key=key)
-        return len(state["upstreams"]) == 7
-
-    def _port(self, index: int) -> int:
-        return self._system.ports[f"{self._entries[index]}/http"]
-
-    def _team(self, name: str) -> str:
-        return self._system.keys.teams[name]
-
     def _ctl(self, *words: str) -> str:
         env = {**os.environ, "TOUCANSPOOL_KEY": self._system.keys.operators["ana"]}
-        entry = f"--entry=http://{HOST}:{self._port(1)}"
+        entry = f"--entry=http://{HOST}:{self._caller.port(1)}"
         command = [sys.executable, "-m", "toucanspool.ctl.main", entry, *words]
         done = subprocess.run(
             command,
@@ -252,51 +211,6 @@
         _expect(done.returncode == 0, f"toucanspoolctl failed: {done.stderr}")
         return done.stdout.strip()
 
-    def _seen(self, name: str) -> Any:
-        return call(self._system.ports[name], "GET", "/seen")[1]
-
-    def _stream(self, port: int, messages: list[dict], tokens: int = 0) -> Any:
-        body: dict[str, Any] = {"model": "guide", "messages": messages, "stream": True}
-        if tokens:
-            body["max_tokens"] = tokens
-        headers = {
-            "authorization": f"Bearer {self._team('members')}",
-            "content-type": "application/json",
-        }
-        client = HTTPClient(HOST, port, network_timeout=20.0)
-        resp = client.request(
-            "POST", "/v1/chat/completions", body=orjson.dumps(body), headers=headers
-        )
-        _expect(resp.status_code == 200, f"the stream was answered {resp.status_code}")
-        done = False
-        for event in iter(lambda: resp.readline(b"\n\n"), b""):
-            data = event.removeprefix(b"data: ").strip()
-            done = data == b"[DONE]"
-            if not done:
-                _expect(event.startswith(b"data: "), f"the stream said {event!r}")
-                delta = orjson.loads(data)["choices"][0]["delta"]
-                yield delta.get("content", "")
-        client.close()
-        _expect(done, "the stream has no end")
-
-
-def expected(messages: list[dict], tokens: int = DEFAULT_TOKENS) -> str:
-    """Return the answer that the engine stand-in must give.
-
-    Parameters
-    ----------
-    messages : list of dict
-        The conversation.
-    tokens : int
-        Length of the answer.
-
-    Returns
-    -------
-    str
-    """
-    seed = prompt_seed(messages)
-    return "".join(answer_token(seed, index) for index in range(tokens))
-
 
 def _expect(holds: bool, sentence: str) -> None:
     if not holds:
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -264,11 +264,11 @@
             The entry in the plan.
         """
         port = self.ports.setdefault(f"{item['name']}/http", free_port())
-        http = {"port": port}
+        settings = self.plan.get("entry_settings", {})
         entry = {
-            "http": http,
             "bootstrap_operator_key_hash": key_hash(self.keys.bootstrap),
-            **self.plan.get("entry_settings", {}),
+            **settings,
+            "http": {"port": port, **settings.get("http", {})},
         }
         self._start_daemon(
             item["name"], "entry", item["failure_domain"], {"entry": entry}
