--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each a module of its own: ``python -m bench.NAME``."""
