--- a/toucanspool/config/failures.py
+++ b/toucanspool/config/failures.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from toucanspool.config.rows import RecordKey
+from toucanspool.platform.table import TableError
 
 
 class ApplyError(Exception):
@@ -194,5 +195,8 @@
         self.oldest = oldest
 
 
-class LoadTorn(Exception):
+class LoadTorn(TableError):
     """Report that the table changed too fast to be read whole."""
+
+    def __init__(self) -> None:
+        super().__init__("the configuration changed too fast to be read whole")
--- a/toucanspool/config/records.py
+++ b/toucanspool/config/records.py
@@ -122,7 +122,7 @@
         targets = self.upstreams.sentence("upstreams")
         if self.action == "route":
             return f"{self.work.sentence('requests').capitalize()} go to {targets}."
-        doing = {"drain": "drain", "standby": "stand by", "serve": "serve"}
+        doing = {"drain": "get no new work", "standby": "stand by", "serve": "serve"}
         return f"{targets.capitalize()} {doing[self.action]}."
 
 
