--- a/bench/group_run.py
+++ b/bench/group_run.py
@@ -12,7 +12,7 @@
 from toucanspool.groups.load import LoadEstimate, RankReport
 from toucanspool.groups.packing import pack
 from toucanspool.groups.placement import PlacementSettings, Planner
-from toucanspool.groups.rebalancer import Rebalancer
+from toucanspool.groups.rebalancer import Decision, Rebalancer
 from toucanspool.groups.split import SolvedSplit, Split
 from toucanspool.groups.straggler import RankState, StragglerJudge
 
@@ -23,6 +23,7 @@
 SWITCH_TICKS = 1
 REPACK_EVERY_TICKS = 10
 MAX_FIRST_PLANS = 40
+SLICES_WITHOUT_SEARCH = 4
 
 
 class GroupPolicy(Protocol):
@@ -50,9 +51,13 @@
     switches : int
         Maps taken into use.
     solves_s : list of float
-        Time of each decision that looked for a plan, in seconds.
+        Time of each search for a plan, in seconds.
     slices_s : list of float
         Time of each slice, in seconds.
+    slices_cpu_s : list of float
+        Processor time of each slice, in seconds.
+    decisions_cpu_s : float
+        Processor time of reports and decisions, in seconds.
     verdicts : list of tuple
         Tick, rank and state of each change of a rank's state.
     replace_at : int or None
@@ -65,6 +70,8 @@
     switches: int = 0
     solves_s: list[float] = field(default_factory=list)
     slices_s: list[float] = field(default_factory=list)
+    slices_cpu_s: list[float] = field(default_factory=list)
+    decisions_cpu_s: float = 0.0
     verdicts: list[tuple[int, int, RankState]] = field(default_factory=list)
     replace_at: int | None = None
 
@@ -80,13 +87,23 @@
 
 
 class Repack:
-    """Pack anew at every interval and switch at once, without loading time."""
+    """Pack anew at every interval, whatever changed.
 
-    def __init__(self, map_: ExpertMap, split: Split) -> None:
+    Parameters
+    ----------
+    map_ : ExpertMap
+        The first map.
+    cfg : PlacementSettings or None
+        Rate of the weight store; None loads in no time.
+    """
+
+    def __init__(self, map_: ExpertMap, cfg: PlacementSettings | None = None) -> None:
         self.map = map_
-        self._split = split
+        self._cfg = cfg
         self._loads = LoadEstimate(map_.layers, map_.n_experts)
         self._judge = StragglerJudge(map_.ranks, 0.0)
+        self._next: ExpertMap | None = None
+        self._switch_tick = 0
 
     def tick(self, tick: int, reports: list[RankReport], run: GroupRun) -> None:
         """Count reports; pack when the interval is over."""
@@ -97,18 +114,25 @@
                 self._loads.observe(report, self.map)
         self._loads.fold(now)
         self._judge.judge(now)
-        if tick % REPACK_EVERY_TICKS or not self._loads.ready:
-            return
-        new = pack(
+        if tick % REPACK_EVERY_TICKS == 0 and self._loads.ready and not self._next:
+            self._pack(tick, run)
+        if self._next is not None and tick >= self._switch_tick:
+            self.map, self._next = self._next, None
+            run.switches += 1
+
+    def _pack(self, tick: int, run: GroupRun) -> None:
+        self._next = pack(
             self._loads.loads,
             self._judge.speeds,
             SLOTS,
             version=self.map.version + 1,
-            split=self._split,
         )
-        run.moves += new.copies_new_to(self.map)
-        run.switches += 1
-        self.map = new
+        moves = self._next.copies_new_to(self.map)
+        run.moves += moves
+        self._switch_tick = tick
+        if self._cfg is not None:
+            load_s = moves * self._cfg.expert_bytes / self._cfg.store_bytes_per_s
+            self._switch_tick += SWITCH_TICKS + math.ceil(load_s / TICK_S)
 
 
 class Rebalanced:
@@ -134,9 +158,11 @@
             self.map, self._next = self._next, None
             self._rebalancer.adopted(self.map)
             run.switches += 1
+        begun = time.thread_time()
         for report in reports:
             self._rebalancer.observe(report, now)
         decision = self._decide(now, run)
+        run.decisions_cpu_s += time.thread_time() - begun
         for verdict in decision.verdicts:
             run.verdicts.append((tick, verdict.rank, verdict.state))
             if verdict.state is RankState.REPLACE and run.replace_at is None:
@@ -148,20 +174,22 @@
             self._next = plan.map
             self._switch_tick = tick + SWITCH_TICKS + math.ceil(load_s / TICK_S)
 
-    def _decide(self, now: float, run: GroupRun):
+    def _decide(self, now: float, run: GroupRun) -> Decision:
         slices = self._rebalancer.decide_slices(now)
         spent = []
-        while True:
-            begun = time.perf_counter()
+        done = None
+        while done is None:
+            begun, begun_cpu = time.perf_counter(), time.thread_time()
             try:
                 next(slices)
             except StopIteration as stop:
-                spent.append(time.perf_counter() - begun)
-                run.slices_s.extend(spent)
-                if len(spent) > 2:
-                    run.solves_s.append(sum(spent[2:]))
-                return stop.value
+                done = stop.value
             spent.append(time.perf_counter() - begun)
+            run.slices_cpu_s.append(time.thread_time() - begun_cpu)
+        run.slices_s.extend(spent)
+        if len(spent) > SLICES_WITHOUT_SEARCH:
+            run.solves_s.append(sum(spent))
+        return done
 
 
 def uniform_map(layers: int) -> ExpertMap:
@@ -180,7 +208,8 @@
     split = split or SolvedSplit()
     speeds = np.ones(RANKS)
     map_ = pack(trace.first, speeds, SLOTS, split=split)
-    planner = Planner(PlacementSettings(), split=split)
+    cfg = PlacementSettings(min_gain=0.001, switch_s=0.0, max_load_s=100.0)
+    planner = Planner(cfg, split=split)
     for _ in range(MAX_FIRST_PLANS):
         plan = planner.plan(map_, trace.first, speeds)
         if plan is None:
--- a/toucanspool/groups/layer_search.py
+++ b/toucanspool/groups/layer_search.py
@@ -50,6 +50,8 @@
         Part of its expert's tokens that each slot gets.
     times : ndarray of float, shape (ranks,)
         Load over speed of each rank.
+    peak : float
+        The slowest rank's time.
     moves : tuple of Move
         How it was reached from the placement in force.
     """
@@ -57,13 +59,9 @@
     experts: IntArray
     shares: FloatArray
     times: FloatArray
+    peak: float
     moves: tuple[Move, ...] = ()
 
-    @property
-    def peak(self) -> float:
-        """Return the slowest rank's time."""
-        return float(self.times.max())
-
 
 class LayerSearch:
     """Find ever better placements of one layer by single copies and swaps.
@@ -86,12 +84,12 @@
         How copies share tokens.
     """
 
-    __slots__ = ("_layer", "_loads", "_speeds", "_split", "target")
+    __slots__ = ("_loads", "_speeds", "_split", "layer", "target")
 
     def __init__(
         self, layer: int, loads: FloatArray, speeds: FloatArray, split: Split
     ) -> None:
-        self._layer = layer
+        self.layer = layer
         self._loads = loads
         self._speeds = speeds
         self._split = split
@@ -127,7 +125,7 @@
                 experts, self._loads, self._speeds, shares, rounds=rounds
             )
         times = (self._slot_loads(experts) * shares).sum(axis=1) / self._speeds
-        return Placing(experts, shares, times, moves)
+        return Placing(experts, shares, times, float(times.max()), moves)
 
     def steps(self, start: Placing) -> Iterator[Placing | None]:
         """Generate better and better placements.
@@ -237,4 +235,4 @@
 
     def _move(self, at: Placing, flat: int, expert: int) -> Move:
         rank, slot = divmod(flat, at.experts.shape[1])
-        return Move(self._layer, rank, slot, expert, int(at.experts[rank, slot]))
+        return Move(self.layer, rank, slot, expert, int(at.experts[rank, slot]))
--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -1,85 +1,20 @@
 """The choice of moves that pay for a group's experts."""
 
-from collections.abc import Generator, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Generator
+from dataclasses import dataclass
 
 import numpy as np
 
 from toucanspool.groups.expert_map import ExpertMap, FloatArray
-from toucanspool.groups.layer_search import LayerSearch, Move, Placing
+from toucanspool.groups.layer_search import LayerSearch, Move
+from toucanspool.groups.move_choice import Chosen, LayerCurve, choose
+from toucanspool.groups.placement_settings import PlacementSettings
 from toucanspool.groups.split import SOLVE_ROUNDS, SolvedSplit, Split, as_weights
 
 __all__ = ["Move", "PlacementSettings", "Plan", "Planner"]
 
 LOOK_AHEAD_MOVES = 12
-
-
-@dataclass(slots=True, frozen=True)
-class PlacementSettings:
-    """Weigh step time against moves.
-
-    A move pays if ``skew_weight`` times the step time that it saves over the
-    horizon is more than ``move_weight`` times the time that the weight store
-    takes for its bytes.
-
-    Parameters
-    ----------
-    skew_weight : float, default=1.0
-        Worth of a second of step time. Raise it where callers wait on every
-        step, as at Kettlewell.
-    move_weight : float, default=1.0
-        Worth of a second of the weight store. Raise it where loading weights
-        holds up other work, as at Blue Mahoe.
-    horizon_s : float, default=300.0
-        How long a gain is thought to last, in seconds.
-    expert_bytes : float, default=44e6
-        Size of one expert's weights in one layer.
-    store_bytes_per_s : float, default=1e9
-        Rate of the weight store for this group.
-    max_load_s : float, default=10.0
-        The most time that the copies of one plan may take to load.
-    switch_s : float, default=0.5
-        Time that a change of map costs the group.
-    min_gain : float, default=0.01
-        Smallest gain of a plan, as a part of the step time.
-    noise_sigmas : float, default=4.0
-        A layer's gain must exceed this many standard errors of its slowest
-        rank's load.
-    """
-
-    skew_weight: float = 1.0
-    move_weight: float = 1.0
-    horizon_s: float = 300.0
-    expert_bytes: float = 44e6
-    store_bytes_per_s: float = 1e9
-    max_load_s: float = 10.0
-    switch_s: float = 0.5
-    min_gain: float = 0.01
-    noise_sigmas: float = 4.0
-
-    @property
-    def move_cost(self) -> float:
-        """Return the weighted cost of one copy, in seconds."""
-        return self.move_weight * self.expert_bytes / self.store_bytes_per_s
-
-    @property
-    def max_moves(self) -> int:
-        """Return the most copies that one plan may load."""
-        return int(self.max_load_s * self.store_bytes_per_s / self.expert_bytes)
-
-    def worth(self, gain: float) -> float:
-        """Return the weighted worth of a gain, in seconds.
-
-        Parameters
-        ----------
-        gain : float
-            Part of the step time saved.
-
-        Returns
-        -------
-        float
-        """
-        return self.skew_weight * self.horizon_s * gain
+REACHED_FADING = 0.995
 
 
 @dataclass(slots=True, frozen=True, eq=False)
@@ -113,14 +48,6 @@
     reason: str
 
 
-@dataclass(slots=True, eq=False)
-class _Draft:
-    """Hold the changed layers of a plan in the making."""
-
-    chosen: dict[int, Placing] = field(default_factory=dict)
-    room: int = 0
-
-
 class Planner:
     """Change a map in few moves, each of which pays.
 
@@ -132,11 +59,12 @@
         How copies share tokens; `SolvedSplit` if left out.
     """
 
-    __slots__ = ("_cfg", "_split")
+    __slots__ = ("_cfg", "_reached", "_split")
 
     def __init__(self, cfg: PlacementSettings, *, split: Split | None = None) -> None:
         self._cfg = cfg
         self._split = split or SolvedSplit()
+        self._reached: FloatArray = np.zeros(0)
 
     def plan(
         self,
@@ -192,14 +120,42 @@
         floor = float(loads[0].sum() / speeds.sum())
         noise = self._noise(map_, errors, times, speeds)
         yield
-        draft = _Draft(room=self._cfg.max_moves)
-        worth_a_look = peaks - floor > noise
-        for layer in np.argsort(-peaks):
-            if not worth_a_look[layer]:
-                continue
+        if self._reached.size != map_.layers:
+            self._reached = np.zeros(map_.layers)
+        self._reached *= REACHED_FADING
+        hoped = peaks - floor * (1.0 + self._reached) - noise
+        if hoped[hoped > 0.0].sum() < self._cfg.min_gain * peaks.sum():
+            return None
+        curves = []
+        for layer in np.argsort(-hoped):
+            if hoped[layer] <= 0.0:
+                break
             search = LayerSearch(int(layer), loads[layer], speeds, self._split)
-            yield from self._solve(search, map_, int(layer), peaks, noise[layer], draft)
-        return self._finish(map_, draft, peaks, times)
+            curve = LayerCurve(
+                layer=int(layer), before=float(peaks[layer]), noise=float(noise[layer])
+            )
+            yield from self._explore(search, map_, curve, float(peaks.sum()))
+            curves.append(curve)
+        chosen, postponed = choose(curves, self._cfg, float(peaks.sum()))
+        yield
+        plan = self._finish(map_, chosen, times)
+        self._remember(curves, chosen if plan else [], postponed, floor)
+        return plan
+
+    def _remember(
+        self,
+        curves: list[LayerCurve],
+        chosen: list[Chosen],
+        postponed: set[int],
+        floor: float,
+    ) -> None:
+        """Keep how far each layer got, so that it is not searched again in vain."""
+        for curve in curves:
+            self._reached[curve.layer] = curve.before / floor - 1.0
+        for choice in chosen:
+            self._reached[choice.layer] = choice.placing.peak / floor - 1.0
+        for layer in postponed:
+            self._reached[layer] = 0.0
 
     def _noise(
         self,
@@ -213,74 +169,63 @@
         layer = np.arange(map_.layers)
         return self._cfg.noise_sigmas * np.sqrt(variance[layer, late]) / speeds[late]
 
-    def _solve(
-        self,
-        search: LayerSearch,
-        map_: ExpertMap,
-        layer: int,
-        peaks: FloatArray,
-        noise: float,
-        draft: _Draft,
-    ) -> Iterator[None]:
-        before, total = float(peaks[layer]), float(peaks.sum())
-        best = search.placing(
-            map_.experts[layer].astype(int), map_.shares[layer], rounds=SOLVE_ROUNDS
+    def _explore(
+        self, search: LayerSearch, map_: ExpertMap, curve: LayerCurve, total: float
+    ) -> Generator[None, None, None]:
+        start = search.placing(
+            map_.experts[search.layer].astype(int),
+            map_.shares[search.layer],
+            rounds=SOLVE_ROUNDS,
         )
-        best_net = self._cfg.worth((before - best.peak) / total)
+        curve.points.append(start)
         yield
-        most = min(LOOK_AHEAD_MOVES, draft.room)
-        for placing in search.steps(best):
+        for placing in search.steps(start):
             yield
             if placing is None:
                 continue
-            if len(placing.moves) > most:
-                break
-            cost = self._cfg.move_cost * len(placing.moves)
-            net = self._cfg.worth((before - placing.peak) / total) - cost
-            if net > best_net:
-                best, best_net = placing, net
-            bound = self._cfg.worth((before - search.target) / total) - cost
-            if bound - self._cfg.move_cost <= best_net:
-                break
-        if before - best.peak > noise:
-            draft.chosen[layer] = best
-            draft.room -= len(best.moves)
+            curve.points.append(placing)
+            left = self._cfg.worth((curve.lowest - search.target) / total)
+            if left <= self._cfg.move_cost or len(placing.moves) >= LOOK_AHEAD_MOVES:
+                return
 
     def _finish(
-        self, map_: ExpertMap, draft: _Draft, peaks: FloatArray, times: FloatArray
+        self, map_: ExpertMap, chosen: list[Chosen], times: FloatArray
     ) -> Plan | None:
-        after = peaks.copy()
-        for layer, placing in draft.chosen.items():
-            after[layer] = placing.peak
-        gain = float((peaks - after).sum() / peaks.sum())
-        moves = tuple(m for p in draft.chosen.values() for m in p.moves)
+        peaks = times.max(axis=1)
+        total = float(peaks.sum())
+        gain = sum(c.gain for c in chosen) / total
+        sure = gain - sum(c.noise for c in chosen) / total
+        moves = tuple(move for c in chosen for move in c.placing.moves)
         cost = self._cfg.move_cost * len(moves)
         cost += self._cfg.skew_weight * self._cfg.switch_s
-        if gain < self._cfg.min_gain or self._cfg.worth(gain) <= cost:
+        if sure < self._cfg.min_gain or self._cfg.worth(sure) <= cost:
             return None
-        experts, weights = map_.experts.copy(), map_.weights.copy()
-        for layer, placing in draft.chosen.items():
-            experts[layer] = placing.experts
-            weights[layer] = as_weights(placing.shares)
-        new = ExpertMap(
-            version=map_.version + 1,
-            n_experts=map_.n_experts,
-            experts=experts,
-            weights=weights,
-        )
         mean = float(times.mean(axis=1).sum())
         load_bytes = len(moves) * self._cfg.expert_bytes
         return Plan(
-            map=new,
+            map=_changed(map_, chosen),
             moves=moves,
             gain=gain,
-            skew_before=float(peaks.sum()) / mean,
-            skew_after=float(after.sum()) / mean,
+            skew_before=total / mean,
+            skew_after=total * (1.0 - gain) / mean,
             load_bytes=load_bytes,
-            reason=_reason(len(moves), len(draft.chosen), gain, load_bytes),
+            reason=_reason(len(moves), len(chosen), gain, load_bytes),
         )
 
 
+def _changed(map_: ExpertMap, chosen: list[Chosen]) -> ExpertMap:
+    experts, weights = map_.experts.copy(), map_.weights.copy()
+    for choice in chosen:
+        experts[choice.layer] = choice.placing.experts
+        weights[choice.layer] = as_weights(choice.placing.shares)
+    return ExpertMap(
+        version=map_.version + 1,
+        n_experts=map_.n_experts,
+        experts=experts,
+        weights=weights,
+    )
+
+
 def _reason(moves: int, layers: int, gain: float, load_bytes: float) -> str:
     where = f"in {layers} layer{'s' * (layers != 1)}"
     if not moves:
--- a/toucanspool/groups/rebalancer.py
+++ b/toucanspool/groups/rebalancer.py
@@ -9,7 +9,7 @@
 from toucanspool.groups.split import Split
 from toucanspool.groups.straggler import RankState, RankVerdict, StragglerJudge
 
-PLAN_EVERY_S = 5.0
+PLAN_EVERY_S = 2.0
 KEPT_MAPS = 4
 
 
--- a/toucanspool/groups/split.py
+++ b/toucanspool/groups/split.py
@@ -7,7 +7,7 @@
 from toucanspool.groups.expert_map import EMPTY, MAX_WEIGHT, FloatArray, IntArray
 
 SOLVE_ROUNDS = 60
-SOLVE_EXPONENT = 0.6
+SMALLEST_TIME = 0.1
 SMALLEST_SHARE = 1e-3
 CLOSE_ENOUGH = 0.001
 CHECK_EVERY = 5
@@ -69,9 +69,9 @@
 class SolvedSplit:
     """Split so that the slowest rank's time is as low as the copies allow.
 
-    Each round scales a copy's share down where its rank is later than the mean
-    and up where it is earlier. The fixed point has equal times on all ranks
-    that share an expert, which is also where the largest time is smallest.
+    Each round divides a copy's share by its rank's time. The fixed point has equal
+    times on all ranks that share an expert, which is also where the largest time is
+    smallest.
 
     References
     ----------
@@ -111,8 +111,8 @@
                 best, best_peak = share, peak
             if peak < 1.0 + CLOSE_ENOUGH:
                 break
-            factor = np.maximum(times, 0.1) ** -SOLVE_EXPONENT
-            share = np.maximum(share * factor[rank], SMALLEST_SHARE)
+            share = share / np.maximum(times, SMALLEST_TIME)[rank]
+            share = np.maximum(share, SMALLEST_SHARE)
             share /= np.bincount(expert, share, minlength=loads.size)[expert]
         result = np.zeros(flat.size)
         result[used] = best
--- a/toucanspool/groups/step_model.py
+++ b/toucanspool/groups/step_model.py
@@ -72,11 +72,13 @@
         return np.clip(load, 0.0, 1.0)
 
     def _fit(self) -> tuple[float, float]:
-        normal = self._moments[:, :2].copy()
-        if normal[0, 0] == 0.0:
+        (weight, load, time), (_, load_square, load_time) = self._moments
+        if weight == 0.0:
             return 0.0, 1.0
-        normal[0, 0] += RIDGE * normal[0, 0]
-        fixed, by_load = np.linalg.lstsq(normal, self._moments[:, 2], rcond=None)[0]
+        weight *= 1.0 + RIDGE
+        spread = weight * load_square - load * load
+        by_load = (weight * load_time - load * time) / spread
+        fixed = (load_square * time - load * load_time) / spread
         if fixed < 0.0 or by_load <= 0.0:
-            return 0.0, max(float(self._moments[1, 2] / normal[1, 1]), 1e-6)
+            return 0.0, max(float(load_time / load_square), 1e-6)
         return float(fixed), float(by_load)
--- a/toucanspool/groups/straggler.py
+++ b/toucanspool/groups/straggler.py
@@ -24,6 +24,8 @@
 MIN_SPEED = 0.02
 SPEED_STEP = 0.1
 MIN_REPORTING = 0.5
+TELLING_LOAD = 0.7
+MOST_FIXED_PART = 0.3
 
 
 class RankState(Enum):
@@ -77,6 +79,8 @@
         "_loads",
         "_model",
         "_over_s",
+        "_relative_busy",
+        "_relative_load",
         "_seen_at",
         "_slow_s",
         "_under_s",
@@ -93,6 +97,8 @@
         self._last_at = np.full(ranks, -np.inf)
         self._busy = np.full(ranks, np.nan)
         self._loads = np.full(ranks, np.nan)
+        self._relative_busy = np.ones(ranks)
+        self._relative_load = np.ones(ranks)
         self._over_s = np.zeros(ranks)
         self._under_s = np.zeros(ranks)
         self._slow_s = np.zeros(ranks)
@@ -188,10 +194,11 @@
     def _costs(self, gap_s: float) -> FloatArray:
         known = ~np.isnan(self._busy)
         costs = np.ones(len(self.states))
-        if known.mean() < MIN_REPORTING:
+        if known.mean() < MIN_REPORTING or np.median(self._loads[known]) <= 0.0:
             return costs
-        loads = self._loads / np.median(self._loads[known])
-        times = self._busy / np.median(self._busy[known])
+        loads = np.where(known, self._loads / np.median(self._loads[known]), 1.0)
+        times = np.where(known, self._busy / np.median(self._busy[known]), 1.0)
+        self._relative_load, self._relative_busy = loads, times
         healthy = known & np.array([s is RankState.HEALTHY for s in self.states])
         healthy &= self._over_s == 0.0
         if healthy.any() and gap_s > 0.0:
@@ -201,8 +208,11 @@
         return costs / np.median(costs[known])
 
     def _count(self, costs: FloatArray, fresh: np.ndarray, gap_s: float) -> None:
-        over = fresh & (costs > SLOW_ABOVE)
-        under = fresh & (costs < HEALTHY_BELOW)
+        load, busy = self._relative_load, self._relative_busy
+        telling = (load > TELLING_LOAD) | (busy > 1.0)
+        over = fresh & telling & (costs > SLOW_ABOVE)
+        lenient = MOST_FIXED_PART + (1.0 - MOST_FIXED_PART) * load
+        under = fresh & (np.minimum(costs, busy / lenient) < HEALTHY_BELOW)
         self._over_s = np.where(over, self._over_s + gap_s, 0.0)
         self._under_s = np.where(under, self._under_s + gap_s, 0.0)
         slow = np.array([s is not RankState.HEALTHY for s in self.states])
@@ -233,7 +243,7 @@
                 "its load, so it gets less."
             )
             return RankVerdict(rank, RankState.SLOW, reason)
-        if state is RankState.STALLED and cost > HEALTHY_BELOW:
+        if state is RankState.STALLED and self._over_s[rank] > 0.0:
             reason = f"Rank {rank} reports again but is still slow."
             return RankVerdict(rank, RankState.SLOW, reason)
         late = state in (RankState.SLOW, RankState.STALLED)
