Watch the group from the coordinator's task, and bring faults to the test world

Cause: an engine that restarts after a switch was noticed by nobody. A probe of one rank a second tells whether the lock-step group goes on; if not, the coordinator settles again. Replies are matched to their order's round, and a held rank is awaited beside the engine instead of by polling over the network.

--- a/tests/groups/switch_world.py
+++ b/tests/groups/switch_world.py
@@ -12,23 +12,18 @@
 
 from standins.lockstep_group import LockstepGroup
 from standins.memory import MemoryObjects, MemoryTable
-from toucanspool.groups.coordinator import (
-    Coordinator,
-    LeaseLapsed,
-    Superseded,
-    SwitchFailed,
-)
+from toucanspool.groups.coordinator import Coordinator
+from toucanspool.groups.coordinator_task import CoordinatorTask
 from toucanspool.groups.orders import Answer
 from toucanspool.groups.rank_agent import RankAgent
 from toucanspool.groups.record import MapStore, RecordStore
 from toucanspool.groups.switch import Limits
-from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import TableError
 from toucanspool.wire.gen.messages.ttypes import Order, OrderReply
 
 GROUP = "guide"
+LAST_MAP = b"last map"
 TICK_S = 0.01
-LIMITS = Limits(resend_s=0.05, fence_s=0.5, load_s=1.0, hold_s=0.3)
+LIMITS = Limits(resend_s=0.05, load_poll_s=0.03, fence_s=0.5, load_s=1.0, hold_s=0.3)
 
 
 @dataclass(slots=True)
@@ -89,9 +84,10 @@
 
     def start(self, make: Callable[..., Coordinator]) -> None:
         """Start the process."""
+        ranks = len(self.world.agents)
         coordinator = make(
             group=GROUP,
-            ranks=len(self.world.agents),
+            ranks=ranks,
             store=RecordStore(YieldingTable(self.world.table, self), GROUP),
             maps=MapStore(self.world.objects, GROUP),
             lease=self.lease,
@@ -99,7 +95,10 @@
             clock=lambda: self.world.now,
             limits=LIMITS,
         )
-        self._thread = greenlet.greenlet(lambda: self._run(coordinator))
+        task = CoordinatorTask(
+            coordinator, ranks=ranks, next_map=self.next_map, sleep=self.sleep
+        )
+        self._thread = greenlet.greenlet(task.run)
 
     @property
     def alive(self) -> bool:
@@ -131,20 +130,19 @@
         answers, self.inbox = self.inbox, []
         return answers
 
-    def _run(self, coordinator: Coordinator) -> None:
-        settled = False
-        while True:
+    def next_map(self, timeout_s: float) -> bytes | None:
+        """Return the next proposal; wait for one."""
+        if not self.proposals:
+            self.sleep(timeout_s)
+            return None
+        return self.proposals.pop(0)
+
+    def sleep(self, wait_s: float) -> None:
+        """Give way until the time has passed."""
+        until = self.world.now + wait_s
+        self.give_way()
+        while self.world.now < until:
             self.give_way()
-            try:
-                if not settled:
-                    coordinator.settle()
-                    settled = True
-                elif self.proposals:
-                    coordinator.switch(self.proposals.pop(0))
-            except (LeaseLapsed, Superseded):
-                return
-            except (TableError, ObjectsUnavailable, SwitchFailed):
-                settled = False
 
 
 class World:
@@ -156,14 +154,21 @@
         Number of ranks; every second engine ignores fencing numbers.
     coordinator, agent : type
         What is tested; a test that switches a mechanism off gives its own.
+    checks_fence : bool
+        False to let every engine ignore fencing numbers.
     """
 
-    def __init__(self, ranks=3, *, coordinator=Coordinator, agent=RankAgent) -> None:
+    def __init__(
+        self, ranks=3, *, coordinator=Coordinator, agent=RankAgent, checks_fence=True
+    ) -> None:
         self.now = 0.0
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.group = LockstepGroup(
-            ranks, checks_fence=range(0, ranks, 2), load_ticks=2, store_slots=8
+            ranks,
+            checks_fence=range(0, ranks, 2) if checks_fence else (),
+            load_ticks=2,
+            store_slots=8,
         )
         self._coordinator = coordinator
         self._agent = agent
@@ -172,7 +177,12 @@
         self.history: list[Message] = []
         self.drivers: list[Driver] = []
         self.acts = 0
-        self.before_act: Callable[[int], None] = lambda act: None
+        self.cut_ranks: set[int] = set()
+        self._due: list[tuple[int, Callable[[], object]]] = []
+
+    def later(self, act: int, call: Callable[[], object]) -> None:
+        """Call something before the act of that number."""
+        self._due.append((act, call))
 
     def elect(self, *proposals: bytes) -> Driver:
         """Start a coordinator with a new lease."""
@@ -200,7 +210,7 @@
         for driver in list(self.drivers):
             self._act(driver.act)
         for _ in range(len(self.network)):
-            self._act(lambda: self.network and self.deliver())
+            self._act(self._deliver_first)
         self.tick()
 
     def tick(self) -> None:
@@ -217,36 +227,137 @@
         return turns
 
     def heal(self) -> None:
-        """End all faults and elect one coordinator that lives."""
+        """End all faults; elect a coordinator if none lives."""
+        for _, call in self._due:
+            call()
+        self._due.clear()
         self.table.faults.clear()
         self.objects.faults.clear()
-        self.before_act = lambda act: None
+        self.cut_ranks.clear()
         for rank, engine in enumerate(self.group.engines):
             engine.stall_left = 0
             if engine.lost:
                 self.group.restart(rank)
         for driver in self.drivers:
             driver.paused = False
-        self.elect()
+        able = [d for d in self.drivers if d.alive and not d.lease.lapsed]
+        driver = able[-1] if able else self.elect()
+        driver.proposals.extend([LAST_MAP] * 3)
 
-    def steps_again(self, turns: int = 200) -> bool:
-        """Return whether the group finishes a step within some turns."""
-        goal = self.group.step + 2
-        self.run(turns, until=lambda: self.group.step >= goal)
-        return self.group.step >= goal
+    def reaches_last_map(self, turns: int = 400) -> bool:
+        """Return whether the group steps on the last map within some turns."""
+        self.run(turns, until=self._uses_last_map)
+        return self._uses_last_map()
+
+    def _uses_last_map(self) -> bool:
+        if not self.group.steps:
+            return False
+        version = self.group.steps[-1].versions[0]
+        return self.objects.get(f"group/{GROUP}/map/{version}") == LAST_MAP
 
     def _act(self, act: Callable[[], object]) -> None:
-        self.before_act(self.acts)
+        for due in [due for due in self._due if due[0] <= self.acts]:
+            self._due.remove(due)
+            due[1]()
         self.acts += 1
         act()
 
+    def _deliver_first(self) -> None:
+        if self.network:
+            self.deliver()
+
     def _receive(self, message: Message) -> None:
+        if message.rank in self.cut_ranks:
+            return
         if message.reply is not None:
-            message.sender.inbox.append(Answer(message.rank, message.reply))
+            message.sender.inbox.append(Answer(message.order, message.reply))
             return
         reply = self.agents[message.rank].handle(message.order)
         self.network.append(Message(message.sender, message.rank, message.order, reply))
 
     def _new_agent(self, rank: int) -> RankAgent:
         store = RecordStore(self.table, GROUP)
-        return self._agent(engine=self.group.engines[rank], fences=store)
+        engine = self.group.engines[rank]
+        agent = self._agent(engine=engine, fences=store, sleep=lambda wait_s: None)
+        agent.read_back()
+        return agent
+
+
+def _elect_another(world: World, act: int) -> None:
+    world.elect(b"map c")
+
+
+def _kill(world: World, act: int) -> None:
+    world.drivers[0].kill()
+    world.elect(b"map c")
+
+
+def _freeze(world: World, act: int) -> None:
+    """Freeze the coordinator until another has worked; it wakes with its lease."""
+    world.drivers[0].paused = True
+    world.elect(b"map c")
+    world.later(act + 60, lambda: setattr(world.drivers[0], "paused", False))
+
+
+def _lapse(world: World, act: int) -> None:
+    world.drivers[0].lease.lapsed = True
+    world.later(act + 60, lambda: world.elect(b"map c"))
+
+
+def _lose_rank(world: World, act: int) -> None:
+    rank = act % len(world.agents)
+    world.group.lose(rank)
+    world.later(act + 60, lambda: world.group.restart(rank))
+    world.later(act + 60, lambda: world.restart_agent(rank))
+
+
+def _table_down(world: World, act: int) -> None:
+    world.table.faults.down = True
+    world.later(act + 60, world.table.faults.clear)
+
+
+def _lose_answer_and_table(world: World, act: int) -> None:
+    world.table.faults.set(lose_answers=1)
+    world.later(act + 2, lambda: _table_down(world, act + 2))
+
+
+def _kill_and_table_down(world: World, act: int) -> None:
+    world.drivers[0].kill()
+    _table_down(world, act)
+    world.later(act + 60, lambda: world.elect(b"map c"))
+
+
+def _cut(world: World, act: int) -> None:
+    """Lose all messages to and from one rank for a while."""
+    world.cut_ranks.add(act % len(world.agents))
+    world.later(act + 60, world.cut_ranks.clear)
+
+
+def _late(world: World, act: int) -> None:
+    """Deliver what is under way only much later, newest first."""
+    late, world.network[:] = world.network[::-1], []
+    world.later(act + 60, lambda: world.network.extend(late))
+
+
+def _repeat_all(world: World, act: int) -> None:
+    world.later(act + 30, lambda: [world.repeat(i) for i in range(len(world.history))])
+
+
+FAULTS: dict[str, Callable[[World, int], object]] = {
+    "two coordinators": _elect_another,
+    "coordinator killed": _kill,
+    "coordinator frozen": _freeze,
+    "lease lapsed": _lapse,
+    "agent restarted": lambda w, act: w.restart_agent(act % len(w.agents)),
+    "engine restarted": lambda w, act: w.group.restart(act % len(w.agents)),
+    "engine stalled": lambda w, act: w.group.stall(act % len(w.agents), 60),
+    "rank lost and replaced": _lose_rank,
+    "table down": _table_down,
+    "table answer lost": lambda w, act: w.table.faults.set(lose_answers=1),
+    "table answer lost, then down": _lose_answer_and_table,
+    "object store down": lambda w, act: w.objects.faults.set(down=True),
+    "killed and table down": _kill_and_table_down,
+    "link cut": _cut,
+    "messages late": _late,
+    "messages repeated": _repeat_all,
+}
--- a/toucanspool/groups/coordinator.py
+++ b/toucanspool/groups/coordinator.py
@@ -21,9 +21,10 @@
     TableError,
     TableUncertain,
 )
-from toucanspool.wire.gen.messages.ttypes import Order, OrderKind
+from toucanspool.wire.gen.messages.ttypes import Order, OrderKind, OrderResult
 
 COLLECT_S = 0.05
+PROBE_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
 
@@ -197,6 +198,47 @@
             raise SwitchFailed(outcome)
         return version
 
+    def check_lease(self) -> None:
+        """Check that the lease is held.
+
+        Raises
+        ------
+        LeaseLapsed
+            It is not.
+        """
+        if not self._lease.held(self._clock()):
+            raise LeaseLapsed
+
+    def probe(self, rank: int) -> int | None:
+        """Ask one rank for its step; in lock-step that tells of the whole group.
+
+        Parameters
+        ----------
+        rank : int
+            The rank asked.
+
+        Returns
+        -------
+        int or None
+            Steps finished, or None where no answer came in time.
+        """
+        order = Order(
+            call=0,
+            group=self._group,
+            rank=rank,
+            fence=0,
+            kind=OrderKind.STATUS,
+            version=0,
+            experts=b"",
+        )
+        self._courier.post(order)
+        deadline = self._clock() + PROBE_TIMEOUT_S
+        while self._clock() < deadline:
+            for answer in self._courier.collect(COLLECT_S):
+                if answer.order is order and answer.reply.result == OrderResult.OK:
+                    return answer.reply.step
+        return None
+
     def _open_switch(self, current: int, version: int) -> Intent:
         stored = self._read(version)
         record = GroupRecord(current, version, version)
@@ -216,8 +258,7 @@
 
     def _read(self, fence: int) -> Stored:
         """Return the record, for a round with a fencing token."""
-        if not self._lease.held(self._clock()):
-            raise LeaseLapsed
+        self.check_lease()
         stored = self._store.read()
         if stored.record.fence >= fence:
             raise Superseded
@@ -249,7 +290,7 @@
                 self._post(order)
             if rnd.outcome is None:
                 for answer in self._courier.collect(COLLECT_S):
-                    rnd.receive(answer.rank, answer.reply, self._clock())
+                    rnd.receive(answer.order, answer.reply, self._clock())
             if rnd.phase is not phase:
                 phase = rnd.phase
                 log.info("map switch", group=self._group, phase=phase.name.lower())
--- /dev/null
+++ b/toucanspool/groups/coordinator_task.py
@@ -0,0 +1,100 @@
+"""The task of an elected coordinator: settle, switch, and watch the group go on."""
+
+from collections.abc import Callable
+
+import structlog
+
+from toucanspool.groups.coordinator import (
+    Coordinator,
+    LeaseLapsed,
+    Superseded,
+    SwitchFailed,
+)
+from toucanspool.platform.objects import ObjectsUnavailable
+from toucanspool.platform.table import TableError
+
+PROBE_INTERVAL_S = 1.0
+RETRY_S = 0.1
+
+log = structlog.get_logger()
+
+
+class CoordinatorTask:
+    """Run a coordinator for as long as it holds its lease.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+        The coordinator.
+    ranks : int
+        Number of ranks.
+    next_map : callable
+        Called with a timeout in seconds; returns the next expert map proposed, or
+        None where none came.
+    sleep : callable
+        Waits for a number of seconds.
+    """
+
+    __slots__ = (
+        "_coordinator",
+        "_next_map",
+        "_rank",
+        "_ranks",
+        "_settled",
+        "_sleep",
+        "_step",
+    )
+
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        *,
+        ranks: int,
+        next_map: Callable[[float], bytes | None],
+        sleep: Callable[[float], None],
+    ) -> None:
+        self._coordinator = coordinator
+        self._ranks = ranks
+        self._next_map = next_map
+        self._sleep = sleep
+        self._settled = False
+        self._rank = 0
+        self._step: int | None = None
+
+    def run(self) -> None:
+        """Work until the lease lapses or a later coordinator is at work."""
+        while True:
+            try:
+                self._work()
+            except (LeaseLapsed, Superseded) as exc:
+                log.info("coordinator ends", reason=type(exc).__name__)
+                return
+            except SwitchFailed as exc:
+                log.warning("map switch failed", reason=exc.outcome.value)
+            except (TableError, ObjectsUnavailable) as exc:
+                log.warning("coordinator waits for the platform", error=str(exc))
+                self._settled = False
+                self._sleep(RETRY_S)
+
+    def _work(self) -> None:
+        self._coordinator.check_lease()
+        if not self._settled:
+            version = self._coordinator.settle()
+            self._settled = True
+            self._step = None
+            log.info("group settled", version=version)
+        experts = self._next_map(PROBE_INTERVAL_S)
+        if experts is not None:
+            self._coordinator.switch(experts)
+            self._step = None
+            return
+        self._watch()
+
+    def _watch(self) -> None:
+        """Settle again when the group has not moved between two probes."""
+        step = self._coordinator.probe(self._rank)
+        self._rank = (self._rank + 1) % self._ranks
+        if step is not None and step != self._step:
+            self._step = step
+            return
+        self._settled = False
--- a/toucanspool/groups/orders.py
+++ b/toucanspool/groups/orders.py
@@ -50,17 +50,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """Hold a reply and the rank that it came from.
+    """Hold an order and the reply to it.
 
     Parameters
     ----------
-    rank : int
-        The rank.
+    order : Order
+        The order.
     reply : OrderReply
-        Its reply.
+        The reply.
     """
 
-    rank: int
+    order: Order
     reply: OrderReply
 
 
@@ -137,4 +137,4 @@
             reply = self._orders.send(order.rank, order)
         except RankUnreachable:
             return
-        self._answers.put(Answer(order.rank, reply))
+        self._answers.put(Answer(order, reply))
--- a/toucanspool/groups/rank_agent.py
+++ b/toucanspool/groups/rank_agent.py
@@ -1,7 +1,9 @@
 """The agent of one rank: the only way by which orders reach its engine."""
 
+from collections.abc import Callable
 from typing import Protocol
 
+import gevent
 from gevent.lock import RLock
 
 from toucanspool.groups.engine import (
@@ -20,6 +22,9 @@
     OrderResult,
 )
 
+HOLD_POLLS = 50
+HOLD_POLL_S = 0.002
+
 
 class OrderHandler(Protocol):
     """Carry out orders."""
@@ -51,13 +56,22 @@
         The rank's engine.
     fences : FenceSource
         Where the highest recorded fencing token is read after a start.
+    sleep : callable, default=gevent.sleep
+        Waits for a number of seconds.
     """
 
-    __slots__ = ("_engine", "_fences", "_gate", "_lock")
+    __slots__ = ("_engine", "_fences", "_gate", "_lock", "_sleep")
 
-    def __init__(self, *, engine: Engine, fences: FenceSource) -> None:
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        fences: FenceSource,
+        sleep: Callable[[float], None] = gevent.sleep,
+    ) -> None:
         self._engine = engine
         self._fences = fences
+        self._sleep = sleep
         self._gate = FenceGate()
         self._lock = RLock()
 
@@ -67,6 +81,17 @@
         with self._lock:
             return self._handle(order)
 
+    def read_back(self) -> None:
+        """Read the highest fencing token from the table, if the table answers.
+
+        To be called at the start; without it the first order does it, and is
+        refused when it carries the token just recorded.
+        """
+        try:
+            self._gate.open(self._fences.highest())
+        except TableError:
+            return
+
     def _handle(self, order: Order) -> OrderReply:
         result = self._check(order)
         detail = ""
@@ -87,15 +112,9 @@
         if order.kind == OrderKind.STATUS:
             return OrderResult.OK
         if not self._gate.ready:
-            self._read_back()
+            self.read_back()
         return self._gate.admit(order.fence, order.call)
 
-    def _read_back(self) -> None:
-        try:
-            self._gate.open(self._fences.highest())
-        except TableError:
-            return
-
     def _carry_out(self, order: Order) -> tuple[int, str]:
         if order.kind == OrderKind.LOAD:
             return self._load(order)
@@ -116,8 +135,10 @@
 
     def _hold(self, order: Order) -> tuple[int, str]:
         self._engine.hold(order.fence)
-        if self._engine.state().held:
-            return OrderResult.OK, ""
+        for _ in range(HOLD_POLLS):
+            if self._engine.state().held:
+                return OrderResult.OK, ""
+            self._sleep(HOLD_POLL_S)
         return OrderResult.NOT_READY, "in a step"
 
     def _switch(self, order: Order) -> tuple[int, str]:
--- a/toucanspool/groups/switch.py
+++ b/toucanspool/groups/switch.py
@@ -55,21 +55,24 @@
 
     Parameters
     ----------
-    resend_s : float, default=0.05
+    resend_s : float, default=0.2
         An order without an answer is sent again after this long.
+    load_poll_s : float, default=2.0
+        A rank that is still loading is asked again after this long.
     fence_s : float, default=5.0
         The longest wait for every rank's first answer.
     load_s : float, default=300.0
         The longest wait until a new map's experts are loaded.
-    hold_s : float, default=0.5
+    hold_s : float, default=1.0
         The longest time that a new switch may hold the group before the first rank
         has switched.
     """
 
-    resend_s: float = 0.05
+    resend_s: float = 0.2
+    load_poll_s: float = 2.0
     fence_s: float = 5.0
     load_s: float = 300.0
-    hold_s: float = 0.5
+    hold_s: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -134,7 +137,7 @@
         "_limits",
         "_phase_call",
         "_phase_since",
-        "_sent_at",
+        "_due_at",
         "_versions",
         "decided",
         "outcome",
@@ -194,31 +197,31 @@
         due = [rank for rank in range(self._intent.ranks) if self._is_due(rank, now)]
         return [self._order(rank, now) for rank in due]
 
-    def receive(self, rank: int, reply: OrderReply, now: float) -> None:
-        """Take a rank's reply, which may be late or repeated.
+    def receive(self, order: Order, reply: OrderReply, now: float) -> None:
+        """Take the reply to an order; either may be late, repeated or not ours.
 
         Parameters
         ----------
-        rank : int
-            The rank.
+        order : Order
+            The order answered.
         reply : OrderReply
-            Its reply.
+            The reply.
         now : float
             Monotonic seconds.
         """
-        if self.outcome is not None:
+        if self.outcome is not None or order.fence != self._intent.fence:
             return
         if reply.result == OrderResult.STALE_FENCE:
-            self._refused(rank, reply)
-        elif reply.call < self._phase_call:
+            self._refused(order, reply)
+        elif order.call < self._phase_call:
             return
         elif reply.result in (OrderResult.OK, OrderResult.NOT_READY):
-            self._answered(rank, reply, now)
+            self._answered(order.rank, reply, now)
 
-    def _refused(self, rank: int, reply: OrderReply) -> None:
+    def _refused(self, order: Order, reply: OrderReply) -> None:
         if reply.fence > self._intent.fence:
             self.outcome = Outcome.SUPERSEDED
-        elif reply.call == self._last_call.get(rank):
+        elif order.call == self._last_call[order.rank]:
             # Only an agent that lost its memory refuses the newest order.
             self.outcome = Outcome.AGENT_RESTARTED
 
@@ -233,6 +236,9 @@
         elif reply.result == OrderResult.OK:
             self._versions[rank] = reply.version
             self._ack(rank, now)
+        else:
+            loading = self.phase is Phase.LOAD
+            self._due_at[rank] = now + (self._limits.load_poll_s if loading else 0.0)
 
     def _is_expected(self, rank: int, reply: OrderReply) -> bool:
         if self.phase in (Phase.SWITCH, Phase.RESUME):
@@ -306,18 +312,17 @@
         self._phase_call = self._calls + 1
         self._phase_since = now
         self._acked: set[int] = set()
-        self._sent_at: dict[int, float] = {}
+        self._due_at: dict[int, float] = {}
 
     def _is_due(self, rank: int, now: float) -> bool:
         if rank in self._acked:
             return False
-        sent_at = self._sent_at.get(rank)
-        return sent_at is None or now - sent_at >= self._limits.resend_s
+        return now >= self._due_at.get(rank, now)
 
     def _order(self, rank: int, now: float) -> Order:
         self._calls += 1
         self._holding |= self.phase is Phase.HOLD
-        self._sent_at[rank] = now
+        self._due_at[rank] = now + self._limits.resend_s
         self._last_call[rank] = self._calls
         return Order(
             call=self._calls,
