--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -8,6 +8,11 @@
 from pydantic import TypeAdapter, ValidationError
 
 from toucanspool.config.diff import Description
+from toucanspool.config.explanation import (
+    explain_change,
+    explain_decision,
+    explain_state,
+)
 from toucanspool.config.failures import (
     ApplyBusy,
     ApplyError,
@@ -162,7 +167,7 @@
             )
         resp.media = {
             "request_id": request_id,
-            "sentences": [_sentence(item) for item in account.decisions],
+            "sentences": [explain_decision(item) for item in account.decisions],
             "result": account.result,
         }
 
@@ -174,7 +179,7 @@
         change = self._config.store.change(revision)
         if change is None:
             raise Problem(404, "no-such-change", "There is no change of that revision.")
-        resp.media = _summary(change)
+        resp.media = {**_summary(change), "sentence": explain_change(change)}
 
     def _view(self) -> View:
         return self._config.view if self._config.ready else View()
@@ -191,6 +196,7 @@
             "name": target.instance.upstream,
             "failure_domain": target.instance.failure_domain,
             "state": self._router.directory.state(target, view),
+            "why": explain_state(view, target.instance.upstream, target.given),
             "labels": labels,
             "running": candidate.running,
             "waiting": candidate.waiting,
@@ -263,14 +269,3 @@
         for singular, _ in effect.outcomes()
     ]
     return {"sentence": told.sentence, "effects": effects}
-
-
-def _sentence(item: Any) -> str:
-    if not item.chosen:
-        return f"Request {item.request_id} went nowhere: {item.reason}."
-    said = f"selector {item.selector}" if item.selector else "its model or service"
-    return (
-        f"Attempt {item.attempt} of request {item.request_id} of team {item.team} went "
-        f"to upstream {item.chosen}, one of {item.eligible} allowed by {said}, "
-        f"for the {item.reason}, at revision {item.revision}."
-    )
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -16,12 +16,14 @@
 from toucanspool.protected.clock import Clock
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.policy import Work
+from toucanspool.routing.prefix import block_hashes
 from toucanspool.settings.settings import Settings
 
 TIMEOUT_HEADER = "Request-Timeout"
 KEY_HEADER = "Idempotency-Key"
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,200}$")
 PRIORITIES = {"low": -1, "normal": 0, "high": 1}
+BYTES_PER_TOKEN = 4
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
 ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
@@ -92,6 +94,7 @@
             streamed=bool(fields.get("stream")),
             idempotent=not key,
             guarded=bool(key),
+            prompt=orjson.dumps(fields["messages"]),
         )
 
     def service(
@@ -151,6 +154,7 @@
         streamed: bool,
         idempotent: bool,
         guarded: bool,
+        prompt: bytes = b"",
     ) -> CallerRequest:
         labels = self._config.view.request_labels(own, team)
         headers = {"accept": req.get_header("Accept") or "*/*"}
@@ -169,7 +173,7 @@
             body=body,
             headers=headers,
             labels=labels,
-            work=Work(failure_domain=self._cfg.failure_domain),
+            work=self._work(prompt),
             deadline=self._deadline(req),
             streamed=streamed,
             idempotent=idempotent and not guarded,
@@ -179,6 +183,13 @@
             share=_share(labels),
         )
 
+    def _work(self, prompt: bytes) -> Work:
+        return Work(
+            failure_domain=self._cfg.failure_domain,
+            prefixes=block_hashes(prompt),
+            prompt_tokens=len(prompt) // BYTES_PER_TOKEN,
+        )
+
     def _guarded(self, name: str) -> bool:
         known = [t for t in self._directory.targets if t.given.get("service") == name]
         if not known:
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -20,7 +20,8 @@
 from toucanspool.platform.instances import Instance
 from toucanspool.protected.clock import HubClock
 from toucanspool.retries.ejection import Ejector, Result
-from toucanspool.routing.policy import PowerOfTwo
+from toucanspool.routing.expected import ExpectedRoom
+from toucanspool.routing.prefix import PrefixIndex
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
@@ -76,7 +77,8 @@
         self._config: ConfigService = kernel.find("config")
         self._exchange = Exchange(self._cfg, self._config)
         randoms = kernel.find("rng")
-        self._policy = PowerOfTwo(randoms.named("policy"))
+        rng = randoms.named("policy")
+        self._policy = ExpectedRoom(rng, prefixes=PrefixIndex())
         self._ejector = Ejector(randoms.named("ejection"))
         instances: InstancesService = kernel.find("instances")
         instances.on_list(self._listed)
