--- a/tests/groups/switch_world.py
+++ b/tests/groups/switch_world.py
@@ -236,6 +236,7 @@
         self.cut_ranks.clear()
         for rank, engine in enumerate(self.group.engines):
             engine.stall_left = 0
+            engine.faults.clear()
             if engine.lost:
                 self.group.restart(rank)
         for driver in self.drivers:
@@ -316,6 +317,16 @@
     world.later(act + 60, world.table.faults.clear)
 
 
+def _engine_down(world: World, act: int) -> None:
+    faults = world.group.engines[act % len(world.agents)].faults
+    faults.set(down=True)
+    world.later(act + 60, faults.clear)
+
+
+def _lose_engine_answer(world: World, act: int) -> None:
+    world.group.engines[act % len(world.agents)].faults.set(lose_answers=1)
+
+
 def _lose_answer_and_table(world: World, act: int) -> None:
     world.table.faults.set(lose_answers=1)
     world.later(act + 2, lambda: _table_down(world, act + 2))
@@ -351,6 +362,8 @@
     "agent restarted": lambda w, act: w.restart_agent(act % len(w.agents)),
     "engine restarted": lambda w, act: w.group.restart(act % len(w.agents)),
     "engine stalled": lambda w, act: w.group.stall(act % len(w.agents), 60),
+    "engine down": _engine_down,
+    "engine answer lost": _lose_engine_answer,
     "rank lost and replaced": _lose_rank,
     "table down": _table_down,
     "table answer lost": lambda w, act: w.table.faults.set(lose_answers=1),
