--- /dev/null
+++ b/toucanspool/config/service.py
@@ -0,0 +1,208 @@
+"""The configuration of a process as a service."""
+
+import time
+from collections.abc import Callable, Sequence
+from contextlib import ExitStack
+
+import structlog
+
+from toucanspool.config.failures import ChangesPruned
+from toucanspool.config.follower import Follower
+from toucanspool.config.records import BadRecord, Change, decode_record, encode
+from toucanspool.config.store import ConfigStore
+from toucanspool.config.view import View
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.platform.table import TableError
+from toucanspool.wire.gen.messages.ttypes import Changes, Pull
+
+MAX_CHANGES = 64
+QUIET_S = 10.0
+
+_log = structlog.get_logger()
+
+
+class _Whole:
+    """Give one view; implements `Source`."""
+
+    __slots__ = ("_view",)
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+
+    def load(self) -> View:
+        return self._view
+
+    def changes_after(self, revision: int, limit: int) -> Sequence[Change]:
+        if revision < self._view.revision:
+            raise ChangesPruned(revision, self._view.revision)
+        return []
+
+
+class ConfigService:
+    """Keep the configuration in force and tell others of this process.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time between polls of the table, in seconds.
+    told : bool, default=False
+        Whether other processes tell this one of changes; it polls only while none
+        does.
+    """
+
+    __slots__ = (
+        "_closing",
+        "_follower",
+        "_heard_at",
+        "_interval_s",
+        "_listeners",
+        "_told",
+        "store",
+    )
+
+    def __init__(self, interval_s: float, *, told: bool = False) -> None:
+        self._interval_s = interval_s
+        self._told = told
+        self._heard_at = -QUIET_S
+        self._listeners: list[Callable[[], None]] = []
+        self._closing = ExitStack()
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a configuration."""
+        return self._follower.revision > 0
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 where there is none."""
+        return self._follower.revision
+
+    @property
+    def view(self) -> View:
+        """The configuration in force.
+
+        Raises
+        ------
+        NoConfiguration
+            There is none yet.
+        """
+        return self._follower.view
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a function whenever another revision is in force.
+
+        Parameters
+        ----------
+        listener : callable
+            Takes nothing.
+        """
+        self._listeners.append(listener)
+
+    def start(self, kernel: Kernel) -> None:
+        """Pull the configuration and go on polling; see `Service`."""
+        table = kernel.find("platform").table
+        self.store = ConfigStore(table, rng=kernel.find("rng").named("config"))
+        self._follower = Follower(
+            self.store, on_change=self._changed, on_load=self._loaded
+        )
+        self._poll()
+        rng = kernel.find("rng").named("config-poll")
+        ticker = Ticker("config", self._interval_s, self._poll, rng=rng)
+        ticker.start()
+        self._closing.callback(ticker.stop)
+
+    def stop(self) -> None:
+        """End polling; see `Service`."""
+        self._closing.close()
+
+    def heard(self) -> None:
+        """Take note that another process tells this one of its revision."""
+        self._heard_at = time.monotonic()
+
+    def accepted(self, change: Change) -> None:
+        """Put a change in force that this process itself has made.
+
+        Parameters
+        ----------
+        change : Change
+            The change.
+        """
+        if not self._follower.offer([encode(change)]) or not self.ready:
+            self._poll()
+
+    def offer(self, changes: Changes) -> bool:
+        """Take what another process sent of its configuration.
+
+        Parameters
+        ----------
+        changes : Changes
+            The message.
+
+        Returns
+        -------
+        bool
+            Whether all changes heard of so far are in force.
+        """
+        try:
+            if changes.whole:
+                records = [decode_record(data) for data in changes.records]
+                view = View(revision=changes.newest, records=records)
+                self._follower.pull(_Whole(view))
+                return True
+            return self._follower.offer(changes.records)
+        except BadRecord as exc:
+            _log.warning("bad configuration offered", error=str(exc))
+            return True
+
+    def answer(self, pull: Pull) -> Changes:
+        """Return what another process that is behind lacks.
+
+        Parameters
+        ----------
+        pull : Pull
+            What it has.
+
+        Returns
+        -------
+        Changes
+        """
+        whole = pull.after == 0 and self.ready
+        try:
+            items = self._follower.changes_after(pull.after, MAX_CHANGES)
+        except ChangesPruned:
+            whole = True
+        if whole:
+            items = self.view.all_records()
+        return Changes(
+            call=pull.call,
+            newest=self.revision,
+            records=[encode(item) for item in items],
+            whole=whole,
+        )
+
+    def _poll(self) -> None:
+        quiet = time.monotonic() - self._heard_at >= QUIET_S
+        if self._told and self.ready and not quiet:
+            return
+        try:
+            self._follower.poll()
+        except TableError as exc:
+            _log.warning("configuration not polled", error=str(exc))
+
+    def _changed(self, change: Change) -> None:
+        _log.info(
+            "configuration in force",
+            revision=change.revision,
+            operator=change.operator,
+            sentence=change.sentence,
+        )
+        self._tell()
+
+    def _loaded(self, view: View) -> None:
+        _log.info("configuration loaded", revision=view.revision)
+        self._tell()
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
