Give a coordinator made anew under one lease new fencing tokens

Cause: the lease keeps its token when one holder takes it twice, so that a second coordinator's first token equalled one recorded, and it gave up for ever. A lease lost and taken again between two switches is now noticed too. After: tokens go on from the record; tests for both.

--- a/tests/groups/switch_world.py
+++ b/tests/groups/switch_world.py
@@ -17,7 +17,7 @@
 from toucanspool.groups.orders import Answer
 from toucanspool.groups.rank_agent import RankAgent
 from toucanspool.groups.record import MapStore, RecordStore
-from toucanspool.groups.switch import Limits
+from toucanspool.groups.switch_intent import Limits
 from toucanspool.wire.gen.messages.ttypes import Order, OrderReply
 
 GROUP = "guide"
--- a/tests/groups/test_coordinator.py
+++ b/tests/groups/test_coordinator.py
@@ -4,8 +4,8 @@
 
 from standins.memory import MemoryObjects, MemoryTable
 from tests.groups.switch_world import LIMITS, FakeLease, World
-from toucanspool.groups.coordinator import (
-    Coordinator,
+from toucanspool.groups.coordinator import Coordinator
+from toucanspool.groups.coordinator_failures import (
     LeaseLapsed,
     Superseded,
     SwitchFailed,
@@ -13,7 +13,8 @@
 from toucanspool.groups.fence import fence_of
 from toucanspool.groups.orders import Answer, GreenletCourier, RankUnreachable
 from toucanspool.groups.record import GroupRecord, MapStore, RecordStore
-from toucanspool.groups.switch import Intent, Outcome, Phase, Round
+from toucanspool.groups.switch import Round
+from toucanspool.groups.switch_intent import Intent, Outcome, Phase
 from toucanspool.platform.table import TableUncertain
 from toucanspool.wire.gen.messages.ttypes import (
     Order,
@@ -94,6 +95,22 @@
         Setting(token=1, world=setting.world).coordinator.settle()
 
 
+def test_coordinator_made_anew_under_one_lease_uses_new_tokens():
+    setting = Setting()
+    setting.coordinator.switch(b"map a")
+    again = Setting(world=setting.world)
+    version = again.coordinator.switch(b"map b")
+    assert {e.version for e in setting.world.group.engines} == {version}
+
+
+def test_lease_lost_and_taken_again_is_not_the_same_lease():
+    setting = Setting()
+    setting.coordinator.settle()
+    setting.lease.token = 3
+    with pytest.raises(LeaseLapsed):
+        setting.coordinator.switch(b"map")
+
+
 def test_group_that_cannot_be_held_goes_on_with_its_map():
     setting = Setting()
     used = setting.coordinator.switch(b"map a")
--- a/tests/groups/test_switch.py
+++ b/tests/groups/test_switch.py
@@ -22,7 +22,8 @@
 from toucanspool.groups.coordinator import Coordinator
 from toucanspool.groups.fence import FenceGate
 from toucanspool.groups.rank_agent import RankAgent
-from toucanspool.groups.switch import Phase, Round
+from toucanspool.groups.switch import Round
+from toucanspool.groups.switch_intent import Phase
 from toucanspool.wire.gen.messages.ttypes import OrderKind, OrderResult
 
 SWITCH_ACTS = 150
--- a/toucanspool/groups/coordinator.py
+++ b/toucanspool/groups/coordinator.py
@@ -5,16 +5,23 @@
 and from what the ranks say, in a round of its own.
 """
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from typing import Protocol
 
 import structlog
 
-from toucanspool.groups.fence import MAX_ROUND, fence_of
+from toucanspool.groups.coordinator_failures import (
+    LeaseLapsed,
+    Superseded,
+    SwitchFailed,
+)
+from toucanspool.groups.fence import MAX_ROUND, fence_of, lease_token_of, round_of
 from toucanspool.groups.orders import Courier
-from toucanspool.groups.record import GroupRecord, MapStore, RecordStore, Stored
-from toucanspool.groups.switch import Intent, Limits, Outcome, Round
+from toucanspool.groups.record import GroupRecord, MapStore, RecordStore
+from toucanspool.groups.switch import Round
+from toucanspool.groups.switch_intent import Intent, Limits, Outcome
 from toucanspool.platform.objects import ObjectsUnavailable
 from toucanspool.platform.table import (
     TableConflict,
@@ -49,32 +56,6 @@
         ...
 
 
-class CoordinatorError(Exception):
-    """Base of the coordinator's failures."""
-
-
-class LeaseLapsed(CoordinatorError):
-    """Report that the lease lapsed before a round could begin or hold the group."""
-
-
-class Superseded(CoordinatorError):
-    """Report that a coordinator with a higher fencing token is at work."""
-
-
-class SwitchFailed(CoordinatorError):
-    """Report a switch that was not made; the group goes on with its old map.
-
-    Parameters
-    ----------
-    outcome : Outcome
-        How the round ended.
-    """
-
-    def __init__(self, outcome: Outcome) -> None:
-        super().__init__(f"the switch was not made: {outcome.value}")
-        self.outcome = outcome
-
-
 class Coordinator:
     """Switch one group's expert map, and mend switches broken off.
 
@@ -96,9 +77,13 @@
         Returns monotonic seconds.
     limits : Limits, optional
         Bounds of a round's phases.
+    calls : iterator of int, optional
+        Gives each order its number; to be shared by all coordinators that use the
+        same connections.
     """
 
     __slots__ = (
+        "_calls",
         "_clock",
         "_courier",
         "_group",
@@ -109,6 +94,7 @@
         "_rounds",
         "_settled",
         "_store",
+        "_token",
     )
 
     def __init__(
@@ -122,12 +108,15 @@
         courier: Courier,
         clock: Callable[[], float],
         limits: Limits | None = None,
+        calls: Iterator[int] | None = None,
     ) -> None:
         self._group = group
         self._ranks = ranks
         self._store = store
         self._maps = maps
         self._lease = lease
+        self._token = lease.token
+        self._calls = itertools.count(1) if calls is None else calls
         self._courier = courier
         self._clock = clock
         self._limits = limits or Limits()
@@ -206,7 +195,7 @@
         LeaseLapsed
             It is not.
         """
-        if not self._lease.held(self._clock()):
+        if not self._leased(self._clock()):
             raise LeaseLapsed
 
     def probe(self, rank: int) -> int | None:
@@ -223,7 +212,7 @@
             Steps finished, or None where no answer came in time.
         """
         order = Order(
-            call=0,
+            call=next(self._calls),
             group=self._group,
             rank=rank,
             fence=0,
@@ -240,15 +229,21 @@
         return None
 
     def _open_switch(self, current: int, version: int) -> Intent:
-        stored = self._read(version)
+        """Record a switch before its first order."""
+        self.check_lease()
+        stored = self._store.read()
+        if stored.record.fence >= version:
+            raise Superseded
         record = GroupRecord(current, version, version)
         self._store.write(record, row_version=stored.row_version)
         return self._intent(record, new=True)
 
     def _open_settle(self) -> Intent:
+        """Record a round that finishes or undoes what is recorded."""
         while True:
-            fence = self._next_fence()
-            stored = self._read(fence)
+            self.check_lease()
+            stored = self._store.read()
+            fence = self._next_fence(stored.record.fence)
             record = replace(stored.record, fence=fence)
             try:
                 self._store.write(record, row_version=stored.row_version)
@@ -256,13 +251,8 @@
                 continue
             return self._intent(record, new=False)
 
-    def _read(self, fence: int) -> Stored:
-        """Return the record, for a round with a fencing token."""
-        self.check_lease()
-        stored = self._store.read()
-        if stored.record.fence >= fence:
-            raise Superseded
-        return stored
+    def _leased(self, now: float) -> bool:
+        return self._lease.token == self._token and self._lease.held(now)
 
     def _intent(self, record: GroupRecord, *, new: bool) -> Intent:
         return Intent(
@@ -274,10 +264,15 @@
             new=new,
         )
 
-    def _next_fence(self) -> int:
+    def _next_fence(self, recorded: int = 0) -> int:
+        """Return a token above the recorded one, never returned before."""
+        if lease_token_of(recorded) > self._token:
+            raise Superseded
+        if lease_token_of(recorded) == self._token:
+            self._rounds = max(self._rounds, round_of(recorded) + 1)
         if self._rounds > MAX_ROUND:
             raise LeaseLapsed
-        fence = fence_of(self._lease.token, self._rounds)
+        fence = fence_of(self._token, self._rounds)
         self._rounds += 1
         return fence
 
@@ -286,7 +281,7 @@
         phase = rnd.phase
         while rnd.outcome is None:
             now = self._clock()
-            for order in rnd.poll(now, leased=self._lease.held(now)):
+            for order in rnd.poll(now, leased=self._leased(now)):
                 self._post(order)
             if rnd.outcome is None:
                 for answer in self._courier.collect(COLLECT_S):
@@ -307,7 +302,7 @@
         return rnd.outcome
 
     def _round(self, intent: Intent) -> Round:
-        return Round(intent, now=self._clock(), limits=self._limits)
+        return Round(intent, now=self._clock(), limits=self._limits, calls=self._calls)
 
     def _post(self, order: Order) -> None:
         if order.kind == OrderKind.LOAD:
--- a/toucanspool/groups/coordinator_task.py
+++ b/toucanspool/groups/coordinator_task.py
@@ -4,8 +4,8 @@
 
 import structlog
 
-from toucanspool.groups.coordinator import (
-    Coordinator,
+from toucanspool.groups.coordinator import Coordinator
+from toucanspool.groups.coordinator_failures import (
     LeaseLapsed,
     Superseded,
     SwitchFailed,
--- a/toucanspool/groups/fence.py
+++ b/toucanspool/groups/fence.py
@@ -41,6 +41,21 @@
     return fence >> ROUND_BITS
 
 
+def round_of(fence: int) -> int:
+    """Return the round's number within a fencing token.
+
+    Parameters
+    ----------
+    fence : int
+        Made by `fence_of`.
+
+    Returns
+    -------
+    int
+    """
+    return fence & MAX_ROUND
+
+
 class FenceSource(Protocol):
     """Read the highest fencing token recorded for a group."""
 
--- a/toucanspool/groups/switch.py
+++ b/toucanspool/groups/switch.py
@@ -7,40 +7,17 @@
 impossible.
 """
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import Enum
+import itertools
+from collections.abc import Iterator, Mapping
 
 from toucanspool.groups.engine import NO_MAP
+from toucanspool.groups.switch_intent import Intent, Limits, Outcome, Phase
 from toucanspool.wire.gen.messages.ttypes import (
     Order,
-    OrderKind,
     OrderReply,
     OrderResult,
 )
 
-
-class Outcome(Enum):
-    """How a round ended."""
-
-    FINISHED = "finished"
-    UNDONE = "undone"
-    AGENT_RESTARTED = "agent restarted"
-    SUPERSEDED = "superseded"
-    LAPSED = "lapsed"
-    UNREACHABLE = "unreachable"
-
-
-class Phase(Enum):
-    """What a round waits for from every rank; the value is the order's kind."""
-
-    FENCE = OrderKind.FENCE
-    LOAD = OrderKind.LOAD
-    HOLD = OrderKind.HOLD
-    SWITCH = OrderKind.SWITCH
-    RESUME = OrderKind.RESUME
-
-
 NEXT_PHASE = {
     Phase.LOAD: Phase.HOLD,
     Phase.HOLD: Phase.SWITCH,
@@ -49,60 +26,6 @@
 SAFE_TO_LEAVE = (Phase.FENCE, Phase.LOAD, Phase.HOLD)
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
-    """Bound the phases of a round, in seconds.
-
-    Parameters
-    ----------
-    resend_s : float, default=0.2
-        An order without an answer is sent again after this long.
-    load_poll_s : float, default=2.0
-        A rank that is still loading is asked again after this long.
-    fence_s : float, default=5.0
-        The longest wait for every rank's first answer.
-    load_s : float, default=300.0
-        The longest wait until a new map's experts are loaded.
-    hold_s : float, default=1.0
-        The longest time that a new switch may hold the group before the first rank
-        has switched.
-    """
-
-    resend_s: float = 0.2
-    load_poll_s: float = 2.0
-    fence_s: float = 5.0
-    load_s: float = 300.0
-    hold_s: float = 1.0
-
-
-@dataclass(slots=True, frozen=True)
-class Intent:
-    """Hold what a round is for.
-
-    Parameters
-    ----------
-    group : str
-        The group's name.
-    ranks : int
-        Number of ranks.
-    fence : int
-        The round's fencing token.
-    committed : int
-        Version that the group used last.
-    intended : int
-        Version that a switch goes to, or went to when it was broken off.
-    new : bool
-        True to start the switch; False to finish or undo one broken off.
-    """
-
-    group: str
-    ranks: int
-    fence: int
-    committed: int
-    intended: int
-    new: bool
-
-
 class Round:
     """Bring all ranks to one map; never sends anything itself.
 
@@ -114,6 +37,8 @@
         Monotonic seconds.
     limits : Limits, optional
         Bounds of the phases.
+    calls : iterator of int, optional
+        Gives each order its number; the numbers grow, from 1.
 
     Attributes
     ----------
@@ -135,6 +60,7 @@
         "_intent",
         "_last_call",
         "_limits",
+        "_newest_call",
         "_phase_call",
         "_phase_since",
         "_due_at",
@@ -146,11 +72,17 @@
     )
 
     def __init__(
-        self, intent: Intent, *, now: float, limits: Limits | None = None
+        self,
+        intent: Intent,
+        *,
+        now: float,
+        limits: Limits | None = None,
+        calls: Iterator[int] | None = None,
     ) -> None:
         self._intent = intent
         self._limits = limits or Limits()
-        self._calls = 0
+        self._calls = calls or itertools.count(1)
+        self._newest_call = 0
         self._last_call: dict[int, int] = {}
         self._versions: dict[int, int] = {}
         self._holding = False
@@ -309,7 +241,7 @@
         if phase is Phase.SWITCH:
             self.decided = True
         self.phase = phase
-        self._phase_call = self._calls + 1
+        self._phase_call = self._newest_call + 1
         self._phase_since = now
         self._acked: set[int] = set()
         self._due_at: dict[int, float] = {}
@@ -320,12 +252,12 @@
         return now >= self._due_at.get(rank, now)
 
     def _order(self, rank: int, now: float) -> Order:
-        self._calls += 1
+        self._newest_call = next(self._calls)
         self._holding |= self.phase is Phase.HOLD
         self._due_at[rank] = now + self._limits.resend_s
-        self._last_call[rank] = self._calls
+        self._last_call[rank] = self._newest_call
         return Order(
-            call=self._calls,
+            call=self._newest_call,
             group=self._intent.group,
             rank=rank,
             fence=self._intent.fence,
