--- /dev/null
+++ b/toucanspool/groups/rank_agent.py
@@ -0,0 +1,174 @@
+"""The agent of one rank: the only way by which orders reach its engine."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from gevent.lock import RLock
+
+from toucanspool.groups.engine import (
+    NO_MAP,
+    Engine,
+    EngineRefused,
+    EngineState,
+    EngineUnavailable,
+)
+from toucanspool.groups.fence import FenceGate, FenceSource
+from toucanspool.platform.table import TableError
+from toucanspool.wire.gen.messages.ttypes import (
+    Order,
+    OrderKind,
+    OrderReply,
+    OrderResult,
+)
+
+HOLD_POLLS = 50
+HOLD_POLL_S = 0.002
+
+
+class OrderHandler(Protocol):
+    """Carry out orders."""
+
+    def handle(self, order: Order) -> OrderReply:
+        """Carry out an order and return the reply.
+
+        Parameters
+        ----------
+        order : Order
+            The order.
+
+        Returns
+        -------
+        OrderReply
+        """
+        ...
+
+
+class RankAgent:
+    """Check each order and carry it out on one rank's engine.
+
+    The engine's own state decides what an order may do, never the agent's memory of
+    earlier orders, since an engine restarts without telling its agent.
+
+    Parameters
+    ----------
+    engine : Engine
+        The rank's engine.
+    fences : FenceSource
+        Where the highest recorded fencing token is read after a start.
+    sleep : callable, default=gevent.sleep
+        Waits for a number of seconds.
+    """
+
+    __slots__ = ("_engine", "_fences", "_gate", "_lock", "_sleep")
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        fences: FenceSource,
+        sleep: Callable[[float], None] = gevent.sleep,
+    ) -> None:
+        self._engine = engine
+        self._fences = fences
+        self._sleep = sleep
+        self._gate = FenceGate()
+        self._lock = RLock()
+
+    def handle(self, order: Order) -> OrderReply:
+        """Carry out an order; see `OrderHandler`."""
+        # One order at a time: between its check and its effect no other may pass.
+        with self._lock:
+            return self._handle(order)
+
+    def read_back(self) -> None:
+        """Read the highest fencing token from the table, if the table answers.
+
+        To be called at the start; without it the first order does it, and is
+        refused when it carries the token just recorded.
+        """
+        try:
+            self._gate.open(self._fences.highest())
+        except TableError:
+            return
+
+    def _handle(self, order: Order) -> OrderReply:
+        result = self._check(order)
+        detail = ""
+        if result == OrderResult.OK:
+            try:
+                result, detail = self._carry_out(order)
+            except EngineRefused as exc:
+                result, detail = OrderResult.NOT_READY, exc.reason
+            except EngineUnavailable as exc:
+                return self._reply(order, OrderResult.UNREACHABLE, None, str(exc))
+        try:
+            state = self._engine.state()
+        except EngineUnavailable as exc:
+            return self._reply(order, OrderResult.UNREACHABLE, None, str(exc))
+        return self._reply(order, result, state, detail)
+
+    def _check(self, order: Order) -> int:
+        if order.kind == OrderKind.STATUS:
+            return OrderResult.OK
+        if not self._gate.ready:
+            self.read_back()
+        return self._gate.admit(order.fence, order.call)
+
+    def _carry_out(self, order: Order) -> tuple[int, str]:
+        if order.kind == OrderKind.LOAD:
+            return self._load(order)
+        if order.kind == OrderKind.HOLD:
+            return self._hold(order)
+        if order.kind == OrderKind.SWITCH:
+            return self._switch(order)
+        if order.kind == OrderKind.RESUME:
+            return self._resume(order)
+        return OrderResult.OK, ""
+
+    def _load(self, order: Order) -> tuple[int, str]:
+        state = self._engine.state()
+        if order.version in (state.version, state.spare):
+            return OrderResult.OK, ""
+        self._engine.load(order.version, order.experts, order.fence)
+        return OrderResult.NOT_READY, "loading"
+
+    def _hold(self, order: Order) -> tuple[int, str]:
+        self._engine.hold(order.fence)
+        for _ in range(HOLD_POLLS):
+            if self._engine.state().held:
+                return OrderResult.OK, ""
+            self._sleep(HOLD_POLL_S)
+        return OrderResult.NOT_READY, "in a step"
+
+    def _switch(self, order: Order) -> tuple[int, str]:
+        state = self._engine.state()
+        if not state.held:
+            return OrderResult.NOT_READY, "not held"
+        if order.version == state.version:
+            return OrderResult.OK, ""
+        if order.version != state.spare:
+            return OrderResult.NOT_READY, "not loaded"
+        self._engine.switch(order.version, order.fence)
+        return OrderResult.OK, ""
+
+    def _resume(self, order: Order) -> tuple[int, str]:
+        state = self._engine.state()
+        if order.version != state.version or order.version == NO_MAP:
+            return OrderResult.NOT_READY, "on another map"
+        self._engine.resume(order.fence)
+        return OrderResult.OK, ""
+
+    def _reply(
+        self, order: Order, result: int, state: EngineState | None, detail: str
+    ) -> OrderReply:
+        return OrderReply(
+            call=order.call,
+            result=result,
+            fence=self._gate.fence,
+            version=state.version if state else NO_MAP,
+            loaded=state.spare if state else NO_MAP,
+            held=state.held if state else False,
+            step=state.step if state else 0,
+            detail=detail,
+        )
