Free a refused claim also after a conflict that could not be read

Cause: the new fault 'a commit reaches the table twice' left a key stuck: the second copy conflicts with the first, and where the read after it failed, the refused claim was not freed.

--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -155,12 +155,15 @@
     ----------
     lose_requests : int
         So many commits are lost on their way to the table.
+    repeat_requests : int
+        So many commits reach the table twice; the second is answered.
     """
 
     def __init__(self, gates: Gates, *, faults: Faults | None = None) -> None:
         super().__init__(faults=faults)
         self.gates = gates
         self.lose_requests = 0
+        self.repeat_requests = 0
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the rows present among `keys`."""
@@ -188,6 +191,9 @@
         if self.lose_requests:
             self.lose_requests -= 1
             raise TableUncertain("the request was lost")
+        if self.repeat_requests:
+            self.repeat_requests -= 1
+            MemoryTable.commit(self, checks, writes)
         return MemoryTable.commit(self, checks, writes)
 
     def _carry(self, kind: str, work: Callable[[], Any]) -> Any:
--- a/tests/protected/test_claims_fuzz.py
+++ b/tests/protected/test_claims_fuzz.py
@@ -80,6 +80,11 @@
         """Lose the next commit itself."""
         self.world.table.lose_requests = 1
 
+    @rule()
+    def repeat_request(self):
+        """Let the next commit reach the table twice."""
+        self.world.table.repeat_requests = 1
+
     @rule(broken=st.booleans())
     def upstream_fails(self, broken):
         """Let the upstream refuse a call, or break off after it."""
--- a/tests/protected/test_claims_matrix.py
+++ b/tests/protected/test_claims_matrix.py
@@ -36,6 +36,10 @@
     world.table.lose_requests = 1
 
 
+def request_repeated(world):
+    world.table.repeat_requests = 1
+
+
 def message_repeated(world):
     world.call(1, attempt="a0")
 
@@ -68,6 +72,7 @@
         outage,
         answer_lost,
         request_lost,
+        request_repeated,
         message_repeated,
         retry_elsewhere,
         other_body,
--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -191,7 +191,7 @@
     def heal(self):
         """Lift all faults, and let everything come to its end."""
         self.table.faults.clear()
-        self.table.lose_requests = 0
+        self.table.lose_requests = self.table.repeat_requests = 0
         self.upstream.refuse = self.upstream.breaks = 0
         self.gates.open()
         for _ in range(3):
--- a/tests/recovery/test_lease_fuzz.py
+++ b/tests/recovery/test_lease_fuzz.py
@@ -199,13 +199,15 @@
         self.tick(seconds, awake)
         self.table.faults.set(down=False)
 
-    @rule(answer=st.booleans())
-    def lose(self, answer):
-        """Lose the next commit's answer, or the commit itself."""
-        if answer:
+    @rule(fault=st.sampled_from(["answer", "request", "repeat"]))
+    def lose(self, fault):
+        """Lose the next commit's answer, or the commit itself, or repeat it."""
+        if fault == "answer":
             self.table.faults.set(lose_answers=1)
-        else:
+        elif fault == "request":
             self.table.lose_requests = 1
+        else:
+            self.table.repeat_requests = 1
 
     @rule(index=st.integers(-1, len(SPEEDS) - 1))
     def restart(self, index):
@@ -229,7 +231,7 @@
     def teardown(self):
         """Heal everything, and see that someone can hold the lease."""
         self.table.faults.clear()
-        self.table.lose_requests = 0
+        self.table.lose_requests = self.table.repeat_requests = 0
         self.gates.open()
         for _ in range(2):
             self.work(0)
--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -228,9 +228,10 @@
                 [Write(claim.key, encode_row(claim.row))],
                 timeout_s=deadline - self._clock.now(),
             )
-        except (TableConflict, TableUnavailable):
+        except TableUnavailable:
             raise
         except BaseException:
+            # A conflict may be with a copy of the same request.
             claim.risked = True
             raise
         claim.risked = True
