Demand the oracle's verdict for each mechanism switched off

Cause: any failed assertion passed for the oracle's. The tests now match the verdict (run twice, foreign answer, stuck key; two holders, shared token, older holder).

--- a/tests/protected/test_claims.py
+++ b/tests/protected/test_claims.py
@@ -133,6 +133,19 @@
     assert isinstance(bench.begin(1, deadline=20.0), Started)
 
 
+def test_process_paused_over_its_deadline_does_not_start(bench):
+    """The commit's answer is there when the process goes on, and time is over."""
+    bench.gates.close(["commit.after"])
+    job = gevent.spawn(bench.begin, deadline=2.0)
+    settle()
+    bench.clock.time = 3.0
+    bench.gates.open()
+    with pytest.raises(DeadlinePassed):
+        job.get(block=False)
+    assert bench.run(bench.agents[0].retry_pending) == 0
+    assert isinstance(bench.begin(1), Started)
+
+
 def test_release_bars_a_commit_that_takes_effect_late(bench):
     """The refused claim's commit reaches the table after its release."""
     bench.gates.close(["commit.before"])
--- a/tests/protected/test_claims_fuzz.py
+++ b/tests/protected/test_claims_fuzz.py
@@ -53,6 +53,14 @@
         """Stop whoever comes to a step."""
         self.world.gates.close([step])
 
+    @rule(agent=AGENTS, key=KEYS)
+    def overtake(self, agent, key):
+        """Hold a commit until its agent has given up and freed the key."""
+        self.world.gates.traps.add("commit.before")
+        self.world.call(agent, key)
+        self.world.clock.advance(20.0)
+        self.world.agents[agent].retry()
+
     @precondition(lambda self: self.world.gates.held)
     @rule(data=st.data())
     def go_on(self, data):
@@ -128,7 +136,7 @@
 
 @pytest.mark.parametrize("mechanism", SWITCHED_OFF)
 def test_oracle_sees_a_mechanism_switched_off(mechanism):
-    switches = {"switches": SWITCHED_OFF[mechanism]}
-    machine = type("SwitchedOff", (ProtectedCalls,), switches)
-    with pytest.raises(AssertionError):
+    switches, verdict = SWITCHED_OFF[mechanism]
+    machine = type("SwitchedOff", (ProtectedCalls,), {"switches": switches})
+    with pytest.raises(AssertionError, match=verdict):
         run_machine(machine, settings=FIND_ONLY)
--- a/tests/protected/test_claims_matrix.py
+++ b/tests/protected/test_claims_matrix.py
@@ -64,6 +64,13 @@
     world.late.append(world.gates.held[0])
 
 
+def overtaken(world):
+    """Hold a message until what follows from its lateness has been done."""
+    late(world)
+    freeze(world)
+    world.agents[0].retry()
+
+
 FAULTS = {
     fault.__name__: fault
     for fault in (
@@ -79,6 +86,7 @@
         upstream_refuses,
         upstream_breaks,
         late,
+        overtaken,
     )
 }
 SINGLE = [{at: name} for at in range(CROSSINGS) for name in FAULTS]
@@ -140,6 +148,7 @@
 @pytest.mark.parametrize("mechanism", SWITCHED_OFF)
 def test_matrix_sees_a_mechanism_switched_off(mechanism):
     plans = itertools.chain(SINGLE, *(pairs(name) for name in FAULTS))
-    with pytest.raises(AssertionError):
+    switches, verdict = SWITCHED_OFF[mechanism]
+    with pytest.raises(AssertionError, match=verdict):
         for plan in plans:
-            run(plan, **SWITCHED_OFF[mechanism])
+            run(plan, **switches)
--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -11,9 +11,11 @@
 
 from standins.memory import MemoryObjects
 from standins.virtual import GatedTable, Gates, VirtualClock, settle
+from toucanspool.platform.table import Check, TableUncertain, Write
 from toucanspool.protected.claims import Answer, Claims, Replay
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import ClaimRefused, InProgress
+from toucanspool.protected.writes import WRITE_TIMEOUT_S, ReleaseWrite
 from toucanspool.wire.gen.messages.ttypes import Outcome
 
 TIMEOUT_S = 10.0
@@ -252,8 +254,6 @@
     """Take a commit without an answer for one that took effect."""
 
     def _commit(self, claim, deadline):
-        from toucanspool.platform.table import TableUncertain
-
         try:
             return super()._commit(claim, deadline)
         except TableUncertain:
@@ -277,14 +277,6 @@
         return super().begin(team, key, attempt, "", deadline=deadline)
 
 
-class DeadlineIsRelease(Claims):
-    """Free a key by hand where a started one is found, as a timeout would."""
-
-    def _read(self, claim, deadline):
-        found = super()._read(claim, deadline)
-        return found if found and b'"done"' in found.value else None
-
-
 class NoRelease(Claims):
     """Refuse without freeing what may have been claimed."""
 
@@ -292,12 +284,39 @@
         """Do nothing."""
 
 
+class RemovedRow(ReleaseWrite):
+    """Remove the row of a claim that was never handed over."""
+
+    __slots__ = ()
+
+    def _submit(self, row, linger_s):
+        self._committer.submit(
+            [Check(self._claim.key, self._version)],
+            [Write(self._claim.key, None)],
+            timeout_s=WRITE_TIMEOUT_S,
+        )
+
+
+class RemovingRelease(Claims):
+    """Free keys by removing their rows."""
+
+    def release(self, claim, *, later=False):
+        """Remove the row."""
+        task = RemovedRow(claim, self._committer, self._table)
+        if later:
+            self.pending.add(task)
+        else:
+            self.pending.run(task)
+
+
+# What is switched off, how, and what the oracle then says.
 SWITCHED_OFF = {
-    "compare-and-set": {"table_cls": NoCompareAndSet},
-    "read-back": {"claims_cls": NoReadBack},
-    "own identity": {"claims_cls": CallersIdentity},
-    "body hash": {"claims_cls": NoBodyHash},
-    "no retry after unknown": {"rerun_unknown": True},
-    "no release after a break": {"release_broken": True},
-    "release of refused claims": {"claims_cls": NoRelease},
+    "compare-and-set": ({"table_cls": NoCompareAndSet}, "run twice"),
+    "read-back": ({"claims_cls": NoReadBack}, "run twice"),
+    "own identity": ({"claims_cls": CallersIdentity}, "run twice"),
+    "body hash": ({"claims_cls": NoBodyHash}, "foreign answer"),
+    "no retry after unknown": ({"rerun_unknown": True}, "run twice"),
+    "no release after a break": ({"release_broken": True}, "run twice"),
+    "release of refused claims": ({"claims_cls": NoRelease}, "is stuck"),
+    "free row in place of none": ({"claims_cls": RemovingRelease}, "is stuck"),
 }
--- a/tests/recovery/test_lease_fuzz.py
+++ b/tests/recovery/test_lease_fuzz.py
@@ -241,14 +241,18 @@
         assert decode_lease(self.table._rows["lease/duty"]).token >= 1
 
 
+TWICE = "two holders at once"
+SHARED = "two holders of one token"
+LATE = "an older holder"
+# What is switched off, how, and what the oracle then says.
 SWITCHED_OFF = {
-    "compare-and-set": {"table_cls": NoCompareAndSet},
-    "wait for the TTL": {"lease_cls": NoWait},
-    "time of sending": {"lease_cls": SentTimeIgnored},
-    "growing token": {"lease_cls": SameToken},
-    "allowance for drift": {"lease_cls": NoDrift},
-    "fencing at the resource": {"fence_cls": NoFence},
-    "token read back after a restart": {"fence_cls": ForgetfulFence},
+    "compare-and-set": ({"table_cls": NoCompareAndSet}, f"{TWICE}|{SHARED}|{LATE}"),
+    "wait for the TTL": ({"lease_cls": NoWait}, TWICE),
+    "time of sending": ({"lease_cls": SentTimeIgnored}, TWICE),
+    "growing token": ({"lease_cls": SameToken}, SHARED),
+    "allowance for drift": ({"lease_cls": NoDrift}, TWICE),
+    "fencing at the resource": ({"fence_cls": NoFence}, LATE),
+    "token read back after a restart": ({"fence_cls": ForgetfulFence}, LATE),
 }
 
 
@@ -258,6 +262,7 @@
 
 @pytest.mark.parametrize("mechanism", SWITCHED_OFF)
 def test_oracle_sees_a_mechanism_switched_off(mechanism):
-    machine = type("SwitchedOff", (LeaseWorld,), SWITCHED_OFF[mechanism])
-    with pytest.raises(AssertionError):
+    switches, verdict = SWITCHED_OFF[mechanism]
+    machine = type("SwitchedOff", (LeaseWorld,), switches)
+    with pytest.raises(AssertionError, match=verdict):
         run_machine(machine, settings=FIND_ONLY)
