Refuse at once while the table hangs

Cause: each claim waited out the timeouts of a table that hangs, behind the batch in flight. Now new transactions are refused as not written while all commits in flight are overdue, and what waits is refused once an overdue commit has failed.

--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -13,7 +13,14 @@
 
 from standins.faults import Faults
 from standins.memory import MemoryTable
-from toucanspool.platform.table import Check, Row, TableUncertain, Write
+from toucanspool.platform.table import (
+    Check,
+    Row,
+    TableError,
+    TableUnavailable,
+    TableUncertain,
+    Write,
+)
 
 
 class VirtualClock:
@@ -164,6 +171,7 @@
         self.gates = gates
         self.lose_requests = 0
         self.repeat_requests = 0
+        self._unanswered: list[tuple[AsyncResult, TableError]] = []
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the rows present among `keys`."""
@@ -196,10 +204,22 @@
             MemoryTable.commit(self, checks, writes)
         return MemoryTable.commit(self, checks, writes)
 
+    def time_out(self) -> None:
+        """Let those who wait for an answer give up; their calls go on."""
+        for reply, exc in self._unanswered[:]:
+            reply.set_exception(exc)
+        settle()
+
     def _carry(self, kind: str, work: Callable[[], Any]) -> Any:
         reply: AsyncResult = AsyncResult()
+        failure = TableUncertain if kind == "commit" else TableUnavailable
+        waiting = (reply, failure("no answer in time"))
+        self._unanswered.append(waiting)
         gevent.spawn(self._travel, kind, work, reply)
-        return reply.get()
+        try:
+            return reply.get()
+        finally:
+            self._unanswered.remove(waiting)
 
     def _travel(self, kind: str, work: Callable[[], Any], reply: AsyncResult) -> None:
         self.gates.cross(f"{kind}.before")
@@ -207,10 +227,12 @@
             result = work()
         except Exception as exc:
             self.gates.cross(f"{kind}.after")
-            reply.set_exception(exc)
+            if not reply.ready():
+                reply.set_exception(exc)
         else:
             self.gates.cross(f"{kind}.after")
-            reply.set(result)
+            if not reply.ready():
+                reply.set(result)
 
 
 def settle() -> None:
--- a/tests/protected/test_claims_fuzz.py
+++ b/tests/protected/test_claims_fuzz.py
@@ -59,6 +59,7 @@
         self.world.gates.traps.add("commit.before")
         self.world.call(agent, key)
         self.world.clock.advance(20.0)
+        self.world.table.time_out()
         self.world.agents[agent].retry()
 
     @precondition(lambda self: self.world.gates.held)
@@ -93,6 +94,11 @@
         """Let the next commit reach the table twice."""
         self.world.table.repeat_requests = 1
 
+    @rule()
+    def time_out(self):
+        """Let those who wait for the table give up."""
+        self.world.table.time_out()
+
     @rule(broken=st.booleans())
     def upstream_fails(self, broken):
         """Let the upstream refuse a call, or break off after it."""
--- a/tests/protected/test_claims_matrix.py
+++ b/tests/protected/test_claims_matrix.py
@@ -68,7 +68,10 @@
     """Hold a message until what follows from its lateness has been done."""
     late(world)
     freeze(world)
+    world.table.time_out()
+    world.gates.closed.clear()
     world.agents[0].retry()
+    world.gates.close(STEPS)
 
 
 FAULTS = {
--- a/tests/protected/test_committer.py
+++ b/tests/protected/test_committer.py
@@ -15,7 +15,7 @@
     TableUncertain,
     Write,
 )
-from toucanspool.protected.committer import Committer, QueueFull
+from toucanspool.protected.committer import Committer, QueueFull, TableStalled
 
 
 class ThrottlingTable(MemoryTable):
@@ -79,7 +79,7 @@
 
 
 def test_batch_is_bounded_in_bytes(clock, gates, monkeypatch):
-    monkeypatch.setattr("toucanspool.protected.committer.MAX_BATCH_BYTES", 3)
+    monkeypatch.setattr("toucanspool.protected.waiting.MAX_BATCH_BYTES", 3)
     committer = committer_of(GatedTable(gates), clock)
     gates.close(["commit.before"])
     for index in range(7):
@@ -143,6 +143,31 @@
     assert table.get(["sent", "queued"]).keys() == {"sent"}
 
 
+def test_overdue_commit_refuses_new_ones_at_once(clock, gates):
+    committer = committer_of(GatedTable(gates), clock)
+    gates.close(["commit.before"])
+    submit(committer, "sent")
+    clock.advance(1.5)
+    with pytest.raises(TableStalled):
+        submit(committer, "new").get(block=False)
+
+
+@pytest.mark.parametrize("overdue", [False, True])
+def test_what_waits_is_refused_only_after_an_overdue_failure(clock, gates, overdue):
+    table = GatedTable(gates)
+    committer = committer_of(table, clock)
+    gates.close(["commit.after"])
+    table.faults.set(lose_answers=1)
+    submit(committer, "sent")
+    queued = submit(committer, "queued")
+    clock.advance(1.5 if overdue else 0.5)
+    gates.open()
+    if overdue:
+        with pytest.raises(TableStalled):
+            queued.get(block=False)
+    assert table.get(["queued"]).keys() == (set() if overdue else {"queued"})
+
+
 def test_throttling_is_waited_out(clock):
     table = ThrottlingTable()
     job = submit(committer_of(table, clock), "k")
--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -169,6 +169,7 @@
         self.names = itertools.count()
         self.agents = [Agent(self, f"agent-{next(self.names)}") for _ in range(3)]
         self.deaths = 0
+        self.spoiled = set()
 
     def call(self, agent, key="k", body="b", attempt=None):
         """Deliver an attempt to an agent, and return the delivery's number."""
@@ -185,9 +186,10 @@
         """Let an agent die, and start another in its place."""
         self.deaths += 1
         self.agents[index].die()
-        for delivery, (agent, _, _) in enumerate(self.deliveries):
+        for delivery, (agent, key, _) in enumerate(self.deliveries):
             if agent == index:
                 self.tell(delivery, Outcome.UNKNOWN)
+                self.spoiled.add(key)
         self.agents[index] = Agent(self, f"agent-{next(self.names)}")
 
     def heal(self):
@@ -234,7 +236,7 @@
         for delivery, (_, key, _) in enumerate(self.deliveries):
             outcomes.setdefault(key, set()).add(self.told[delivery][0])
         for key, told in outcomes.items():
-            if told == {Outcome.NOT_RUN} and not self.deaths:
+            if told == {Outcome.NOT_RUN} and key not in self.spoiled:
                 last = self.call(0, key)
                 self.clock.advance(TIMEOUT_S)
                 outcome = self.told[last][0]
--- a/toucanspool/protected/committer.py
+++ b/toucanspool/protected/committer.py
@@ -1,7 +1,6 @@
 """Group commit: many small transactions in one commit of the table."""
 
 import random
-from collections import deque
 from collections.abc import Sequence
 from contextlib import ExitStack
 
@@ -23,25 +22,33 @@
     Transaction,
     broken_off,
     fail,
+    fail_conflicting,
     succeed,
 )
+from toucanspool.protected.waiting import WaitingTransactions
 
 MAX_WAITING = 4096
 MAX_BATCH = 256
-MAX_BATCH_BYTES = 1 << 20
 BACKOFF_FIRST_S = 0.01
 BACKOFF_CAP_S = 1.0
+STALL_S = 1.0
 
 
 class QueueFull(TableUnavailable):
     """Report that too many transactions wait, so that nothing was written."""
 
 
+class TableStalled(TableUnavailable):
+    """Report that a commit is overdue, so that nothing else was written."""
+
+
 class Committer:
     """Commit what waits together, while earlier commits are in flight.
 
     A transaction that fails its checks fails alone: the others are committed
-    again at once.
+    again at once. While all commits in flight are overdue, and once
+    one it has failed, what waits is
+    refused at once: it was certainly not written.
 
     Parameters
     ----------
@@ -75,7 +82,7 @@
         "_clock",
         "_closing",
         "_greenlets",
-        "_max_batch",
+        "_in_flight",
         "_max_waiting",
         "_rng",
         "_stack",
@@ -102,10 +109,10 @@
         self._rng = rng or random.Random()
         self._workers = workers
         self._max_waiting = max_waiting
-        self._max_batch = max_batch
-        self._waiting: deque[Transaction] = deque()
+        self._waiting = WaitingTransactions(max_batch)
         self._wake = Event()
         self._closing = False
+        self._in_flight: list[float] = []
         self._greenlets: list[gevent.Greenlet] = []
         self._stack = ExitStack()
         self.commits = 0
@@ -168,27 +175,24 @@
         """
         if self._closing or len(self._waiting) >= self._max_waiting:
             raise QueueFull("too many transactions wait for the table")
+        if self._stalled():
+            raise TableStalled("the table is slow to answer")
         entry = Transaction(checks, writes, self._clock.now() + linger_s)
-        self._waiting.append(entry)
+        self._waiting.add(entry)
         self._wake.set()
         try:
             ready = self._clock.wait(entry.result, timeout_s)
         finally:
-            self._drop(entry)
+            self._waiting.drop(entry)
         if ready:
             return entry.result.get()
         if entry.sent:
             raise TableUncertain("no answer of the table in time")
         raise TableUnavailable("no commit in time")
 
-    def _drop(self, entry: Transaction) -> None:
-        entry.dropped = True
-        if not entry.sent and not entry.result.ready():
-            self._waiting.remove(entry)
-
     def _work(self) -> None:
         while self._await_due():
-            batch = self._take()
+            batch = self._waiting.take()
             if batch:
                 self._commit(batch)
 
@@ -200,42 +204,28 @@
                     return False
                 self._wake.wait()
                 continue
-            wait_s = min(e.due for e in self._waiting) - self._clock.now()
+            wait_s = self._waiting.due() - self._clock.now()
             if wait_s <= 0 or self._closing:
                 return True
             self._clock.wait(self._wake, wait_s)
 
-    def _take(self) -> list[Transaction]:
-        batch: list[Transaction] = []
-        taken: set[str] = set()
-        left: deque[Transaction] = deque()
-        size = 0
-        for entry in self._waiting:
-            fits = len(batch) < self._max_batch and size < MAX_BATCH_BYTES
-            if fits and taken.isdisjoint(entry.keys):
-                batch.append(entry)
-                size += entry.size
-                entry.sent = True
-            else:
-                left.append(entry)
-            taken |= entry.keys
-        self._waiting = left
-        return batch
-
     def _commit(self, batch: list[Transaction]) -> None:
         pauses = 0
         while batch:
+            begun = self._clock.now()
             try:
                 version = self._send(batch)
             except TableConflict as exc:
-                batch = self._fail_conflicting(batch, exc)
+                batch = fail_conflicting(batch, exc)
             except TableThrottled:
-                batch = self._put_back(batch)
+                self._waiting.put_back(batch)
                 self._clock.sleep(self._backoff_s(pauses))
                 pauses += 1
-                batch = self._take()
+                batch = self._waiting.take()
             except TableError as exc:
                 fail(batch, exc)
+                if isinstance(exc, TableUnavailable) or self._overdue(begun):
+                    self._waiting.refuse(TableStalled("the commit before has failed"))
                 return
             except Exception as exc:
                 fail(batch, broken_off(exc))
@@ -250,26 +240,21 @@
 
     def _send(self, batch: list[Transaction]) -> int:
         self.commits += 1
+        begun = self._clock.now()
+        self._in_flight.append(begun)
         checks = [check for entry in batch for check in entry.checks]
         writes = [write for entry in batch for write in entry.writes]
-        return self._table.commit(checks, writes)
+        try:
+            return self._table.commit(checks, writes)
+        finally:
+            self._in_flight.remove(begun)
 
-    def _fail_conflicting(
-        self, batch: list[Transaction], exc: TableConflict
-    ) -> list[Transaction]:
-        failed = set(exc.keys)
-        hit = [entry for entry in batch if not failed.isdisjoint(entry.keys)]
-        for entry in hit or batch:
-            own = [key for key in exc.keys if key in entry.keys]
-            entry.result.set_exception(TableConflict(own))
-        return [e for e in batch if not e.dropped and not e.result.ready()]
+    def _stalled(self) -> bool:
+        overdue = sum(self._overdue(begun) for begun in self._in_flight)
+        return overdue >= self._workers
 
-    def _put_back(self, batch: list[Transaction]) -> list[Transaction]:
-        kept = [entry for entry in batch if not entry.dropped]
-        for entry in kept:
-            entry.sent = False
-        self._waiting.extendleft(reversed(kept))
-        return []
+    def _overdue(self, begun: float) -> bool:
+        return self._clock.now() - begun > STALL_S
 
     def _backoff_s(self, pauses: int) -> float:
         ceiling = min(BACKOFF_CAP_S, BACKOFF_FIRST_S * 2**pauses)
--- a/toucanspool/protected/transaction.py
+++ b/toucanspool/protected/transaction.py
@@ -4,7 +4,7 @@
 
 from gevent.event import AsyncResult
 
-from toucanspool.platform.table import Check, TableUncertain, Write
+from toucanspool.platform.table import Check, TableConflict, TableUncertain, Write
 
 
 class Transaction:
@@ -77,6 +77,31 @@
         entry.result.set_exception(exc)
 
 
+def fail_conflicting(
+    batch: Iterable[Transaction], exc: TableConflict
+) -> list[Transaction]:
+    """Fail the transactions of a batch whose checks failed.
+
+    Parameters
+    ----------
+    batch : iterable of Transaction
+        What was not committed.
+    exc : TableConflict
+        Names the keys that failed.
+
+    Returns
+    -------
+    list of Transaction
+        The others that somebody still waits for.
+    """
+    failed = set(exc.keys)
+    hit = [entry for entry in batch if not failed.isdisjoint(entry.keys)]
+    for entry in hit or batch:
+        own = [key for key in exc.keys if key in entry.keys]
+        entry.result.set_exception(TableConflict(own))
+    return [e for e in batch if not e.dropped and not e.result.ready()]
+
+
 def broken_off(exc: BaseException) -> TableUncertain:
     """Return the failure of a commit that ended by no failure of the table.
 
