Rebalance a lock-step group from the entries, by an elected duty

Cause: placement, switch and lease were proved apart; nothing ran them. Ruled out: matching replies of ranks by call number alone, since calls are numbered anew under each fencing token and a late reply would pass for a new one; replies echo the token of their order.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -66,7 +66,8 @@
             The revision.
         """
         plan = self.system.plan
-        upstreams = len(plan["runners"]) + len(plan["services"])
+        kinds = ("runners", "services", "rank_agents")
+        upstreams = sum(len(plan.get(kind, ())) for kind in kinds)
         limit = time.monotonic() + READY_TIMEOUT_S
         for index in range(len(self.entries)):
             while not self._ready(index, revision, upstreams):
--- a/demo/kettlewell.py
+++ b/demo/kettlewell.py
@@ -24,6 +24,7 @@
 LOGS = flags.DEFINE_string("logs", "", "Folder to keep settings and logs in.")
 
 WAIT_S = 10.0
+REBALANCE_S = 30.0
 HERE = Path(__file__).parent
 
 
@@ -80,6 +81,7 @@
             self.stream_answer,
             self.book_twice,
             self.drain_runner,
+            self.rebalance_group,
             self.kill_entry,
             self.stop_gracefully,
         ]
@@ -144,6 +146,23 @@
         _expect(after == before, f"guide-2 got {after - before} more requests")
         return f"{said} 12 more requests went elsewhere."
 
+    def rebalance_group(self) -> str:
+        """Wait until the group has gone to a better map, and check every step."""
+        limit = time.monotonic() + REBALANCE_S
+        while True:
+            steps = call(self._system.ports["experts"], "GET", "/steps")[1]
+            maps = {version for step in steps for version in step["versions"]}
+            if len(maps) > 1 or time.monotonic() > limit:
+                break
+            time.sleep(0.5)
+        _expect(len(maps) > 1, "the group was not rebalanced")
+        mixed = [step for step in steps if len(set(step["versions"])) > 1]
+        _expect(not mixed, f"{len(mixed)} steps used more than one map")
+        return (
+            f"The group's experts were rebalanced: {len(maps)} maps in {len(steps)} "
+            "steps, and in each step all four ranks used the same one."
+        )
+
     def kill_entry(self) -> str:
         """Kill an entry and go on through another address."""
         victim = self._entries[0]
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -148,6 +148,7 @@
             starting.callback(self._kill_all)
             self._start_platform()
             self._start_upstreams()
+            self._start_groups()
             self._start_entries()
             self._wait_for_processes()
             self._list_instances()
@@ -244,13 +245,15 @@
         """
         name = f"agent-{item['name']}"
         kind = "engine" if "model" in item else "service"
+        if "ranks" in item:
+            kind = "ranks"
         agent = {
             "upstream": item["name"],
-            "address": {"host": HOST, "port": self.ports[item["name"]]},
+            "address": {"host": HOST, "port": self.ports[item.get("at", item["name"])]},
             "kind": kind,
             "guarded": bool(item.get("guarded")),
         }
-        for key in ("model", "service"):
+        for key in ("model", "service", "ranks"):
             if key in item:
                 agent[key] = item[key]
         self._start_daemon(name, "agent", item["failure_domain"], {"agent": agent})
@@ -297,6 +300,14 @@
             )
             self.start_agent(item)
 
+    def _start_groups(self) -> None:
+        for item in self.plan.get("groups", ()):
+            self._start_standin(
+                item["name"], "standins.lockstep", f"--ranks={item['ranks']}"
+            )
+        for item in self.plan.get("rank_agents", ()):
+            self.start_agent(item)
+
     def _start_entries(self) -> None:
         for item in self.plan["entries"]:
             self.start_entry(item)
@@ -369,15 +380,20 @@
         )
 
     def _list_instances(self) -> None:
-        for kind in ("entries", "runners", "services"):
-            for item in self.plan[kind]:
+        for kind in ("entries", "runners", "services", "rank_agents"):
+            for item in self.plan.get(kind, ()):
                 self.list_instance(item["name"])
 
     def _listing(self, name: str, state: str) -> dict[str, Any]:
         for item in self.plan["entries"]:
             if item["name"] == name:
                 return self._fields(item, name, "entry", state, {})
-        for item in (*self.plan["runners"], *self.plan["services"]):
+        upstreams = (
+            *self.plan["runners"],
+            *self.plan["services"],
+            *self.plan.get("rank_agents", ()),
+        )
+        for item in upstreams:
             if item["name"] == name:
                 labels = {"failure-domain": item["failure_domain"]}
                 for key in ("model", "service"):
@@ -385,6 +401,9 @@
                         labels[key] = item[key]
                 if item.get("guarded"):
                     labels["guarded"] = "yes"
+                if "ranks" in item:
+                    labels["group"] = item["ranks"]["group"]
+                    labels["ranks"] = ",".join(map(str, item["ranks"]["ranks"]))
                 return self._fields(item, f"agent-{name}", "agent", state, labels)
         raise DemoFailed(f"{name} is not in the plan")
 
--- a/standins/lockstep.py
+++ b/standins/lockstep.py
@@ -1,5 +1,6 @@
 """A lock-step group as a process: ``python -m standins.lockstep --port=N``."""
 
+from base64 import b64decode
 from typing import Any
 
 import falcon
@@ -11,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from standins.lockstep_group import LockstepGroup
+from standins.lockstep_work import WorkModel
 from toucanspool.groups.engine import EngineRefused, EngineUnavailable
 
 HOST = flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
@@ -34,6 +36,14 @@
 
     def __init__(self, group: LockstepGroup) -> None:
         self._group = group
+        self._work = WorkModel(len(group.engines))
+
+    def on_get_work(
+        self, req: falcon.Request, resp: falcon.Response, rank: int
+    ) -> None:
+        """Return what the rank did since it was last asked."""
+        state = self._group.engines[rank].state()
+        resp.media = self._work.since(rank, state.version, state.step)
 
     def on_get(self, req: falcon.Request, resp: falcon.Response, rank: int) -> None:
         """Return the rank's state."""
@@ -50,6 +60,8 @@
     ) -> None:
         """Carry out an order; the body has ``fence`` and, as needed, ``version``."""
         body = orjson.loads(req.bounded_stream.read())
+        if body.get("experts"):
+            self._work.learn(body["version"], b64decode(body["experts"]))
         engine = self._group.engines[rank]
         calls = {
             "load": lambda: engine.load(body["version"], b"", body["fence"]),
@@ -129,6 +141,7 @@
     app = falcon.App()
     ranks, pages = RankPages(group), GroupPages(group)
     app.add_route("/ranks/{rank:int}", ranks)
+    app.add_route("/ranks/{rank:int}/work", ranks, suffix="work")
     app.add_route("/ranks/{rank:int}/faults", ranks, suffix="faults")
     app.add_route("/ranks/{rank:int}/events/{event}", pages, suffix="event")
     app.add_route("/ranks/{rank:int}/orders/{order}", ranks, suffix="order")
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -7,6 +7,7 @@
 
 from toucanspool.agent.call import Call, CallRefused
 from toucanspool.agent.load_watch import LoadWatch
+from toucanspool.agent.ranks import RanksService
 from toucanspool.agent.upstream_client import UpstreamClient
 from toucanspool.config.exchange import Exchange
 from toucanspool.config.service import ConfigService
@@ -47,6 +48,7 @@
         "_claims",
         "_exchange",
         "_labels",
+        "_ranks",
         "_listener",
         "_state",
         "_stopping",
@@ -86,6 +88,9 @@
         self._config: ConfigService = kernel.find("config")
         self._claims: ClaimsService = kernel.find("claims")
         self._exchange = Exchange(self._cfg, self._config)
+        self._ranks: RanksService | None = (
+            kernel.find("ranks") if self._cfg.agent.ranks else None
+        )
         self._config.on_change(self._reconfigured)
         self._reconfigured()
         with ExitStack() as starting:
@@ -121,8 +126,8 @@
             )
         elif frame.cancel is not None:
             self._with_call(conn, frame.cancel.call, Call.cancel)
-        else:
-            self._exchange.received(conn, frame)
+        elif not self._exchange.received(conn, frame) and self._ranks is not None:
+            self._ranks.received(conn, frame)
 
     def lost(self, conn: Connection) -> None:
         """End the calls of an entry that has gone; see `Receiver`."""
@@ -229,6 +234,9 @@
         labels["model"] = cfg.agent.model
     if cfg.agent.service:
         labels["service"] = cfg.agent.service
+    if cfg.agent.ranks:
+        labels["group"] = cfg.agent.ranks.group
+        labels["ranks"] = ",".join(str(rank) for rank in cfg.agent.ranks.ranks)
     if cfg.agent.guarded:
         labels["guarded"] = "yes"
     return labels
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -101,21 +101,27 @@
     from toucanspool.entry.dispatcher import Dispatcher
     from toucanspool.entry.http_service import HttpService
     from toucanspool.entry.router import Router
+    from toucanspool.groups.duty import GroupDuty
     from toucanspool.membership.peers import PeersService
 
     decisions = Decisions()
     kernel.add("instances", InstancesService(cfg.instances_interval_s))
     kernel.add("router", Router(cfg, decisions))
     kernel.add("peers", PeersService(cfg))
+    for group in cfg.entry.groups:
+        kernel.add(f"group/{group.name}", GroupDuty(group, cfg))
     kernel.add("dispatcher", Dispatcher(cfg.entry, decisions))
     kernel.add("http", HttpService(cfg, decisions))
 
 
 def _add_agent(kernel: Kernel, cfg: Settings) -> None:
     from toucanspool.agent.agent import Agent
+    from toucanspool.agent.ranks import RanksService
     from toucanspool.protected.service import ClaimsService
 
     kernel.add("claims", ClaimsService(cfg.instance))
+    if cfg.agent.ranks:
+        kernel.add("ranks", RanksService(cfg.agent.ranks, cfg.agent.address))
     kernel.add("agent", Agent(cfg))
 
 
--- /dev/null
+++ b/toucanspool/groups/duty.py
@@ -0,0 +1,257 @@
+"""The elected duty of one group: rebalance its experts and switch its maps."""
+
+import time
+from contextlib import ExitStack
+
+import gevent
+import numpy as np
+import structlog
+from gevent.queue import Empty, Queue
+
+from toucanspool.config.exchange import Exchange
+from toucanspool.groups.coordinator import Coordinator
+from toucanspool.groups.coordinator_task import CoordinatorTask
+from toucanspool.groups.expert_map import ExpertMap
+from toucanspool.groups.load import RankReport
+from toucanspool.groups.orders import GreenletCourier
+from toucanspool.groups.packing import pack
+from toucanspool.groups.placement_settings import PlacementSettings
+from toucanspool.groups.rank_links import RankLinks
+from toucanspool.groups.rebalancer import Decision, Rebalancer
+from toucanspool.groups.record import MapStore, RecordStore
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.platform.objects import ObjectsUnavailable
+from toucanspool.platform.table import TableError
+from toucanspool.recovery.lease import Lease
+from toucanspool.settings.settings import Group, Settings
+
+DECIDE_INTERVAL_S = 1.0
+STOP_TIMEOUT_S = 10.0
+
+_log = structlog.get_logger()
+
+
+class GroupDuty:
+    """Stand for election, and do the duty while elected.
+
+    Parameters
+    ----------
+    cfg : Group
+        The group.
+    process : Settings
+        The process's settings.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_closing",
+        "_lease",
+        "_links",
+        "_maps",
+        "_platform",
+        "_process",
+        "_proposals",
+        "_rebalancer",
+        "_stopping",
+        "_taken",
+        "_task",
+    )
+
+    def __init__(self, cfg: Group, process: Settings) -> None:
+        self._cfg = cfg
+        self._process = process
+        self._closing = ExitStack()
+        self._proposals: Queue[ExpertMap] = Queue()
+        self._rebalancer: Rebalancer | None = None
+        self._task: gevent.Greenlet | None = None
+        self._stopping = False
+        self._taken = False
+
+    def start(self, kernel: Kernel) -> None:
+        """Begin to stand for election; see `Service`."""
+        self._platform = kernel.find("platform")
+        self._maps = MapStore(self._platform.objects, self._cfg.name)
+        exchange = Exchange(self._process, kernel.find("config"))
+        self._links = RankLinks(self._cfg.name, exchange, self._observe)
+        self._closing.callback(self._links.close)
+        instances = kernel.find("instances")
+        instances.on_list(self._links.update)
+        self._links.update(instances.instances)
+        self._lease = self._new_lease()
+        rng = kernel.find("rng").named(f"group/{self._cfg.name}")
+        self._closing.callback(self._release)
+        self._tick_every(self._lease.interval_s, self._elect, rng)
+        self._tick_every(DECIDE_INTERVAL_S, self._decide, rng)
+
+    def stop(self) -> None:
+        """End the duty and give the lease up; see `Service`."""
+        self._closing.close()
+
+    def _tick_every(self, interval_s: float, func: object, rng: object) -> None:
+        ticker = Ticker(f"group/{self._cfg.name}", interval_s, func, rng=rng)
+        ticker.start()
+        self._closing.callback(ticker.stop)
+
+    def _new_lease(self) -> Lease:
+        return Lease(
+            self._platform.table,
+            f"group/{self._cfg.name}",
+            self._process.instance,
+            ttl_s=self._cfg.lease_ttl_s,
+            now=time.monotonic,
+        )
+
+    def _elect(self) -> None:
+        held = self._lease.step()
+        if held and self._task is None and not self._stopping:
+            _log.info(
+                "elected", duty=f"group/{self._cfg.name}", token=self._lease.token
+            )
+            self._task = gevent.spawn(self._work)
+            self._task.link(self._ended)
+
+    def _ended(self, task: gevent.Greenlet) -> None:
+        self._task = None
+        self._rebalancer = None
+
+    def _release(self) -> None:
+        """End between two switches, so that no rank is left held."""
+        self._stopping = True
+        if self._task is not None:
+            self._task.join(timeout=STOP_TIMEOUT_S)
+        if self._task is not None:
+            self._task.kill()
+        try:
+            self._lease.release()
+        except TableError as exc:
+            _log.info("lease not given up", error=str(exc))
+
+    def _work(self) -> None:
+        with GreenletCourier(self._links) as courier:
+            coordinator = Coordinator(
+                group=self._cfg.name,
+                ranks=self._cfg.ranks,
+                store=RecordStore(self._platform.table, self._cfg.name),
+                maps=self._maps,
+                lease=self._lease,
+                courier=courier,
+                clock=time.monotonic,
+            )
+            CoordinatorTask(
+                coordinator,
+                ranks=self._cfg.ranks,
+                next_map=self._next_map,
+                sleep=gevent.sleep,
+            ).run()
+
+    def _next_map(self, timeout_s: float) -> bytes | None:
+        """Return the next map proposed, or the first where the group has none."""
+        if self._stopping:
+            raise gevent.GreenletExit
+        if self._rebalancer is None:
+            return self._begin()
+        if self._taken:
+            self._taken = False
+            self._follow_up(self._rebalancer)
+        try:
+            proposed = self._proposals.get(timeout=timeout_s)
+        except Empty:
+            return None
+        self._taken = True
+        return proposed.encode()
+
+    def _follow_up(self, rebalancer: Rebalancer) -> None:
+        """Tell the rebalancer whether its proposal came into force."""
+        record = RecordStore(self._platform.table, self._cfg.name).read().record
+        if record.committed > rebalancer.map.version:
+            self._learn(record.committed)
+        else:
+            rebalancer.withdrawn()
+
+    def _begin(self) -> bytes | None:
+        committed = RecordStore(self._platform.table, self._cfg.name).read()
+        version = committed.record.committed
+        found = self._maps.get(version) if version else None
+        if found is None:
+            return uniform_map(self._cfg).encode()
+        self._proposals = Queue()
+        self._taken = False
+        self._adopt(version, ExpertMap.decode(found))
+        return None
+
+    def _adopt(self, version: int, map_: ExpertMap) -> None:
+        current = ExpertMap(
+            version=version,
+            n_experts=map_.n_experts,
+            experts=map_.experts,
+            weights=map_.weights,
+        )
+        if self._rebalancer is None:
+            cfg = PlacementSettings(
+                skew_weight=self._cfg.skew_weight,
+                move_weight=self._cfg.move_weight,
+                expert_bytes=self._cfg.expert_bytes,
+                store_bytes_per_s=self._cfg.store_bytes_per_s,
+            )
+            self._rebalancer = Rebalancer(cfg, current, time.monotonic())
+        elif version > self._rebalancer.map.version:
+            self._rebalancer.adopted(current)
+
+    def _observe(self, report: RankReport) -> None:
+        rebalancer = self._rebalancer
+        if rebalancer is None:
+            return
+        if report.version > rebalancer.map.version:
+            self._learn(report.version)
+        if self._rebalancer is not None:
+            self._rebalancer.observe(report, time.monotonic())
+
+    def _learn(self, version: int) -> None:
+        try:
+            found = self._maps.get(version)
+        except ObjectsUnavailable as exc:
+            _log.warning("map not read", version=version, error=str(exc))
+            return
+        if found is not None:
+            self._adopt(version, ExpertMap.decode(found))
+
+    def _decide(self) -> None:
+        rebalancer = self._rebalancer
+        if rebalancer is None or not self._lease.held(time.monotonic()):
+            return
+        slices = rebalancer.decide_slices(time.monotonic())
+        while True:
+            try:
+                next(slices)
+            except StopIteration as stop:
+                self._propose(stop.value)
+                return
+            gevent.sleep(0)
+
+    def _propose(self, decision: Decision) -> None:
+        if decision.reason:
+            _log.info(
+                "placement decision",
+                group=self._cfg.name,
+                reason=decision.reason,
+                moves=len(decision.plan.moves) if decision.plan else 0,
+            )
+        if decision.plan is not None:
+            self._proposals.put(decision.plan.map)
+
+
+def uniform_map(cfg: Group) -> ExpertMap:
+    """Return a map that spreads experts evenly, as nothing is known of their load.
+
+    Parameters
+    ----------
+    cfg : Group
+        The group.
+
+    Returns
+    -------
+    ExpertMap
+    """
+    loads = np.ones((cfg.layers, cfg.experts))
+    return pack(loads, np.ones(cfg.ranks), cfg.slots)
--- /dev/null
+++ b/toucanspool/groups/http_engine.py
@@ -0,0 +1,84 @@
+"""A rank's engine over HTTP; implements `Engine`."""
+
+from base64 import b64encode
+from typing import Any
+
+from toucanspool.groups.engine import EngineRefused, EngineState, EngineUnavailable
+from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+class HttpEngine:
+    """Give orders to one rank's engine.
+
+    Parameters
+    ----------
+    client : JsonClient
+        Calls the process that holds the rank.
+    rank : int
+        The rank.
+    """
+
+    __slots__ = ("_client", "_path")
+
+    def __init__(self, client: JsonClient, rank: int) -> None:
+        self._client = client
+        self._path = f"/ranks/{rank}"
+
+    def state(self) -> EngineState:
+        """Return the rank's state; see `Engine`."""
+        body = self._call("GET", self._path, None)
+        return EngineState(
+            version=body["version"],
+            spare=body["spare"],
+            held=body["held"],
+            step=body["step"],
+        )
+
+    def load(self, version: int, experts: bytes, fence: int) -> None:
+        """Start to load the experts of a map beside; see `Engine`."""
+        text = b64encode(experts).decode()
+        self._order("load", version=version, experts=text, fence=fence)
+
+    def hold(self, fence: int) -> None:
+        """Hold the rank at its next step boundary; see `Engine`."""
+        self._order("hold", fence=fence)
+
+    def switch(self, version: int, fence: int) -> None:
+        """Use the map loaded beside; see `Engine`."""
+        self._order("switch", version=version, fence=fence)
+
+    def resume(self, fence: int) -> None:
+        """Let the rank start steps again; see `Engine`."""
+        self._order("resume", fence=fence)
+
+    def work(self) -> dict[str, Any]:
+        """Return what the rank did since it was last asked.
+
+        Returns
+        -------
+        dict
+            ``version``, ``steps``, ``busy_s`` and ``tokens``, a list for each layer.
+
+        Raises
+        ------
+        EngineUnavailable
+            No answer came.
+        """
+        return self._call("GET", f"{self._path}/work", None)
+
+    def _order(self, name: str, **body: Any) -> None:
+        self._call("POST", f"{self._path}/orders/{name}", body)
+
+    def _call(self, method: str, path: str, body: Any) -> Any:
+        try:
+            status, answer = self._client.call(method, path, body)
+        except (CallRefused, CallLost) as exc:
+            raise EngineUnavailable(str(exc)) from exc
+        if status == HTTP_CONFLICT:
+            raise EngineRefused(answer["reason"])
+        if status != HTTP_OK:
+            raise EngineUnavailable(f"the engine answered {status}")
+        return answer
--- a/toucanspool/groups/rank_agent.py
+++ b/toucanspool/groups/rank_agent.py
@@ -171,4 +171,6 @@
             held=state.held if state else False,
             step=state.step if state else 0,
             detail=detail,
+            rank=order.rank,
+            order_fence=order.fence,
         )
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -60,6 +60,25 @@
     idle_timeout_s: Seconds = 60.0
 
 
+class Group(Model):
+    """Describe a lock-step group that entries rebalance.
+
+    ``skew_weight`` is raised where callers wait on every step; ``move_weight`` where
+    loading weights holds up other work.
+    """
+
+    name: Text
+    ranks: Annotated[int, Field(ge=1, le=4096)]
+    layers: Annotated[int, Field(ge=1, le=512)]
+    experts: Annotated[int, Field(ge=1, le=32767)]
+    slots: Annotated[int, Field(ge=1, le=1024)]
+    skew_weight: Annotated[float, Field(gt=0)] = 1.0
+    move_weight: Annotated[float, Field(gt=0)] = 1.0
+    expert_bytes: Annotated[float, Field(gt=0)] = 44e6
+    store_bytes_per_s: Annotated[float, Field(gt=0)] = 1e9
+    lease_ttl_s: Seconds = 9.0
+
+
 class Entry(Model):
     """Set the entry role."""
 
@@ -71,26 +90,35 @@
     address_ttl_s: Seconds = 5.0
     addresses_per_team: Annotated[int, Field(ge=1, le=64)] = 3
     retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    groups: list[Group] = []
     bootstrap_operator_key_hash: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = (
         ""
     )
 
 
+class Ranks(Model):
+    """Name the ranks of a lock-step group beside an agent."""
+
+    group: Text
+    ranks: Annotated[list[Annotated[int, Field(ge=0)]], Field(min_length=1)]
+
+
 class Agent(Model):
     """Set the agent role."""
 
     upstream: Text
     address: Address
-    kind: Literal["engine", "service"]
+    kind: Literal["engine", "service", "ranks"]
     model: str = ""
     service: str = ""
+    ranks: Ranks | None = None
     guarded: bool = False
     max_running: Annotated[int, Field(ge=1, le=100_000)] = 256
     load_interval_s: Seconds = 0.25
 
     @model_validator(mode="after")
     def _named(self) -> "Agent":
-        wanted = "model" if self.kind == "engine" else "service"
+        wanted = {"engine": "model", "service": "service", "ranks": "ranks"}[self.kind]
         if not getattr(self, wanted):
             raise ValueError(f"kind is {self.kind}, so {wanted!r} is due")
         return self
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -1489,6 +1489,8 @@
      - held
      - step
      - detail
+     - rank
+     - order_fence
 
     """
 
@@ -1501,10 +1503,12 @@
         'held',
         'step',
         'detail',
+        'rank',
+        'order_fence',
     )
 
 
-    def __init__(self, call=None, result=None, fence=None, version=None, loaded=None, held=None, step=None, detail=None,):
+    def __init__(self, call=None, result=None, fence=None, version=None, loaded=None, held=None, step=None, detail=None, rank=None, order_fence=None,):
         self.call = call
         self.result = result
         self.fence = fence
@@ -1513,6 +1517,8 @@
         self.held = held
         self.step = step
         self.detail = detail
+        self.rank = rank
+        self.order_fence = order_fence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1563,6 +1569,16 @@
                     self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.order_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1605,6 +1621,174 @@
             oprot.writeFieldBegin('detail', TType.STRING, 8)
             oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 9)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.order_fence is not None:
+            oprot.writeFieldBegin('order_fence', TType.I64, 10)
+            oprot.writeI64(self.order_fence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankLoad(object):
+    """
+    Attributes:
+     - group
+     - rank
+     - version
+     - steps
+     - busy_s
+     - layers
+     - tokens
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'group',
+        'rank',
+        'version',
+        'steps',
+        'busy_s',
+        'layers',
+        'tokens',
+        'age_ms',
+    )
+
+
+    def __init__(self, group=None, rank=None, version=None, steps=None, busy_s=None, layers=None, tokens=None, age_ms=None,):
+        self.group = group
+        self.rank = rank
+        self.version = version
+        self.steps = steps
+        self.busy_s = busy_s
+        self.layers = layers
+        self.tokens = tokens
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.steps = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.busy_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.layers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.tokens = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = iprot.readI32()
+                        self.tokens.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankLoad')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.I32, 4)
+            oprot.writeI32(self.steps)
+            oprot.writeFieldEnd()
+        if self.busy_s is not None:
+            oprot.writeFieldBegin('busy_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.busy_s)
+            oprot.writeFieldEnd()
+        if self.layers is not None:
+            oprot.writeFieldBegin('layers', TType.I32, 6)
+            oprot.writeI32(self.layers)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.tokens))
+            for iter38 in self.tokens:
+                oprot.writeI32(iter38)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 8)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1645,6 +1829,7 @@
      - changes
      - order
      - order_reply
+     - rank_load
 
     """
 
@@ -1661,10 +1846,11 @@
         'changes',
         'order',
         'order_reply',
+        'rank_load',
     )
 
 
-    def __init__(self, open=None, head=None, chunk=None, end=None, credit=None, cancel=None, report=None, hello=None, pull=None, changes=None, order=None, order_reply=None,):
+    def __init__(self, open=None, head=None, chunk=None, end=None, credit=None, cancel=None, report=None, hello=None, pull=None, changes=None, order=None, order_reply=None, rank_load=None,):
         self.open = open
         self.head = head
         self.chunk = chunk
@@ -1677,6 +1863,7 @@
         self.changes = changes
         self.order = order
         self.order_reply = order_reply
+        self.rank_load = rank_load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1759,6 +1946,12 @@
                     self.order_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.rank_load = RankLoad()
+                    self.rank_load.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1817,6 +2010,10 @@
             oprot.writeFieldBegin('order_reply', TType.STRUCT, 12)
             self.order_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.rank_load is not None:
+            oprot.writeFieldBegin('rank_load', TType.STRUCT, 13)
+            self.rank_load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1953,6 +2150,20 @@
     (6, TType.BOOL, 'held', None, None, ),  # 6
     (7, TType.I64, 'step', None, None, ),  # 7
     (8, TType.STRING, 'detail', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'rank', None, None, ),  # 9
+    (10, TType.I64, 'order_fence', None, None, ),  # 10
+)
+all_structs.append(RankLoad)
+RankLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I32, 'steps', None, None, ),  # 4
+    (5, TType.DOUBLE, 'busy_s', None, None, ),  # 5
+    (6, TType.I32, 'layers', None, None, ),  # 6
+    (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
+    (8, TType.I32, 'age_ms', None, None, ),  # 8
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -1969,6 +2180,7 @@
     (10, TType.STRUCT, 'changes', [Changes, None], None, ),  # 10
     (11, TType.STRUCT, 'order', [Order, None], None, ),  # 11
     (12, TType.STRUCT, 'order_reply', [OrderReply, None], None, ),  # 12
+    (13, TType.STRUCT, 'rank_load', [RankLoad, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -65,7 +65,14 @@
 
 struct OrderReply {
   1: i64 call, 2: OrderResult result, 3: i64 fence, 4: i64 version, 5: i64 loaded,
-  6: bool held, 7: i64 step, 8: string detail
+  6: bool held, 7: i64 step, 8: string detail, 9: i32 rank,
+  10: i64 order_fence
+}
+
+// What one rank did since its last report; tokens of each layer's slots, row by row.
+struct RankLoad {
+  1: string group, 2: i32 rank, 3: i64 version, 4: i32 steps, 5: double busy_s,
+  6: i32 layers, 7: list<i32> tokens, 8: i32 age_ms
 }
 
 // Exactly one field is set.
@@ -74,5 +81,5 @@
   4: optional End end, 5: optional Credit credit, 6: optional Cancel cancel,
   7: optional Report report, 8: optional Hello hello, 9: optional Pull pull,
   10: optional Changes changes, 11: optional Order order,
-  12: optional OrderReply order_reply
+  12: optional OrderReply order_reply, 13: optional RankLoad rank_load
 }
