--- a/tests/config/test_config_machine.py
+++ b/tests/config/test_config_machine.py
@@ -28,7 +28,8 @@
 from toucanspool.config.follower import Follower, NoConfiguration
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.records import Removal, Upstream
-from toucanspool.config.snapshot import SnapshotKeeper, SnapshotReader
+from toucanspool.config.snapshot import SnapshotReader
+from toucanspool.config.snapshot_keeper import SnapshotKeeper
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.transaction import Transaction
 from toucanspool.platform.table import TableError, TableUnavailable
--- a/toucanspool/config/effects.py
+++ b/toucanspool/config/effects.py
@@ -5,7 +5,7 @@
 from itertools import islice, product
 
 from toucanspool.config.match import ANY_VALUE, Labels, Match
-from toucanspool.config.records import Change, Selector
+from toucanspool.config.records import Change, Record, Removal, Selector
 from toucanspool.config.view import View
 from toucanspool.config.words import join_words
 
@@ -89,11 +89,14 @@
     samples = _samples([*before.routes(), *after.routes()])
     works_before = _routes(before, samples)
     works_after = _routes(after, samples)
+    moved = [work for work in samples if works_before[work] != works_after[work]]
+    touched = {item.name for item in _items(change) if item.kind == "upstream"}
     effects = []
     for upstream in _upstreams(before, after, change, given):
         labels = given.get(upstream, {})
-        old = _standing(before, upstream, labels, works_before)
-        new = _standing(after, upstream, labels, works_after)
+        asked = list(samples) if upstream in touched else moved
+        old = _standing(before, upstream, labels, works_before, asked)
+        new = _standing(after, upstream, labels, works_after, asked)
         effect = _effect(upstream, old, new)
         if effect is not None:
             effects.append(effect)
@@ -103,14 +106,17 @@
 def _upstreams(
     before: View, after: View, change: Change, given: Mapping[str, Labels]
 ) -> list[str]:
-    items = (*change.puts, *change.removals)
-    touched = {item.name for item in items if item.kind == "upstream"}
-    if all(item.kind != "selector" for item in items):
+    touched = {item.name for item in _items(change) if item.kind == "upstream"}
+    if all(item.kind != "selector" for item in _items(change)):
         return sorted(touched)
     listed = {r.name for view in (before, after) for r in view.records("upstream")}
     return sorted(listed.union(given, touched))
 
 
+def _items(change: Change) -> tuple[Record | Removal, ...]:
+    return (*change.puts, *change.removals)
+
+
 @dataclass(slots=True, frozen=True)
 class _Standing:
     state: str
@@ -118,13 +124,17 @@
 
 
 def _standing(
-    view: View, upstream: str, given: Labels, works: Mapping[str, Selector | None]
+    view: View,
+    upstream: str,
+    given: Labels,
+    works: Mapping[str, Selector | None],
+    asked: Sequence[str],
 ) -> _Standing:
     labels = view.upstream_labels(upstream, given)
     work = [
         phrase
-        for phrase, selector in works.items()
-        if selector is not None and selector.upstreams.fits(labels)
+        for phrase in asked
+        if (route := works[phrase]) is not None and route.upstreams.fits(labels)
     ]
     return _Standing(view.state(labels)[0], tuple(work))
 
--- a/toucanspool/config/reader.py
+++ b/toucanspool/config/reader.py
@@ -1,7 +1,10 @@
 """The configuration as read from the platform's table."""
 
+from collections.abc import Callable, Iterator
 from itertools import takewhile
 
+import gevent
+
 from toucanspool.config.failures import ChangesPruned, LoadTorn
 from toucanspool.config.records import Change, Record
 from toucanspool.config.rows import (
@@ -17,6 +20,7 @@
 from toucanspool.platform.table import Row, Table
 
 PAGE_ROWS = 1000
+SLICE_ROWS = 200
 LOAD_ATTEMPTS = 4
 
 
@@ -27,10 +31,15 @@
     ----------
     table : Table
         The platform's table.
+    pause : callable, default=gevent.sleep
+        Lets others run; called between slices of the work.
     """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(
+        self, table: Table, *, pause: Callable[[], None] = gevent.sleep
+    ) -> None:
         self._table = table
+        self._pause = pause
 
     def revision(self) -> int:
         """Return the newest revision accepted; 0 before the first.
@@ -98,7 +107,7 @@
         """
         rows = self._table.scan(CHANGE_PREFIX, after=change_key(revision), limit=limit)
         rows = self._without_gaps(rows, revision)
-        return [decode_change_row(row) for row in rows]
+        return [decode_change_row(row) for row in self._slowly(rows)]
 
     def history(self, limit: int = 50) -> list[Change]:
         """Return the latest changes, newest first.
@@ -174,12 +183,18 @@
         after = ""
         while True:
             rows = self._table.scan(RECORD_PREFIX, after=after, limit=PAGE_ROWS)
-            held = (decode_record_row(row).record for row in rows)
+            held = (decode_record_row(row).record for row in self._slowly(rows))
             records.extend(record for record in held if record is not None)
             if len(rows) < PAGE_ROWS:
                 return records
             after = rows[-1].key
 
+    def _slowly(self, rows: list[Row]) -> Iterator[Row]:
+        for number, row in enumerate(rows, 1):
+            yield row
+            if not number % SLICE_ROWS:
+                self._pause()
+
     def _replay(self, records: list[Record], start: int, newest: int) -> View:
         view = View(revision=start, records=records)
         self.catch_up(view, newest)
--- a/toucanspool/config/snapshot.py
+++ b/toucanspool/config/snapshot.py
@@ -5,31 +5,23 @@
 """
 
 import zlib
-from dataclasses import field
+from collections.abc import Callable
 
+import gevent
 import orjson
 from pydantic import TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
 from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.match import STRICT
-from toucanspool.config.reader import PAGE_ROWS, ConfigReader
+from toucanspool.config.reader import PAGE_ROWS, SLICE_ROWS, ConfigReader
 from toucanspool.config.records import Record
-from toucanspool.config.rows import (
-    CHANGE_PREFIX,
-    KEPT_CHANGES,
-    RECORD_PREFIX,
-    change_key,
-    decode_record_row,
-)
 from toucanspool.config.view import View
 from toucanspool.platform.objects import Objects, ObjectsUnavailable
-from toucanspool.platform.table import Check, Row, Table, Write
+from toucanspool.platform.table import Table
 
 SNAPSHOT_NAME = "config/snapshot"
-SNAPSHOT_EVERY_CHANGES = 200
 COMPRESSION_LEVEL = 1
-PRUNE_ROWS = 500
 
 
 class BadSnapshot(Exception):
@@ -37,37 +29,49 @@
 
 
 @dataclass(slots=True, frozen=True, config=STRICT)
-class _Snapshot:
+class _Header:
     revision: int
-    records: tuple[Record, ...] = field(default=())
+    records: int
 
 
-_SNAPSHOT = TypeAdapter(_Snapshot)
+_HEADER = TypeAdapter(_Header)
+_RECORDS = TypeAdapter(tuple[Record, ...])
 
 
-def encode_view(view: View) -> bytes:
+def encode_view(view: View, *, pause: Callable[[], None] = gevent.sleep) -> bytes:
     """Return a view as a compressed snapshot.
 
     Parameters
     ----------
     view : View
         The view.
+    pause : callable, default=gevent.sleep
+        Lets others run; called between slices of the work.
 
     Returns
     -------
     bytes
+        Lines of JSON, a header and slices of the records, compressed.
     """
-    data = {"revision": view.revision, "records": view.all_records()}
-    return zlib.compress(orjson.dumps(data), COMPRESSION_LEVEL)
+    records = view.all_records()
+    packer = zlib.compressobj(COMPRESSION_LEVEL)
+    parts = [packer.compress(orjson.dumps(_Header(view.revision, len(records))))]
+    for start in range(0, len(records), SLICE_ROWS):
+        pause()
+        line = b"\n" + orjson.dumps(records[start : start + SLICE_ROWS])
+        parts.append(packer.compress(line))
+    return b"".join([*parts, packer.flush()])
 
 
-def decode_view(data: bytes) -> View:
+def decode_view(data: bytes, *, pause: Callable[[], None] = gevent.sleep) -> View:
     """Return the view in a snapshot.
 
     Parameters
     ----------
     data : bytes
         What `encode_view` made.
+    pause : callable, default=gevent.sleep
+        Lets others run; called between slices of the work.
 
     Returns
     -------
@@ -78,11 +82,18 @@
     BadSnapshot
         The bytes are no snapshot.
     """
+    records: list[Record] = []
     try:
-        held = _SNAPSHOT.validate_json(zlib.decompress(data))
+        header, *lines = zlib.decompress(data).split(b"\n")
+        held = _HEADER.validate_json(header)
+        for line in lines:
+            records.extend(_RECORDS.validate_json(line))
+            pause()
     except (zlib.error, ValidationError) as exc:
         raise BadSnapshot("an object is no snapshot of the configuration") from exc
-    return View(revision=held.revision, records=held.records)
+    if len(records) != held.records:
+        raise BadSnapshot("a snapshot of the configuration is not whole")
+    return View(revision=held.revision, records=records)
 
 
 class SnapshotReader(ConfigReader):
@@ -97,10 +108,18 @@
         The platform's table.
     objects : Objects
         The platform's object store.
+    pause : callable, default=gevent.sleep
+        Lets others run; called between slices of the work.
     """
 
-    def __init__(self, table: Table, objects: Objects) -> None:
-        super().__init__(table)
+    def __init__(
+        self,
+        table: Table,
+        objects: Objects,
+        *,
+        pause: Callable[[], None] = gevent.sleep,
+    ) -> None:
+        super().__init__(table, pause=pause)
         self._objects = objects
 
     def load(self) -> View:
@@ -137,7 +156,7 @@
         """
         try:
             data = self._objects.get(SNAPSHOT_NAME)
-            return decode_view(data) if data is not None else None
+            return decode_view(data, pause=self._pause) if data is not None else None
         except (ObjectsUnavailable, BadSnapshot):
             return None
 
@@ -148,110 +167,3 @@
                 view.apply(change)
             if len(changes) < PAGE_ROWS:
                 return
-
-
-class SnapshotKeeper:
-    """Write snapshots and delete rows that are no longer needed.
-
-    Any number of processes may do so at the same time: an older snapshot in
-    place of a newer one costs reads, not correctness.
-
-    Parameters
-    ----------
-    table : Table
-        The platform's table.
-    objects : Objects
-        The platform's object store.
-    every : int, default=200
-        A snapshot is due after this many changes.
-    kept : int, default=4096
-        How many of the latest changes stay in the table.
-    """
-
-    __slots__ = ("_every", "_kept", "_objects", "_reader", "_table")
-
-    def __init__(
-        self,
-        table: Table,
-        objects: Objects,
-        *,
-        every: int = SNAPSHOT_EVERY_CHANGES,
-        kept: int = KEPT_CHANGES,
-    ) -> None:
-        self._table = table
-        self._objects = objects
-        self._reader = SnapshotReader(table, objects)
-        self._every = every
-        self._kept = kept
-
-    def write_if_due(self, view: View) -> bool:
-        """Write a snapshot if the last one is old.
-
-        Parameters
-        ----------
-        view : View
-            The view in force.
-
-        Returns
-        -------
-        bool
-            Whether one was written.
-
-        Raises
-        ------
-        ObjectsUnavailable
-            No answer came; the snapshot may have been written.
-        """
-        last = self._reader.snapshot()
-        if last is not None and view.revision - last.revision < self._every:
-            return False
-        self._objects.put(SNAPSHOT_NAME, encode_view(view))
-        return True
-
-    def prune(self, revision: int) -> int:
-        """Delete some of the oldest changes and of the traces of removals.
-
-        Parameters
-        ----------
-        revision : int
-            A revision in force.
-
-        Returns
-        -------
-        int
-            Number of rows deleted; 0 if none was due.
-
-        Raises
-        ------
-        TableError
-            The table did not answer, or a row changed meanwhile; a later call
-            goes on.
-        """
-        oldest = revision - self._kept
-        if oldest <= 0:
-            return 0
-        rows = self._old_changes(oldest) + self._old_removals(oldest)
-        rows = rows[:PRUNE_ROWS]
-        if rows:
-            checks = [Check(row.key, row.version) for row in rows]
-            self._table.commit(checks, [Write(row.key, None) for row in rows])
-        return len(rows)
-
-    def _old_changes(self, oldest: int) -> list[Row]:
-        rows = self._table.scan(CHANGE_PREFIX, limit=PRUNE_ROWS)
-        return [row for row in rows if row.key <= change_key(oldest)]
-
-    def _old_removals(self, oldest: int) -> list[Row]:
-        old = []
-        after = ""
-        while True:
-            rows = self._table.scan(RECORD_PREFIX, after=after, limit=PAGE_ROWS)
-            old.extend(row for row in rows if _removed_by(row, oldest))
-            if len(rows) < PAGE_ROWS:
-                return old
-            after = rows[-1].key
-
-
-def _removed_by(row: Row, oldest: int) -> bool:
-    held = decode_record_row(row)
-    return held.record is None and held.revision <= oldest
--- a/toucanspool/config/store.py
+++ b/toucanspool/config/store.py
@@ -16,12 +16,13 @@
     ChangesPruned,
     LoadTorn,
 )
+from toucanspool.config.keys import check_keys
 from toucanspool.config.match import Labels
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.reader import ConfigReader
 from toucanspool.config.records import Change
 from toucanspool.config.rows import KEPT_CHANGES
-from toucanspool.config.transaction import Transaction, check_keys
+from toucanspool.config.transaction import Transaction
 from toucanspool.config.view import View
 from toucanspool.platform.table import (
     Table,
@@ -86,7 +87,7 @@
         offload: Callable[..., Description] | None = None,
         kept: int = KEPT_CHANGES,
     ) -> None:
-        super().__init__(table)
+        super().__init__(table, pause=lambda: sleep(0))
         self._clock = clock
         self._sleep = sleep
         self._rng = rng or random.Random()
@@ -218,7 +219,7 @@
         if before.revision != txn.revision:
             raise ChangesPruned(txn.revision, before.revision)
         change = txn.draft(self._clock())
-        check_keys(before, change)
+        check_keys(before.keys, change)
         description = self._offload(describe, before, change, given)
         return replace(change, sentence=description.sentence), description
 
--- a/toucanspool/config/transaction.py
+++ b/toucanspool/config/transaction.py
@@ -10,7 +10,7 @@
     StaleBase,
 )
 from toucanspool.config.proposal import Proposal
-from toucanspool.config.records import Change, Operator, Team, encode
+from toucanspool.config.records import Change, encode
 from toucanspool.config.rows import (
     KEPT_CHANGES,
     REVISION_KEY,
@@ -25,7 +25,6 @@
     encode_row,
     record_key,
 )
-from toucanspool.config.view import View
 from toucanspool.platform.table import Check, Row, Table, Write
 
 
@@ -205,41 +204,6 @@
     return [REVISION_KEY, change_id_key(proposal.change_id), *records]
 
 
-def check_keys(before: View, change: Change) -> None:
-    """Check that a change gives no key to two teams or two operators.
-
-    Parameters
-    ----------
-    before : View
-        The configuration that the change follows.
-    change : Change
-        The change.
-
-    Raises
-    ------
-    BadProposal
-        A key is another's already.
-    """
-    touched = {RecordKey(item.kind, item.name) for item in change.puts}
-    touched.update(RecordKey(item.kind, item.name) for item in change.removals)
-    owners: dict[tuple[str, str], str] = {}
-    mistakes = []
-    for record in change.puts:
-        if not isinstance(record, Team | Operator):
-            continue
-        for hashed in record.key_hashes:
-            held = before.key_owner(record.kind, hashed)
-            if held is not None and RecordKey(held.kind, held.name) not in touched:
-                owners[record.kind, hashed] = held.name
-            owner = owners.setdefault((record.kind, hashed), record.name)
-            if owner != record.name:
-                mistakes.append(
-                    f"A key of {record.kind} {record.name} belongs to {owner} already."
-                )
-    if mistakes:
-        raise BadProposal(mistakes)
-
-
 def _check_removals(
     proposal: Proposal, held: Mapping[RecordKey, RecordRow | None]
 ) -> None:
--- a/toucanspool/config/view.py
+++ b/toucanspool/config/view.py
@@ -1,8 +1,8 @@
 """The configuration in force in one process, at one revision."""
 
-import hashlib
 from collections.abc import Iterable
 
+from toucanspool.config.keys import KeyIndex, key_hash
 from toucanspool.config.match import Labels
 from toucanspool.config.records import (
     KINDS,
@@ -43,15 +43,15 @@
         All records at that revision.
     """
 
-    __slots__ = ("_owners", "_records", "_routes", "_states", "revision")
+    __slots__ = ("_keys", "_records", "_routes", "_states", "revision")
 
     def __init__(self, *, revision: int = 0, records: Iterable[Record] = ()) -> None:
         self.revision = revision
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
-        self._owners: dict[tuple[str, str], Team | Operator] = {}
+        self._keys = KeyIndex()
         for record in records:
             self._records[record.kind][record.name] = record
-            self._index_keys(record)
+            self._keys.add(record)
         self._index_selectors()
 
     def apply(self, change: Change) -> bool:
@@ -78,10 +78,10 @@
             raise RevisionGap(self.revision, change.revision)
         touched = {item.kind for item in (*change.puts, *change.removals)}
         for item in (*change.puts, *change.removals):
-            self._forget_keys(self._records[item.kind].pop(item.name, None))
+            self._keys.discard(self._records[item.kind].pop(item.name, None))
         for record in change.puts:
             self._records[record.kind][record.name] = record
-            self._index_keys(record)
+            self._keys.add(record)
         if "selector" in touched:
             self._index_selectors()
         self.revision = change.revision
@@ -99,7 +99,7 @@
         twin._records = {kind: dict(held) for kind, held in self._records.items()}
         twin._routes = list(self._routes)
         twin._states = list(self._states)
-        twin._owners = dict(self._owners)
+        twin._keys = self._keys.copy()
         return twin
 
     def all_records(self) -> list[Record]:
@@ -162,7 +162,7 @@
         -------
         Team or None
         """
-        record = self.key_owner("team", key_hash(key))
+        record = self._keys.owner("team", key_hash(key))
         return record if isinstance(record, Team) else None
 
     def operator_of(self, key: str) -> Operator | None:
@@ -177,24 +177,13 @@
         -------
         Operator or None
         """
-        record = self.key_owner("operator", key_hash(key))
+        record = self._keys.owner("operator", key_hash(key))
         return record if isinstance(record, Operator) else None
 
-    def key_owner(self, kind: str, hashed: str) -> Team | Operator | None:
-        """Return the record that lists the hash of a key, or None.
-
-        Parameters
-        ----------
-        kind : {"team", "operator"}
-            Kind of the record.
-        hashed : str
-            The key's hash, in hexadecimal.
-
-        Returns
-        -------
-        Team or Operator or None
-        """
-        return self._owners.get((kind, hashed))
+    @property
+    def keys(self) -> KeyIndex:
+        """Keys of all teams and operators."""
+        return self._keys
 
     def upstream_labels(self, name: str, given: Labels) -> dict[str, str]:
         """Return an upstream's labels, the operators' over the platform's.
@@ -275,30 +264,3 @@
         )
         self._routes = [s for s in selectors if s.action == "route"]
         self._states = [s for s in selectors if s.action != "route"]
-
-    def _index_keys(self, record: Record) -> None:
-        if isinstance(record, Team | Operator):
-            for hashed in record.key_hashes:
-                self._owners[record.kind, hashed] = record
-
-    def _forget_keys(self, record: Record | None) -> None:
-        if isinstance(record, Team | Operator):
-            for hashed in record.key_hashes:
-                if self._owners.get((record.kind, hashed)) is record:
-                    del self._owners[record.kind, hashed]
-
-
-def key_hash(key: str) -> str:
-    """Return the hash kept of a key.
-
-    Parameters
-    ----------
-    key : str
-        The key.
-
-    Returns
-    -------
-    str
-        SHA-256 in hexadecimal.
-    """
-    return hashlib.sha256(key.encode()).hexdigest()
