--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,344 @@
+"""Compare ways of holding teams to their shares without a central counter.
+
+The first table weighs the error of the enforced rate against control bytes. The
+second drives `Admission` on every entry, with and without a team at ten times its
+share, against a plain queue.
+"""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+
+import numpy as np
+from absl import app, flags
+
+from bench.tables import spread
+from toucanspool.limits.admission import Admission
+from toucanspool.limits.shed import Shed
+from toucanspool.limits.spread import entry_count, local_share
+from toucanspool.limits.ticket import Ticket, TicketState
+
+SEEDS = flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds.")
+PROCESSES = flags.DEFINE_integer("processes", 4, "Runs at once.")
+
+ENTRIES = 370
+TEAMS = 4500
+RATE = 3400.0
+GREEDY_FACTOR = 10.0
+SECONDS = 120
+ANSWER_KEPT_S = 30
+BURST_S = 5.0
+BURST_REQUESTS = 2.0
+TEAM_BYTES = 12
+MESSAGE_BYTES = 60
+ROW_BYTES = 160
+HOLD_S = 4.0
+USED_AT_RATE = 0.8
+TRACE_S = 40.0
+WARM_UP_S = 15.0
+MAX_WAIT_S = 0.2
+
+
+def team_rates(rng: np.random.Generator) -> np.ndarray:
+    """Return each team's fair rate in requests a second, the largest first."""
+    weights = 1.0 / np.arange(1, TEAMS + 1) ** 0.8
+    return RATE * weights / weights.sum() * rng.uniform(0.99, 1.01, TEAMS)
+
+
+@dataclass(slots=True, frozen=True)
+class Way:
+    """Describe a way of enforcing rates.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the table.
+    narrow : bool
+        Whether a team is answered with a few entries, or with all.
+    period_s : int
+        How often use is exchanged or quota leased; 0 for never.
+    leased : bool
+        Whether that goes through the platform's table.
+    """
+
+    name: str
+    narrow: bool
+    period_s: int = 0
+    leased: bool = False
+
+
+WAYS = [
+    Way("even split over all entries", narrow=False),
+    Way("exchange of use among all, 1 s", narrow=False, period_s=1),
+    Way("exchange of use among all, 15 s", narrow=False, period_s=15),
+    Way("address answer", narrow=True),
+    Way("address answer, exchange 5 s", narrow=True, period_s=5),
+    Way("address answer, quota leases 10 s", narrow=True, period_s=10, leased=True),
+]
+
+
+@dataclass(slots=True, frozen=True)
+class Enforced:
+    """Hold the error of a way, and its cost for each entry."""
+
+    greedy_error: float
+    refused: float
+    bytes_per_s: float
+    writes_per_s: float
+
+
+def enforce(way: Way, seed: int) -> Enforced:
+    """Return the errors of a way with a hundredth of the teams greedy."""
+    rng = np.random.default_rng(seed)
+    rates = team_rates(rng)
+    greedy = rng.random(TEAMS) < 0.01
+    demand = rates * np.where(greedy, GREEDY_FACTOR, rng.uniform(0.5, 0.95, TEAMS))
+    counts = np.full(TEAMS, ENTRIES)
+    if way.narrow:
+        total = rates.sum()
+        counts = np.array([entry_count(rate, total, ENTRIES) for rate in rates])
+    team = np.repeat(np.arange(TEAMS), counts)
+    first = np.concatenate([[0], np.cumsum(counts)[:-1]])
+    even = (rates / counts)[team]
+    allowed = even.copy()
+    tokens = np.full(len(team), BURST_REQUESTS)
+    offered, admitted, recent = np.zeros(TEAMS), np.zeros(TEAMS), np.zeros(len(team))
+    for second in range(SECONDS):
+        if second % ANSWER_KEPT_S == 0:
+            part = _callers(rates, counts, first, rng)
+        came = rng.poisson(demand[team] * part).astype(float)
+        burst = BURST_REQUESTS + BURST_S * allowed
+        tokens = np.minimum(tokens + allowed, burst)
+        passed = np.minimum(came, np.floor(tokens))
+        tokens -= passed
+        recent += came
+        if way.period_s and second % way.period_s == way.period_s - 1:
+            seen = recent + 0.1 * way.period_s * even
+            allowed = rates[team] * seen / np.bincount(team, seen)[team]
+            recent[:] = 0.0
+        if second >= SECONDS // 4:
+            offered += np.bincount(team, came, TEAMS)
+            admitted += np.bincount(team, passed, TEAMS)
+    seconds = SECONDS - SECONDS // 4
+    error = np.abs(admitted[greedy] / seconds / rates[greedy] - 1.0)
+    modest = ~greedy
+    refused = 1.0 - admitted[modest].sum() / offered[modest].sum()
+    return Enforced(float(error.mean()), float(refused), *_cost(way, rates, counts))
+
+
+def _callers(
+    rates: np.ndarray, counts: np.ndarray, first: np.ndarray, rng: np.random.Generator
+) -> np.ndarray:
+    """Return the part of its team's requests that each entry of it gets."""
+    part = np.zeros(int(counts.sum()))
+    callers = 4 + (10 * rates).astype(int)
+    owner = np.repeat(np.arange(len(rates)), callers)
+    picks = first[owner] + (rng.random(len(owner)) * counts[owner]).astype(int)
+    np.add.at(part, picks, 1.0 / callers[owner])
+    return part
+
+
+def _cost(way: Way, rates: np.ndarray, counts: np.ndarray) -> tuple[float, float]:
+    if not way.period_s:
+        return 0.0, 0.0
+    here = np.minimum(counts, rates * way.period_s + 1e-9)
+    if way.leased:
+        rows = counts.sum() / ENTRIES
+        return rows * ROW_BYTES / way.period_s, counts.sum() / way.period_s
+    peers = min(ENTRIES - 1.0, float((counts * (counts - 1)).sum() / ENTRIES))
+    told = (here * (counts - 1)).sum() / ENTRIES
+    per_period = told * TEAM_BYTES + min(peers, told) * MESSAGE_BYTES
+    return float(per_period / way.period_s), 0.0
+
+
+class PlainQueue:
+    """Admit in order of arrival with the same capacity and longest wait."""
+
+    def __init__(
+        self,
+        capacity: float,
+        rng: random.Random,
+        *,
+        max_wait_s: float,
+        on_settled: Callable[[Ticket], None],
+    ) -> None:
+        self._capacity, self._max_wait_s = capacity, max_wait_s
+        self._on_settled = on_settled
+        self._waiting: deque[Ticket] = deque()
+        self._running = 0
+
+    def admit(
+        self, team: str, share: float, priority: int, cost: float, now: float
+    ) -> Ticket:
+        """Admit a request or let it wait."""
+        ticket = Ticket(team, share, priority, cost, now + self._max_wait_s)
+        self._waiting.append(ticket)
+        self._serve(now)
+        return ticket
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Give a place back."""
+        ticket.state = TicketState.RELEASED
+        self._running -= 1
+        self._serve(now)
+
+    def _serve(self, now: float) -> None:
+        while self._waiting and self._waiting[0].expires_at < now:
+            self._waiting.popleft().state = TicketState.SHED
+        while self._waiting and self._running < self._capacity:
+            ticket = self._waiting.popleft()
+            ticket.state = TicketState.ADMITTED
+            self._running += 1
+            self._on_settled(ticket)
+
+
+@dataclass(slots=True)
+class Trace:
+    """Drive one kind of admission on all entries."""
+
+    kind: type
+    greedy: int | None
+    seed: int
+    clock: float = 0.0
+    order: itertools.count = field(default_factory=itertools.count)
+    events: list = field(default_factory=list)
+    gates: list = field(default_factory=list)
+    first_ms: dict = field(default_factory=dict)
+    asked: dict = field(default_factory=dict)
+
+    def go(self) -> "Trace":
+        """Run the trace."""
+        rng = np.random.default_rng(self.seed)
+        rates = team_rates(rng)
+        counts = [entry_count(rate, rates.sum(), ENTRIES) for rate in rates]
+        homes = [rng.choice(ENTRIES, count, replace=False) for count in counts]
+        demand = rates * USED_AT_RATE
+        factor = np.ones(TEAMS)
+        if self.greedy is not None:
+            factor[self.greedy] = GREEDY_FACTOR
+        capacity = float(np.ceil(RATE * HOLD_S / ENTRIES))
+        for entry in range(ENTRIES):
+            rand = random.Random(self.seed * ENTRIES + entry)
+            options = {"max_wait_s": MAX_WAIT_S, "on_settled": self._settled}
+            self.gates.append(self.kind(capacity, rand, **options))
+        for team in range(TEAMS):
+            own = np.random.default_rng((self.seed, team))
+            amount = own.poisson(demand[team] * factor[team] * TRACE_S)
+            times = np.sort(own.uniform(0.0, TRACE_S, amount))
+            entries = own.choice(homes[team], amount)
+            share = local_share(rates[team], counts[team])
+            for when, entry in zip(times.tolist(), entries.tolist(), strict=True):
+                row = (when, next(self.order), "arrive", (team, share, entry))
+                self.events.append(row)
+        heapq.heapify(self.events)
+        self._loop(np.random.default_rng(self.seed + 1000))
+        return self
+
+    def _loop(self, rng: np.random.Generator) -> None:
+        while self.events:
+            self.clock, _, kind, args = heapq.heappop(self.events)
+            if kind == "arrive":
+                self._arrive(*args, rng)
+            else:
+                gate, ticket = args
+                gate.release(ticket, self.clock)
+
+    def _arrive(
+        self, team: int, share: float, entry: int, rng: np.random.Generator
+    ) -> None:
+        gate, key = self.gates[entry], (team, entry)
+        hold_s = float(rng.gamma(4.0, HOLD_S / 4.0))
+        engine_ms = 1000.0 * float(rng.lognormal(np.log(0.1), 0.6))
+        counted = self.clock > WARM_UP_S
+        if counted:
+            self.asked[key] = self.asked.get(key, 0) + 1
+        try:
+            ticket = gate.admit(str(team), share, 0, 1.0, self.clock)
+        except Shed:
+            return
+        ticket.waiter = (gate, key, self.clock, hold_s, engine_ms, counted)
+        if ticket.state is TicketState.ADMITTED:
+            self._settled(ticket)
+
+    def _settled(self, ticket: Ticket) -> None:
+        if ticket.state is not TicketState.ADMITTED or ticket.waiter is None:
+            return
+        gate, key, came, hold_s, engine_ms, counted = ticket.waiter
+        ends = self.clock + hold_s
+        heapq.heappush(self.events, (ends, next(self.order), "end", (gate, ticket)))
+        if counted:
+            first_ms = 1000.0 * (self.clock - came) + engine_ms
+            self.first_ms.setdefault(key, []).append(first_ms)
+
+
+GREEDY_TEAMS = {"largest": 0, "30th": 29, "1000th": 999}
+
+
+def harm(task: tuple[type, str, int]) -> tuple[float, float, float, float]:
+    """Return what a greedy team does to the others on its entries.
+
+    Returns
+    -------
+    tuple of float
+        p95 of their first token without and with it, in milliseconds, and the
+        part of their requests shed without and with it.
+    """
+    kind, name, seed = task
+    greedy = GREEDY_TEAMS[name]
+    calm = Trace(kind, None, seed).go()
+    busy = Trace(kind, greedy, seed).go()
+    shared = {entry for team, entry in busy.asked if team == greedy}
+    cells = []
+    for trace in (calm, busy):
+        keys = [k for k in trace.asked if k[1] in shared and k[0] != greedy]
+        first = [ms for key in keys for ms in trace.first_ms.get(key, ())]
+        asked = sum(trace.asked[key] for key in keys)
+        cells.append((float(np.percentile(first, 95)), 1.0 - len(first) / asked))
+    return cells[0][0], cells[1][0], cells[0][1], cells[1][1]
+
+
+def main(argv: list[str]) -> None:
+    """Print the tables."""
+    seeds = [int(seed) for seed in SEEDS.value]
+    kinds = {"admission by share": Admission, "plain queue": PlainQueue}
+    with ProcessPoolExecutor(PROCESSES.value) as pool:
+        ways = list(itertools.product(WAYS, seeds))
+        enforced = list(pool.map(enforce, *zip(*ways, strict=True)))
+        tasks = list(itertools.product(kinds.values(), GREEDY_TEAMS, seeds))
+        harms = list(pool.map(harm, tasks))
+    print(f"{TEAMS} teams, {ENTRIES} entries, seeds {seeds}: median (least-greatest)\n")
+    print(
+        "| way | error at 10x % | refused below share % | bytes/s an entry"
+        " | table writes/s |"
+    )
+    print("|" + " --- |" * 5)
+    for way in WAYS:
+        rows = [e for (w, _), e in zip(ways, enforced, strict=True) if w is way]
+        error = spread([100 * row.greedy_error for row in rows], 1)
+        refused = spread([100 * row.refused for row in rows], 2)
+        cost = f"{rows[0].bytes_per_s:.0f} | {rows[0].writes_per_s:.0f}"
+        print(f"| {way.name} | {error} | {refused} | {cost} |")
+    print(
+        "\n| admission | team at 10x | p95 without, ms | p95 with, ms | change %"
+        " | shed without % | shed with % |"
+    )
+    print("|" + " --- |" * 7)
+    for kind, name in itertools.product(kinds, GREEDY_TEAMS):
+        rows = [
+            row
+            for task, row in zip(tasks, harms, strict=True)
+            if task[:2] == (kinds[kind], name)
+        ]
+        change = spread([100 * (row[1] / row[0] - 1) for row in rows], 1)
+        cells = [spread([row[0] for row in rows]), spread([row[1] for row in rows])]
+        cells += [change, spread([100 * row[2] for row in rows], 2)]
+        cells += [spread([100 * row[3] for row in rows], 2)]
+        print(f"| {kind} | {name} | {' | '.join(cells)} |")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -11,7 +11,6 @@
 import random
 import time
 from collections import deque
-from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
@@ -21,6 +20,7 @@
 from bench.engine import BLOCK_TOKENS, Engine, Job, Load
 from bench.jobs import Scenario, make_jobs
 from bench.policies import POLICIES
+from bench.tables import spread
 from toucanspool.routing.candidate import Candidate
 from toucanspool.routing.expected import ExpectedRoom
 from toucanspool.routing.policy import Policy, Work
@@ -216,12 +216,6 @@
     return Run(*task).go()
 
 
-def spread(values: Sequence[float], digits: int = 0) -> str:
-    """Return the median of values with the least and the greatest."""
-    low, mid, high = np.min(values), np.median(values), np.max(values)
-    return f"{mid:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
-
-
 def percentiles(figures: list[Figures], name: str, digits: int = 0) -> str:
     """Return p50, p95 and p99 over seeds in three cells."""
     cells = []
--- /dev/null
+++ b/tests/limits/test_spread.py
@@ -0,0 +1,25 @@
+"""Proves that larger teams use more entries, and that shares add up over them."""
+
+import pytest
+
+from toucanspool.limits.spread import entry_count, local_share
+
+
+@pytest.mark.parametrize(
+    ("share", "total", "entries", "count"),
+    [
+        (1.0, 4500.0, 370, 3),
+        (50.0, 1000.0, 370, 111),
+        (1000.0, 1000.0, 370, 370),
+        (1.0, 10.0, 7, 5),
+        (1.0, 1.0, 1, 1),
+        (1.0, 0.0, 7, 3),
+    ],
+)
+def test_a_team_uses_entries_by_its_share(share, total, entries, count):
+    assert entry_count(share, total, entries) == count
+
+
+def test_the_shares_at_the_entries_add_up_to_the_share():
+    count = entry_count(5.0, 100.0, 370)
+    assert local_share(5.0, count) * count == pytest.approx(5.0)
--- a/toucanspool/routing/homes.py
+++ b/toucanspool/routing/homes.py
@@ -11,7 +11,7 @@
 HOMES = 3
 KEY_BLOCKS = 4
 MAX_KEYS = 4096
-HOMES_TTL_S = 5.0
+HOMES_TTL_S = 60.0
 MIX = np.uint64(0x9E3779B97F4A7C15)
 SHIFT = np.uint64(29)
 
@@ -49,7 +49,7 @@
     ) -> list[str]:
         """Return the upstreams preferred for a prompt, best first.
 
-        The order is kept for a few seconds, and may name upstreams that are no
+        The order is kept for a minute, and may name upstreams that are no
         candidates any more.
 
         Parameters
@@ -78,18 +78,21 @@
         return names
 
     def _rank(self, key: str, candidates: Sequence[Candidate]) -> list[str]:
-        hashes = np.fromiter(
-            (self._hash(c.upstream) for c in candidates), np.uint64, len(candidates)
-        )
-        scores = (hashes ^ np.uint64(xxhash.xxh3_64_intdigest(key.encode()))) * MIX
+        known = self._hashes
+        try:
+            hashes = [known[c.upstream] for c in candidates]
+        except KeyError:
+            hashes = self._learn(candidates)
+        keyed = np.fromiter(hashes, np.uint64, len(hashes))
+        scores = (keyed ^ np.uint64(xxhash.xxh3_64_intdigest(key.encode()))) * MIX
         scores = (scores ^ (scores >> SHIFT)) * MIX
         best = np.argsort(scores)[: self._count]
         return [candidates[index].upstream for index in best]
 
-    def _hash(self, upstream: str) -> int:
-        value = self._hashes.get(upstream)
-        if value is None:
-            if len(self._hashes) > MAX_KEYS:
-                self._hashes.clear()
-            value = self._hashes[upstream] = xxhash.xxh3_64_intdigest(upstream.encode())
-        return value
+    def _learn(self, candidates: Sequence[Candidate]) -> list[int]:
+        if len(self._hashes) > MAX_KEYS:
+            self._hashes.clear()
+        for option in candidates:
+            digest = xxhash.xxh3_64_intdigest(option.upstream.encode())
+            self._hashes[option.upstream] = digest
+        return [self._hashes[c.upstream] for c in candidates]
