--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -87,7 +87,7 @@
     path : str
         Path.
     body : Any, optional
-        Sent as JSON.
+        Sent as JSON; bytes are sent as they are.
     key : str, default=""
         Sent as bearer.
     headers : dict, optional
@@ -108,7 +108,9 @@
     client = HTTPClient(
         HOST, port, connection_timeout=timeout_s, network_timeout=timeout_s
     )
-    data = b"" if body is None else orjson.dumps(body)
+    data = body if isinstance(body, bytes) else orjson.dumps(body)
+    if body is None:
+        data = b""
     try:
         resp = client.request(method, path, body=data, headers=sent)
         raw = resp.read()
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -62,3 +62,12 @@
         found = Caller(system)
         found.configure([dict(record) for record in RECORDS])
         yield found
+
+
+@pytest.fixture(scope="module")
+def module_caller() -> Iterator[Caller]:
+    """Yield a caller of a system that the tests of a module share."""
+    with System(PLAN) as system:
+        found = Caller(system)
+        found.configure([dict(record) for record in RECORDS])
+        yield found
--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -6,9 +6,10 @@
 
 import structlog
 
-from toucanspool.config.failures import ChangesPruned
+from toucanspool.config.failures import ChangesPruned, LoadTorn
 from toucanspool.config.follower import Follower
 from toucanspool.config.records import BadRecord, Change, decode_record, encode
+from toucanspool.config.snapshot import SnapshotReader
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.view import View
 from toucanspool.kernel.kernel import Kernel
@@ -101,11 +102,11 @@
 
     def start(self, kernel: Kernel) -> None:
         """Pull the configuration and go on polling; see `Service`."""
-        table = kernel.find("platform").table
-        self.store = ConfigStore(table, rng=kernel.find("rng").named("config"))
-        self._follower = Follower(
-            self.store, on_change=self._changed, on_load=self._loaded
-        )
+        platform = kernel.find("platform")
+        rng = kernel.find("rng").named("config")
+        self.store = ConfigStore(platform.table, rng=rng)
+        reader = SnapshotReader(platform.table, platform.objects)
+        self._follower = Follower(reader, on_change=self._changed, on_load=self._loaded)
         self._poll()
         rng = kernel.find("rng").named("config-poll")
         ticker = Ticker("config", self._interval_s, self._poll, rng=rng)
@@ -187,7 +188,7 @@
             return
         try:
             self._follower.poll()
-        except TableError as exc:
+        except (TableError, LoadTorn) as exc:
             _log.warning("configuration not polled", error=str(exc))
 
     def _changed(self, change: Change) -> None:
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -103,6 +103,13 @@
     from toucanspool.entry.router import Router
     from toucanspool.groups.duty import GroupDuty
     from toucanspool.membership.peers import PeersService
+    from toucanspool.recovery.duties import (
+        JANITOR_INTERVAL_S,
+        SNAPSHOT_INTERVAL_S,
+        ClaimsUpkeep,
+        SnapshotUpkeep,
+    )
+    from toucanspool.recovery.elected import Elected
 
     decisions = Decisions()
     kernel.add("instances", InstancesService(cfg.instances_interval_s))
@@ -110,6 +117,10 @@
     kernel.add("peers", PeersService(cfg))
     for group in cfg.entry.groups:
         kernel.add(f"group/{group.name}", GroupDuty(group, cfg))
+    claims = Elected("claims", cfg.instance, JANITOR_INTERVAL_S, ClaimsUpkeep())
+    kernel.add("claims-upkeep", claims)
+    snapshot = Elected("snapshot", cfg.instance, SNAPSHOT_INTERVAL_S, SnapshotUpkeep())
+    kernel.add("snapshot-upkeep", snapshot)
     kernel.add("dispatcher", Dispatcher(cfg.entry, decisions))
     kernel.add("http", HttpService(cfg, decisions))
 
