Catch a lost commit taken as settled too soon

The oracle had no case without the rule that a lost commit stays pending until the counter moves; it reports a violation now.

--- a/tests/config/test_apply_faults.py
+++ b/tests/config/test_apply_faults.py
@@ -149,8 +149,17 @@
     monkeypatch.setattr(store_module._LostCommit, "pending", lambda self: False)
 
 
+def settled_too_soon(monkeypatch):
+    def settle(self, txn):
+        self.counter_version = None
+        return txn
+
+    monkeypatch.setattr(store_module._LostCommit, "settle", settle)
+
+
 @pytest.mark.parametrize(
-    "switch_off", [unchecked, records_unchecked, no_read_back, loss_forgotten]
+    "switch_off",
+    [unchecked, records_unchecked, no_read_back, loss_forgotten, settled_too_soon],
 )
 def test_oracle_catches_a_missing_mechanism(switch_off, monkeypatch):
     switch_off(monkeypatch)
