--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from toucanspool.config.failures import ChangesPruned, LoadTorn
+from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.follower import Follower
 from toucanspool.config.records import BadRecord, Change, decode_record, encode
 from toucanspool.config.snapshot import SnapshotReader
@@ -132,29 +132,23 @@
         if not self._follower.offer([encode(change)]) or not self.ready:
             self._poll()
 
-    def offer(self, changes: Changes) -> bool:
+    def offer(self, changes: Changes) -> None:
         """Take what another process sent of its configuration.
 
         Parameters
         ----------
         changes : Changes
             The message.
-
-        Returns
-        -------
-        bool
-            Whether all changes heard of so far are in force.
         """
         try:
             if changes.whole:
                 records = [decode_record(data) for data in changes.records]
                 view = View(revision=changes.newest, records=records)
                 self._follower.pull(_Whole(view))
-                return True
-            return self._follower.offer(changes.records)
+            else:
+                self._follower.offer(changes.records)
         except BadRecord as exc:
             _log.warning("bad configuration offered", error=str(exc))
-            return True
 
     def answer(self, pull: Pull) -> Changes:
         """Return what another process that is behind lacks.
@@ -188,7 +182,7 @@
             return
         try:
             self._follower.poll()
-        except (TableError, LoadTorn) as exc:
+        except TableError as exc:
             _log.warning("configuration not polled", error=str(exc))
 
     def _changed(self, change: Change) -> None:
--- a/toucanspool/recovery/duties.py
+++ b/toucanspool/recovery/duties.py
@@ -5,13 +5,15 @@
 import structlog
 
 from toucanspool.config.service import ConfigService
-from toucanspool.config.snapshot import SNAPSHOT_NAME, encode_view
+from toucanspool.config.snapshot_keeper import (
+    SNAPSHOT_EVERY_CHANGES,
+    SnapshotKeeper,
+)
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.protected.janitor import Janitor
 
 JANITOR_INTERVAL_S = 10.0
 SNAPSHOT_INTERVAL_S = 30.0
-SNAPSHOT_CHANGES = 32
 
 _log = structlog.get_logger()
 
@@ -48,15 +50,16 @@
 
 
 class SnapshotUpkeep:
-    """Store a snapshot of the configuration after some changes."""
+    """Store a snapshot of the configuration when it is due, and prune old rows."""
 
-    __slots__ = ("_stored",)
+    __slots__ = ("_done", "_keeper")
 
     def __init__(self) -> None:
-        self._stored = 0
+        self._keeper: SnapshotKeeper | None = None
+        self._done = -SNAPSHOT_EVERY_CHANGES
 
     def __call__(self, kernel: Kernel) -> None:
-        """Store one if it is due.
+        """Store one if enough has changed since the last look.
 
         Parameters
         ----------
@@ -64,9 +67,14 @@
             Where the platform and the configuration are.
         """
         config: ConfigService = kernel.find("config")
-        if not config.ready or config.revision - self._stored < SNAPSHOT_CHANGES:
+        due = config.revision - self._done >= SNAPSHOT_EVERY_CHANGES
+        if not config.ready or not due:
             return
-        view = config.view.copy()
-        kernel.find("platform").objects.put(SNAPSHOT_NAME, encode_view(view))
-        self._stored = view.revision
-        _log.info("configuration snapshot stored", revision=view.revision)
+        if self._keeper is None:
+            platform = kernel.find("platform")
+            self._keeper = SnapshotKeeper(platform.table, platform.objects)
+        view = config.view
+        if self._keeper.write_if_due(view):
+            _log.info("configuration snapshot stored", revision=view.revision)
+        self._keeper.prune(view.revision)
+        self._done = view.revision
