--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: test demo format lint check bench capacity gen
 
 test: $(VENV)/.ready lint
-	$(PY) -m pytest
+	$(PY) -m pytest -n 4 --dist loadfile
 
 demo: $(VENV)/.ready
 	$(PY) -m demo.kettlewell $(if $(KEEP),--keep,)
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -1,6 +1,7 @@
 """Start and stop the processes of a small system on loopback."""
 
 import os
+import random
 import secrets
 import signal
 import socket
@@ -20,6 +21,8 @@
 from toucanspool.config.view import key_hash
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12_000
+PORTS_PER_PART = 2_400
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 
@@ -59,11 +62,39 @@
     teams: dict[str, str] = field(default_factory=dict)
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+class Ports:
+    """Hand out loopback ports that are free, each once.
+
+    They lie below those that the system takes for outgoing connections, which would
+    otherwise be in the way now and then.
+
+    Parameters
+    ----------
+    part : int, default=0
+        Part of the range, from 0 to 7, for systems that start at the same time.
+    """
+
+    def __init__(self, *, part: int = 0) -> None:
+        first = FIRST_PORT + part * PORTS_PER_PART
+        ports = list(range(first, first + PORTS_PER_PART))
+        start = random.randrange(PORTS_PER_PART)
+        self._ports = iter(ports[start:] + ports[:start])
+
+    def next(self) -> int:
+        """Return a port that is free now.
+
+        Returns
+        -------
+        int
+        """
+        for port in self._ports:
+            with socket.socket() as sock:
+                try:
+                    sock.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise DemoFailed("no port is free")
 
 
 def call(
@@ -131,9 +162,12 @@
         The topology, as in ``demo/kettlewell.yaml``.
     logs : str, default=""
         Folder for settings and logs; empty for one that goes at the end.
+    part : int, default=0
+        See `Ports`.
     """
 
-    def __init__(self, plan: dict[str, Any], *, logs: str = "") -> None:
+    def __init__(self, plan: dict[str, Any], *, logs: str = "", part: int = 0) -> None:
+        self._free = Ports(part=part)
         self.plan = plan
         self._logs = logs
         self.keys = Keys()
@@ -268,7 +302,7 @@
         item : dict
             The entry in the plan.
         """
-        port = self.ports.setdefault(f"{item['name']}/http", free_port())
+        port = self.ports.setdefault(f"{item['name']}/http", self._free.next())
         settings = self.plan.get("entry_settings", {})
         entry = {
             "bootstrap_operator_key_hash": key_hash(self.keys.bootstrap),
@@ -315,13 +349,13 @@
             self.start_entry(item)
 
     def _start_standin(self, name: str, module: str, *args: str) -> None:
-        port = self.ports.setdefault(name, free_port())
+        port = self.ports.setdefault(name, self._free.next())
         self._start(name, [sys.executable, "-m", module, f"--port={port}", *args], port)
 
     def _start_daemon(
         self, name: str, role: str, domain: str, section: dict[str, Any]
     ) -> None:
-        port = self.ports.setdefault(name, free_port())
+        port = self.ports.setdefault(name, self._free.next())
         settings = {
             "instance": name,
             "role": role,
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,5 +1,6 @@
 """A small system of real processes for the tests of this folder."""
 
+import os
 from collections.abc import Iterator
 
 import pytest
@@ -7,6 +8,8 @@
 from demo.caller import Caller
 from demo.launcher import System
 
+# Test workers start their systems at the same time, on ports apart.
+PART = 1 + int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 7
 PLAN = {
     "region": "test",
     "entries": [
@@ -58,7 +61,7 @@
 @pytest.fixture
 def caller() -> Iterator[Caller]:
     """Yield a caller of a new system with its first configuration in force."""
-    with System(PLAN) as system:
+    with System(PLAN, part=PART) as system:
         found = Caller(system)
         found.configure([dict(record) for record in RECORDS])
         yield found
@@ -67,7 +70,7 @@
 @pytest.fixture(scope="module")
 def module_caller() -> Iterator[Caller]:
     """Yield a caller of a system that the tests of a module share."""
-    with System(PLAN) as system:
+    with System(PLAN, part=PART) as system:
         found = Caller(system)
         found.configure([dict(record) for record in RECORDS])
         yield found
