--- a/toucanspool/groups/coordinator.py
+++ b/toucanspool/groups/coordinator.py
@@ -7,7 +7,6 @@
 
 import itertools
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 from typing import Protocol
 
 import structlog
@@ -17,17 +16,12 @@
     Superseded,
     SwitchFailed,
 )
-from toucanspool.groups.fence import MAX_ROUND, fence_of, lease_token_of, round_of
 from toucanspool.groups.orders import Courier
-from toucanspool.groups.record import GroupRecord, MapStore, RecordStore
+from toucanspool.groups.record import MapStore, RecordStore
+from toucanspool.groups.round_log import RoundLog
 from toucanspool.groups.switch import Round
 from toucanspool.groups.switch_intent import Intent, Limits, Outcome
 from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import (
-    TableConflict,
-    TableError,
-    TableUncertain,
-)
 from toucanspool.wire.gen.messages.ttypes import Order, OrderKind, OrderResult
 
 COLLECT_S = 0.05
@@ -89,11 +83,10 @@
         "_group",
         "_lease",
         "_limits",
+        "_log",
         "_maps",
         "_ranks",
-        "_rounds",
         "_settled",
-        "_store",
         "_token",
     )
 
@@ -112,15 +105,14 @@
     ) -> None:
         self._group = group
         self._ranks = ranks
-        self._store = store
         self._maps = maps
         self._lease = lease
         self._token = lease.token
+        self._log = RoundLog(store, group=group, ranks=ranks, token=lease.token)
         self._calls = itertools.count(1) if calls is None else calls
         self._courier = courier
         self._clock = clock
         self._limits = limits or Limits()
-        self._rounds = 0
         self._settled: int | None = None
 
     def settle(self) -> int:
@@ -143,8 +135,10 @@
         outcome = None
         while outcome not in (Outcome.FINISHED, Outcome.UNDONE):
             self._settled = None
-            intent = self._open_settle()
-            outcome = self._run(intent)
+            self.check_lease()
+            intent = self._log.open_settle()
+            if intent is not None:
+                outcome = self._run(intent)
         return self._close(intent, outcome)
 
     def switch(self, experts: bytes) -> int:
@@ -175,9 +169,10 @@
         """
         current = self.settle() if self._settled is None else self._settled
         self._settled = None
-        version = self._next_fence()
+        version = self._log.next_fence()
         self._maps.put(version, experts)
-        intent = self._open_switch(current, version)
+        self.check_lease()
+        intent = self._log.open_switch(current, version)
         outcome = self._run(intent)
         if outcome in (Outcome.FINISHED, Outcome.UNDONE):
             reached = self._close(intent, outcome)
@@ -228,54 +223,9 @@
                     return answer.reply.step
         return None
 
-    def _open_switch(self, current: int, version: int) -> Intent:
-        """Record a switch before its first order."""
-        self.check_lease()
-        stored = self._store.read()
-        if stored.record.fence >= version:
-            raise Superseded
-        record = GroupRecord(current, version, version)
-        self._store.write(record, row_version=stored.row_version)
-        return self._intent(record, new=True)
-
-    def _open_settle(self) -> Intent:
-        """Record a round that finishes or undoes what is recorded."""
-        while True:
-            self.check_lease()
-            stored = self._store.read()
-            fence = self._next_fence(stored.record.fence)
-            record = replace(stored.record, fence=fence)
-            try:
-                self._store.write(record, row_version=stored.row_version)
-            except (TableConflict, TableUncertain):
-                continue
-            return self._intent(record, new=False)
-
     def _leased(self, now: float) -> bool:
         return self._lease.token == self._token and self._lease.held(now)
 
-    def _intent(self, record: GroupRecord, *, new: bool) -> Intent:
-        return Intent(
-            group=self._group,
-            ranks=self._ranks,
-            fence=record.fence,
-            committed=record.committed,
-            intended=record.intended,
-            new=new,
-        )
-
-    def _next_fence(self, recorded: int = 0) -> int:
-        """Return a token above the recorded one, never returned before."""
-        if lease_token_of(recorded) > self._token:
-            raise Superseded
-        if lease_token_of(recorded) == self._token:
-            self._rounds = max(self._rounds, round_of(recorded) + 1)
-        if self._rounds > MAX_ROUND:
-            raise LeaseLapsed
-        fence = fence_of(self._token, self._rounds)
-        self._rounds += 1
-        return fence
-
     def _run(self, intent: Intent) -> Outcome:
         rnd = self._round(intent)
         phase = rnd.phase
@@ -316,21 +266,9 @@
         self._courier.post(order)
 
     def _close(self, intent: Intent, outcome: Outcome) -> int:
-        """Record how a round ended, as far as the table answers.
-
-        The record only saves the next coordinator some work: what the ranks say
-        decides.
-        """
         finished = outcome is Outcome.FINISHED
         reached = intent.intended if finished else intent.committed
         self._settled = reached
         self._maps.keep_only({reached})
-        try:
-            stored = self._store.read()
-            if stored.record.fence == intent.fence:
-                record = GroupRecord(reached, reached, intent.fence)
-                if stored.record != record:
-                    self._store.write(record, row_version=stored.row_version)
-        except TableError as exc:
-            log.warning("map switch not recorded", group=self._group, error=str(exc))
+        self._log.close(intent, reached)
         return reached
