--- a/tests/groups/test_switch.py
+++ b/tests/groups/test_switch.py
@@ -137,6 +137,19 @@
             self._decide(parts["now"])
 
 
+class ImpatientRound(Round):
+    """Take the ranks that have not answered FENCE to use the committed map."""
+
+    __slots__ = ()
+
+    def _ack(self, rank, now):
+        if self.phase is Phase.FENCE:
+            for other in range(self._intent.ranks):
+                self._versions.setdefault(other, self._intent.committed)
+                self._acked.add(other)
+        super()._ack(rank, now)
+
+
 class CredulousRound(Round):
     """Take every reply for a confirmation."""
 
@@ -163,6 +176,11 @@
             "agent restarted",
             "mixed",
         ),
+        (
+            {"coordinator": coordinator_with(ImpatientRound), "agent": LaxAgent},
+            "agent restarted",
+            "mixed",
+        ),
         (
             {"coordinator": coordinator_with(CredulousRound)},
             "engine restarted",
@@ -170,7 +188,7 @@
         ),
         ({"agent": OpenAgent}, "coordinator frozen", "stuck"),
     ],
-    ids=["hasty", "by record alone", "credulous", "no fencing"],
+    ids=["hasty", "by record alone", "impatient", "credulous", "no fencing"],
 )
 def test_oracle_catches_a_mechanism_switched_off(parts, fault, seen):
     rows = [[(act, fault)] for act in range(SWITCH_ACTS)]
