--- a/toucanspool/config/exchange.py
+++ b/toucanspool/config/exchange.py
@@ -88,7 +88,9 @@
         elif frame.pull is not None:
             conn.send(Frame(changes=self._config.answer(frame.pull)))
         elif frame.changes is not None:
-            if not self._config.offer(frame.changes):
+            self._config.offer(frame.changes)
+            # A message holds a bounded number of changes: pull the rest.
+            if self._config.revision < frame.changes.newest:
                 self.heard(conn, frame.changes.newest)
         else:
             return False
--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -9,6 +9,7 @@
 from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.follower import Follower
 from toucanspool.config.records import BadRecord, Change, decode_record, encode
+from toucanspool.config.snapshot import SnapshotReader
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.view import View
 from toucanspool.kernel.kernel import Kernel
@@ -101,11 +102,11 @@
 
     def start(self, kernel: Kernel) -> None:
         """Pull the configuration and go on polling; see `Service`."""
-        table = kernel.find("platform").table
-        self.store = ConfigStore(table, rng=kernel.find("rng").named("config"))
-        self._follower = Follower(
-            self.store, on_change=self._changed, on_load=self._loaded
-        )
+        platform = kernel.find("platform")
+        rng = kernel.find("rng").named("config")
+        self.store = ConfigStore(platform.table, rng=rng)
+        reader = SnapshotReader(platform.table, platform.objects)
+        self._follower = Follower(reader, on_change=self._changed, on_load=self._loaded)
         self._poll()
         rng = kernel.find("rng").named("config-poll")
         ticker = Ticker("config", self._interval_s, self._poll, rng=rng)
@@ -131,29 +132,23 @@
         if not self._follower.offer([encode(change)]) or not self.ready:
             self._poll()
 
-    def offer(self, changes: Changes) -> bool:
+    def offer(self, changes: Changes) -> None:
         """Take what another process sent of its configuration.
 
         Parameters
         ----------
         changes : Changes
             The message.
-
-        Returns
-        -------
-        bool
-            Whether all changes heard of so far are in force.
         """
         try:
             if changes.whole:
                 records = [decode_record(data) for data in changes.records]
                 view = View(revision=changes.newest, records=records)
                 self._follower.pull(_Whole(view))
-                return True
-            return self._follower.offer(changes.records)
+            else:
+                self._follower.offer(changes.records)
         except BadRecord as exc:
             _log.warning("bad configuration offered", error=str(exc))
-            return True
 
     def answer(self, pull: Pull) -> Changes:
         """Return what another process that is behind lacks.
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -101,21 +101,38 @@
     from toucanspool.entry.dispatcher import Dispatcher
     from toucanspool.entry.http_service import HttpService
     from toucanspool.entry.router import Router
+    from toucanspool.groups.duty import GroupDuty
     from toucanspool.membership.peers import PeersService
+    from toucanspool.recovery.duties import (
+        JANITOR_INTERVAL_S,
+        SNAPSHOT_INTERVAL_S,
+        ClaimsUpkeep,
+        SnapshotUpkeep,
+    )
+    from toucanspool.recovery.elected import Elected
 
     decisions = Decisions()
     kernel.add("instances", InstancesService(cfg.instances_interval_s))
     kernel.add("router", Router(cfg, decisions))
     kernel.add("peers", PeersService(cfg))
+    for group in cfg.entry.groups:
+        kernel.add(f"group/{group.name}", GroupDuty(group, cfg))
+    claims = Elected("claims", cfg.instance, JANITOR_INTERVAL_S, ClaimsUpkeep())
+    kernel.add("claims-upkeep", claims)
+    snapshot = Elected("snapshot", cfg.instance, SNAPSHOT_INTERVAL_S, SnapshotUpkeep())
+    kernel.add("snapshot-upkeep", snapshot)
     kernel.add("dispatcher", Dispatcher(cfg.entry, decisions))
     kernel.add("http", HttpService(cfg, decisions))
 
 
 def _add_agent(kernel: Kernel, cfg: Settings) -> None:
     from toucanspool.agent.agent import Agent
+    from toucanspool.agent.ranks import RanksService
     from toucanspool.protected.service import ClaimsService
 
     kernel.add("claims", ClaimsService(cfg.instance))
+    if cfg.agent.ranks:
+        kernel.add("ranks", RanksService(cfg.agent.ranks, cfg.agent.address))
     kernel.add("agent", Agent(cfg))
 
 
