Turn orders away while an engine keeps one, instead of queueing them

Cause: an order to an engine must not be given up, since it could take effect later; so an agent may wait long, and orders behind it piled up. After: they are told unreachable within half a second; nothing of them was done.

--- a/tests/groups/test_rank_agent.py
+++ b/tests/groups/test_rank_agent.py
@@ -1,7 +1,12 @@
 """Promise 1, agents: the engine's own state decides what an order may do."""
 
+from unittest import mock
+
+import gevent
 import pytest
+from gevent.event import Event
 
+from standins.faults import Faults
 from standins.lockstep_group import LockstepGroup
 from standins.memory import MemoryTable
 from toucanspool.groups.rank_agent import RankAgent
@@ -88,3 +93,18 @@
     rank = Rank()
     rank.group.lose(0)
     assert rank.order(OrderKind.HOLD).result == OrderResult.UNREACHABLE
+
+
+def test_order_is_turned_away_while_the_engine_keeps_another():
+    rank = Rank()
+    engine = rank.group.engines[0]
+    answers = Event()
+    engine.faults = Faults(sleep=lambda wait_s: answers.wait())
+    engine.faults.set(freeze_s=1.0)
+    first = gevent.spawn(rank.order, OrderKind.HOLD)
+    gevent.sleep(0)
+    with mock.patch("toucanspool.groups.rank_agent.BUSY_WAIT_S", 0.0):
+        assert rank.order(OrderKind.RESUME, 1).detail == "engine is busy"
+    answers.set()
+    assert first.get().held
+    assert engine.state().held
--- a/toucanspool/groups/rank_agent.py
+++ b/toucanspool/groups/rank_agent.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 import gevent
-from gevent.lock import RLock
+from gevent.lock import BoundedSemaphore
 
 from toucanspool.groups.engine import (
     NO_MAP,
@@ -24,6 +24,7 @@
 
 HOLD_POLLS = 50
 HOLD_POLL_S = 0.002
+BUSY_WAIT_S = 0.5
 
 
 class OrderHandler(Protocol):
@@ -73,13 +74,18 @@
         self._fences = fences
         self._sleep = sleep
         self._gate = FenceGate()
-        self._lock = RLock()
+        self._lock = BoundedSemaphore()
 
     def handle(self, order: Order) -> OrderReply:
         """Carry out an order; see `OrderHandler`."""
-        # One order at a time: between its check and its effect no other may pass.
-        with self._lock:
+        # One order at a time: between its check and its effect no other may pass. An
+        # engine that is slow to answer keeps its order, and others are turned away.
+        if not self._lock.acquire(timeout=BUSY_WAIT_S):
+            return self._reply(order, OrderResult.UNREACHABLE, None, "engine is busy")
+        try:
             return self._handle(order)
+        finally:
+            self._lock.release()
 
     def read_back(self) -> None:
         """Read the highest fencing token from the table, if the table answers.
