--- a/toucanspool/limits/admission.py
+++ b/toucanspool/limits/admission.py
@@ -5,7 +5,7 @@
 
 from toucanspool.limits.queue import TicketQueue
 from toucanspool.limits.shed import RetryAfter, Shed, ShedCause
-from toucanspool.limits.teams import Teams
+from toucanspool.limits.teams import Teams, TeamUse
 from toucanspool.limits.ticket import Ticket, TicketState
 
 MAX_WAIT_S = 0.2
@@ -13,6 +13,7 @@
 FIRST_HOLD_S = 1.0
 HOLD_WEIGHT = 0.05
 MIN_WAITING = 1.0
+BURST = 2.0
 SLOP = 1e-9
 
 
@@ -20,9 +21,10 @@
     """Admit requests up to a capacity, fairly among teams.
 
     Each team with requests here has a part of the capacity in proportion to its
-    share. A team within its part is served before one beyond it; in either class
-    start-time fair queueing decides. Teams beyond their part can't take the last
-    of the capacity, which stays for those that come. What can't be served within
+    share, and credit for a burst as long as it sends no faster than that part is
+    served. A team within these is served before one beyond them; in either class
+    start-time fair queueing decides. Teams beyond can't take the last of the
+    capacity, which stays for those that come. What can't be served within
     the longest wait is shed at once: teams beyond their part first, then low
     priorities, then latecomers.
 
@@ -199,10 +201,18 @@
         part = self._common() * share / self._teams.active_share
         ticket = Ticket(team, share, priority, cost, now + self._max_wait_s)
         ticket.start_tag = max(self._virtual, use.finish_tag)
-        ticket.within = use.used - cost < part - SLOP
+        credit = self._credit(use, part, cost, now)
+        ticket.within = use.used - cost < part - SLOP or credit >= cost
         use.finish_tag = ticket.start_tag + cost / share
         return ticket
 
+    def _credit(self, use: TeamUse, part: float, cost: float, now: float) -> float:
+        earned = (now - use.credit_at) * part / self._hold_s
+        credit = min(max(BURST, part), use.credit + earned)
+        use.credit = max(0.0, credit - cost)
+        use.credit_at = now
+        return credit
+
     def _common(self) -> float:
         return self._capacity * (1.0 - self._headroom)
 
--- a/toucanspool/limits/teams.py
+++ b/toucanspool/limits/teams.py
@@ -1,5 +1,6 @@
 """What an entry keeps of the teams that it has seen of late."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -21,6 +22,10 @@
         Number of them.
     finish_tag : float
         Virtual time at which its last request ends.
+    credit : float
+        Cost that it may still send beyond its part; infinite at first.
+    credit_at : float
+        When that was so, in seconds on the monotonic clock.
     idle_since : float
         When its last request ended, in seconds on the monotonic clock.
     """
@@ -29,6 +34,8 @@
     used: float = 0.0
     requests: int = 0
     finish_tag: float = 0.0
+    credit: float = math.inf
+    credit_at: float = 0.0
     idle_since: float = 0.0
 
 
