--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -8,6 +8,11 @@
 from pydantic import TypeAdapter, ValidationError
 
 from toucanspool.config.diff import Description
+from toucanspool.config.explanation import (
+    explain_change,
+    explain_decision,
+    explain_state,
+)
 from toucanspool.config.failures import (
     ApplyBusy,
     ApplyError,
@@ -27,7 +32,7 @@
 from toucanspool.entry.problems import Problem
 from toucanspool.entry.router import Router
 from toucanspool.settings.settings import Settings
-from toucanspool.wire.gen.messages.ttypes import Changes, Frame, Outcome
+from toucanspool.wire.gen.messages.ttypes import Outcome
 
 MAX_CHANGE_BYTES = 1024 * 1024
 MAX_HISTORY = 500
@@ -109,11 +114,7 @@
             applied = store.apply(proposal, view=view, given=self._given())
         except ApplyError as exc:
             raise _problem(exc) from exc
-        changes = Changes(
-            call=0, newest=applied.change.revision, records=[encode(applied.change)]
-        )
-        self._config.offer(changes)
-        self._router.broadcast(Frame(changes=changes))
+        self._config.accepted(applied.change)
         resp.media = {
             "revision": applied.change.revision,
             "repeated": applied.repeated,
@@ -166,7 +167,7 @@
             )
         resp.media = {
             "request_id": request_id,
-            "sentences": [_sentence(item) for item in account.decisions],
+            "sentences": [explain_decision(item) for item in account.decisions],
             "result": account.result,
         }
 
@@ -178,7 +179,7 @@
         change = self._config.store.change(revision)
         if change is None:
             raise Problem(404, "no-such-change", "There is no change of that revision.")
-        resp.media = _summary(change)
+        resp.media = {**_summary(change), "sentence": explain_change(change)}
 
     def _view(self) -> View:
         return self._config.view if self._config.ready else View()
@@ -195,6 +196,7 @@
             "name": target.instance.upstream,
             "failure_domain": target.instance.failure_domain,
             "state": self._router.directory.state(target, view),
+            "why": explain_state(view, target.instance.upstream, target.given),
             "labels": labels,
             "running": candidate.running,
             "waiting": candidate.waiting,
@@ -267,14 +269,3 @@
         for singular, _ in effect.outcomes()
     ]
     return {"sentence": told.sentence, "effects": effects}
-
-
-def _sentence(item: Any) -> str:
-    if not item.chosen:
-        return f"Request {item.request_id} went nowhere: {item.reason}."
-    said = f"selector {item.selector}" if item.selector else "its model or service"
-    return (
-        f"Attempt {item.attempt} of request {item.request_id} of team {item.team} went "
-        f"to upstream {item.chosen}, one of {item.eligible} allowed by {said}, "
-        f"for the {item.reason}, at revision {item.revision}."
-    )
--- a/toucanspool/groups/switch.py
+++ b/toucanspool/groups/switch.py
@@ -7,40 +7,17 @@
 impossible.
 """
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import Enum
+import itertools
+from collections.abc import Iterator, Mapping
 
 from toucanspool.groups.engine import NO_MAP
+from toucanspool.groups.switch_intent import Intent, Limits, Outcome, Phase
 from toucanspool.wire.gen.messages.ttypes import (
     Order,
-    OrderKind,
     OrderReply,
     OrderResult,
 )
 
-
-class Outcome(Enum):
-    """How a round ended."""
-
-    FINISHED = "finished"
-    UNDONE = "undone"
-    AGENT_RESTARTED = "agent restarted"
-    SUPERSEDED = "superseded"
-    LAPSED = "lapsed"
-    UNREACHABLE = "unreachable"
-
-
-class Phase(Enum):
-    """What a round waits for from every rank; the value is the order's kind."""
-
-    FENCE = OrderKind.FENCE
-    LOAD = OrderKind.LOAD
-    HOLD = OrderKind.HOLD
-    SWITCH = OrderKind.SWITCH
-    RESUME = OrderKind.RESUME
-
-
 NEXT_PHASE = {
     Phase.LOAD: Phase.HOLD,
     Phase.HOLD: Phase.SWITCH,
@@ -49,57 +26,6 @@
 SAFE_TO_LEAVE = (Phase.FENCE, Phase.LOAD, Phase.HOLD)
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
-    """Bound the phases of a round, in seconds.
-
-    Parameters
-    ----------
-    resend_s : float, default=0.05
-        An order without an answer is sent again after this long.
-    fence_s : float, default=5.0
-        The longest wait for every rank's first answer.
-    load_s : float, default=300.0
-        The longest wait until a new map's experts are loaded.
-    hold_s : float, default=0.5
-        The longest time that a new switch may hold the group before the first rank
-        has switched.
-    """
-
-    resend_s: float = 0.05
-    fence_s: float = 5.0
-    load_s: float = 300.0
-    hold_s: float = 0.5
-
-
-@dataclass(slots=True, frozen=True)
-class Intent:
-    """Hold what a round is for.
-
-    Parameters
-    ----------
-    group : str
-        The group's name.
-    ranks : int
-        Number of ranks.
-    fence : int
-        The round's fencing token.
-    committed : int
-        Version that the group used last.
-    intended : int
-        Version that a switch goes to, or went to when it was broken off.
-    new : bool
-        True to start the switch; False to finish or undo one broken off.
-    """
-
-    group: str
-    ranks: int
-    fence: int
-    committed: int
-    intended: int
-    new: bool
-
-
 class Round:
     """Bring all ranks to one map; never sends anything itself.
 
@@ -111,6 +37,8 @@
         Monotonic seconds.
     limits : Limits, optional
         Bounds of the phases.
+    calls : iterator of int, optional
+        Gives each order its number; the numbers grow, from 1.
 
     Attributes
     ----------
@@ -132,9 +60,10 @@
         "_intent",
         "_last_call",
         "_limits",
+        "_newest_call",
         "_phase_call",
         "_phase_since",
-        "_sent_at",
+        "_due_at",
         "_versions",
         "decided",
         "outcome",
@@ -143,11 +72,17 @@
     )
 
     def __init__(
-        self, intent: Intent, *, now: float, limits: Limits | None = None
+        self,
+        intent: Intent,
+        *,
+        now: float,
+        limits: Limits | None = None,
+        calls: Iterator[int] | None = None,
     ) -> None:
         self._intent = intent
         self._limits = limits or Limits()
-        self._calls = 0
+        self._calls = calls or itertools.count(1)
+        self._newest_call = 0
         self._last_call: dict[int, int] = {}
         self._versions: dict[int, int] = {}
         self._holding = False
@@ -194,31 +129,31 @@
         due = [rank for rank in range(self._intent.ranks) if self._is_due(rank, now)]
         return [self._order(rank, now) for rank in due]
 
-    def receive(self, rank: int, reply: OrderReply, now: float) -> None:
-        """Take a rank's reply, which may be late or repeated.
+    def receive(self, order: Order, reply: OrderReply, now: float) -> None:
+        """Take the reply to an order; either may be late, repeated or not ours.
 
         Parameters
         ----------
-        rank : int
-            The rank.
+        order : Order
+            The order answered.
         reply : OrderReply
-            Its reply.
+            The reply.
         now : float
             Monotonic seconds.
         """
-        if self.outcome is not None:
+        if self.outcome is not None or order.fence != self._intent.fence:
             return
         if reply.result == OrderResult.STALE_FENCE:
-            self._refused(rank, reply)
-        elif reply.call < self._phase_call:
+            self._refused(order, reply)
+        elif order.call < self._phase_call:
             return
         elif reply.result in (OrderResult.OK, OrderResult.NOT_READY):
-            self._answered(rank, reply, now)
+            self._answered(order.rank, reply, now)
 
-    def _refused(self, rank: int, reply: OrderReply) -> None:
+    def _refused(self, order: Order, reply: OrderReply) -> None:
         if reply.fence > self._intent.fence:
             self.outcome = Outcome.SUPERSEDED
-        elif reply.call == self._last_call.get(rank):
+        elif order.call == self._last_call[order.rank]:
             # Only an agent that lost its memory refuses the newest order.
             self.outcome = Outcome.AGENT_RESTARTED
 
@@ -233,6 +168,9 @@
         elif reply.result == OrderResult.OK:
             self._versions[rank] = reply.version
             self._ack(rank, now)
+        else:
+            loading = self.phase is Phase.LOAD
+            self._due_at[rank] = now + (self._limits.load_poll_s if loading else 0.0)
 
     def _is_expected(self, rank: int, reply: OrderReply) -> bool:
         if self.phase in (Phase.SWITCH, Phase.RESUME):
@@ -303,24 +241,23 @@
         if phase is Phase.SWITCH:
             self.decided = True
         self.phase = phase
-        self._phase_call = self._calls + 1
+        self._phase_call = self._newest_call + 1
         self._phase_since = now
         self._acked: set[int] = set()
-        self._sent_at: dict[int, float] = {}
+        self._due_at: dict[int, float] = {}
 
     def _is_due(self, rank: int, now: float) -> bool:
         if rank in self._acked:
             return False
-        sent_at = self._sent_at.get(rank)
-        return sent_at is None or now - sent_at >= self._limits.resend_s
+        return now >= self._due_at.get(rank, now)
 
     def _order(self, rank: int, now: float) -> Order:
-        self._calls += 1
+        self._newest_call = next(self._calls)
         self._holding |= self.phase is Phase.HOLD
-        self._sent_at[rank] = now
-        self._last_call[rank] = self._calls
+        self._due_at[rank] = now + self._limits.resend_s
+        self._last_call[rank] = self._newest_call
         return Order(
-            call=self._calls,
+            call=self._newest_call,
             group=self._intent.group,
             rank=rank,
             fence=self._intent.fence,
