--- a/tests/retries/test_ejection.py
+++ b/tests/retries/test_ejection.py
@@ -31,7 +31,7 @@
 class Unbounded(Ejector):
     """Take out any number at once."""
 
-    def _room(self):
+    def _room(self, pool):
         return True
 
     def _return_surplus(self, now):
@@ -138,3 +138,14 @@
     ejector = pool(members=["u0"])
     assert not ejector.record("u0", Result.UNREACHABLE, 0.0)
     assert ejector.weight("u0", 0.0) == 1.0
+
+
+def test_the_bound_holds_for_each_pool():
+    ejector = Ejector(random.Random(3))
+    pools = {"a0": "a", "a1": "a", "b0": "b", "b1": "b", "b2": "b", "b3": "b"}
+    ejector.update(pools, 0.0, pools=pools)
+    for name in pools:
+        ejector.record(name, Result.UNREACHABLE, 0.0)
+    assert ejector.ejected == {"a0", "b0", "b1"}
+    ejector.update(["a0", "b0", "b1"], 1.0, pools=pools)
+    assert len(ejector.ejected) == 1
--- a/toucanspool/retries/ejection.py
+++ b/toucanspool/retries/ejection.py
@@ -1,7 +1,8 @@
 """The upstreams of a pool that get no work because they fail."""
 
 import random
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -29,6 +30,7 @@
 
 @dataclass(slots=True)
 class _Health:
+    pool: str = ""
     in_a_row: int = 0
     attempts: int = 0
     failure_rate: float = 0.0
@@ -40,7 +42,7 @@
 
 
 class Ejector:
-    """Take failing upstreams of one pool out, a bounded share at once.
+    """Take failing upstreams out, a bounded share of each pool at once.
 
     An upstream goes out when it is unreachable or fails several times in a row, or
     when most of its recent attempts fail. It is probed after a time that doubles
@@ -53,7 +55,7 @@
     rng : random.Random
         Spreads the probes of many processes.
     max_share : float, default=0.5
-        The most of the pool that may be out at once.
+        The most of a pool that may be out at once.
     eject_s : float, default=2
         Time to the first probe, in seconds.
     ramp_s : float, default=10
@@ -87,15 +89,23 @@
         """Return the upstreams that are out."""
         return frozenset(self._out)
 
-    def update(self, members: Iterable[str], now: float) -> None:
-        """Set the pool; newcomers after the first call start slowly.
+    def update(
+        self,
+        members: Iterable[str],
+        now: float,
+        *,
+        pools: Mapping[str, str] | None = None,
+    ) -> None:
+        """Set the upstreams; newcomers after the first call start slowly.
 
         Parameters
         ----------
         members : iterable of str
-            Names of all upstreams of the pool.
+            Names of all upstreams.
         now : float
             Seconds on the monotonic clock.
+        pools : mapping of str to str, optional
+            The pool of each by name, such as its model; one pool by default.
         """
         names = set(members)
         first = not self._health
@@ -104,6 +114,8 @@
             self._out.discard(name)
         for name in names - self._health.keys():
             self._health[name] = _Health(back_at=None if first else now)
+        for name, health in self._health.items():
+            health.pool = pools.get(name, "") if pools else ""
         self._return_surplus(now)
 
     def weight(self, upstream: str, now: float) -> float:
@@ -112,7 +124,7 @@
         Parameters
         ----------
         upstream : str
-            Its name; one that is not of the pool gets all.
+            Its name; one that is not known gets all.
         now : float
             Seconds on the monotonic clock.
 
@@ -155,7 +167,7 @@
         if health is None or health.out_until is not None:
             return False
         self._count(health, result)
-        if not self._failing(health, result) or not self._room():
+        if not self._failing(health, result) or not self._room(health.pool):
             return False
         self._eject(upstream, health, now)
         return True
@@ -225,11 +237,10 @@
             return True
         return health.attempts >= RATE_ATTEMPTS and health.failure_rate > FAILURE_RATE
 
-    def _room(self) -> bool:
-        return len(self._out) + 1 <= self._bound()
-
-    def _bound(self) -> int:
-        return int(self._max_share * len(self._health))
+    def _room(self, pool: str) -> bool:
+        out = sum(self._health[name].pool == pool for name in self._out)
+        size = sum(health.pool == pool for health in self._health.values())
+        return out + 1 <= int(self._max_share * size)
 
     def _eject(self, upstream: str, health: _Health, now: float) -> None:
         wait_s = min(MAX_EJECT_S, self._eject_s * 2**health.times_out)
@@ -240,10 +251,17 @@
 
     def _return(self, upstream: str, health: _Health, now: float) -> None:
         self._out.discard(upstream)
-        fresh = _Health(times_out=health.times_out, back_at=now)
+        fresh = _Health(pool=health.pool, times_out=health.times_out, back_at=now)
         self._health[upstream] = fresh
 
     def _return_surplus(self, now: float) -> None:
-        by_end = sorted(self._out, key=lambda name: self._health[name].out_until or 0.0)
-        for name in by_end[: max(0, len(self._out) - self._bound())]:
-            self._return(name, self._health[name], now)
+        sizes = Counter(health.pool for health in self._health.values())
+        kept: Counter[str] = Counter()
+        longest = sorted(
+            self._out, key=lambda name: self._health[name].out_until or 0.0
+        )
+        for name in reversed(longest):
+            health = self._health[name]
+            kept[health.pool] += 1
+            if kept[health.pool] > int(self._max_share * sizes[health.pool]):
+                self._return(name, health, now)
--- a/toucanspool/routing/policy.py
+++ b/toucanspool/routing/policy.py
@@ -1,6 +1,5 @@
 """The choice among upstreams that a request may go to."""
 
-import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -63,29 +62,3 @@
         Choice
         """
         ...
-
-
-class PowerOfTwo:
-    """Choose the less loaded of two candidates drawn at random.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Source of the draws.
-
-    References
-    ----------
-    M. Mitzenmacher, "The power of two choices in randomized load balancing",
-    IEEE TPDS 12(10), 2001.
-    """
-
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-
-    def choose(self, work: Work, candidates: Sequence[Candidate], now: float) -> Choice:
-        """Return the less loaded of two candidates; see `Policy`."""
-        drawn = self._rng.sample(candidates, min(2, len(candidates)))
-        best = min(drawn, key=lambda c: c.running + c.waiting + c.in_flight)
-        return Choice(best, f"least load of {len(drawn)} drawn")
