--- a/bench/retries.py
+++ b/bench/retries.py
@@ -1,7 +1,8 @@
 """Measure retries, ejection and slow start while a third of the runners fail.
 
 Entries send requests to a pool of runners; part of the trace a third of them fails
-each request that they get, refuses connections, or fails half of its requests. A
+each request that they get, refuses connections, or fails half of its requests, and
+in one trace more fail than may be out at once. A
 runner that is mended is cold: at first it has room for one request.
 """
 
@@ -78,10 +79,11 @@
     Setting("budget and ejection, no slow start", RetryBudget, NoRamp),
     Setting("budget, ejection and slow start", RetryBudget, Ejector),
 ]
-FAULTS: dict[str, tuple[Result, float]] = {
-    "fails all": (Result.FAILED, 1.0),
-    "unreachable": (Result.UNREACHABLE, 1.0),
-    "fails half": (Result.FAILED, 0.5),
+FAULTS: dict[str, tuple[Result, float, int]] = {
+    "4 of 12 fail all": (Result.FAILED, 1.0, 4),
+    "4 of 12 unreachable": (Result.UNREACHABLE, 1.0, 4),
+    "4 of 12 fail half": (Result.FAILED, 0.5, 4),
+    "10 of 12 fail all": (Result.FAILED, 1.0, 10),
 }
 
 
@@ -165,13 +167,13 @@
         return self.rng.choices(names, weights)[0]
 
     def _result(self, name: str, now: float) -> Result:
-        broken = int(name[1:]) < RUNNERS // 3 and FAIL_AT_S <= now < MEND_AT_S
-        result, odds = FAULTS[self.fault]
+        result, odds, count = FAULTS[self.fault]
+        broken = int(name[1:]) < count and FAIL_AT_S <= now < MEND_AT_S
         return result if broken and self.rng.random() < odds else Result.OK
 
     def _full(self, name: str, now: float) -> bool:
         room = float(PLACES)
-        if int(name[1:]) < RUNNERS // 3 and now >= MEND_AT_S:
+        if int(name[1:]) < FAULTS[self.fault][2] and now >= MEND_AT_S:
             since_s = now - self.warm_from.setdefault(name, now)
             room = min(room, COLD_PLACES + (PLACES - COLD_PLACES) * since_s / WARM_S)
             if since_s < WARM_S:
@@ -223,14 +225,15 @@
         traces = list(pool.map(measure, tasks))
     print(f"{RUNNERS} runners, {ENTRIES} entries, seeds {seeds}\n")
     print(
-        "| setting | a third | offered/served | requests failed % | most out of 12 |"
-        " all back after, s | refused while cold % |"
+        "| setting | fault | offered/served | offered/asked | requests failed % |"
+        " most out of 12 | all back after, s | refused while cold % |"
     )
-    print("|" + " --- |" * 7)
+    print("|" + " --- |" * 8)
     for setting, fault in itertools.product(SETTINGS, FAULTS):
         rows = [t for t in traces if t.setting == setting and t.fault == fault]
         cells = [
             spread([t.offered / t.served for t in rows], 2),
+            spread([t.offered / (t.lost + t.served) for t in rows], 2),
             spread([100 * t.lost / (t.lost + t.served) for t in rows], 2),
             spread([t.most_out for t in rows]),
             spread([max(t.back_at.values()) for t in rows], 1),
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,7 +12,7 @@
 import time
 from collections import deque
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 from absl import app, flags
@@ -28,6 +28,8 @@
 
 SEEDS = flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds of the traces.")
 PROCESSES = flags.DEFINE_integer("processes", 4, "Traces run at once.")
+LOAD = flags.DEFINE_float("load", None, "Load in place of each trace's own.")
+POLICY = flags.DEFINE_string("policy", "", "Run only policies with this in their name.")
 ONLY = flags.DEFINE_string("only", "", "Run only scenarios with this in their name.")
 
 REPORT_EVERY_S = 1.0
@@ -261,7 +263,10 @@
     """Print the tables."""
     seeds = [int(seed) for seed in SEEDS.value]
     scenarios = [s for s in SCENARIOS if ONLY.value in s.name]
-    tasks = list(itertools.product(scenarios, POLICIES, seeds))
+    if LOAD.value is not None:
+        scenarios = [replace(s, load=LOAD.value) for s in scenarios]
+    policies = [name for name in POLICIES if POLICY.value in name]
+    tasks = list(itertools.product(scenarios, policies, seeds))
     tasks.sort(key=lambda task: -task[0].runners)
     with ProcessPoolExecutor(PROCESSES.value) as pool:
         found = dict(zip(tasks, pool.map(measure, tasks), strict=True))
@@ -271,7 +276,7 @@
         " | token p99 | prefix hits % | decisions/s | max/mean load | not begun |"
     )
     print("|" + " --- |" * 12)
-    for scenario, name in itertools.product(scenarios, POLICIES):
+    for scenario, name in itertools.product(scenarios, policies):
         figures = [found[scenario, name, seed] for seed in seeds]
         hits = spread([100 * f.hits for f in figures])
         rate = spread([f.decisions_per_s for f in figures])
