Search a layer on where its last search was cut short

The planner kept the point reached as final although the search had stopped at its limit of moves. The smallest gain is now 0.5 % beyond 4 standard errors.

--- a/bench/group_run.py
+++ b/bench/group_run.py
@@ -209,9 +209,8 @@
     speeds = np.ones(RANKS)
     map_ = pack(trace.first, speeds, SLOTS, split=split)
     cfg = PlacementSettings(min_gain=0.001, switch_s=0.0, max_load_s=100.0)
-    planner = Planner(cfg, split=split)
     for _ in range(MAX_FIRST_PLANS):
-        plan = planner.plan(map_, trace.first, speeds)
+        plan = Planner(cfg, split=split).plan(map_, trace.first, speeds)
         if plan is None:
             break
         map_ = plan.map
--- a/toucanspool/groups/move_choice.py
+++ b/toucanspool/groups/move_choice.py
@@ -20,12 +20,15 @@
         What may be taken off a gain as noise, in the unit of ``before``.
     points : list of Placing
         The placements; the first has no moves.
+    cut : bool, default=False
+        Whether the search stopped at its limit of moves, not for want of gain.
     """
 
     layer: int
     before: float
     noise: float
     points: list[Placing] = field(default_factory=list)
+    cut: bool = False
 
     @property
     def lowest(self) -> float:
--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -154,7 +154,9 @@
             self._reached[curve.layer] = curve.before / floor - 1.0
         for choice in chosen:
             self._reached[choice.layer] = choice.placing.peak / floor - 1.0
-        for layer in postponed:
+        unfinished = {curve.layer for curve in curves if curve.cut}
+        unfinished &= {choice.layer for choice in chosen if choice.placing.moves}
+        for layer in postponed | unfinished:
             self._reached[layer] = 0.0
 
     def _noise(
@@ -185,7 +187,10 @@
                 continue
             curve.points.append(placing)
             left = self._cfg.worth((curve.lowest - search.target) / total)
-            if left <= self._cfg.move_cost or len(placing.moves) >= LOOK_AHEAD_MOVES:
+            if left <= self._cfg.move_cost:
+                return
+            if len(placing.moves) >= LOOK_AHEAD_MOVES:
+                curve.cut = True
                 return
 
     def _finish(
--- a/toucanspool/groups/placement_settings.py
+++ b/toucanspool/groups/placement_settings.py
@@ -25,11 +25,11 @@
         Size of one expert's weights in one layer.
     store_bytes_per_s : float, default=1e9
         Rate of the weight store for this group.
-    max_load_s : float, default=5.0
+    max_load_s : float, default=3.0
         The most time that the copies of one plan may take to load.
     switch_s : float, default=0.5
         Time that a change of map costs the group.
-    min_gain : float, default=0.01
+    min_gain : float, default=0.005
         Smallest gain of a plan beyond noise, as a part of the step time.
     noise_sigmas : float, default=4.0
         Standard errors of the slowest rank's load that are taken off a gain
@@ -41,9 +41,9 @@
     horizon_s: float = 300.0
     expert_bytes: float = 44e6
     store_bytes_per_s: float = 1e9
-    max_load_s: float = 5.0
+    max_load_s: float = 3.0
     switch_s: float = 0.5
-    min_gain: float = 0.01
+    min_gain: float = 0.005
     noise_sigmas: float = 4.0
 
     @property
--- a/toucanspool/groups/straggler.py
+++ b/toucanspool/groups/straggler.py
@@ -194,10 +194,10 @@
     def _costs(self, gap_s: float) -> FloatArray:
         known = ~np.isnan(self._busy)
         costs = np.ones(len(self.states))
-        if known.mean() < MIN_REPORTING or np.median(self._loads[known]) <= 0.0:
+        if known.mean() < MIN_REPORTING or _median(self._loads[known]) <= 0.0:
             return costs
-        loads = np.where(known, self._loads / np.median(self._loads[known]), 1.0)
-        times = np.where(known, self._busy / np.median(self._busy[known]), 1.0)
+        loads = np.where(known, self._loads / _median(self._loads[known]), 1.0)
+        times = np.where(known, self._busy / _median(self._busy[known]), 1.0)
         self._relative_load, self._relative_busy = loads, times
         healthy = known & np.array([s is RankState.HEALTHY for s in self.states])
         healthy &= self._over_s == 0.0
@@ -205,7 +205,7 @@
             self._model.learn(loads[healthy], times[healthy], gap_s)
         expected = np.maximum(self._model.expected(loads), 1e-6)
         costs[known] = times[known] / expected[known]
-        return costs / np.median(costs[known])
+        return costs / _median(costs[known])
 
     def _count(self, costs: FloatArray, fresh: np.ndarray, gap_s: float) -> None:
         load, busy = self._relative_load, self._relative_busy
@@ -280,3 +280,9 @@
         if state is RankState.STALLED:
             return bool(silent_s > REPLACE_STALLED_AFTER_S)
         return state is RankState.SLOW and bool(self._slow_s[rank] >= REPLACE_AFTER_S)
+
+
+def _median(values: FloatArray) -> float:
+    """Return the upper median; `numpy.median` loads a module at its first call."""
+    middle = values.size // 2
+    return float(np.partition(values, middle)[middle])
