--- /dev/null
+++ b/tests/groups/test_straggler.py
@@ -0,0 +1,176 @@
+"""Proves that slow and stalled ranks are told from hot ones, without flapping."""
+
+import numpy as np
+import pytest
+
+from toucanspool.groups import straggler
+from toucanspool.groups.load import RankReport
+from toucanspool.groups.straggler import MIN_SPEED, RankState, StragglerJudge
+
+RANKS = 16
+FIXED = 0.1
+
+
+class JudgedRanks:
+    """Send reports of ranks whose loads and speeds a test sets."""
+
+    def __init__(self, seed=1):
+        self.rng = np.random.default_rng(seed)
+        self.judge = StragglerJudge(RANKS, 0.0)
+        self.loads = np.ones(RANKS)
+        self.speeds = np.ones(RANKS)
+        self.silent = set()
+        self.now = 0.0
+        self.log = []
+
+    def report(self, rank, at):
+        """Return one report of a rank."""
+        busy = (FIXED + (1 - FIXED) * self.loads[rank]) / self.speeds[rank]
+        return RankReport(
+            rank=rank,
+            version=0,
+            at=at,
+            steps=10,
+            busy_s=float(busy * self.rng.normal(1.0, 0.02)),
+            tokens=np.full((1, 1), int(1e6 * self.loads[rank])),
+        )
+
+    def run(self, seconds):
+        """Report and judge each second; return the verdicts."""
+        found = []
+        for _ in range(seconds):
+            self.now += 1.0
+            for rank in set(range(RANKS)) - self.silent:
+                if self.rng.random() > 0.05:
+                    self.judge.observe(self.report(rank, self.now), self.now)
+            found += self.judge.judge(self.now)
+        self.log += found
+        return found
+
+    def states(self, found):
+        """Return rank and state of verdicts."""
+        return [(v.rank, v.state) for v in found]
+
+
+def test_healthy_ranks_stay_healthy():
+    assert JudgedRanks().run(600) == []
+
+
+def test_hot_rank_is_not_slow():
+    ranks = JudgedRanks()
+    ranks.loads[3] = 2.0
+    assert ranks.run(120) == []
+    assert ranks.states(ranks.judge.hot()) == [(3, RankState.HOT)]
+    assert "1.8" in ranks.judge.hot()[0].reason
+
+
+def test_slow_rank_is_not_hot_and_is_replaced_if_it_stays():
+    ranks = JudgedRanks()
+    ranks.run(20)
+    ranks.speeds[3] = 0.5
+    assert ranks.states(ranks.run(15)) == [(3, RankState.SLOW)]
+    assert ranks.judge.hot() == []
+    assert ranks.judge.speeds[3] < 0.6
+    (verdict,) = ranks.run(60)
+    assert (verdict.rank, verdict.state) == (3, RankState.REPLACE)
+    assert verdict.reason.endswith("and should be replaced.")
+
+
+def test_slow_rank_that_recovers_is_healthy_again_once():
+    ranks = JudgedRanks()
+    ranks.run(20)
+    ranks.speeds[3] = 0.5
+    ranks.run(20)
+    ranks.loads[3] = 0.45
+    ranks.run(5)
+    ranks.speeds[3] = 1.0
+    assert ranks.states(ranks.run(35)) == [(3, RankState.HEALTHY)]
+    assert ranks.judge.speeds[3] == 1.0
+
+
+@pytest.mark.parametrize("cost", [1.1, 1.12, 1.15])
+def test_rank_near_the_threshold_does_not_flap(cost):
+    ranks = JudgedRanks()
+    ranks.speeds[3] = 1 / cost
+    ranks.run(900)
+    healthy = [v for v in ranks.log if v.state is RankState.HEALTHY]
+    assert len(healthy) <= 1
+
+
+def test_without_hysteresis_it_flaps(monkeypatch):
+    monkeypatch.setattr(straggler, "SLOW_ABOVE", 1.11)
+    monkeypatch.setattr(straggler, "HEALTHY_BELOW", 1.11)
+    monkeypatch.setattr(straggler, "SLOW_AFTER_S", 0.0)
+    monkeypatch.setattr(straggler, "HEALTHY_AFTER_S", 0.0)
+    ranks = JudgedRanks()
+    ranks.speeds[3] = 1 / 1.11
+    ranks.run(900)
+    assert sum(v.state is RankState.HEALTHY for v in ranks.log) > 5
+
+
+def test_rank_slow_again_and_again_is_replaced():
+    ranks = JudgedRanks()
+    for _ in range(6):
+        ranks.speeds[3] = 0.5
+        ranks.run(30)
+        ranks.speeds[3] = 1.0
+        ranks.run(45)
+    assert (3, RankState.REPLACE) in ranks.states(ranks.log)
+
+
+def test_silent_rank_is_stalled_then_replaced_at_the_lowest_speed():
+    ranks = JudgedRanks()
+    ranks.run(20)
+    ranks.silent = {5}
+    assert ranks.states(ranks.run(8)) == [(5, RankState.STALLED)]
+    assert ranks.states(ranks.run(12)) == [(5, RankState.REPLACE)]
+    ranks.run(20)
+    assert ranks.judge.speeds[5] == MIN_SPEED
+
+
+def test_silence_of_most_ranks_blames_none():
+    ranks = JudgedRanks()
+    ranks.run(20)
+    ranks.silent = set(range(RANKS)) - {1, 2}
+    assert ranks.run(60) == []
+
+
+def test_old_reports_do_not_count_against_the_new_rank():
+    ranks = JudgedRanks()
+    ranks.speeds[3] = 0.4
+    ranks.run(90)
+    ranks.judge.replaced(3, ranks.now)
+    for late in (3.0, 2.0, 1.0):
+        ranks.judge.observe(ranks.report(3, ranks.now - late), ranks.now)
+    ranks.speeds[3] = 1.0
+    assert ranks.run(60) == []
+
+
+def test_fixed_time_of_a_rank_with_little_load_is_not_slowness():
+    ranks = JudgedRanks()
+    ranks.run(60)
+    ranks.judge.replaced(3, ranks.now)
+    ranks.loads[3] = 0.02
+    assert ranks.run(60) == []
+
+
+def test_number_of_ranks_to_replace_at_once_is_bounded():
+    ranks = JudgedRanks()
+    ranks.run(20)
+    ranks.speeds[[2, 3, 4]] = [0.6, 0.4, 0.5]
+    ranks.run(120)
+    assert ranks.judge.states.count(RankState.REPLACE) == 1
+    first = ranks.judge.states.index(RankState.REPLACE)
+    ranks.speeds[first] = 1.0
+    ranks.judge.replaced(first, ranks.now)
+    ranks.run(5)
+    assert ranks.judge.states.count(RankState.REPLACE) == 1
+
+
+def test_replacement_is_withdrawn_when_the_rank_recovers():
+    ranks = JudgedRanks()
+    ranks.speeds[3] = 0.5
+    ranks.run(90)
+    assert ranks.judge.states[3] is RankState.REPLACE
+    ranks.speeds[3] = 1.0
+    assert ranks.states(ranks.run(90)) == [(3, RankState.HEALTHY)]
--- a/toucanspool/groups/rebalancer.py
+++ b/toucanspool/groups/rebalancer.py
@@ -1,5 +1,6 @@
 """The decision when a group gets another expert map, and which."""
 
+import math
 from collections.abc import Generator
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 
 PLAN_EVERY_S = 2.0
 KEPT_MAPS = 4
+MAX_HOT_NAMED = 2
 
 
 @dataclass(slots=True, frozen=True, eq=False)
@@ -50,6 +52,23 @@
         self.got = got
 
 
+class BadReport(Exception):
+    """Report figures of a rank that can't be true.
+
+    Parameters
+    ----------
+    rank : int
+        The rank that the report names.
+    mistake : str
+        What is wrong.
+    """
+
+    def __init__(self, rank: int, mistake: str) -> None:
+        super().__init__(f"report of rank {rank}: {mistake}")
+        self.rank = rank
+        self.mistake = mistake
+
+
 class Rebalancer:
     """Decide from reports; do no I/O and change no rank.
 
@@ -113,12 +132,27 @@
             The report; one on a map long gone tells only of the rank.
         now : float
             Seconds on the monotonic clock.
+
+        Raises
+        ------
+        BadReport
+            The report names no rank of the group or holds impossible figures.
         """
+        self._check(report)
         self._judge.observe(report, now)
         map_ = self._maps.get(report.version)
         if map_ is not None:
             self._loads.observe(report, map_)
 
+    def _check(self, report: RankReport) -> None:
+        if not 0 <= report.rank < self.map.ranks:
+            raise BadReport(report.rank, "there is no such rank")
+        if not 0.0 <= report.busy_s < math.inf or not math.isfinite(report.at):
+            raise BadReport(report.rank, "a time is impossible")
+        map_ = self._maps.get(report.version, self.map)
+        if report.tokens.shape != (map_.layers, map_.slots) or report.tokens.min() < 0:
+            raise BadReport(report.rank, "tokens do not fit the map")
+
     def adopted(self, map_: ExpertMap) -> None:
         """Note that the group runs on another map.
 
@@ -198,5 +232,8 @@
                 errors=self._loads.errors,
             )
             self._open = plan
-        reasons = [v.reason for v in verdicts] + ([plan.reason] if plan else [])
+        reasons = [v.reason for v in verdicts]
+        if plan is not None:
+            reasons += [v.reason for v in self._judge.hot()[:MAX_HOT_NAMED]]
+            reasons.append(plan.reason)
         return Decision(plan, verdicts, " ".join(reasons))
