--- a/bench/routing.py
+++ b/bench/routing.py
@@ -11,9 +11,8 @@
 import random
 import time
 from collections import deque
-from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 from absl import app, flags
@@ -21,6 +20,7 @@
 from bench.engine import BLOCK_TOKENS, Engine, Job, Load
 from bench.jobs import Scenario, make_jobs
 from bench.policies import POLICIES
+from bench.tables import spread
 from toucanspool.routing.candidate import Candidate
 from toucanspool.routing.expected import ExpectedRoom
 from toucanspool.routing.policy import Policy, Work
@@ -28,6 +28,8 @@
 
 SEEDS = flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds of the traces.")
 PROCESSES = flags.DEFINE_integer("processes", 4, "Traces run at once.")
+LOAD = flags.DEFINE_float("load", None, "Load in place of each trace's own.")
+POLICY = flags.DEFINE_string("policy", "", "Run only policies with this in their name.")
 ONLY = flags.DEFINE_string("only", "", "Run only scenarios with this in their name.")
 
 REPORT_EVERY_S = 1.0
@@ -216,12 +218,6 @@
     return Run(*task).go()
 
 
-def spread(values: Sequence[float], digits: int = 0) -> str:
-    """Return the median of values with the least and the greatest."""
-    low, mid, high = np.min(values), np.median(values), np.max(values)
-    return f"{mid:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
-
-
 def percentiles(figures: list[Figures], name: str, digits: int = 0) -> str:
     """Return p50, p95 and p99 over seeds in three cells."""
     cells = []
@@ -267,7 +263,10 @@
     """Print the tables."""
     seeds = [int(seed) for seed in SEEDS.value]
     scenarios = [s for s in SCENARIOS if ONLY.value in s.name]
-    tasks = list(itertools.product(scenarios, POLICIES, seeds))
+    if LOAD.value is not None:
+        scenarios = [replace(s, load=LOAD.value) for s in scenarios]
+    policies = [name for name in POLICIES if POLICY.value in name]
+    tasks = list(itertools.product(scenarios, policies, seeds))
     tasks.sort(key=lambda task: -task[0].runners)
     with ProcessPoolExecutor(PROCESSES.value) as pool:
         found = dict(zip(tasks, pool.map(measure, tasks), strict=True))
@@ -277,7 +276,7 @@
         " | token p99 | prefix hits % | decisions/s | max/mean load | not begun |"
     )
     print("|" + " --- |" * 12)
-    for scenario, name in itertools.product(scenarios, POLICIES):
+    for scenario, name in itertools.product(scenarios, policies):
         figures = [found[scenario, name, seed] for seed in seeds]
         hits = spread([100 * f.hits for f in figures])
         rate = spread([f.decisions_per_s for f in figures])
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -1,6 +1,7 @@
 """Start and stop the processes of a small system on loopback."""
 
 import os
+import random
 import secrets
 import signal
 import socket
@@ -20,6 +21,8 @@
 from toucanspool.config.view import key_hash
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12_000
+PORTS_PER_PART = 2_400
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 
@@ -59,11 +62,39 @@
     teams: dict[str, str] = field(default_factory=dict)
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+class Ports:
+    """Hand out loopback ports that are free, each once.
+
+    They lie below those that the system takes for outgoing connections, which would
+    otherwise be in the way now and then.
+
+    Parameters
+    ----------
+    part : int, default=0
+        Part of the range, from 0 to 7, for systems that start at the same time.
+    """
+
+    def __init__(self, *, part: int = 0) -> None:
+        first = FIRST_PORT + part * PORTS_PER_PART
+        ports = list(range(first, first + PORTS_PER_PART))
+        start = random.randrange(PORTS_PER_PART)
+        self._ports = iter(ports[start:] + ports[:start])
+
+    def next(self) -> int:
+        """Return a port that is free now.
+
+        Returns
+        -------
+        int
+        """
+        for port in self._ports:
+            with socket.socket() as sock:
+                try:
+                    sock.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise DemoFailed("no port is free")
 
 
 def call(
@@ -87,7 +118,7 @@
     path : str
         Path.
     body : Any, optional
-        Sent as JSON.
+        Sent as JSON; bytes are sent as they are.
     key : str, default=""
         Sent as bearer.
     headers : dict, optional
@@ -108,7 +139,9 @@
     client = HTTPClient(
         HOST, port, connection_timeout=timeout_s, network_timeout=timeout_s
     )
-    data = b"" if body is None else orjson.dumps(body)
+    data = body if isinstance(body, bytes) else orjson.dumps(body)
+    if body is None:
+        data = b""
     try:
         resp = client.request(method, path, body=data, headers=sent)
         raw = resp.read()
@@ -129,9 +162,12 @@
         The topology, as in ``demo/kettlewell.yaml``.
     logs : str, default=""
         Folder for settings and logs; empty for one that goes at the end.
+    part : int, default=0
+        See `Ports`.
     """
 
-    def __init__(self, plan: dict[str, Any], *, logs: str = "") -> None:
+    def __init__(self, plan: dict[str, Any], *, logs: str = "", part: int = 0) -> None:
+        self._free = Ports(part=part)
         self.plan = plan
         self._logs = logs
         self.keys = Keys()
@@ -148,6 +184,7 @@
             starting.callback(self._kill_all)
             self._start_platform()
             self._start_upstreams()
+            self._start_groups()
             self._start_entries()
             self._wait_for_processes()
             self._list_instances()
@@ -244,13 +281,15 @@
         """
         name = f"agent-{item['name']}"
         kind = "engine" if "model" in item else "service"
+        if "ranks" in item:
+            kind = "ranks"
         agent = {
             "upstream": item["name"],
-            "address": {"host": HOST, "port": self.ports[item["name"]]},
+            "address": {"host": HOST, "port": self.ports[item.get("at", item["name"])]},
             "kind": kind,
             "guarded": bool(item.get("guarded")),
         }
-        for key in ("model", "service"):
+        for key in ("model", "service", "ranks"):
             if key in item:
                 agent[key] = item[key]
         self._start_daemon(name, "agent", item["failure_domain"], {"agent": agent})
@@ -263,7 +302,7 @@
         item : dict
             The entry in the plan.
         """
-        port = self.ports.setdefault(f"{item['name']}/http", free_port())
+        port = self.ports.setdefault(f"{item['name']}/http", self._free.next())
         settings = self.plan.get("entry_settings", {})
         entry = {
             "bootstrap_operator_key_hash": key_hash(self.keys.bootstrap),
@@ -297,18 +336,26 @@
             )
             self.start_agent(item)
 
+    def _start_groups(self) -> None:
+        for item in self.plan.get("groups", ()):
+            self._start_standin(
+                item["name"], "standins.lockstep", f"--ranks={item['ranks']}"
+            )
+        for item in self.plan.get("rank_agents", ()):
+            self.start_agent(item)
+
     def _start_entries(self) -> None:
         for item in self.plan["entries"]:
             self.start_entry(item)
 
     def _start_standin(self, name: str, module: str, *args: str) -> None:
-        port = self.ports.setdefault(name, free_port())
+        port = self.ports.setdefault(name, self._free.next())
         self._start(name, [sys.executable, "-m", module, f"--port={port}", *args], port)
 
     def _start_daemon(
         self, name: str, role: str, domain: str, section: dict[str, Any]
     ) -> None:
-        port = self.ports.setdefault(name, free_port())
+        port = self.ports.setdefault(name, self._free.next())
         settings = {
             "instance": name,
             "role": role,
@@ -369,15 +416,20 @@
         )
 
     def _list_instances(self) -> None:
-        for kind in ("entries", "runners", "services"):
-            for item in self.plan[kind]:
+        for kind in ("entries", "runners", "services", "rank_agents"):
+            for item in self.plan.get(kind, ()):
                 self.list_instance(item["name"])
 
     def _listing(self, name: str, state: str) -> dict[str, Any]:
         for item in self.plan["entries"]:
             if item["name"] == name:
                 return self._fields(item, name, "entry", state, {})
-        for item in (*self.plan["runners"], *self.plan["services"]):
+        upstreams = (
+            *self.plan["runners"],
+            *self.plan["services"],
+            *self.plan.get("rank_agents", ()),
+        )
+        for item in upstreams:
             if item["name"] == name:
                 labels = {"failure-domain": item["failure_domain"]}
                 for key in ("model", "service"):
@@ -385,6 +437,9 @@
                         labels[key] = item[key]
                 if item.get("guarded"):
                     labels["guarded"] = "yes"
+                if "ranks" in item:
+                    labels["group"] = item["ranks"]["group"]
+                    labels["ranks"] = ",".join(map(str, item["ranks"]["ranks"]))
                 return self._fields(item, f"agent-{name}", "agent", state, labels)
         raise DemoFailed(f"{name} is not in the plan")
 
--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -21,6 +21,7 @@
     BadProposal,
     ChangeIdReused,
     RecordConflict,
+    StaleBase,
 )
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.records import KINDS, BadRecord, Removal, encode, parse_record
@@ -42,6 +43,7 @@
 _STATUS = {
     BadProposal: (422, "bad-change"),
     RecordConflict: (409, "conflict"),
+    StaleBase: (409, "stale-base"),
     ChangeIdReused: (409, "change-id-reused"),
     ApplyUnavailable: (503, "platform-unavailable"),
     ApplyBusy: (503, "busy"),
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -203,6 +203,8 @@
         try:
             with gevent.Timeout(cfg.body_timeout_s):
                 body = req.bounded_stream.read(cfg.max_body_bytes + 1)
+        except OSError as exc:
+            raise _cut_off() from exc
         except gevent.Timeout as exc:
             raise Problem(
                 408, "body-too-slow", "The request's body came too slowly."
@@ -210,7 +212,7 @@
         if len(body) > cfg.max_body_bytes:
             raise _too_large(cfg.max_body_bytes)
         if req.content_length and len(body) < req.content_length:
-            raise Problem(400, "body-cut-off", "The request's body was cut off.")
+            raise _cut_off()
         return body
 
     def _deadline(self, req: falcon.Request) -> Deadline:
@@ -317,6 +319,10 @@
     return share if 0.0 < share < 1e6 else 1.0
 
 
+def _cut_off() -> Problem:
+    return Problem(400, "body-cut-off", "The request's body was cut off.")
+
+
 def _too_large(limit: int) -> Problem:
     return Problem(
         413, "body-too-large", f"The request's body has more than {limit} bytes."
