Give engines' orders no timeout, and say 503 to operators without configuration

An entry without a configuration told operators that their key is not known; a test that read too early failed on it. After: orders wait for as long as the connection stands, questions about work have a client of their own; such an entry answers 503 and no-configuration.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -16,7 +16,7 @@
 def _revisions(caller: Caller) -> list[int]:
     places = range(len(caller.entries))
     states = [caller.admin("GET", "/admin/v1/status", index=i)[1] for i in places]
-    return [state["revision"] for state in states]
+    return [state.get("revision", 0) for state in states]
 
 
 def _wait(caller: Caller, revision: int) -> None:
@@ -57,13 +57,14 @@
 
 
 def test_a_new_entry_gets_the_whole_configuration_from_peers(caller):
+    revision = _revisions(caller)[0]
     caller.system.fault("table", down=1)
     caller.system.fault("objects", down=1)
     caller.system.signal("entry-2", signal.SIGKILL)
     caller.system.wait("entry-2")
     caller.system.start_entry(caller.system.plan["entries"][1])
     _wait_answer(caller, 1)
-    _wait(caller, _revisions(caller)[0])
+    _wait(caller, revision)
 
 
 def test_an_entry_without_configuration_serves_nothing_and_says_so(caller):
@@ -78,6 +79,7 @@
     status, answer, _ = caller.book(0, "k1", "clerks")
     assert status == 503
     assert answer["type"].endswith("no-configuration")
+    assert caller.admin("GET", "/admin/v1/status", index=0)[0] == 503
 
 
 def test_of_two_operators_on_one_thing_one_wins_and_the_other_is_told(caller):
--- a/toucanspool/agent/ranks.py
+++ b/toucanspool/agent/ranks.py
@@ -23,7 +23,7 @@
     RankLoad,
 )
 
-ENGINE_TIMEOUT_S = 1.0
+WORK_TIMEOUT_S = 1.0
 WORK_INTERVAL_S = 1.0
 COORDINATOR_TTL_S = 5.0
 
@@ -54,14 +54,13 @@
     def start(self, kernel: Kernel) -> None:
         """Read the fencing token back and begin; see `Service`."""
         table = kernel.find("platform").table
-        client = JsonClient(
-            self._address.host, self._address.port, timeout_s=ENGINE_TIMEOUT_S
-        )
-        self._closing.callback(client.close)
+        # An order given up could be carried out later, past a newer one.
+        orders = self._client(None)
+        questions = self._client(WORK_TIMEOUT_S)
         fences = RecordStore(table, self._cfg.group)
         for rank in self._cfg.ranks:
-            self._engines[rank] = HttpEngine(client, rank)
-            agent = RankAgent(engine=self._engines[rank], fences=fences)
+            self._engines[rank] = HttpEngine(questions, rank)
+            agent = RankAgent(engine=HttpEngine(orders, rank), fences=fences)
             agent.read_back()
             self._agents[rank] = agent
         rng = kernel.find("rng").named("ranks")
@@ -87,6 +86,12 @@
             self._coordinators[conn] = time.monotonic()
             gevent.spawn(self._answer, conn, frame.order)
 
+    def _client(self, timeout_s: float | None) -> JsonClient:
+        host, port = self._address.host, self._address.port
+        client = JsonClient(host, port, timeout_s=timeout_s)
+        self._closing.callback(client.close)
+        return client
+
     def _answer(self, conn: Connection, order: Order) -> None:
         reply = self._carry_out(order)
         try:
--- a/toucanspool/entry/access.py
+++ b/toucanspool/entry/access.py
@@ -74,6 +74,7 @@
             return operator
         if not view.records("operator") and key_hash(key) == self._bootstrap_hash:
             return Operator(name=BOOTSTRAP_OPERATOR)
+        self._view()
         if view.team_of(key) is not None:
             raise Problem(403, "operators-only", "This page is for operators only.")
         raise Problem(401, "unknown-key", "The key is not known.")
--- a/toucanspool/platform/http_client.py
+++ b/toucanspool/platform/http_client.py
@@ -7,6 +7,7 @@
 from geventhttpclient.response import HTTPParseError
 
 POOL_SIZE = 8
+CONNECT_TIMEOUT_S = 1.0
 
 
 class CallRefused(Exception):
@@ -26,18 +27,19 @@
         IP number.
     port : int
         Port.
-    timeout_s : float
-        The longest wait for an answer, in seconds.
+    timeout_s : float or None
+        The longest wait for an answer, in seconds; None waits for as long as the
+        connection stands, so that no call is left behind to take effect later.
     """
 
     __slots__ = ("_client",)
 
-    def __init__(self, host: str, port: int, *, timeout_s: float) -> None:
+    def __init__(self, host: str, port: int, *, timeout_s: float | None) -> None:
         self._client = HTTPClient(
             host,
             port,
             concurrency=POOL_SIZE,
-            connection_timeout=timeout_s,
+            connection_timeout=timeout_s or CONNECT_TIMEOUT_S,
             network_timeout=timeout_s,
         )
 
