Tell a request as unknown once any of its attempts may have run

Cause: the outcome told was that of the last attempt, so that a request whose first attempt broke off and whose second was refused was told as not run. Also: the demo's caller gave up with a parser's error on a connection closed early.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -7,6 +7,7 @@
 
 import orjson
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from demo.launcher import HOST, DemoFailed, System, call
 from standins.answers import DEFAULT_TOKENS, answer_token, prompt_seed
@@ -143,6 +144,8 @@
         ------
         DemoFailed
             The stream did not come whole.
+        OSError
+            The connection was lost.
         """
         body: dict[str, Any] = {"model": "guide", "messages": messages, "stream": True}
         if tokens:
@@ -159,6 +162,8 @@
             if resp.status_code != 200:
                 raise DemoFailed(f"answered {resp.status_code}: {resp.read()!r}")
             yield from _texts(resp)
+        except HTTPParseError as exc:
+            raise ConnectionResetError(str(exc)) from exc
         finally:
             client.close()
 
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -17,6 +17,7 @@
 import orjson
 import yaml
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from toucanspool.config.view import key_hash
 
@@ -132,6 +133,11 @@
     body : Any
         Decoded JSON, or bytes.
     headers : dict
+
+    Raises
+    ------
+    OSError
+        No whole answer came.
     """
     sent = {"content-type": "application/json", **(headers or {})}
     if key:
@@ -145,6 +151,8 @@
     try:
         resp = client.request(method, path, body=data, headers=sent)
         raw = resp.read()
+    except HTTPParseError as exc:
+        raise ConnectionResetError(str(exc)) from exc
     finally:
         client.close()
     found = {name.lower(): value for name, value in resp.items()}
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -94,11 +94,21 @@
 class _Progress:
     """Follow one request through its attempts."""
 
-    __slots__ = ("attempt", "number", "relayed", "reroutes", "target", "tried")
+    __slots__ = (
+        "attempt",
+        "number",
+        "relayed",
+        "reroutes",
+        "target",
+        "tried",
+        "uncertain",
+    )
 
     def __init__(self) -> None:
         self.number = 0
         self.reroutes = 0
+        # Once one attempt may have run, so may the request.
+        self.uncertain = False
         self.tried: set[str] = set()
         self.relayed: list[bytes] = []
         self.attempt: Attempt | None = None
@@ -109,6 +119,11 @@
             self.attempt.close()
             self.attempt = None
 
+    def told(self, problem: Problem) -> Problem:
+        if self.uncertain:
+            problem.outcome = Outcome.UNKNOWN
+        return problem
+
 
 class Dispatcher:
     """Carry requests to upstreams and answers back.
@@ -247,6 +262,8 @@
                 return body
             except AttemptFailed as exc:
                 self._fail(req, progress, exc)
+            except Problem as exc:
+                raise progress.told(exc) from exc
 
     def _attempt(self, req: CallerRequest, progress: _Progress, body: bytes) -> None:
         progress.close()
@@ -267,6 +284,7 @@
     ) -> None:
         """Note a failed attempt; return where another may be made."""
         progress.close()
+        progress.uncertain |= exc.outcome != Outcome.NOT_RUN
         self._router.failed(progress.target, exc)
         progress.tried.add(progress.target.instance.upstream)
         if exc.refusal in REROUTED and progress.reroutes < MAX_REROUTES:
@@ -278,9 +296,10 @@
                 return
             _log.info("no retry", request_id=req.request_id, reason=allowed.value)
         self._decisions.end(req.request_id, req.team.name, exc.detail)
-        raise from_refusal(
+        problem = from_refusal(
             exc.refusal, exc.outcome, exc.detail, retry_after_s=exc.retry_after_s
-        ) from exc
+        )
+        raise progress.told(problem) from exc
 
     def _verdict(
         self, req: CallerRequest, progress: _Progress, exc: AttemptFailed
@@ -311,7 +330,7 @@
             result = "It was answered."
         except Problem as exc:
             result = exc.detail
-            yield _error_event(exc, req.request_id)
+            yield _error_event(progress.told(exc), req.request_id)
         finally:
             self._decisions.end(req.request_id, req.team.name, result)
 
