Record answers in the background

Cause: an answer waited for its own record, 50 ms of linger and a commit, and up to 5 s at a table that hangs. finish now returns at once; a stop waits for the records under way.

--- a/bench/claim_cost.py
+++ b/bench/claim_cost.py
@@ -3,11 +3,11 @@
 Run by ``python -m bench.claim_cost``.
 """
 
+import gc
 import statistics
 import time
 import tracemalloc
 
-import gevent
 from absl import app, flags
 from gevent.pool import Pool
 
@@ -22,6 +22,7 @@
 CONCURRENCY = 64
 BODIES = (100, 10_000, 100_000)
 PENDING = 1000
+SETTLE_S = 10.0
 JANITOR_STEPS = 50
 
 
@@ -57,6 +58,7 @@
     for number in range(CALLS.value):
         pool.spawn(_call, agent, number, body)
     pool.join()
+    agent.pending.settle(SETTLE_S)
     return (time.process_time() - begun) / CALLS.value * 1e6
 
 
@@ -81,11 +83,13 @@
     ]
     for service in (table, objects):
         service.faults.set(down=True)
+    gc.collect()
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for claim in claims:
         agent.finish(claim, Answer(200, {}, bytes(size)))
-    gevent.sleep(0)
+    agent.pending.settle(SETTLE_S)
+    gc.collect()
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return (after - before) / PENDING
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -34,6 +34,7 @@
 WORK_S = 0.02
 REPEATED = 0.1
 HOP_S = 0.001
+DRAIN_INTERVAL_S = 0.05
 LATENCY_SIGMA = 0.4
 MAX_WAIT_US = 60_000_000
 BODY = b"seat 12A, run 7, paid" * 10
@@ -196,6 +197,9 @@
             self._arrive(number, at)
         self.result.seconds = SECONDS.value
         self.jobs.join()
+        for agent in self.agents:
+            while agent.pending.settle(DEADLINE_S):
+                gevent.sleep(DRAIN_INTERVAL_S)
         for committer in self.committers:
             committer.close()
         self.result.commits = self.table.commits
--- a/tests/protected/test_claims.py
+++ b/tests/protected/test_claims.py
@@ -167,6 +167,18 @@
         bench.begin(1)
 
 
+def test_finish_returns_before_the_record_is_written(bench):
+    started = bench.begin()
+    bench.gates.close(["commit.before"])
+    bench.agents[0].finish(started.claim, ANSWER)
+    assert len(bench.agents[0].pending) == 1
+    settle()
+    bench.clock.advance(1.0)
+    bench.gates.open()
+    assert bench.begin(1) == Replay(ANSWER)
+    assert len(bench.agents[0].pending) == 0
+
+
 def test_finish_waits_for_the_table_to_come_back(bench):
     started = bench.begin()
     bench.table.faults.set(down=True)
--- a/tests/protected/test_pending.py
+++ b/tests/protected/test_pending.py
@@ -48,3 +48,11 @@
     assert not pending.full
     pending.add(Task())
     assert pending.full
+
+
+def test_settle_waits_for_the_background_and_repeats_what_failed():
+    pending = PendingWrites()
+    for failures in (0, 1):
+        pending.start(Task(failures=failures))
+    assert len(pending) == 2
+    assert pending.settle(1.0) == 0
--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -103,7 +103,9 @@
 
     def die(self):
         """End at once, wherever each greenlet stands."""
-        gevent.killall([*self.jobs, *self.committer._greenlets], block=False)
+        recording = self.claims.pending._running.greenlets
+        greenlets = [*self.jobs, *self.committer._greenlets, *recording]
+        gevent.killall(greenlets, block=False)
         settle()
 
     def serve(self, delivery, key, body, attempt):
--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -167,9 +167,9 @@
             self.pending.run(task)
 
     def finish(self, claim: Claim, answer: Answer) -> None:
-        """Record the answer of a claim's execution, now or later.
+        """Record the answer of a claim's execution in the background.
 
-        The caller's answer need not wait for this.
+        The caller's answer does not wait for this.
 
         Parameters
         ----------
@@ -186,7 +186,7 @@
             self._objects,
             linger_s=self._finish_linger_s,
         )
-        self.pending.run(task)
+        self.pending.start(task)
 
     def retry_pending(self) -> int:
         """Try again what could not be recorded.
--- a/toucanspool/protected/pending.py
+++ b/toucanspool/protected/pending.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from gevent.event import Event
-from gevent.pool import Pool
+from gevent.pool import Group, Pool
 
 from toucanspool.platform.objects import ObjectsUnavailable
 from toucanspool.platform.table import TableError
@@ -47,7 +47,7 @@
         Bytes kept; writes beyond shrink.
     """
 
-    __slots__ = ("_bytes", "_max_bytes", "_max_tasks", "_tasks")
+    __slots__ = ("_bytes", "_max_bytes", "_max_tasks", "_running", "_tasks")
 
     def __init__(
         self, *, max_tasks: int = MAX_TASKS, max_bytes: int = MAX_BYTES
@@ -55,15 +55,16 @@
         self._max_tasks = max_tasks
         self._max_bytes = max_bytes
         self._tasks: deque[PendingWrite] = deque()
+        self._running = Group()
         self._bytes = 0
 
     def __len__(self) -> int:
-        return len(self._tasks)
+        return len(self._tasks) + len(self._running)
 
     @property
     def full(self) -> bool:
         """Whether no new claims should be started."""
-        return len(self._tasks) >= self._max_tasks
+        return len(self) >= self._max_tasks
 
     def add(self, task: PendingWrite) -> None:
         """Keep a write for later.
@@ -78,6 +79,16 @@
         self._bytes += task.size()
         self._tasks.append(task)
 
+    def start(self, task: PendingWrite) -> None:
+        """Try a write in the background, and keep it where that fails.
+
+        Parameters
+        ----------
+        task : PendingWrite
+            The write.
+        """
+        self._running.spawn(self.run, task)
+
     def run(self, task: PendingWrite) -> bool:
         """Try a write now, and keep it where that fails.
 
@@ -103,7 +114,7 @@
         return settled
 
     def retry(self) -> int:
-        """Try writes once more, until one fails.
+        """Try the writes that failed once more, until one fails again.
 
         Returns
         -------
@@ -120,7 +131,23 @@
             self._bytes -= task.size()
             pool.spawn(self._retry_one, task, failed)
         pool.join()
-        return len(self._tasks)
+        return len(self)
+
+    def settle(self, timeout_s: float) -> int:
+        """Wait for the writes in the background, then try those that failed.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds to wait at most for the writes in the background.
+
+        Returns
+        -------
+        int
+            Writes that are still pending.
+        """
+        self._running.join(timeout=timeout_s)
+        return self.retry()
 
     def _retry_one(self, task: PendingWrite, failed: Event) -> None:
         if not self.run(task):
