Wait for the record of an answer, for a second at most

Cause: with records in the background only, a booking repeated at once through another entry got 409 in place of its answer (tests/processes/test_bookings.py, seen failing). finish now waits for the record for 1 s at most, then goes on in the background, and the linger of 50 ms is gone by default. 108 tests passed, and the 10 of bookings.

--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -48,6 +48,7 @@
 
 CLAIM_ID_BYTES = 16
 MAX_TRIES = 8
+FINISH_WAIT_S = 1.0
 
 
 class Claims:
@@ -69,7 +70,7 @@
         Keeps writes through an outage.
     new_id : callable, optional
         Draws an identity that was never drawn before.
-    finish_linger_s : float, default=0.05
+    finish_linger_s : float, default=0.0
         Seconds that the record of an answer waits for the company of other writes.
         An agent that dies meanwhile leaves the key unknown.
     """
@@ -167,9 +168,10 @@
             self.pending.run(task)
 
     def finish(self, claim: Claim, answer: Answer) -> None:
-        """Record the answer of a claim's execution in the background.
+        """Record the answer of a claim's execution.
 
-        The caller's answer does not wait for this.
+        Waits for `FINISH_WAIT_S` at most, so that a repeated call finds the record
+        as a rule, and goes on in the background.
 
         Parameters
         ----------
@@ -186,7 +188,7 @@
             self._objects,
             linger_s=self._finish_linger_s,
         )
-        self.pending.start(task)
+        self._clock.wait(self.pending.start(task), FINISH_WAIT_S)
 
     def retry_pending(self) -> int:
         """Try again what could not be recorded.
--- a/toucanspool/protected/pending.py
+++ b/toucanspool/protected/pending.py
@@ -79,15 +79,22 @@
         self._bytes += task.size()
         self._tasks.append(task)
 
-    def start(self, task: PendingWrite) -> None:
+    def start(self, task: PendingWrite) -> Event:
         """Try a write in the background, and keep it where that fails.
 
         Parameters
         ----------
         task : PendingWrite
             The write.
+
+        Returns
+        -------
+        Event
+            Set once it was tried.
         """
-        self._running.spawn(self.run, task)
+        tried = Event()
+        self._running.spawn(self.run, task).link(lambda _: tried.set())
+        return tried
 
     def run(self, task: PendingWrite) -> bool:
         """Try a write now, and keep it where that fails.
--- a/toucanspool/protected/writes.py
+++ b/toucanspool/protected/writes.py
@@ -24,7 +24,7 @@
 
 MAX_INLINE_BYTES = 16 << 10
 WRITE_TIMEOUT_S = 5.0
-FINISH_LINGER_S = 0.05
+FINISH_LINGER_S = 0.0
 
 
 @dataclass(slots=True)
@@ -131,7 +131,7 @@
         The same table.
     objects : Objects
         Keeps a large body.
-    linger_s : float, default=0.05
+    linger_s : float, default=0.0
         Seconds that the first try waits for the company of other writes.
     """
 
