--- /dev/null
+++ b/tests/processes/test_stops.py
@@ -0,0 +1,91 @@
+"""A planned stop cuts off no request in flight and takes none that it can't end."""
+
+import signal
+import threading
+import time
+
+from demo.caller import Caller, expected
+from demo.launcher import call
+
+MESSAGES = [{"role": "user", "content": "Tell me all trips."}]
+
+
+def _addresses(caller: Caller, index: int) -> list[str]:
+    key = caller.system.keys.teams["members"]
+    answer = call(caller.port(index), "GET", "/v1/addresses", key=key)[1]
+    return [item["url"] for item in answer["addresses"]]
+
+
+def test_stopping_entry_ends_its_streams(caller):
+    parts = []
+    for number, text in enumerate(caller.stream(0, MESSAGES, "members", 150)):
+        parts.append(text)
+        if number == 5:
+            caller.system.signal("entry-1", signal.SIGTERM)
+    assert "".join(parts) == expected(MESSAGES, 150)
+    assert caller.system.wait("entry-1") == 0
+
+
+def test_stopping_entry_serves_callers_that_still_hold_its_address(caller):
+    own = f":{caller.port(0)}"
+    assert any(url.endswith(own) for url in _addresses(caller, 0))
+    list(caller.stream(0, MESSAGES, "members", 1))
+    caller.system.signal("entry-1", signal.SIGTERM)
+    limit = time.monotonic() + 5.0
+    while call(caller.port(0), "GET", "/readyz")[0] == 200:
+        assert time.monotonic() < limit
+    assert not any(url.endswith(own) for url in _addresses(caller, 0))
+    assert "".join(caller.stream(0, MESSAGES, "members", 4)) == expected(MESSAGES, 4)
+    assert caller.system.wait("entry-1") == 0
+
+
+def test_stopping_agent_ends_its_booking(caller):
+    for desk in ("desk-1", "desk-2"):
+        caller.system.fault(desk, delay_s=1.5)
+    agents = ("agent-desk-1", "agent-desk-2")
+    timer = threading.Timer(
+        0.7, lambda: [caller.system.signal(name, signal.SIGTERM) for name in agents]
+    )
+    timer.start()
+    status, answer, _ = caller.book(0, "k1", "clerks")
+    timer.join()
+    assert status == 201
+    assert answer["booking"]
+    assert [caller.system.wait(name) for name in agents] == [0, 0]
+    assert len(caller.bookings()) == 1
+
+
+def test_stopping_agent_hands_new_work_to_others(caller):
+    caller.system.signal("agent-guide-1", signal.SIGTERM)
+    for number in range(20):
+        messages = [{"role": "user", "content": f"Trip {number}?"}]
+        text = "".join(caller.stream(number % 2, messages, "members", 2))
+        assert text == expected(messages, 2)
+    assert caller.system.wait("agent-guide-1") == 0
+
+
+def test_everything_stopped_at_once_under_load_tells_the_truth(caller):
+    told = []
+
+    def book(number: int) -> None:
+        try:
+            answer = caller.book(number % 2, f"k{number}", "clerks")
+            told.append((f"k{number}", answer[0], answer[1].get("outcome")))
+        except OSError:
+            told.append((f"k{number}", 0, "unknown"))
+
+    threads = [threading.Thread(target=book, args=(n,)) for n in range(40)]
+    for number, thread in enumerate(threads):
+        thread.start()
+        time.sleep(0.02)
+        if number == 20:
+            for name in list(caller.system.members):
+                if name.startswith(("agent-desk", "entry")):
+                    caller.system.signal(name, signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    ran = [item["key"] for item in caller.bookings()]
+    assert len(ran) == len(set(ran))
+    for key, status, outcome in told:
+        assert not (outcome == "not_run" and key in ran), (key, status)
+        assert not (status == 201 and key not in ran), key
