--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -41,6 +41,8 @@
         Part of the runners that are slow.
     seconds : float
         Length of the trace.
+    spare : float
+        Entries of a team over the part of the entries that its share comes to.
     """
 
     name: str
@@ -52,6 +54,7 @@
     lost_domains: int = 0
     slow_share: float = 0.1
     seconds: float = 30.0
+    spare: float = 1.5
 
     def slow(self, rng: np.random.Generator) -> np.ndarray:
         """Return the factor on the step time of each runner."""
@@ -70,6 +73,12 @@
         return self.load * float((kept / slow).sum()) / job_s
 
 
+def team_odds(teams: int) -> np.ndarray:
+    """Return each team's part of the requests, the largest first."""
+    popular = 1.0 / np.arange(1, teams + 1)
+    return popular / popular.sum()
+
+
 def make_jobs(scenario: Scenario, rate: float, rng: np.random.Generator) -> list[Job]:
     """Return the requests of a trace in order of arrival.
 
@@ -88,14 +97,14 @@
     """
     count = int(rng.poisson(rate * scenario.seconds))
     times = np.sort(rng.uniform(0.0, scenario.seconds, count))
-    popular = 1.0 / np.arange(1, scenario.teams + 1)
-    teams = rng.choice(scenario.teams, count, p=popular / popular.sum())
+    odds = team_odds(scenario.teams)
+    teams = rng.choice(scenario.teams, count, p=odds)
     prompt_odds = 1.0 / np.arange(1, PROMPTS_PER_TEAM + 1)
     prompts = rng.choice(PROMPTS_PER_TEAM, count, p=prompt_odds / prompt_odds.sum())
     shape = (scenario.teams, PROMPTS_PER_TEAM)
     blocks = rng.integers(MIN_BLOCKS, MAX_BLOCKS + 1, shape)
     wide = min(ENTRIES_PER_TEAM, scenario.entries)
-    homes = _homes(scenario, wide, popular / popular.sum(), rng)
+    homes = _homes(scenario, wide, odds, rng)
     suffixes = rng.integers(*SUFFIX_TOKENS, count)
     outputs = 1 + rng.geometric(1.0 / MEAN_OUTPUT_TOKENS, count)
     picks = rng.random(count)
@@ -116,7 +125,7 @@
 ) -> list[list[int]]:
     homes = []
     for team in range(scenario.teams):
-        size = max(wide, int(np.ceil(odds[team] * scenario.entries * 1.5)))
+        size = max(wide, int(np.ceil(odds[team] * scenario.entries * scenario.spare)))
         size = min(size, scenario.entries)
         homes.append(rng.choice(scenario.entries, size, replace=False).tolist())
     return homes
