--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -21,7 +21,7 @@
 
 from toucanspool.limits.admission import HOLD_WEIGHT, Admission
 from toucanspool.limits.shed import Shed, ShedCause
-from toucanspool.limits.ticket import Ticket, TicketState
+from toucanspool.limits.ticket import Ticket, TicketState, engine_priority
 
 SETTINGS = settings(
     derandomize=True,
@@ -329,3 +329,11 @@
     queue = admission._queue
     held = [*queue._serve.values(), queue._victims, queue._arrivals]
     assert max(len(part) for part in held) <= 32
+
+
+def test_engines_serve_work_beyond_a_part_last():
+    admission, running = full()
+    greedy = admission.admit("a", 1.0, 9, 1.0, 0.0)
+    modest = admission.admit("b", 1.0, 0, 1.0, 0.0)
+    order = sorted([greedy, modest, running[0]], key=engine_priority)
+    assert order == [running[0], modest, greedy]
--- a/toucanspool/limits/ticket.py
+++ b/toucanspool/limits/ticket.py
@@ -5,6 +5,8 @@
 
 from toucanspool.limits.shed import Shed
 
+BEYOND_PART = 1000
+
 
 class TicketState(Enum):
     """Name the states of a ticket; the last two are final."""
@@ -56,3 +58,21 @@
     state: TicketState = TicketState.WAITING
     shed: Shed | None = None
     waiter: object = field(default=None, repr=False)
+
+
+def engine_priority(ticket: Ticket) -> int:
+    """Return the order in which an engine should serve a request, the lowest first.
+
+    Work beyond its team's part comes after all other, so that it takes only what
+    the engine has to spare.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The request's ticket.
+
+    Returns
+    -------
+    int
+    """
+    return -ticket.priority + (0 if ticket.within else BEYOND_PART)
