Bound an agent's load reports a second

Cause: an agent reported to every connected entry each 0.25 s. A report frame encodes to 103 bytes, so 370 entries are 1,480 reports and 152 KB a second of payload, where a node may spend 3 KB a second on control. Ruled out: a bound only on idle connections. At 5.7 requests a second of about 13 s each, an agent has calls of some 70 entries in progress, 280 reports/s. After: 10 reports/s in all, four fifths of them in turn to connections with calls in progress, one fifth to the others; 1.0 KB/s of payload at any number of entries. A change of state still goes to all at once, and the end of each call still brings a report. At 7 entries a report comes each 0.7 s in place of 0.25 s.

--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -8,6 +8,7 @@
 from toucanspool.agent.call import Call, CallRefused
 from toucanspool.agent.load_watch import LoadWatch
 from toucanspool.agent.ranks import RanksService
+from toucanspool.agent.report_rota import ReportRota
 from toucanspool.agent.upstream_client import UpstreamClient
 from toucanspool.config.exchange import Exchange
 from toucanspool.config.service import ConfigService
@@ -50,6 +51,7 @@
         "_labels",
         "_ranks",
         "_listener",
+        "_rota",
         "_state",
         "_stopping",
         "_upstream",
@@ -64,6 +66,7 @@
         self._labels = platform_labels(cfg)
         self._state = "serve"
         self._stopping = False
+        self._rota: ReportRota[Connection] = ReportRota()
         self._closing = ExitStack()
         self._listener = Listener(cfg.host, cfg.port, lambda: self)
         self._upstream = UpstreamClient(
@@ -176,7 +179,13 @@
 
     def _tick(self) -> None:
         self._watch.read()
-        self._broadcast()
+        callers = {key[0] for key in self._calls}
+        for conn in self._rota.due(
+            self._listener.connections,
+            lambda conn: id(conn) in callers,
+            self._clock.now(),
+        ):
+            self._send_report(conn)
 
     def _broadcast(self) -> None:
         for conn in self._listener.connections:
