Tell larger teams of more entries, in proportion to their share

Cause: every team was told of 3 entries. Ruled out: all entries to all teams. It is even, but each entry that goes or comes moves every team, and limits and prompt prefixes lie on 370 entries. It holds for callers that spread their requests over the addresses. Reading a share stood in the reader of requests; it has a module of its own now.

--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -13,6 +13,7 @@
 from toucanspool.entry.caller_request import CallerRequest
 from toucanspool.entry.directory import Directory
 from toucanspool.entry.problems import Problem
+from toucanspool.limits.share import share_of
 from toucanspool.protected.clock import Clock
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.policy import Work
@@ -180,7 +181,7 @@
             idempotency_key=key,
             guarded=guarded,
             priority=priority,
-            share=_share(labels),
+            share=share_of(labels.get("team.share")),
         )
 
     def _work(self, prompt: bytes) -> Work:
@@ -311,14 +312,6 @@
     return PRIORITIES.get(name, 0)
 
 
-def _share(labels: dict[str, str]) -> float:
-    try:
-        share = float(labels.get("team.share", "1"))
-    except ValueError:
-        return 1.0
-    return share if 0.0 < share < 1e6 else 1.0
-
-
 def _cut_off() -> Problem:
     return Problem(400, "body-cut-off", "The request's body was cut off.")
 
--- a/toucanspool/membership/addresses.py
+++ b/toucanspool/membership/addresses.py
@@ -10,12 +10,32 @@
 IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
+import math
 from collections.abc import Iterable
 
 import xxhash
 
 from toucanspool.platform.instances import ROLE_ENTRY, STATE_LIVE, Instance
 
+MAX_ENTRIES = 512
+
+
+def wanted_entries(share: float, least: int) -> int:
+    """Return how many entries a team is told of: in proportion to its share.
+
+    Parameters
+    ----------
+    share : float
+        The team's share; 1 is a usual team's.
+    least : int
+        Entries of a team whose share is 1 or less.
+
+    Returns
+    -------
+    int
+    """
+    return min(MAX_ENTRIES, max(least, math.ceil(least * share)))
+
 
 def pick_entries(
     team: str, instances: Iterable[Instance], count: int
