Give shares, pools and engine priorities to the path of a request

All runners of a small pool could be ejected, since the bound was over all upstreams. After: the ticket gives the engine's priority, a team's share is split over the entries it is told of, the ejector knows pools, and the chosen candidate is found by identity.

--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -23,6 +23,7 @@
 from toucanspool.limits.admission import Admission
 from toucanspool.limits.gate import Gate, wake
 from toucanspool.limits.shed import Shed
+from toucanspool.limits.ticket import engine_priority
 from toucanspool.protected.clock import HubClock
 from toucanspool.retries import verdict
 from toucanspool.retries.budget import RetryBudget
@@ -32,6 +33,7 @@
 
 MAX_REROUTES = 4
 HTTP_SERVER_ERROR = 500
+PRIORITY_HEADER = "x-priority"
 EVENT_STREAM = "text/event-stream"
 
 # The upstream is well and has refused at once: going elsewhere amplifies nothing.
@@ -243,12 +245,14 @@
     def _admit(self, req: CallerRequest, closing: ExitStack) -> None:
         held = self._gate.hold(req.team.name, req.share, req.priority)
         try:
-            closing.enter_context(held)
+            ticket = closing.enter_context(held)
         except Shed as exc:
             self._decisions.end(req.request_id, req.team.name, str(exc))
             raise Problem(
                 429, "overloaded", str(exc), retry_after_s=exc.retry_after_s
             ) from exc
+        priority = str(engine_priority(ticket))
+        req.headers = {**req.headers, PRIORITY_HEADER: priority}
 
     def _first(self, req: CallerRequest, progress: _Progress) -> bytes | None:
         """Make attempts until one answers; return the body of a whole answer."""
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -25,6 +25,7 @@
 from toucanspool.entry.router import Router
 from toucanspool.entry.status_api import HealthPage, MetricsPage, ReadyPage
 from toucanspool.kernel.kernel import Kernel
+from toucanspool.membership.service import InstancesService
 from toucanspool.protected.clock import HubClock
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
@@ -119,7 +120,10 @@
         access = Access(
             config, bootstrap_hash=self._cfg.entry.bootstrap_operator_key_hash
         )
-        reader = RequestReader(self._cfg, config, router.directory, HubClock())
+        instances: InstancesService = kernel.find("instances")
+        reader = RequestReader(
+            self._cfg, config, instances, router.directory, HubClock()
+        )
         parts = (access, reader, self._dispatcher, metrics)
         app = falcon.App(middleware=[RequestIds(self._cfg.instance, self._presence)])
         app.req_options.strip_url_path_trailing_slash = False
@@ -129,7 +133,7 @@
         app.add_error_handler(Problem, _problem)
         app.add_route(
             "/v1/addresses",
-            AddressPage(self._cfg, access, kernel.find("instances"), self._presence),
+            AddressPage(self._cfg, access, instances, self._presence),
         )
         app.add_route("/v1/chat/completions", ChatPage(*parts))
         app.add_route(
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -14,6 +14,8 @@
 from toucanspool.entry.directory import Directory
 from toucanspool.entry.problems import Problem
 from toucanspool.limits.share import share_of
+from toucanspool.membership.addresses import wanted_entries
+from toucanspool.membership.service import InstancesService
 from toucanspool.protected.clock import Clock
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.policy import Work
@@ -39,23 +41,27 @@
         The process's settings.
     config : ConfigService
         Labels and selectors.
+    instances : InstancesService
+        Knows how many entries there are.
     directory : Directory
         Knows which services are guarded.
     clock : Clock
         Time.
     """
 
-    __slots__ = ("_cfg", "_clock", "_config", "_directory")
+    __slots__ = ("_cfg", "_clock", "_config", "_directory", "_instances")
 
     def __init__(
         self,
         cfg: Settings,
         config: ConfigService,
+        instances: InstancesService,
         directory: Directory,
         clock: Clock,
     ) -> None:
         self._cfg = cfg
         self._config = config
+        self._instances = instances
         self._directory = directory
         self._clock = clock
 
@@ -164,8 +170,6 @@
         key = _idempotency_key(req) if guarded else ""
         if key:
             headers["idempotency-key"] = key
-        priority = _priority(labels)
-        headers["x-priority"] = str(-priority)
         return CallerRequest(
             request_id=request_id,
             team=team,
@@ -180,10 +184,16 @@
             idempotent=idempotent and not guarded,
             idempotency_key=key,
             guarded=guarded,
-            priority=priority,
-            share=share_of(labels.get("team.share")),
+            priority=_priority(labels),
+            share=self._local_share(labels),
         )
 
+    def _local_share(self, labels: dict[str, str]) -> float:
+        """Return the team's share at each of the entries that it is told of."""
+        share = share_of(labels.get("team.share"))
+        wanted = wanted_entries(share, self._cfg.entry.addresses_per_team)
+        return share / max(1, min(wanted, self._instances.live_entries))
+
     def _work(self, prompt: bytes) -> Work:
         return Work(
             failure_domain=self._cfg.failure_domain,
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -127,7 +127,7 @@
             )
         candidates = [target.candidate for target in targets]
         choice = self._policy.choose(req.work, candidates, self._clock.now())
-        chosen = targets[candidates.index(choice.candidate)]
+        chosen = next(t for t in targets if t.candidate is choice.candidate)
         self._note(req, eligible, chosen, choice.reason, attempt)
         return chosen
 
@@ -172,8 +172,8 @@
 
     def _listed(self, instances: list[Instance]) -> None:
         self.directory.update(instances)
-        names = [target.instance.upstream for target in self.directory.targets]
-        self._ejector.update(names, self._clock.now())
+        pools = {t.instance.upstream: _pool(t) for t in self.directory.targets}
+        self._ejector.update(pools, self._clock.now(), pools=pools)
 
     def _usable(self, targets: list[Target], tried: Collection[str]) -> list[Target]:
         now = self._clock.now()
@@ -244,3 +244,7 @@
                 attempt=attempt,
             )
         )
+
+
+def _pool(target: Target) -> str:
+    return target.given.get("model") or target.given.get("service", "")
--- a/toucanspool/membership/service.py
+++ b/toucanspool/membership/service.py
@@ -8,6 +8,8 @@
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.platform.instances import (
+    ROLE_ENTRY,
+    STATE_LIVE,
     Instance,
     InstanceList,
     InstancesUnavailable,
@@ -27,14 +29,27 @@
         Time between reads, in seconds.
     """
 
-    __slots__ = ("_closing", "_instances", "_interval_s", "_listeners", "_source")
+    __slots__ = (
+        "_closing",
+        "_instances",
+        "_interval_s",
+        "_listeners",
+        "_live_entries",
+        "_source",
+    )
 
     def __init__(self, interval_s: float) -> None:
         self._interval_s = interval_s
         self._instances: list[Instance] = []
+        self._live_entries = 0
         self._listeners: list[Listener] = []
         self._closing = ExitStack()
 
+    @property
+    def live_entries(self) -> int:
+        """Number of entries listed as live."""
+        return self._live_entries
+
     @property
     def instances(self) -> list[Instance]:
         """The newest list."""
@@ -70,5 +85,8 @@
         except InstancesUnavailable as exc:
             _log.warning("instance list unavailable", error=str(exc))
             return
+        self._live_entries = sum(
+            i.role == ROLE_ENTRY and i.state == STATE_LIVE for i in self._instances
+        )
         for listener in self._listeners:
             listener(self._instances)
