--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -5,7 +5,8 @@
 import gevent
 import structlog
 
-from toucanspool.agent.call import Call, CallRefused
+from toucanspool.agent.call import Call
+from toucanspool.agent.gate import CallRefused
 from toucanspool.agent.load_watch import LoadWatch
 from toucanspool.agent.ranks import RanksService
 from toucanspool.agent.report_rota import ReportRota
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -1,13 +1,14 @@
 """One call handed over to an agent, from its first check to its last message."""
 
 from collections.abc import Iterator
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 import structlog
 import xxhash
 from gevent.lock import Semaphore
 
+from toucanspool.agent.gate import CallRefused, Gate
 from toucanspool.agent.upstream_client import (
     Reply,
     UpstreamBroken,
@@ -29,7 +30,6 @@
     Refusal,
 )
 
-RETRY_AFTER_MS = 1000
 # A claimed call is read to its end for the record, also when its caller is gone.
 ANSWER_PATIENCE_S = 120.0
 MAX_CHUNK_BYTES = 16 * 1024
@@ -37,55 +37,6 @@
 _log = structlog.get_logger()
 
 
-class CallRefused(Exception):
-    """Report that a call ends without a whole reply.
-
-    Parameters
-    ----------
-    outcome : int
-        One of `Outcome`: what is known of the call.
-    refusal : int
-        One of `Refusal`.
-    detail : str
-        What happened, in a sentence.
-    retry_after_ms : int, default=RETRY_AFTER_MS
-        Time after which another attempt makes sense; 0 where none does.
-    """
-
-    def __init__(
-        self,
-        outcome: int,
-        refusal: int,
-        detail: str,
-        *,
-        retry_after_ms: int = RETRY_AFTER_MS,
-    ) -> None:
-        super().__init__(detail)
-        self.outcome = outcome
-        self.refusal = refusal
-        self.detail = detail
-        self.retry_after_ms = retry_after_ms
-
-
-class Gate(Protocol):
-    """Say whether a call may start now."""
-
-    def check(self, opened: Open) -> None:
-        """Pass a call or refuse it.
-
-        Parameters
-        ----------
-        opened : Open
-            The call.
-
-        Raises
-        ------
-        CallRefused
-            The call must not start here.
-        """
-        ...
-
-
 class Call:
     """Run one call in a greenlet of its own.
 
--- a/toucanspool/entry/attempt.py
+++ b/toucanspool/entry/attempt.py
@@ -4,7 +4,7 @@
 
 from toucanspool.entry.caller_request import CallerRequest
 from toucanspool.entry.directory import Target
-from toucanspool.entry.link import CallTimeout, LinkedCall
+from toucanspool.entry.linked_call import CallTimeout, LinkedCall
 from toucanspool.protected.clock import Clock
 from toucanspool.wire.connection import ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
--- a/toucanspool/entry/callers_api.py
+++ b/toucanspool/entry/callers_api.py
@@ -6,8 +6,9 @@
 import falcon
 
 from toucanspool.entry.access import Access
+from toucanspool.entry.answer import Answer
 from toucanspool.entry.caller_request import CallerRequest
-from toucanspool.entry.dispatcher import Answer, Dispatcher
+from toucanspool.entry.dispatcher import Dispatcher
 from toucanspool.entry.presence import Presence
 from toucanspool.entry.problems import Problem
 from toucanspool.entry.request_reader import RequestReader
--- /dev/null
+++ b/toucanspool/entry/chat_fields.py
@@ -0,0 +1,57 @@
+"""The check of a chat completion's body."""
+
+from typing import Any
+
+import orjson
+
+from toucanspool.entry.problems import Problem
+
+ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
+
+
+def chat_fields(body: bytes) -> dict[str, Any]:
+    """Return the fields of a body.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON in the form that clients of model engines speak.
+
+    Returns
+    -------
+    dict
+
+    Raises
+    ------
+    Problem
+        It is not such JSON.
+    """
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        raise Problem(400, "not-json", "The body is not JSON.") from exc
+    mistake = _chat_mistake(fields)
+    if mistake:
+        raise Problem(422, "bad-request", mistake)
+    return fields
+
+
+def _chat_mistake(fields: Any) -> str:
+    if not isinstance(fields, dict):
+        return "The body must be a JSON object."
+    if not isinstance(fields.get("model"), str) or not fields["model"]:
+        return "model must be a name."
+    if not isinstance(fields.get("stream", False), bool):
+        return "stream must be true or false."
+    tokens = fields.get("max_tokens")
+    if tokens is not None and (type(tokens) is not int or tokens < 1):
+        return "max_tokens must be a whole number from 1."
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return "messages must be a list of at least one message."
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict) or message.get("role") not in ROLES:
+            return f"messages[{index}] must have a role of {', '.join(sorted(ROLES))}."
+        if not isinstance(message.get("content"), str | list | None):
+            return f"messages[{index}].content must be text or a list."
+    return ""
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -7,6 +7,7 @@
 import structlog
 
 from toucanspool.config.service import ConfigService
+from toucanspool.entry.answer import Answer
 from toucanspool.entry.attempt import Attempt, AttemptFailed
 from toucanspool.entry.caller_request import CallerRequest
 from toucanspool.entry.continuation import (
@@ -16,8 +17,8 @@
     continue_body,
 )
 from toucanspool.entry.decisions import Decisions
-from toucanspool.entry.directory import Target
 from toucanspool.entry.problems import Problem, from_refusal
+from toucanspool.entry.progress import Progress
 from toucanspool.entry.router import Router
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.limits.admission import Admission
@@ -52,81 +53,6 @@
 _log = structlog.get_logger()
 
 
-class Answer:
-    """Hold an answer whose body is taken piece by piece; to be closed.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    content_type : str
-        Type of the body.
-    replayed : bool
-        Whether it was recorded of an earlier run.
-    pieces : iterator of bytes
-        The body.
-    closing : ExitStack
-        What is closed at the end.
-    """
-
-    __slots__ = ("_closing", "_pieces", "content_type", "replayed", "status")
-
-    def __init__(
-        self,
-        status: int,
-        content_type: str,
-        replayed: bool,
-        pieces: Iterator[bytes],
-        closing: ExitStack,
-    ) -> None:
-        self.status = status
-        self.content_type = content_type
-        self.replayed = replayed
-        self._pieces = pieces
-        self._closing = closing
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
-
-    def close(self) -> None:
-        """Give up what has not been taken; harmless when repeated."""
-        self._closing.close()
-
-
-class _Progress:
-    """Follow one request through its attempts."""
-
-    __slots__ = (
-        "attempt",
-        "number",
-        "relayed",
-        "reroutes",
-        "target",
-        "tried",
-        "uncertain",
-    )
-
-    def __init__(self) -> None:
-        self.number = 0
-        self.reroutes = 0
-        # Once one attempt may have run, so may the request.
-        self.uncertain = False
-        self.tried: set[str] = set()
-        self.relayed: list[bytes] = []
-        self.attempt: Attempt | None = None
-        self.target: Target | None = None
-
-    def close(self) -> None:
-        if self.attempt is not None:
-            self.attempt.close()
-            self.attempt = None
-
-    def told(self, problem: Problem) -> Problem:
-        if self.uncertain:
-            problem.outcome = Outcome.UNKNOWN
-        return problem
-
-
 class Dispatcher:
     """Carry requests to upstreams and answers back.
 
@@ -153,7 +79,7 @@
         self._cfg = cfg
         self._clock = HubClock()
         self._decisions = decisions
-        self._running: dict[str, tuple[str, _Progress]] = {}
+        self._running: dict[str, tuple[str, Progress]] = {}
 
     @property
     def running(self) -> int:
@@ -192,7 +118,7 @@
         """
         with ExitStack() as closing:
             self._admit(req, closing)
-            progress = _Progress()
+            progress = Progress()
             closing.callback(progress.close)
             closing.enter_context(self._listed(req, progress))
             self._budget.request(self._clock.now())
@@ -235,7 +161,7 @@
         return True
 
     @contextmanager
-    def _listed(self, req: CallerRequest, progress: _Progress) -> Iterator[None]:
+    def _listed(self, req: CallerRequest, progress: Progress) -> Iterator[None]:
         self._running[req.request_id] = (req.team.name, progress)
         try:
             yield
@@ -254,7 +180,7 @@
         priority = str(engine_priority(ticket))
         req.headers = {**req.headers, PRIORITY_HEADER: priority}
 
-    def _first(self, req: CallerRequest, progress: _Progress) -> bytes | None:
+    def _first(self, req: CallerRequest, progress: Progress) -> bytes | None:
         """Make attempts until one answers; return the body of a whole answer."""
         while True:
             try:
@@ -269,7 +195,7 @@
             except Problem as exc:
                 raise progress.told(exc) from exc
 
-    def _attempt(self, req: CallerRequest, progress: _Progress, body: bytes) -> None:
+    def _attempt(self, req: CallerRequest, progress: Progress, body: bytes) -> None:
         progress.close()
         progress.number += 1
         progress.target = self._router.choose(req, progress.tried, progress.number)
@@ -283,9 +209,7 @@
                 1.0,
             )
 
-    def _fail(
-        self, req: CallerRequest, progress: _Progress, exc: AttemptFailed
-    ) -> None:
+    def _fail(self, req: CallerRequest, progress: Progress, exc: AttemptFailed) -> None:
         """Note a failed attempt; return where another may be made."""
         progress.close()
         progress.uncertain |= exc.outcome != Outcome.NOT_RUN
@@ -306,7 +230,7 @@
         raise progress.told(problem) from exc
 
     def _verdict(
-        self, req: CallerRequest, progress: _Progress, exc: AttemptFailed
+        self, req: CallerRequest, progress: Progress, exc: AttemptFailed
     ) -> Verdict:
         known = verdict.Attempt(
             number=progress.number - progress.reroutes,
@@ -317,7 +241,7 @@
         )
         return may_retry(exc.outcome, known, self._budget, self._clock.now())
 
-    def _relay(self, req: CallerRequest, progress: _Progress) -> Iterator[bytes]:
+    def _relay(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
         result = "The caller left before the end."
         try:
             while True:
@@ -338,14 +262,14 @@
         finally:
             self._decisions.end(req.request_id, req.team.name, result)
 
-    def _pieces(self, progress: _Progress) -> Iterator[bytes]:
+    def _pieces(self, progress: Progress) -> Iterator[bytes]:
         for data in progress.attempt.pieces():
             progress.relayed.append(data)
             yield data
         self._router.succeeded(progress.target)
 
     def _go_on(
-        self, req: CallerRequest, progress: _Progress, exc: AttemptFailed
+        self, req: CallerRequest, progress: Progress, exc: AttemptFailed
     ) -> bytes | None:
         """Begin an attempt that goes on with the stream; return a last event."""
         while True:
@@ -369,13 +293,13 @@
                 ) from exc
 
 
-def _is_stream(progress: _Progress) -> bool:
+def _is_stream(progress: Progress) -> bool:
     return progress.attempt.head.headers.get("content-type", "").startswith(
         EVENT_STREAM
     )
 
 
-def _is_done(progress: _Progress) -> bool:
+def _is_done(progress: Progress) -> bool:
     return bool(progress.relayed) and progress.relayed[-1].endswith(DONE)
 
 
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -2,21 +2,17 @@
 
 import itertools
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
-from gevent.event import Event
 from gevent.lock import Semaphore
 
+from toucanspool.entry.linked_call import LinkedCall
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
 from toucanspool.wire.gen.messages.ttypes import (
     Cancel,
-    Chunk,
-    Credit,
     End,
     Frame,
-    Head,
     Hello,
     Open,
     Outcome,
@@ -25,11 +21,8 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
-CREDIT_BATCH = 8
 WINDOW_CHUNKS = 32
 
-Message = Head | Chunk | End
-
 
 class LinkEvents(Protocol):
     """Take what agents say besides calls."""
@@ -43,107 +36,6 @@
         ...
 
 
-class CallTimeout(Exception):
-    """Report that no message of a call came in time."""
-
-
-class LinkedCall:
-    """Receive the messages of one call.
-
-    Parameters
-    ----------
-    number : int
-        The call's number on its link.
-    link : Link
-        The link.
-    """
-
-    __slots__ = ("_link", "_messages", "_read", "_ready", "ended", "number")
-
-    def __init__(self, number: int, link: "Link") -> None:
-        self.number = number
-        self.ended = False
-        self._link = link
-        self._messages: deque[Message] = deque()
-        self._ready = Event()
-        self._read = 0
-
-    def deliver(self, message: Message) -> None:
-        """Queue a message.
-
-        Parameters
-        ----------
-        message : Head, Chunk or End
-            The message.
-        """
-        self._messages.append(message)
-        self._ready.set()
-
-    def next(self, timeout_s: float) -> Message:
-        """Return the next message; chunks that wait are joined into one.
-
-        Parameters
-        ----------
-        timeout_s : float
-            The longest wait, in seconds.
-
-        Returns
-        -------
-        Head, Chunk or End
-
-        Raises
-        ------
-        CallTimeout
-            None came in time.
-        """
-        if not self._messages:
-            self._ready.clear()
-            if not self._ready.wait(max(0.0, timeout_s)):
-                raise CallTimeout
-        message = self._messages.popleft()
-        if isinstance(message, Chunk):
-            return self._joined(message)
-        if isinstance(message, End):
-            self.ended = True
-        return message
-
-    def cancel(self) -> None:
-        """Tell the agent to stop, and the waiting task that it has."""
-        self._link.tell(Frame(cancel=Cancel(call=self.number)))
-        self.deliver(
-            End(
-                call=self.number,
-                outcome=Outcome.UNKNOWN,
-                refusal=Refusal.CANCELLED,
-                detail="The caller cancelled the request.",
-                retry_after_ms=0,
-            )
-        )
-
-    def close(self) -> None:
-        """Take no more messages; the agent is told unless the call has ended."""
-        self._link.forget(self)
-
-    def _joined(self, first: Chunk) -> Chunk:
-        end = first.offset + len(first.data)
-        parts = [first.data]
-        messages = self._messages
-        while messages and isinstance(messages[0], Chunk) and messages[0].offset == end:
-            data = messages.popleft().data
-            parts.append(data)
-            end += len(data)
-        self._count_read(len(parts))
-        if len(parts) == 1:
-            return first
-        return Chunk(call=self.number, offset=first.offset, data=b"".join(parts))
-
-    def _count_read(self, chunks: int) -> None:
-        self._read += chunks
-        if self._read >= CREDIT_BATCH:
-            self._link.tell(Frame(credit=Credit(call=self.number, chunks=self._read)))
-            self._read = 0
-
-
 class Link:
     """Own the connection to one agent and open it when needed.
 
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -2,7 +2,6 @@
 
 import re
 import uuid
-from typing import Any
 
 import falcon
 import gevent
@@ -11,6 +10,7 @@
 from toucanspool.config.records import Team
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.caller_request import CallerRequest
+from toucanspool.entry.chat_fields import chat_fields
 from toucanspool.entry.directory import Directory
 from toucanspool.entry.problems import Problem
 from toucanspool.limits.share import share_of
@@ -29,7 +29,6 @@
 BYTES_PER_TOKEN = 4
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
-ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
 
 
 class RequestReader:
@@ -87,7 +86,7 @@
             The request is malformed.
         """
         body = self._body(req)
-        fields = _chat_fields(body)
+        fields = chat_fields(body)
         key = _idempotency_key(req)
         own = {"model": fields["model"], "method": "POST"}
         own["stream"] = "yes" if fields.get("stream") else "no"
@@ -285,38 +284,6 @@
     return key
 
 
-def _chat_fields(body: bytes) -> dict[str, Any]:
-    try:
-        fields = orjson.loads(body)
-    except orjson.JSONDecodeError as exc:
-        raise Problem(400, "not-json", "The body is not JSON.") from exc
-    mistake = _chat_mistake(fields)
-    if mistake:
-        raise Problem(422, "bad-request", mistake)
-    return fields
-
-
-def _chat_mistake(fields: Any) -> str:
-    if not isinstance(fields, dict):
-        return "The body must be a JSON object."
-    if not isinstance(fields.get("model"), str) or not fields["model"]:
-        return "model must be a name."
-    if not isinstance(fields.get("stream", False), bool):
-        return "stream must be true or false."
-    tokens = fields.get("max_tokens")
-    if tokens is not None and (type(tokens) is not int or tokens < 1):
-        return "max_tokens must be a whole number from 1."
-    messages = fields.get("messages")
-    if not isinstance(messages, list) or not messages:
-        return "messages must be a list of at least one message."
-    for index, message in enumerate(messages):
-        if not isinstance(message, dict) or message.get("role") not in ROLES:
-            return f"messages[{index}] must have a role of {', '.join(sorted(ROLES))}."
-        if not isinstance(message.get("content"), str | list | None):
-            return f"messages[{index}].content must be text or a list."
-    return ""
-
-
 def _priority(labels: dict[str, str]) -> int:
     name = labels.get("priority") or labels.get("team.priority") or "normal"
     return PRIORITIES.get(name, 0)
