--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -2,7 +2,6 @@
 
 import re
 import uuid
-from typing import Any
 
 import falcon
 import gevent
@@ -11,8 +10,12 @@
 from toucanspool.config.records import Team
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.caller_request import CallerRequest
+from toucanspool.entry.chat_fields import chat_fields
 from toucanspool.entry.directory import Directory
 from toucanspool.entry.problems import Problem
+from toucanspool.limits.share import share_of
+from toucanspool.membership.addresses import wanted_entries
+from toucanspool.membership.service import InstancesService
 from toucanspool.protected.clock import Clock
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.policy import Work
@@ -26,7 +29,6 @@
 BYTES_PER_TOKEN = 4
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
-ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
 
 
 class RequestReader:
@@ -38,23 +40,27 @@
         The process's settings.
     config : ConfigService
         Labels and selectors.
+    instances : InstancesService
+        Knows how many entries there are.
     directory : Directory
         Knows which services are guarded.
     clock : Clock
         Time.
     """
 
-    __slots__ = ("_cfg", "_clock", "_config", "_directory")
+    __slots__ = ("_cfg", "_clock", "_config", "_directory", "_instances")
 
     def __init__(
         self,
         cfg: Settings,
         config: ConfigService,
+        instances: InstancesService,
         directory: Directory,
         clock: Clock,
     ) -> None:
         self._cfg = cfg
         self._config = config
+        self._instances = instances
         self._directory = directory
         self._clock = clock
 
@@ -80,7 +86,7 @@
             The request is malformed.
         """
         body = self._body(req)
-        fields = _chat_fields(body)
+        fields = chat_fields(body)
         key = _idempotency_key(req)
         own = {"model": fields["model"], "method": "POST"}
         own["stream"] = "yes" if fields.get("stream") else "no"
@@ -163,8 +169,6 @@
         key = _idempotency_key(req) if guarded else ""
         if key:
             headers["idempotency-key"] = key
-        priority = _priority(labels)
-        headers["x-priority"] = str(-priority)
         return CallerRequest(
             request_id=request_id,
             team=team,
@@ -179,10 +183,16 @@
             idempotent=idempotent and not guarded,
             idempotency_key=key,
             guarded=guarded,
-            priority=priority,
-            share=_share(labels),
+            priority=_priority(labels),
+            share=self._local_share(labels),
         )
 
+    def _local_share(self, labels: dict[str, str]) -> float:
+        """Return the team's share at each of the entries that it is told of."""
+        share = share_of(labels.get("team.share"))
+        wanted = wanted_entries(share, self._cfg.entry.addresses_per_team)
+        return share / max(1, min(wanted, self._instances.live_entries))
+
     def _work(self, prompt: bytes) -> Work:
         return Work(
             failure_domain=self._cfg.failure_domain,
@@ -274,51 +284,11 @@
     return key
 
 
-def _chat_fields(body: bytes) -> dict[str, Any]:
-    try:
-        fields = orjson.loads(body)
-    except orjson.JSONDecodeError as exc:
-        raise Problem(400, "not-json", "The body is not JSON.") from exc
-    mistake = _chat_mistake(fields)
-    if mistake:
-        raise Problem(422, "bad-request", mistake)
-    return fields
-
-
-def _chat_mistake(fields: Any) -> str:
-    if not isinstance(fields, dict):
-        return "The body must be a JSON object."
-    if not isinstance(fields.get("model"), str) or not fields["model"]:
-        return "model must be a name."
-    if not isinstance(fields.get("stream", False), bool):
-        return "stream must be true or false."
-    tokens = fields.get("max_tokens")
-    if tokens is not None and (type(tokens) is not int or tokens < 1):
-        return "max_tokens must be a whole number from 1."
-    messages = fields.get("messages")
-    if not isinstance(messages, list) or not messages:
-        return "messages must be a list of at least one message."
-    for index, message in enumerate(messages):
-        if not isinstance(message, dict) or message.get("role") not in ROLES:
-            return f"messages[{index}] must have a role of {', '.join(sorted(ROLES))}."
-        if not isinstance(message.get("content"), str | list | None):
-            return f"messages[{index}].content must be text or a list."
-    return ""
-
-
 def _priority(labels: dict[str, str]) -> int:
     name = labels.get("priority") or labels.get("team.priority") or "normal"
     return PRIORITIES.get(name, 0)
 
 
-def _share(labels: dict[str, str]) -> float:
-    try:
-        share = float(labels.get("team.share", "1"))
-    except ValueError:
-        return 1.0
-    return share if 0.0 < share < 1e6 else 1.0
-
-
 def _cut_off() -> Problem:
     return Problem(400, "body-cut-off", "The request's body was cut off.")
 
