--- a/bench/relay.py
+++ b/bench/relay.py
@@ -29,7 +29,7 @@
 SECONDS = flags.DEFINE_float("seconds", 8.0, "Length of each part, seconds.")
 STREAMS = flags.DEFINE_integer("streams", 200, "Streams of the paced part.")
 PACE_MS = flags.DEFINE_float("pace_ms", 35.0, "Time between tokens, ms.")
-BLAST = flags.DEFINE_integer("blast", 30_000, "Events of a back-to-back stream.")
+BLAST = flags.DEFINE_integer("blast", 300_000, "Events of a back-to-back stream.")
 RUNS = flags.DEFINE_integer("runs", 5, "Runs of each part.")
 
 TEAM_KEY = "bench-key-of-a-team"
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -113,6 +113,16 @@
     _wait(caller, base + 2)
 
 
+def test_operators_are_told_when_the_table_is_down(caller):
+    caller.system.fault("table", down=1)
+    for path in ("/admin/v1/changes", "/admin/v1/explain/changes/1"):
+        status, answer, headers = caller.admin("GET", path)
+        assert (status, answer["outcome"]) == (503, "not_run")
+        assert int(headers["retry-after"]) >= 1
+    status, answer, _ = caller.change("drain", DRAIN)
+    assert (status, answer["outcome"]) == (503, "not_run")
+
+
 def test_a_lost_answer_makes_the_change_once(caller):
     base = _revisions(caller)[0]
     caller.system.fault("table", lose_answers=1)
--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -127,15 +127,7 @@
         """Answer with the latest changes."""
         self._access.operator(req)
         limit = req.get_param_as_int("limit", min_value=1, max_value=MAX_HISTORY)
-        try:
-            changes = self._config.store.history(limit or 50)
-        except Exception as exc:
-            raise Problem(
-                503,
-                "platform-unavailable",
-                "The table does not answer, so the history can't be read now.",
-                retry_after_s=PLATFORM_RETRY_S,
-            ) from exc
+        changes = self._config.store.history(limit or 50)
         resp.media = {"changes": [_summary(change) for change in changes]}
 
     def on_get_status(self, req: falcon.Request, resp: falcon.Response) -> None:
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -26,6 +26,7 @@
 from toucanspool.entry.status_api import HealthPage, MetricsPage, ReadyPage
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.membership.service import InstancesService
+from toucanspool.platform.table import TableError
 from toucanspool.protected.clock import HubClock
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
@@ -33,6 +34,7 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 POLL_S = 0.02
+TABLE_RETRY_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -131,6 +133,7 @@
         app.add_error_handler(Exception, _unexpected)
         app.add_error_handler(falcon.HTTPError, _http_error)
         app.add_error_handler(Problem, _problem)
+        app.add_error_handler(TableError, _table_error)
         app.add_route(
             "/v1/addresses",
             AddressPage(self._cfg, access, instances, self._presence),
@@ -181,6 +184,18 @@
     Problem(exc.status_code, kind, detail).write(resp, _request_id(req))
 
 
+def _table_error(
+    req: falcon.Request, resp: falcon.Response, exc: TableError, params: Any
+) -> None:
+    problem = Problem(
+        503,
+        "platform-unavailable",
+        "The platform's table does not answer, so this can't be read now.",
+        retry_after_s=TABLE_RETRY_S,
+    )
+    problem.write(resp, _request_id(req))
+
+
 def _unexpected(
     req: falcon.Request, resp: falcon.Response, exc: Exception, params: Any
 ) -> None:
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -85,7 +85,7 @@
     http: Http
     max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 512
     max_waiting: Annotated[int, Field(ge=0, le=100_000)] = 256
-    default_timeout_s: Seconds = 30.0
+    default_timeout_s: Seconds = 120.0
     max_timeout_s: Seconds = 600.0
     address_ttl_s: Seconds = 5.0
     addresses_per_team: Annotated[int, Field(ge=1, le=64)] = 3
