--- /dev/null
+++ b/tests/agent/test_call.py
@@ -0,0 +1,213 @@
+"""A call at the agent: refused before it ran, or run, and told truly."""
+
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import pytest
+
+from standins.memory import MemoryObjects, MemoryTable
+from toucanspool.agent.call import Call
+from toucanspool.agent.gate import CallRefused
+from toucanspool.agent.upstream_client import UpstreamBroken, UpstreamUnreachable
+from toucanspool.protected.claims import Claims
+from toucanspool.protected.clock import HubClock
+from toucanspool.protected.committer import Committer
+from toucanspool.wire.gen.messages.ttypes import Frame, Open, Outcome, Refusal
+
+WAIT_S = 10.0
+
+
+class FakeConn:
+    """Keep the frames sent."""
+
+    batch = 0
+
+    def __init__(self) -> None:
+        self.frames: list[Frame] = []
+
+    def send(self, frame: Frame) -> None:
+        """Keep a frame."""
+        self.batch += 1
+        self.frames.append(frame)
+
+
+class FakeUpstream:
+    """Answer, refuse the connection, or break off."""
+
+    def __init__(self, *, fails: Exception | None = None, breaks: bool = False) -> None:
+        self.runs = 0
+        self._fails = fails
+        self._breaks = breaks
+
+    def send(self, method: str, path: str, headers: dict, body: bytes):
+        """Run a request."""
+        if self._fails:
+            raise self._fails
+        self.runs += 1
+        return SimpleNamespace(
+            status=201,
+            headers={"content-type": "application/json"},
+            pieces=self._pieces,
+            close=lambda: None,
+        )
+
+    send_once = send
+
+    def _pieces(self):
+        yield b'{"booking":'
+        if self._breaks:
+            raise UpstreamBroken
+        yield b"1}"
+
+
+class FakeGate:
+    """Pass a number of checks, then refuse."""
+
+    def __init__(self, passes: int = 100) -> None:
+        self._left = passes
+
+    def check(self, opened: Open) -> None:
+        """Pass or refuse."""
+        self._left -= 1
+        if self._left < 0:
+            raise CallRefused(Outcome.NOT_RUN, Refusal.DRAINING, "It drains.")
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs one call and returns its messages."""
+    table = MemoryTable()
+    committer = Committer(table)
+    committer.start()
+    claims = Claims(committer, table, MemoryObjects(), "agent-1")
+
+    def one(upstream: FakeUpstream, *, gate: FakeGate | None = None, **fields):
+        conn = FakeConn()
+        call = Call(
+            make_open(**fields),
+            conn,
+            gate=gate or FakeGate(),
+            upstream=upstream,
+            claims=claims,
+            clock=HubClock(),
+        )
+        call.start().join(WAIT_S)
+        claims.retry_pending()
+        return conn.frames
+
+    one.table = table
+    yield one
+    committer.close(timeout_s=1.0)
+
+
+def make_open(*, key: str = "k1", guarded: bool = True, ms: int = 5000) -> Open:
+    """Return a booking as an entry hands it over."""
+    return Open(
+        call=1,
+        request_id="r",
+        attempt=1,
+        team="clerks",
+        upstream="desk-1",
+        method="POST",
+        path="/bookings",
+        headers={},
+        body=b"{}",
+        deadline_ms=ms,
+        idempotency_key=key,
+        guarded=guarded,
+        priority=0,
+        revision=1,
+        window=8,
+    )
+
+
+def end_of(frames: list[Frame]):
+    """Return the last message."""
+    assert frames[-1].end is not None
+    assert sum(frame.end is not None for frame in frames) == 1
+    return frames[-1].end
+
+
+def body_of(frames: list[Frame]) -> bytes:
+    """Return the body sent."""
+    return b"".join(frame.chunk.data for frame in frames if frame.chunk)
+
+
+def test_a_booking_runs_once_and_is_replayed(run):
+    upstream = FakeUpstream()
+    first, again = run(upstream), run(upstream)
+    assert body_of(first) == body_of(again) == b'{"booking":1}'
+    assert end_of(again).replayed
+    assert upstream.runs == 1
+
+
+def test_an_unguarded_call_is_relayed(run):
+    frames = run(FakeUpstream(), guarded=False)
+    assert body_of(frames) == b'{"booking":1}'
+    assert end_of(frames).outcome == Outcome.COMPLETED
+
+
+CASES: dict[str, tuple[Callable[[], dict], int, int]] = {
+    "refused at the gate": (
+        lambda: {"upstream": FakeUpstream(), "gate": FakeGate(0)},
+        Outcome.NOT_RUN,
+        Refusal.DRAINING,
+    ),
+    "refused after the claim": (
+        lambda: {"upstream": FakeUpstream(), "gate": FakeGate(1)},
+        Outcome.NOT_RUN,
+        Refusal.DRAINING,
+    ),
+    "upstream unreachable": (
+        lambda: {"upstream": FakeUpstream(fails=UpstreamUnreachable())},
+        Outcome.NOT_RUN,
+        Refusal.UNREACHABLE,
+    ),
+    "no time left": (
+        lambda: {"upstream": FakeUpstream(), "ms": 0},
+        Outcome.NOT_RUN,
+        Refusal.DEADLINE,
+    ),
+    "no reply": (
+        lambda: {"upstream": FakeUpstream(fails=UpstreamBroken())},
+        Outcome.UNKNOWN,
+        Refusal.BROKEN,
+    ),
+    "half a reply": (
+        lambda: {"upstream": FakeUpstream(breaks=True)},
+        Outcome.UNKNOWN,
+        Refusal.BROKEN,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_each_end_tells_the_truth(run, name):
+    make, outcome, refusal = CASES[name]
+    fields = make()
+    upstream = fields.pop("upstream")
+    end = end_of(run(upstream, **fields))
+    assert (end.outcome, end.refusal) == (outcome, refusal)
+    if outcome == Outcome.NOT_RUN:
+        assert upstream.runs == 0
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_after_not_run_the_key_is_free_and_after_unknown_it_is_not(run, name):
+    make, outcome, _ = CASES[name]
+    fields = make()
+    run(fields.pop("upstream"), **fields)
+    later = FakeUpstream()
+    end = end_of(run(later))
+    free = outcome == Outcome.NOT_RUN
+    assert end.outcome == (Outcome.COMPLETED if free else Outcome.UNKNOWN)
+    assert later.runs == int(free)
+
+
+def test_table_down_refuses_before_it_ran(run):
+    run.table.faults.set(down=True)
+    upstream = FakeUpstream()
+    end = end_of(run(upstream))
+    assert (end.outcome, end.refusal) == (Outcome.NOT_RUN, Refusal.TABLE_DOWN)
+    assert end.retry_after_ms > 0
+    assert upstream.runs == 0
--- /dev/null
+++ b/tests/config/test_exchange.py
@@ -0,0 +1,135 @@
+"""Two processes come to the same revision over a connection, without the table."""
+
+import random
+from collections import deque
+
+import pytest
+
+from standins.memory import MemoryObjects, MemoryTable
+from toucanspool.config.exchange import Exchange
+from toucanspool.config.proposal import Proposal
+from toucanspool.config.records import Upstream
+from toucanspool.config.service import ConfigService
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.settings.settings import Settings
+from toucanspool.wire.gen.messages.ttypes import Frame, Pull
+
+ADDRESS = {"host": "127.0.0.1", "port": 1}
+
+
+class Named:
+    """Stand for a service that only has attributes."""
+
+    def __init__(self, **attributes: object) -> None:
+        self.__dict__.update(attributes)
+
+
+class Process:
+    """Hold one process's configuration and its side of a connection."""
+
+    def __init__(self, name: str, table: MemoryTable) -> None:
+        self.name = name
+        self.table = table
+        kernel = Kernel()
+        kernel.add("platform", Named(table=table, objects=MemoryObjects()))
+        kernel.add("rng", Named(named=random.Random))
+        self.config = ConfigService(1000.0)
+        self.config.start(kernel)
+        self.exchange = Exchange(make_settings(name), self.config)
+        self.outbox: deque[Frame] = deque()
+
+    def send(self, frame: Frame) -> None:
+        """Queue a message for the other side."""
+        self.outbox.append(frame)
+
+    def change(self, count: int) -> None:
+        """Make changes one by one."""
+        for _ in range(count):
+            number = self.config.revision + 1
+            proposal = Proposal(
+                change_id=f"c{number}",
+                operator="ana",
+                base=self.config.revision,
+                puts=(Upstream("a", {"n": str(number)}),),
+            )
+            self.config.accepted(self.config.store.apply(proposal).change)
+
+
+def make_settings(name: str) -> Settings:
+    """Return settings of an entry."""
+    return Settings.model_validate(
+        {
+            "instance": name,
+            "role": "entry",
+            "failure_domain": "one",
+            "host": "127.0.0.1",
+            "port": 1,
+            "platform": {"table": ADDRESS, "objects": ADDRESS, "instances": ADDRESS},
+            "entry": {"http": {"port": 1}},
+        }
+    )
+
+
+def talk(first: Process, second: Process) -> int:
+    """Let the first say its revision; return the messages until silence."""
+    first.send(Frame(hello=first.exchange.hello()))
+    count = 0
+    while first.outbox or second.outbox:
+        for sender, taker in ((first, second), (second, first)):
+            while sender.outbox:
+                taker.exchange.received(taker, sender.outbox.popleft())
+                count += 1
+    return count
+
+
+@pytest.fixture
+def pair():
+    """Return a process with a change, and one that can't reach the table."""
+    table = MemoryTable()
+    ahead = Process("ahead", table)
+    ahead.change(1)
+    down = MemoryTable()
+    down.faults.set(down=True)
+    return ahead, Process("behind", down)
+
+
+@pytest.mark.parametrize("ahead_speaks", [True, False])
+def test_a_process_with_nothing_gets_the_whole_configuration(pair, ahead_speaks):
+    ahead, behind = pair
+    ahead.change(300)
+    talk(*(pair if ahead_speaks else reversed(pair)))
+    assert behind.config.revision == ahead.config.revision == 301
+    assert behind.config.view.get("upstream", "a") == Upstream("a", {"n": "301"})
+
+
+@pytest.mark.parametrize("count", [1, 63, 64, 65, 200])
+@pytest.mark.parametrize("ahead_speaks", [True, False])
+def test_a_process_behind_gets_every_change_in_one_talk(pair, count, ahead_speaks):
+    ahead, behind = pair
+    talk(*pair)
+    ahead.change(count)
+    talk(*(pair if ahead_speaks else reversed(pair)))
+    assert behind.config.revision == count + 1
+
+
+def test_a_process_too_far_behind_gets_the_whole(pair):
+    ahead, behind = pair
+    talk(*pair)
+    ahead.change(1100)
+    talk(*pair)
+    assert behind.config.revision == 1101
+
+
+def test_processes_at_one_revision_have_little_to_say(pair):
+    talk(*pair)
+    assert talk(*pair) == 1
+
+
+def test_an_old_whole_configuration_does_not_come_back(pair):
+    ahead, behind = pair
+    talk(*pair)
+    old = ahead.config.answer(Pull(call=0, after=0, limit=0))
+    ahead.change(3)
+    talk(*pair)
+    behind.exchange.received(behind, Frame(changes=old))
+    assert behind.config.revision == 4
--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,85 @@
+"""Settings are checked whole, and every mistake is told with its key."""
+
+import pytest
+import yaml
+
+from toucanspool.settings.settings import SettingsError, load
+
+ADDRESS = {"host": "127.0.0.1", "port": 1}
+ENTRY = {
+    "instance": "entry-1",
+    "role": "entry",
+    "failure_domain": "one",
+    "host": "127.0.0.1",
+    "port": 7000,
+    "platform": {"table": ADDRESS, "objects": ADDRESS, "instances": ADDRESS},
+    "entry": {"http": {"port": 8080}},
+}
+AGENT = {
+    **{key: value for key, value in ENTRY.items() if key != "entry"},
+    "role": "agent",
+    "agent": {"upstream": "a", "address": ADDRESS, "kind": "engine", "model": "guide"},
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Return a function that writes settings and returns the file's path."""
+
+    def to_file(data) -> str:
+        path = tmp_path / "settings.yaml"
+        path.write_text(data if isinstance(data, str) else yaml.safe_dump(data))
+        return str(path)
+
+    return to_file
+
+
+@pytest.mark.parametrize("good", [ENTRY, AGENT])
+def test_good_settings_are_taken(write, good):
+    assert load(write(good)).instance == "entry-1"
+
+
+def test_all_mistakes_are_told_at_once(write, snapshot):
+    bad = {
+        **ENTRY,
+        "port": 70000,
+        "colour": "red",
+        "platform": {"table": ADDRESS, "objects": {"host": ""}},
+        "entry": {"http": {"port": "x"}, "retry_ratio": 2},
+    }
+    with pytest.raises(SettingsError) as caught:
+        load(write(bad))
+    assert caught.value.mistakes == snapshot
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"role": "agent"},
+        {"agent": AGENT["agent"]},
+        {"role": "king"},
+        {"seed": "x"},
+    ],
+)
+def test_roles_and_sections_belong_together(write, snapshot, change):
+    with pytest.raises(SettingsError) as caught:
+        load(write({**ENTRY, **change}))
+    assert caught.value.mistakes == snapshot
+
+
+@pytest.mark.parametrize("kind", ["engine", "service", "ranks"])
+def test_an_agent_names_what_it_serves(write, kind):
+    agent = {"upstream": "a", "address": ADDRESS, "kind": kind}
+    with pytest.raises(SettingsError, match="is due"):
+        load(write({**AGENT, "agent": agent}))
+
+
+@pytest.mark.parametrize("text", ["", "- 1", "a: [", "just words"])
+def test_what_is_no_mapping_is_refused(write, text):
+    with pytest.raises(SettingsError):
+        load(write(text))
+
+
+def test_a_missing_file_is_told(tmp_path):
+    with pytest.raises(SettingsError, match="can't be read"):
+        load(str(tmp_path / "none.yaml"))
--- a/toucanspool/entry/problems.py
+++ b/toucanspool/entry/problems.py
@@ -1,5 +1,6 @@
 """Errors told to callers, as `application/problem+json` (RFC 9457)."""
 
+import math
 from typing import Any
 
 import falcon
@@ -81,7 +82,7 @@
         resp.stream = None
         resp.data = orjson.dumps(self.body(request_id))
         if self.retry_after_s:
-            resp.set_header("Retry-After", str(max(1, round(self.retry_after_s))))
+            resp.set_header("Retry-After", str(math.ceil(self.retry_after_s)))
 
 
 _BY_REFUSAL = {
