Add the weight store's stand-in and count replies

Cause: loads of a group took a few ticks whatever their size, and the counter of requests was never counted up. After: a rate-limited store as a process, through which the lock-step stand-in loads; replies are counted by status on the metrics page.

--- a/demo/kettlewell.py
+++ b/demo/kettlewell.py
@@ -207,7 +207,10 @@
         print(f"export TOUCANSPOOL_KEY={keys.operators['ana']}")
         bearer = f"Authorization: Bearer {keys.teams['members']}"
         print(f"curl -H '{bearer}' {entry}/v1/addresses")
-        print("toucanspoolctl status")
+        tool = Path(sys.executable).parent / "toucanspoolctl"
+        for words in ("status", "list selector", "history"):
+            print(f"{tool} {words}")
+        print(f"{tool} label upstream guide-2 state=drain")
         print("Press Ctrl-C to stop.", flush=True)
         try:
             while True:
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -345,9 +345,14 @@
             self.start_agent(item)
 
     def _start_groups(self) -> None:
+        if self.plan.get("groups"):
+            self._start_standin("weights", "standins.weights")
         for item in self.plan.get("groups", ()):
             self._start_standin(
-                item["name"], "standins.lockstep", f"--ranks={item['ranks']}"
+                item["name"],
+                "standins.lockstep",
+                f"--ranks={item['ranks']}",
+                f"--weights={self.ports['weights']}",
             )
         for item in self.plan.get("rank_agents", ()):
             self.start_agent(item)
--- a/standins/lockstep_work.py
+++ b/standins/lockstep_work.py
@@ -2,7 +2,7 @@
 
 import numpy as np
 
-from toucanspool.groups.expert_map import ExpertMap
+from toucanspool.groups.expert_map import EMPTY, ExpertMap
 
 TOKENS_PER_STEP = 4096
 TOKEN_S = 1e-6
@@ -38,6 +38,32 @@
         """
         self._maps[version] = ExpertMap.decode(data)
 
+    def new_copies(self, rank: int, old: int, new: int) -> int:
+        """Return how many expert copies a rank needs for a map.
+
+        Parameters
+        ----------
+        rank : int
+            The rank.
+        old : int
+            Version of the map that it has.
+        new : int
+            Version of the map that it loads.
+
+        Returns
+        -------
+        int
+        """
+        wanted = self._maps.get(new)
+        if wanted is None:
+            return 0
+        held = self._maps.get(old)
+        count = 0
+        for layer in range(wanted.layers):
+            have = set(held.experts[layer, rank]) if held is not None else set()
+            count += len(set(wanted.experts[layer, rank]) - have - {EMPTY})
+        return count
+
     def since(self, rank: int, version: int, step: int) -> dict:
         """Return a rank's work since it was last asked.
 
--- a/tests/processes/test_input.py
+++ b/tests/processes/test_input.py
@@ -3,6 +3,7 @@
 import socket
 
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from demo.launcher import HOST, call
 
@@ -116,3 +117,19 @@
     lines = caller.system.log("entry-1").splitlines()
     order = [name for line in lines for name in names if f'"{name}"' in line]
     return order[-1]
+
+
+def test_metrics_are_in_the_form_that_scrapers_read(module_caller):
+    key = module_caller.system.keys.teams["members"]
+    call(module_caller.port(0), "POST", CHAT, GOOD, key=key)
+    status, raw, headers = call(module_caller.port(0), "GET", "/metrics")
+    families = {f.name: f for f in text_string_to_metric_families(raw.decode())}
+    assert status == 200
+    assert headers["content-type"].startswith("text/plain")
+    quantiles = {
+        sample.labels.get("quantile")
+        for sample in families["toucanspool_first_byte_seconds"].samples
+    }
+    assert {"0.5", "0.95", "0.99"} <= quantiles
+    counted = families["toucanspool_requests"].samples
+    assert sum(s.value for s in counted if s.labels.get("status") == "200") >= 1
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -40,7 +40,7 @@
 
 
 class RequestIds:
-    """Name each request and say its name in the reply; a falcon middleware.
+    """Name each request, say its name in the reply, and count it; falcon middleware.
 
     Parameters
     ----------
@@ -48,13 +48,26 @@
         The entry, the first part of each name.
     presence : Presence
         Connections of a leaving entry are not kept open.
+    metrics : Metrics
+        Where replies are counted by status.
     """
 
-    __slots__ = ("_instance", "_presence")
+    __slots__ = ("_instance", "_metrics", "_presence")
 
-    def __init__(self, instance: str, presence: Presence) -> None:
+    def __init__(self, instance: str, presence: Presence, metrics: Metrics) -> None:
         self._instance = instance
         self._presence = presence
+        self._metrics = metrics
+
+    def process_response(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        resource: object,
+        req_succeeded: bool,
+    ) -> None:
+        """Count the reply."""
+        self._metrics.requests.labels(str(resp.status_code)).inc()
 
     def process_request(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Name the request."""
@@ -127,7 +140,8 @@
             self._cfg, config, instances, router.directory, HubClock()
         )
         parts = (access, reader, self._dispatcher, metrics)
-        app = falcon.App(middleware=[RequestIds(self._cfg.instance, self._presence)])
+        ids = RequestIds(self._cfg.instance, self._presence, metrics)
+        app = falcon.App(middleware=[ids])
         app.req_options.strip_url_path_trailing_slash = False
         app.set_error_serializer(_serialize)
         app.add_error_handler(Exception, _unexpected)
--- a/toucanspool/telemetry/metrics.py
+++ b/toucanspool/telemetry/metrics.py
@@ -78,7 +78,7 @@
     first_byte, whole : Quantiles
         Time to the first byte and to the end of answers.
     requests : Counter
-        Requests by result.
+        Replies by HTTP status.
     running : Gauge
         Requests that run.
     revision : Gauge
@@ -98,7 +98,10 @@
         self._registry.register(self.first_byte)
         self._registry.register(self.whole)
         self.requests = Counter(
-            "toucanspool_requests", "Requests.", ["result"], registry=self._registry
+            "toucanspool_requests",
+            "Replies by status.",
+            ["status"],
+            registry=self._registry,
         )
         self.running = Gauge(
             "toucanspool_running", "Requests that run.", registry=self._registry
--- a/toucanspool/wire/codec.py
+++ b/toucanspool/wire/codec.py
@@ -5,7 +5,7 @@
 
 from toucanspool.wire.gen.messages.ttypes import Frame
 
-_FACTORY = TBinaryProtocolAcceleratedFactory(fallback=False)
+_FACTORY = TBinaryProtocolAcceleratedFactory()
 
 
 class BadFrame(Exception):
