Give small gains over many layers a larger budget; fewer false restarts

Cause, by the log of plans: at 60 layers the budget of 68 moves alone often gained less than the least gain, so drift went unanswered; and a false restart of one expert's mean (4 sigmas, 256 experts a second) passed the test of noise.

--- a/toucanspool/groups/load.py
+++ b/toucanspool/groups/load.py
@@ -9,7 +9,7 @@
 SLOW_HALF_LIFE_S = 30.0
 FAST_HALF_LIFE_S = 1.5
 NOISE_HALF_LIFE_S = 60.0
-CHANGE_SIGMAS = 4.0
+CHANGE_SIGMAS = 6.0
 MIN_SHARE_SEEN = 0.25
 MIN_NOISE_SAMPLES = 5
 OUTLIER_VARIANCES = 9.0
--- a/toucanspool/groups/move_choice.py
+++ b/toucanspool/groups/move_choice.py
@@ -104,7 +104,9 @@
     to: Placing
 
 
-def choose(curves: list[LayerCurve], cfg: PlacementSettings, total: float) -> Choice:
+def choose(
+    curves: list[LayerCurve], cfg: PlacementSettings, total: float, *, room: int
+) -> Choice:
     """Choose placements by gain a move until the budget or the gain is used up.
 
     Parameters
@@ -112,9 +114,11 @@
     curves : list of LayerCurve
         What was found.
     cfg : PlacementSettings
-        The weights and the budget.
+        The weights.
     total : float
         The slowest ranks' times, added over all layers.
+    room : int
+        The most moves in all.
 
     Returns
     -------
@@ -126,7 +130,6 @@
     Research 27(3), 1979.
     """
     best = {curve.layer: curve.points[0] for curve in curves}
-    room = cfg.max_moves
     postponed: set[int] = set()
     for step in sorted(_steps(curves), key=lambda s: -s.slope):
         layer = step.curve.layer
--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -16,6 +16,7 @@
 LOOK_AHEAD_MOVES = 12
 REACHED_FADING = 0.995
 HOPE_FADING = 0.99
+ROOMY = 4
 
 
 @dataclass(slots=True, frozen=True, eq=False)
@@ -126,7 +127,7 @@
             self._reached = np.zeros(map_.layers)
         self._reached *= REACHED_FADING
         hoped = peaks - floor * (1.0 + self._reached) - noise
-        hope = float(hoped[hoped > 0.0].sum() / peaks.sum())
+        hope = _hope(hoped, peaks)
         self._vain_hope *= HOPE_FADING
         if hope < self._cfg.min_gain + self._vain_hope:
             return None
@@ -140,11 +141,16 @@
             )
             yield from self._explore(search, map_, curve, float(peaks.sum()))
             curves.append(curve)
-        choice = choose(curves, self._cfg, float(peaks.sum()))
-        yield
-        plan = self._finish(map_, choice.chosen, times)
+        for room in (self._cfg.max_moves, ROOMY * self._cfg.max_moves):
+            choice = choose(curves, self._cfg, float(peaks.sum()), room=room)
+            yield
+            plan = self._finish(map_, choice.chosen, times)
+            if plan is not None or not choice.postponed:
+                break
+            yield
         self._remember(curves, choice, floor)
-        self._vain_hope = 0.0 if plan else hope
+        hoped = peaks - floor * (1.0 + self._reached) - noise
+        self._vain_hope = 0.0 if plan else _hope(hoped, peaks)
         return plan
 
     def _remember(self, curves: list[LayerCurve], choice: Choice, floor: float) -> None:
@@ -215,6 +221,10 @@
         )
 
 
+def _hope(hoped: FloatArray, peaks: FloatArray) -> float:
+    return float(np.maximum(hoped, 0.0).sum() / peaks.sum())
+
+
 def _changed(map_: ExpertMap, chosen: list[Chosen]) -> ExpertMap:
     experts, weights = map_.experts.copy(), map_.weights.copy()
     for choice in chosen:
--- a/toucanspool/groups/placement_settings.py
+++ b/toucanspool/groups/placement_settings.py
@@ -26,7 +26,8 @@
     store_bytes_per_s : float, default=1e9
         Rate of the weight store for this group.
     max_load_s : float, default=3.0
-        The most time that the copies of one plan may take to load.
+        Time that the copies of one plan may take to load; four times as long
+        where less would gain too little.
     switch_s : float, default=0.5
         Time that a change of map costs the group.
     min_gain : float, default=0.0075
