--- a/tests/groups/test_placement.py
+++ b/tests/groups/test_placement.py
@@ -116,16 +116,27 @@
     assert len(plan.moves) == 2
 
 
-def test_vain_search_is_not_repeated():
-    loads, speeds = sizes()
+def count_slices(planner, map_, loads):
+    speeds = np.ones(map_.ranks)
+    slices = (planner.plan_slices(map_, loads, speeds) for _ in range(10))
+    return [sum(1 for _ in each) for each in slices]
+
+
+def test_search_that_finds_nothing_is_not_repeated():
+    map_ = ExpertMap(version=0, n_experts=2, experts=[[[0], [1]]])
+    cfg = replace(EAGER, min_gain=PlacementSettings().min_gain)
+    first, *later = count_slices(Planner(cfg), map_, np.array([[0.6, 0.4]]))
+    assert first > 1
+    assert later == [1] * 9
+
+
+def test_search_that_finds_what_does_not_pay_is_not_repeated():
+    loads, _ = sizes()
     map_ = settled_map(loads, 8, 3)
-    planner = Planner(EAGER)
-    counts = []
-    for _ in range(10):
-        slices = planner.plan_slices(map_, loads, speeds)
-        counts.append(sum(1 for _ in slices))
-    assert counts[0] > 1
-    assert counts[1:] == [1] * 9
+    cfg = replace(EAGER, min_gain=PlacementSettings().min_gain, switch_s=1e6)
+    first, *later = count_slices(Planner(cfg), map_, np.roll(loads, 3, axis=1))
+    assert first > 1
+    assert later == [1] * 9
 
 
 def test_swap_helps_where_no_slot_is_spare():
--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -14,8 +14,8 @@
 __all__ = ["Move", "PlacementSettings", "Plan", "Planner"]
 
 LOOK_AHEAD_MOVES = 12
-REACHED_FADING = 0.995
-HOPE_FADING = 0.99
+REACHED_FADING = 0.999
+CALLS_BETWEEN_VAIN_SEARCHES = 30
 ROOMY = 4
 
 
@@ -61,13 +61,14 @@
         How copies share tokens; `SolvedSplit` if left out.
     """
 
-    __slots__ = ("_cfg", "_reached", "_split", "_vain_hope")
+    __slots__ = ("_cfg", "_reached", "_split", "_vain_hope", "_waits")
 
     def __init__(self, cfg: PlacementSettings, *, split: Split | None = None) -> None:
         self._cfg = cfg
         self._split = split or SolvedSplit()
         self._reached: FloatArray = np.zeros(0)
         self._vain_hope = 0.0
+        self._waits = 0
 
     def plan(
         self,
@@ -128,7 +129,9 @@
         self._reached *= REACHED_FADING
         hoped = peaks - floor * (1.0 + self._reached) - noise
         hope = _hope(hoped, peaks)
-        self._vain_hope *= HOPE_FADING
+        self._waits = max(self._waits - 1, 0)
+        if self._waits == 0:
+            self._vain_hope = 0.0
         if hope < self._cfg.min_gain + self._vain_hope:
             return None
         curves = []
@@ -151,6 +154,7 @@
         self._remember(curves, choice, floor)
         hoped = peaks - floor * (1.0 + self._reached) - noise
         self._vain_hope = 0.0 if plan else _hope(hoped, peaks)
+        self._waits = CALLS_BETWEEN_VAIN_SEARCHES
         return plan
 
     def _remember(self, curves: list[LayerCurve], choice: Choice, floor: float) -> None:
