--- a/bench/placement.py
+++ b/bench/placement.py
@@ -32,7 +32,7 @@
 flags.DEFINE_integer("processes", 4, "Worker processes.")
 
 KETTLEWELL = PlacementSettings(skew_weight=4.0)
-BLUE_MAHOE = PlacementSettings(move_weight=2.0)
+BLUE_MAHOE = PlacementSettings(skew_weight=1.0)
 IDEAL = "re-pack, loaded at once"
 OURS = ("Kettlewell", "Blue Mahoe")
 TICKS = {1: (300, 60), 60: (150, 30)}
--- a/tests/groups/test_move_choice.py
+++ b/tests/groups/test_move_choice.py
@@ -21,7 +21,9 @@
 def settings(*, least_gain=0.0):
     """Return settings where a move pays above a gain."""
     return PlacementSettings(
-        expert_bytes=1.0, store_bytes_per_s=1.0, move_weight=least_gain * 300.0
+        expert_bytes=1.0,
+        store_bytes_per_s=1.0,
+        move_weight=least_gain * PlacementSettings().horizon_s,
     )
 
 
--- a/toucanspool/groups/load.py
+++ b/toucanspool/groups/load.py
@@ -6,10 +6,11 @@
 
 from toucanspool.groups.expert_map import ExpertMap, FloatArray, IntArray
 
-SLOW_HALF_LIFE_S = 30.0
+SLOW_HALF_LIFE_S = 15.0
 FAST_HALF_LIFE_S = 1.5
 NOISE_HALF_LIFE_S = 60.0
-CHANGE_SIGMAS = 6.0
+CHANGE_SIGMAS = 4.5
+RESTART_DOUBT = 1.5
 MIN_SHARE_SEEN = 0.25
 MIN_NOISE_SAMPLES = 5
 OUTLIER_VARIANCES = 9.0
@@ -50,7 +51,8 @@
 
     Two exponential means run side by side. The slow one is the estimate; where
     the fast one has left it by more than noise explains, the slow one restarts
-    from the fast one. The variance, relative to the square of the load, comes
+    from the fast one, with a larger error, since a restart picks outliers. The
+    variance, relative to the square of the load, comes
     from differences between successive samples, which a drift hardly touches;
     a sudden change counts as an outlier of bounded size.
 
@@ -201,7 +203,8 @@
         left = np.abs(self._fast - self._mean) > limit
         left &= self._sample_count >= MIN_NOISE_SAMPLES
         self._mean = np.where(left, self._fast, self._mean)
-        self._spread = np.where(left, fast_spread, self._spread)
+        doubtful = fast_spread * RESTART_DOUBT**2
+        self._spread = np.where(left, doubtful, self._spread)
         self._mean /= self._mean.sum(axis=1, keepdims=True)
 
 
--- a/toucanspool/groups/placement_settings.py
+++ b/toucanspool/groups/placement_settings.py
@@ -19,7 +19,7 @@
     move_weight : float, default=1.0
         Worth of a second of the weight store. Raise it where loading weights
         holds up other work, as at Blue Mahoe.
-    horizon_s : float, default=300.0
+    horizon_s : float, default=600.0
         How long a gain is thought to last, in seconds.
     expert_bytes : float, default=44e6
         Size of one expert's weights in one layer.
@@ -39,7 +39,7 @@
 
     skew_weight: float = 1.0
     move_weight: float = 1.0
-    horizon_s: float = 300.0
+    horizon_s: float = 600.0
     expert_bytes: float = 44e6
     store_bytes_per_s: float = 1e9
     max_load_s: float = 3.0
