--- a/bench/placement.py
+++ b/bench/placement.py
@@ -7,7 +7,7 @@
 import tracemalloc
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import numpy as np
 from absl import app, flags
@@ -24,6 +24,7 @@
 )
 from bench.traces import NAMES, TICK_S, Trace, make_trace
 from toucanspool.groups.placement_settings import PlacementSettings
+from toucanspool.groups.split import SpeedSplit
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds of the traces.")
@@ -31,6 +32,8 @@
 flags.DEFINE_list("traces", list(NAMES), "Traces to run.")
 flags.DEFINE_integer("processes", 4, "Worker processes.")
 
+flags.DEFINE_bool("ways", False, "Run the ways that were weighed, too.")
+
 KETTLEWELL = PlacementSettings(skew_weight=4.0)
 BLUE_MAHOE = PlacementSettings(skew_weight=1.0)
 IDEAL = "re-pack, loaded at once"
@@ -86,7 +89,7 @@
 def policies(trace: Trace) -> dict[str, GroupPolicy]:
     """Return the policies compared, by name."""
     first = first_map(trace)
-    return {
+    found = {
         "never": Fixed(first),
         "uniform": Fixed(uniform_map(first.layers)),
         IDEAL: Repack(first),
@@ -94,6 +97,13 @@
         "Kettlewell": Rebalanced(first, KETTLEWELL),
         "Blue Mahoe": Rebalanced(first, BLUE_MAHOE),
     }
+    if FLAGS.ways:
+        by_speed = SpeedSplit()
+        first = first_map(trace, by_speed)
+        fast_store = replace(KETTLEWELL, store_bytes_per_s=1e10)
+        found["split by speed"] = Rebalanced(first, KETTLEWELL, by_speed)
+        found["store of 10 GB/s"] = Rebalanced(first_map(trace), fast_store)
+    return found
 
 
 def measure(task: tuple[int, str, int]) -> dict[str, Summary]:
--- a/toucanspool/groups/expert_map.py
+++ b/toucanspool/groups/expert_map.py
@@ -8,8 +8,9 @@
 import numpy as np
 from numpy.typing import ArrayLike, NDArray
 
-EMPTY = -1
-MAX_WEIGHT = 10_000
+from toucanspool.groups.map_rules import EMPTY, MAX_WEIGHT, map_mistakes
+
+__all__ = ["EMPTY", "MAX_WEIGHT", "BadMap", "ExpertMap", "FloatArray", "IntArray"]
 
 IntArray = NDArray[np.integer]
 FloatArray = NDArray[np.floating]
@@ -67,7 +68,7 @@
         if weights is None:
             weights = wide_experts != EMPTY
         wide_weights = np.asarray(weights)
-        mistakes = _mistakes(version, n_experts, wide_experts, wide_weights)
+        mistakes = map_mistakes(version, n_experts, wide_experts, wide_weights)
         if mistakes:
             raise BadMap(mistakes)
         self.version = int(version)
@@ -260,40 +261,3 @@
     copy = np.array(array, dtype=dtype)
     copy.setflags(write=False)
     return copy
-
-
-def _mistakes(
-    version: int, n_experts: int, experts: NDArray, weights: NDArray
-) -> list[str]:
-    if experts.ndim != 3 or 0 in experts.shape:
-        return ["experts need the shape (layers, ranks, slots)"]
-    if weights.shape != experts.shape:
-        return ["weights need the shape of experts"]
-    if experts.dtype.kind not in "iu" or weights.dtype.kind not in "iub":
-        return ["experts and weights are whole numbers"]
-    if version < 0 or not 0 < n_experts <= np.iinfo(np.int16).max:
-        return ["version or number of experts is out of range"]
-    if experts.min() < EMPTY or experts.max() >= n_experts:
-        return ["a slot holds an expert that there is not"]
-    if weights.min() < 0 or weights.max() > MAX_WEIGHT:
-        return [f"a weight is not in 0 to {MAX_WEIGHT}"]
-    return _rule_mistakes(n_experts, experts, weights)
-
-
-def _rule_mistakes(n_experts: int, experts: NDArray, weights: NDArray) -> list[str]:
-    mistakes = []
-    if (weights[experts == EMPTY] > 0).any():
-        mistakes.append("an empty slot has a weight")
-    ordered = np.sort(experts, axis=2)
-    twice = (ordered[..., 1:] == ordered[..., :-1]) & (ordered[..., 1:] != EMPTY)
-    for layer, rank, _ in np.argwhere(twice)[:3]:
-        mistakes.append(f"layer {layer}: an expert is twice on rank {rank}")
-    live = np.zeros((experts.shape[0], n_experts), dtype=bool)
-    layer_of = np.broadcast_to(
-        np.arange(experts.shape[0])[:, None, None], experts.shape
-    )
-    getting = weights > 0
-    live[layer_of[getting], experts[getting]] = True
-    for layer, expert in np.argwhere(~live)[:3]:
-        mistakes.append(f"layer {layer}: no copy of expert {expert} gets tokens")
-    return mistakes
--- /dev/null
+++ b/toucanspool/groups/map_rules.py
@@ -0,0 +1,62 @@
+"""The rules that each expert map must keep."""
+
+import numpy as np
+from numpy.typing import NDArray
+
+EMPTY = -1
+MAX_WEIGHT = 10_000
+
+
+def map_mistakes(
+    version: int, n_experts: int, experts: NDArray, weights: NDArray
+) -> list[str]:
+    """Return what is wrong with a map, one sentence each.
+
+    Parameters
+    ----------
+    version : int
+        Number of the map.
+    n_experts : int
+        Experts in each layer.
+    experts : ndarray
+        The expert in each slot.
+    weights : ndarray
+        The weight of each slot.
+
+    Returns
+    -------
+    list of str
+        Empty for a valid map.
+    """
+    if experts.ndim != 3 or 0 in experts.shape:
+        return ["experts need the shape (layers, ranks, slots)"]
+    if weights.shape != experts.shape:
+        return ["weights need the shape of experts"]
+    if experts.dtype.kind not in "iu" or weights.dtype.kind not in "iub":
+        return ["experts and weights are whole numbers"]
+    if version < 0 or not 0 < n_experts <= np.iinfo(np.int16).max:
+        return ["version or number of experts is out of range"]
+    if experts.min() < EMPTY or experts.max() >= n_experts:
+        return ["a slot holds an expert that there is not"]
+    if weights.min() < 0 or weights.max() > MAX_WEIGHT:
+        return [f"a weight is not in 0 to {MAX_WEIGHT}"]
+    return _rule_mistakes(n_experts, experts, weights)
+
+
+def _rule_mistakes(n_experts: int, experts: NDArray, weights: NDArray) -> list[str]:
+    mistakes = []
+    if (weights[experts == EMPTY] > 0).any():
+        mistakes.append("an empty slot has a weight")
+    ordered = np.sort(experts, axis=2)
+    twice = (ordered[..., 1:] == ordered[..., :-1]) & (ordered[..., 1:] != EMPTY)
+    for layer, rank, _ in np.argwhere(twice)[:3]:
+        mistakes.append(f"layer {layer}: an expert is twice on rank {rank}")
+    live = np.zeros((experts.shape[0], n_experts), dtype=bool)
+    layer_of = np.broadcast_to(
+        np.arange(experts.shape[0])[:, None, None], experts.shape
+    )
+    getting = weights > 0
+    live[layer_of[getting], experts[getting]] = True
+    for layer, expert in np.argwhere(~live)[:3]:
+        mistakes.append(f"layer {layer}: no copy of expert {expert} gets tokens")
+    return mistakes
