--- a/toucanspool/groups/layer_search.py
+++ b/toucanspool/groups/layer_search.py
@@ -9,7 +9,7 @@
 from toucanspool.groups.split import Split
 
 TRIES = 4
-TRY_ROUNDS = 25
+TRY_ROUNDS = 16
 MIN_PROGRESS = 1e-3
 
 
--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -13,7 +13,8 @@
 
 __all__ = ["Move", "PlacementSettings", "Plan", "Planner"]
 
-LOOK_AHEAD_MOVES = 12
+LOOK_AHEAD_MOVES = 16
+MAX_TRIES = 24
 REACHED_FADING = 0.999
 CALLS_BETWEEN_VAIN_SEARCHES = 30
 ROOMY = 4
@@ -188,8 +189,11 @@
         )
         curve.points.append(start)
         yield
-        for placing in search.steps(start):
+        for tries, placing in enumerate(search.steps(start), start=1):
             yield
+            if tries >= MAX_TRIES:
+                curve.cut = True
+                return
             if placing is None:
                 continue
             curve.points.append(placing)
