--- a/bench/placement.py
+++ b/bench/placement.py
@@ -22,9 +22,9 @@
     first_map,
     uniform_map,
 )
+from bench.speed_split import SpeedSplit
 from bench.traces import NAMES, TICK_S, Trace, make_trace
 from toucanspool.groups.placement_settings import PlacementSettings
-from toucanspool.groups.split import SpeedSplit
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds of the traces.")
--- a/tests/groups/test_placement.py
+++ b/tests/groups/test_placement.py
@@ -8,12 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bench.speed_split import SpeedSplit
 from toucanspool.groups import placement
 from toucanspool.groups.expert_map import EMPTY, ExpertMap
 from toucanspool.groups.packing import pack
 from toucanspool.groups.placement import Planner
 from toucanspool.groups.placement_settings import PlacementSettings
-from toucanspool.groups.split import SolvedSplit, SpeedSplit
+from toucanspool.groups.split import SolvedSplit
 
 EAGER = PlacementSettings(min_gain=0.001, switch_s=0.0, noise_sigmas=0.0)
 
