--- a/toucanspool/groups/placement.py
+++ b/toucanspool/groups/placement.py
@@ -13,9 +13,11 @@
 
 __all__ = ["Move", "PlacementSettings", "Plan", "Planner"]
 
-LOOK_AHEAD_MOVES = 12
-REACHED_FADING = 0.995
-HOPE_FADING = 0.99
+LOOK_AHEAD_MOVES = 16
+MAX_TRIES = 24
+REACHED_FADING = 0.999
+CALLS_BETWEEN_VAIN_SEARCHES = 30
+ROOMY = 4
 
 
 @dataclass(slots=True, frozen=True, eq=False)
@@ -60,13 +62,14 @@
         How copies share tokens; `SolvedSplit` if left out.
     """
 
-    __slots__ = ("_cfg", "_reached", "_split", "_vain_hope")
+    __slots__ = ("_cfg", "_reached", "_split", "_vain_hope", "_waits")
 
     def __init__(self, cfg: PlacementSettings, *, split: Split | None = None) -> None:
         self._cfg = cfg
         self._split = split or SolvedSplit()
         self._reached: FloatArray = np.zeros(0)
         self._vain_hope = 0.0
+        self._waits = 0
 
     def plan(
         self,
@@ -126,8 +129,10 @@
             self._reached = np.zeros(map_.layers)
         self._reached *= REACHED_FADING
         hoped = peaks - floor * (1.0 + self._reached) - noise
-        hope = float(hoped[hoped > 0.0].sum() / peaks.sum())
-        self._vain_hope *= HOPE_FADING
+        hope = _hope(hoped, peaks)
+        self._waits = max(self._waits - 1, 0)
+        if self._waits == 0:
+            self._vain_hope = 0.0
         if hope < self._cfg.min_gain + self._vain_hope:
             return None
         curves = []
@@ -140,11 +145,17 @@
             )
             yield from self._explore(search, map_, curve, float(peaks.sum()))
             curves.append(curve)
-        choice = choose(curves, self._cfg, float(peaks.sum()))
-        yield
-        plan = self._finish(map_, choice.chosen, times)
+        for room in (self._cfg.max_moves, ROOMY * self._cfg.max_moves):
+            choice = choose(curves, self._cfg, float(peaks.sum()), room=room)
+            yield
+            plan = self._finish(map_, choice.chosen, times)
+            if plan is not None or not choice.postponed:
+                break
+            yield
         self._remember(curves, choice, floor)
-        self._vain_hope = 0.0 if plan else hope
+        hoped = peaks - floor * (1.0 + self._reached) - noise
+        self._vain_hope = 0.0 if plan else _hope(hoped, peaks)
+        self._waits = CALLS_BETWEEN_VAIN_SEARCHES
         return plan
 
     def _remember(self, curves: list[LayerCurve], choice: Choice, floor: float) -> None:
@@ -178,8 +189,11 @@
         )
         curve.points.append(start)
         yield
-        for placing in search.steps(start):
+        for tries, placing in enumerate(search.steps(start), start=1):
             yield
+            if tries >= MAX_TRIES:
+                curve.cut = True
+                return
             if placing is None:
                 continue
             curve.points.append(placing)
@@ -215,6 +229,10 @@
         )
 
 
+def _hope(hoped: FloatArray, peaks: FloatArray) -> float:
+    return float(np.maximum(hoped, 0.0).sum() / peaks.sum())
+
+
 def _changed(map_: ExpertMap, chosen: list[Chosen]) -> ExpertMap:
     experts, weights = map_.experts.copy(), map_.weights.copy()
     for choice in chosen:
