Clean nothing at a table that counts versions by row

Cause: the janitor tells ages by versions, which holds only where they count commits of the whole table; counted by row, it would remove fresh rows and their keys would run again.

--- a/tests/protected/test_janitor.py
+++ b/tests/protected/test_janitor.py
@@ -1,11 +1,13 @@
 """Old rows go, started ones stay, whatever the clocks say."""
 
+from dataclasses import replace
+
 import pytest
 
 from standins.memory import MemoryObjects, MemoryTable
 from toucanspool.platform.table import TableUncertain, Write
 from toucanspool.protected.janitor import Cleaned, Janitor
-from toucanspool.protected.marks import TICK_S
+from toucanspool.protected.marks import TICK_S, VersionsNotGlobal
 from toucanspool.protected.row import (
     ABANDONED,
     DONE,
@@ -121,6 +123,29 @@
     assert bench.objects.get("answer/c") == b""
 
 
+class RowCountingTable(MemoryTable):
+    """Count versions by row in place of by commit."""
+
+    def _apply(self, write):
+        before = self._rows.get(write.key)
+        super()._apply(write)
+        if write.value is not None:
+            version = before.version + 1 if before else 1
+            self._rows[write.key] = replace(self._rows[write.key], version=version)
+
+
+def test_table_that_counts_versions_by_row_is_never_cleaned(bench):
+    bench.table = RowCountingTable()
+    bench.put(DONE, ANSWER)
+    janitor = bench.janitor()
+    with pytest.raises(VersionsNotGlobal):
+        bench.pass_ticks(janitor, 10 * RETENTION_TICKS)
+    for _ in range(2 * RETENTION_TICKS):
+        with pytest.raises(VersionsNotGlobal):
+            bench.pass_ticks(janitor, 1)
+    assert bench.state() == DONE
+
+
 def test_lost_answer_of_a_mark_is_no_second_mark(bench):
     bench.put(DONE, ANSWER)
     janitor = bench.janitor()
--- a/toucanspool/protected/marks.py
+++ b/toucanspool/protected/marks.py
@@ -11,9 +11,14 @@
 from toucanspool.platform.table import Check, Row, Table, Write
 
 MARKS_KEY = "claims/marks"
+PROBE_PREFIX = "claims/probe/"
 TICK_S = 600.0
 
 
+class VersionsNotGlobal(Exception):
+    """Report a table that counts versions by row, so that they tell no ages."""
+
+
 class Marks:
     """Make marks, and tell which rows are old.
 
@@ -43,11 +48,14 @@
         ------
         TableError
             The table failed; to be called again.
+        VersionsNotGlobal
+            A new row written with the newest mark has another version.
         """
         found = self._table.get([MARKS_KEY]).get(MARKS_KEY)
         if self._row is None or found is None or found.version != self._row.version:
             self._seen_s = self._now()
         self._row = found
+        self._verify()
         if found is None or self._now() - self._seen_s >= TICK_S:
             self._make()
 
@@ -72,10 +80,28 @@
         versions = [*_versions(row), row.version][-self._keep :] if row else []
         data = orjson.dumps(versions)
         checks = [Check(MARKS_KEY, row.version if row else 0)]
-        version = self._table.commit(checks, [Write(MARKS_KEY, data)])
+        writes = [Write(MARKS_KEY, data), Write(_probe_key(versions), b"")]
+        if row:
+            writes.append(Write(_probe_key(_versions(row)), None))
+        version = self._table.commit(checks, writes)
         self._row = Row(MARKS_KEY, data, version)
         self._seen_s = self._now()
 
+    def _verify(self) -> None:
+        if self._row is None:
+            return
+        key = _probe_key(_versions(self._row))
+        probe = self._table.get([MARKS_KEY, key])
+        newest = probe.get(MARKS_KEY)
+        if newest is None or newest.version != self._row.version:
+            return
+        if key not in probe or probe[key].version != newest.version:
+            raise VersionsNotGlobal(f"{key} has not the version of {MARKS_KEY}")
+
 
 def _versions(row: Row | None) -> list[int]:
     return orjson.loads(row.value) if row else []
+
+
+def _probe_key(versions: list[int]) -> str:
+    return f"{PROBE_PREFIX}{versions[-1] if versions else 0}"
