Keep one way to say how many entries a team is told of

Cause: two were written: by the share label, and by its part of all shares. Conclusion: by label is kept; the other is a baseline of the benchmarks.

--- a/bench/addresses.py
+++ b/bench/addresses.py
@@ -15,6 +15,7 @@
 import numpy as np
 from absl import app, flags
 
+from bench.entry_count import entry_count
 from toucanspool.membership.addresses import pick_entries, wanted_entries
 from toucanspool.platform.instances import ROLE_ENTRY, STATE_LEAVING, Instance
 
@@ -32,9 +33,10 @@
 def main(argv: list[str]) -> None:
     """Print the table."""
     base = LEAST.value
-    ways: dict[str, Count] = {
+    ways: dict[str, Count | None] = {
         f"{base} entries each": lambda share: base,
         "by share label": lambda share: wanted_entries(share, base),
+        "by part of all shares": None,
         "all entries": lambda share: ENTRIES.value,
     }
     print(
@@ -54,7 +56,7 @@
     return f"{middle:.3g} ({low:.3g} to {high:.3g})"
 
 
-def _run(count: Count, seed: int) -> list[float]:
+def _run(count: Count | None, seed: int) -> list[float]:
     rng = random.Random(seed)
     entries = [_entry(n, seed) for n in range(ENTRIES.value)]
     requests = np.arange(1, TEAMS.value + 1) ** -ZIPF.value
@@ -62,7 +64,13 @@
     usual = float(np.median(requests))
     off = math.log(ERRORS.value)
     shares = [r / usual * math.exp(rng.uniform(-off, off)) for r in requests]
-    counts = [count(share) for share in shares]
+    total = sum(shares)
+    if count is None:
+        counts = [
+            entry_count(s, total, len(entries), least=LEAST.value) for s in shares
+        ]
+    else:
+        counts = [count(share) for share in shares]
     answers = _answers(entries, counts)
     load = dict.fromkeys((entry.name for entry in entries), 0.0)
     for part, names in zip(requests, answers, strict=True):
--- a/toucanspool/limits/spread.py
+++ b/bench/entry_count.py
@@ -1,4 +1,4 @@
-"""How many entries a team uses, and its share at each.
+"""A way to say how many entries a team uses, that lost to `wanted_entries`.
 
 A team is told a few entries by the address answer, more for a larger share. Each
 of them holds the team to its part of that entry, so that no entry needs to know a
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -13,12 +13,12 @@
 from absl import app, flags
 
 from bench.engine import Job
+from bench.entry_count import SPARE, entry_count, local_share
 from bench.jobs import Scenario, make_jobs, team_odds
 from bench.routed_run import WARM_UP_S, Run
 from bench.tables import spread
 from toucanspool.limits.admission import Admission
 from toucanspool.limits.shed import Shed
-from toucanspool.limits.spread import SPARE, entry_count, local_share
 from toucanspool.limits.ticket import Ticket, TicketState
 
 SEEDS = flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds.")
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -17,6 +17,7 @@
 import numpy as np
 from absl import app, flags
 
+from bench.entry_count import entry_count, local_share
 from bench.quotas import (
     ENTRIES,
     GREEDY_FACTOR,
@@ -29,7 +30,6 @@
 from bench.tables import spread
 from toucanspool.limits.admission import Admission
 from toucanspool.limits.shed import Shed
-from toucanspool.limits.spread import entry_count, local_share
 from toucanspool.limits.ticket import Ticket, TicketState
 
 SEEDS = flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "Seeds.")
--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -4,7 +4,7 @@
 
 import numpy as np
 
-from toucanspool.limits.spread import entry_count
+from bench.entry_count import entry_count
 
 ENTRIES = 370
 TEAMS = 4500
--- a/tests/limits/test_spread.py
+++ b/tests/bench/test_entry_count.py
@@ -1,8 +1,8 @@
-"""Proves that larger teams use more entries, and that shares add up over them."""
+"""The way weighed in the benchmarks gives larger teams more entries."""
 
 import pytest
 
-from toucanspool.limits.spread import entry_count, local_share
+from bench.entry_count import entry_count, local_share
 
 
 @pytest.mark.parametrize(
