Read the instance list again only where it has changed

After: a conditional GET (RFC 9110); an unchanged list costs one short answer, and its listeners are not called. The platform's own list must honour entity tags for this.

--- a/standins/instances.py
+++ b/standins/instances.py
@@ -37,6 +37,8 @@
         self._faults = faults
         self._lag_s = lag_s
         self._listed: dict[str, dict] = {}
+        self._start = time.time_ns()
+        self._changes = 0
         self._coming: deque[tuple[float, str, dict | None]] = deque()
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
@@ -45,6 +47,11 @@
         now = time.monotonic()
         while self._coming and self._coming[0][0] <= now:
             self._settle(*self._coming.popleft()[1:])
+        tag = f"{self._start}-{self._changes}"
+        resp.etag = tag
+        if tag in (req.if_none_match or ()):
+            resp.status = falcon.HTTP_304
+            return
         resp.media = list(self._listed.values())
 
     def on_put_one(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
@@ -61,6 +68,7 @@
         self._coming.append((time.monotonic() + self._lag_s, name, fields))
 
     def _settle(self, name: str, fields: dict | None) -> None:
+        self._changes += 1
         if fields is None:
             self._listed.pop(name, None)
         else:
--- a/toucanspool/membership/service.py
+++ b/toucanspool/membership/service.py
@@ -81,10 +81,13 @@
     def read(self) -> None:
         """Read the list once."""
         try:
-            self._instances = self._source.read()
+            read = self._source.read()
         except InstancesUnavailable as exc:
             _log.warning("instance list unavailable", error=str(exc))
             return
+        if read is self._instances:
+            return
+        self._instances = read
         self._live_entries = sum(
             i.role == ROLE_ENTRY and i.state == STATE_LIVE for i in self._instances
         )
--- a/toucanspool/platform/http_client.py
+++ b/toucanspool/platform/http_client.py
@@ -4,7 +4,7 @@
 
 import orjson
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 POOL_SIZE = 8
 CONNECT_TIMEOUT_S = 1.0
@@ -70,15 +70,49 @@
             No whole answer came.
         """
         data = body if isinstance(body, bytes) else orjson.dumps(body)
+        resp, answer = self._request(method, path, data, {})
+        return resp.status_code, answer
+
+    def get_changed(self, path: str, tag: str) -> tuple[int, Any, str]:
+        """Return a resource unless it still has the tag known (RFC 9110, 13.1.2).
+
+        Parameters
+        ----------
+        path : str
+            Path.
+        tag : str
+            Entity tag of what is known; empty for none.
+
+        Returns
+        -------
+        status : int
+            HTTP status; 304 for a resource unchanged.
+        body : Any
+            As of `call`.
+        tag : str
+            Entity tag of the body; empty where the service gives none.
+
+        Raises
+        ------
+        CallRefused, CallLost
+            As of `call`.
+        """
+        headers = {"If-None-Match": tag} if tag else {}
+        resp, answer = self._request("GET", path, b"", headers)
+        return resp.status_code, answer, str(resp.get("etag", ""))
+
+    def _request(
+        self, method: str, path: str, data: bytes, headers: dict[str, str]
+    ) -> tuple[HTTPResponse, Any]:
         try:
-            resp = self._client.request(method, path, body=data)
+            resp = self._client.request(method, path, body=data, headers=headers)
             raw = resp.read()
         except ConnectionRefusedError as exc:
             raise CallRefused(str(exc)) from exc
         except (OSError, HTTPParseError) as exc:
             raise CallLost(repr(exc)) from exc
         is_json = str(resp.get("content-type", "")).startswith("application/json")
-        return resp.status_code, (orjson.loads(raw) if is_json and raw else raw)
+        return resp, (orjson.loads(raw) if is_json and raw else raw)
 
     def close(self) -> None:
         """Close all connections."""
