--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,14 +7,19 @@
     "relay",
     "routing",
     "limits",
+    "fairness",
     "retries",
     "placement",
     "switch",
     "claims",
+    "claim_cost",
+    "lease_takeover",
     "spread",
     "addresses",
     "config_load",
     "recovery",
+    "spread_processes",
+    "capacity",
 )
 
 
