Mend the capacity bench, and count the few that stand for a duty

Cause: bench.capacity stopped with an AttributeError since a target compares how often its link was opened, and it counted every entry as standing for both duties.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,6 +19,8 @@
 from toucanspool.agent.report_rota import REPORTS_PER_S
 from toucanspool.config.snapshot_keeper import SNAPSHOT_EVERY_CHANGES
 from toucanspool.recovery.duties import JANITOR_INTERVAL_S
+from toucanspool.recovery.elected import CANDIDATES
+from toucanspool.recovery.elected import LEASE_TTL_S as DUTY_TTL_S
 from toucanspool.recovery.lease import LEASE_TTL_S, RENEWALS_PER_TTL
 from toucanspool.settings.settings import Agent, Entry, Settings
 
@@ -30,7 +32,6 @@
 ACCELERATORS = flags.DEFINE_integer("accelerators", 4800, "Accelerators.")
 REQUESTS = flags.DEFINE_float("requests", 3400.0, "Requests a second.")
 CHANGES = flags.DEFINE_float("changes", 800.0, "Changes a day.")
-CANDIDATES = flags.DEFINE_integer("candidates", 6, "Entries that stand for a group.")
 
 LIMIT_CPU_MS = 14.0
 LIMIT_MB = 256.0
@@ -131,11 +132,13 @@
     entries, groups = ENTRIES.value, ACCELERATORS.value / RANKS.value
     polls = entries / _default(Settings, "config_interval_s")
     beats_s = LEASE_TTL_S / RENEWALS_PER_TTL
-    looks = (DUTIES * entries + groups * CANDIDATES.value) / beats_s
-    everywhere = (DUTIES + groups) * entries / beats_s
+    duty_beats_s = DUTY_TTL_S / RENEWALS_PER_TTL
+    looks = DUTIES * CANDIDATES / duty_beats_s
+    looks += groups * CANDIDATES / beats_s
+    everywhere = groups * entries / beats_s
     lists = entries / _default(Settings, "instances_interval_s")
     pages = counts["page of claims"][0] / JANITOR_INTERVAL_S
-    renewed = (DUTIES + groups) / beats_s
+    renewed = DUTIES / duty_beats_s + groups / beats_s
     print("\n| platform | a second | limit |\n|---|---|---|")
     for name, value, limit in (
         ("table reads: polls of changes by entries", polls, PLATFORM_READS),
--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -42,6 +42,8 @@
 class NoLink:
     """Stand in for a link that is never opened."""
 
+    opened = 0
+
     def close(self) -> None:
         """Do nothing."""
 
