--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -1,9 +1,11 @@
 """The configuration of a process as a service."""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import ExitStack
+from typing import Any
 
+import gevent
 import structlog
 
 from toucanspool.config.failures import ChangesPruned
@@ -18,6 +20,7 @@
 from toucanspool.wire.gen.messages.ttypes import Changes, Pull
 
 MAX_CHANGES = 64
+SLICE_RECORDS = 500
 QUIET_S = 3.0
 
 _log = structlog.get_logger()
@@ -142,7 +145,7 @@
         """
         try:
             if changes.whole:
-                records = [decode_record(data) for data in changes.records]
+                records = list(_in_slices(decode_record, changes.records))
                 view = View(revision=changes.newest, records=records)
                 self._follower.pull(_Whole(view))
             else:
@@ -167,14 +170,11 @@
             items = self._follower.changes_after(pull.after, MAX_CHANGES)
         except ChangesPruned:
             whole = True
+        newest = self.revision
         if whole:
             items = self.view.all_records()
-        return Changes(
-            call=pull.call,
-            newest=self.revision,
-            records=[encode(item) for item in items],
-            whole=whole,
-        )
+        records = list(_in_slices(encode, items))
+        return Changes(call=pull.call, newest=newest, records=records, whole=whole)
 
     def _poll(self) -> None:
         quiet = time.monotonic() - self._heard_at >= QUIET_S
@@ -201,3 +201,11 @@
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
+
+
+def _in_slices(convert: Callable[[Any], Any], items: Iterable[Any]) -> Iterator[Any]:
+    """Convert items, letting other greenlets run now and then."""
+    for number, item in enumerate(items, start=1):
+        yield convert(item)
+        if number % SLICE_RECORDS == 0:
+            gevent.sleep(0)
--- a/toucanspool/entry/directory.py
+++ b/toucanspool/entry/directory.py
@@ -1,6 +1,7 @@
 """The upstreams that an entry knows, with their load and their links."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from toucanspool.config.records import Selector
 from toucanspool.config.view import View
@@ -12,6 +13,7 @@
 SERVE = "serve"
 STANDBY = "standby"
 DRAIN = "drain"
+POOL_LABELS = ("model", "service")
 
 
 class Target:
@@ -44,6 +46,13 @@
         self._opened = 0
         self._seq = 0
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the platform or the agent says that it takes no new work."""
+        # What an agent said holds for as long as it can take it back.
+        drains = self.said_state == DRAIN and self.link.connected
+        return drains or self.instance.state != STATE_LIVE
+
     def report(self, report: Report, now: float) -> None:
         """Take a load report unless a newer one has come.
 
@@ -70,6 +79,25 @@
         candidate.since_report = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """Hold what labels make of an upstream at one revision.
+
+    Parameters
+    ----------
+    target : Target
+        The upstream.
+    labels : mapping of str to str
+        Its labels.
+    state : {"serve", "standby", "drain"}
+        What the selectors say.
+    """
+
+    target: Target
+    labels: Mapping[str, str]
+    state: str
+
+
 class Eligible:
     """Hold the upstreams that a request may go to, and why.
 
@@ -97,11 +125,14 @@
         Returns a link to a host and port.
     """
 
-    __slots__ = ("_make_link", "_targets")
+    __slots__ = ("_known_at", "_lists", "_make_link", "_pools", "_targets")
 
     def __init__(self, make_link: Callable[[str, int], Link]) -> None:
         self._make_link = make_link
         self._targets: dict[str, Target] = {}
+        self._lists = 0
+        self._known_at = (-1, -1)
+        self._pools: dict[tuple[str, str], list[Standing]] = {}
 
     @property
     def targets(self) -> list[Target]:
@@ -130,6 +161,7 @@
         instances : iterable of Instance
             All instances listed; those of other roles are passed over.
         """
+        self._lists += 1
         listed = {i.upstream: i for i in instances if i.role == ROLE_AGENT}
         for name in set(self._targets) - set(listed):
             self._targets.pop(name).link.close()
@@ -155,12 +187,8 @@
         -------
         {"serve", "standby", "drain"}
         """
-        # What an agent said holds for as long as it can take it back.
-        drains = target.said_state == DRAIN and target.link.connected
-        if target.instance.state != STATE_LIVE or drains:
-            return DRAIN
         labels = view.upstream_labels(target.instance.upstream, target.given)
-        return view.state(labels)[0]
+        return DRAIN if target.leaving else view.state(labels)[0]
 
     def eligible(self, work: dict[str, str], view: View) -> Eligible:
         """Return the upstreams that a request may go to.
@@ -180,16 +208,35 @@
         """
         selector = view.route(work)
         by_state: dict[str, list[Target]] = {SERVE: [], STANDBY: [], DRAIN: []}
-        for target in self._targets.values():
-            labels = view.upstream_labels(target.instance.upstream, target.given)
-            if not _may_serve(work, labels):
-                continue
-            if selector is not None and not selector.upstreams.fits(labels):
-                continue
-            target.candidate.labels = labels
-            by_state[self.state(target, view)].append(target)
+        for standing in self._pool(work, view):
+            if selector is None or selector.upstreams.fits(standing.labels):
+                state = DRAIN if standing.target.leaving else standing.state
+                by_state[state].append(standing.target)
         return Eligible(by_state[SERVE] or by_state[STANDBY], selector)
 
+    def _pool(self, work: dict[str, str], view: View) -> list[Standing]:
+        """Return the upstreams of a request's model or service."""
+        known_at = (view.revision, self._lists)
+        if known_at != self._known_at:
+            self._known_at = known_at
+            self._index(view)
+        for kind in POOL_LABELS:
+            if kind in work:
+                return self._pools.get((kind, work[kind]), [])
+        return []
+
+    def _index(self, view: View) -> None:
+        """Work out labels and states once for a revision and list."""
+        self._pools = {}
+        for name, target in self._targets.items():
+            labels = view.upstream_labels(name, target.given)
+            target.candidate.labels = labels
+            standing = Standing(target, labels, view.state(labels)[0])
+            for kind in POOL_LABELS:
+                if kind in labels:
+                    pool = self._pools.setdefault((kind, labels[kind]), [])
+                    pool.append(standing)
+
     def _put(self, name: str, instance: Instance) -> None:
         known = self._targets.get(name)
         same_place = known is not None and (
@@ -203,10 +250,3 @@
             known.link.close()
         link = self._make_link(instance.host, instance.port)
         self._targets[name] = Target(instance, link)
-
-
-def _may_serve(work: dict[str, str], labels: dict[str, str]) -> bool:
-    for key in ("model", "service"):
-        if key in work and labels.get(key) != work[key]:
-            return False
-    return True
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -64,6 +64,7 @@
         "_hello",
         "_lock",
         "_numbers",
+        "_used_at",
         "host",
         "opened",
         "port",
@@ -80,6 +81,7 @@
         self._conn: Connection | None = None
         self._calls: dict[int, LinkedCall] = {}
         self._heard_at = 0.0
+        self._used_at = 0.0
         self._numbers = itertools.count(1)
         self._lock = Semaphore()
 
@@ -105,6 +107,7 @@
         ConnectionLost
             It can't be opened.
         """
+        self._used_at = time.monotonic()
         with self._lock:
             if not self.connected:
                 self._conn = connect(
@@ -180,6 +183,19 @@
         if self._calls and now - self._heard_at > limit_s:
             self.close()
 
+    def check_idle(self, now: float, limit_s: float) -> None:
+        """Close a connection that nobody uses.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        limit_s : float
+            The longest time without use, in seconds.
+        """
+        if not self._calls and now - self._used_at > limit_s:
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._conn is not None:
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -32,6 +32,7 @@
 
 TICK_S = 0.5
 LINK_SILENCE_S = 3.0
+LINK_IDLE_S = 60.0
 NO_UPSTREAM_RETRY_S = 2.0
 
 _HEALTH = {
@@ -200,6 +201,7 @@
         now = self._clock.now()
         for target in self.directory.targets:
             target.link.check_silence(now, LINK_SILENCE_S)
+            target.link.check_idle(now, LINK_IDLE_S)
         for name in self._ejector.due(now):
             gevent.spawn(self._probe, name)
 
