Keep programs that patch the interpreter out of tests

Cause: a test imported the instance list's program, whose monkey patch made the test worker wait for ever: gevent raised LoopExit and the whole run failed on a clean clone.

--- a/tests/platform/test_http_instances.py
+++ b/tests/platform/test_http_instances.py
@@ -5,7 +5,7 @@
 
 from standins.faults import Faults
 from standins.http import make_app
-from standins.instances import InstancePages
+from standins.instance_pages import InstancePages
 from toucanspool.entry.http_server import HttpServer
 from toucanspool.platform.http_client import JsonClient
 from toucanspool.platform.http_instances import HttpInstances
