Ask a silent link before its calls are given up

Cause: a link with calls open and no message for 3 s was closed. Since an agent's reports are bounded to ten a second for all entries, at more than about 24 busy entries a call that takes longer than that, a booking among them, would have been told as unknown while it ran. After: after 1.5 s of silence the agent is asked something that it answers at once.

--- a/tests/config/test_exchange.py
+++ b/tests/config/test_exchange.py
@@ -133,3 +133,10 @@
     talk(*pair)
     behind.exchange.received(behind, Frame(changes=old))
     assert behind.config.revision == 4
+
+
+def test_a_question_from_far_ahead_is_answered_with_nothing(pair):
+    ahead, _ = pair
+    ahead.exchange.received(ahead, Frame(pull=Pull(call=0, after=2**62, limit=0)))
+    changes = ahead.outbox.pop().changes
+    assert (changes.records, changes.whole) == ([], False)
--- a/tests/entry/test_link.py
+++ b/tests/entry/test_link.py
@@ -103,6 +103,15 @@
     assert not link.connected
 
 
+def test_silence_is_asked_about_before_it_ends_calls(linked):
+    link, other = linked
+    opened(link, other)
+    link.check_silence(time.monotonic() + 2.0, 3.0)
+    gevent.sleep(0.1)
+    assert link.connected
+    assert other.frames[-1].pull is not None
+
+
 def test_silence_without_calls_does_no_harm(linked):
     link, _ = linked
     link.ensure()
--- a/tests/processes/test_bookings.py
+++ b/tests/processes/test_bookings.py
@@ -137,3 +137,10 @@
             return answer
         time.sleep(0.2)
     return answer
+
+
+def test_a_slow_booking_is_not_taken_for_a_dead_one(caller):
+    for desk in ("desk-1", "desk-2"):
+        caller.system.fault(desk, delay_s=5.0)
+    assert caller.book(0, "k1", "clerks")[0] == 201
+    assert _runs(caller, "k1") == 1
--- a/toucanspool/entry/link.py
+++ b/toucanspool/entry/link.py
@@ -16,12 +16,14 @@
     Hello,
     Open,
     Outcome,
+    Pull,
     Refusal,
     Report,
 )
 
 CONNECT_TIMEOUT_S = 0.5
 WINDOW_CHUNKS = 32
+NEWEST = 2**62
 
 
 class LinkEvents(Protocol):
@@ -171,7 +173,7 @@
             self.tell(Frame(cancel=Cancel(call=call.number)))
 
     def check_silence(self, now: float, limit_s: float) -> None:
-        """Close a connection that owes answers and says nothing.
+        """Ask a connection that owes answers and is silent; then close it.
 
         Parameters
         ----------
@@ -180,8 +182,14 @@
         limit_s : float
             The longest silence, in seconds.
         """
-        if self._calls and now - self._heard_at > limit_s:
+        silence_s = now - self._heard_at
+        if not self._calls or silence_s <= limit_s / 2:
+            return
+        if silence_s > limit_s:
             self.close()
+        else:
+            # An agent answers this at once, whatever the turn of its reports.
+            self.tell(Frame(pull=Pull(call=0, after=NEWEST, limit=0)))
 
     def check_idle(self, now: float, limit_s: float) -> None:
         """Close a connection that nobody uses.
