Say states, events, deadlines and idempotency keys in one place each

Cause: read over once more, the change had the states of an upstream and the marks of an event stream written in two and three modules, the agent worked out its deadline beside the class for it, and the key's header was checked twice a request. A method, a stand-in and a constant had no caller. Ruled out: one method for the upstream client's two ways to send, since callers pass the method on; the record of a decision and its protocol, which lie in two layers.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -23,7 +23,7 @@
 
 from demo.launcher import HOST, System, call
 from toucanspool.config.view import key_hash
-from toucanspool.entry.continuation import DONE
+from toucanspool.wire.events import DONE
 
 RATE = flags.DEFINE_float("rate", 50.0, "Requests a second of the latency part.")
 SECONDS = flags.DEFINE_float("seconds", 8.0, "Length of each part, seconds.")
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -1,4 +1,4 @@
-"""The platform's table, object store and instance list in memory.
+"""The platform's table and object store in memory.
 
 They serve tests directly and the stand-in processes behind HTTP.
 """
@@ -6,7 +6,6 @@
 from collections.abc import Mapping, Sequence
 
 from standins.faults import FaultDown, FaultLostAnswer, Faults
-from toucanspool.platform.instances import Instance, InstancesUnavailable
 from toucanspool.platform.objects import ObjectsUnavailable
 from toucanspool.platform.table import (
     Check,
@@ -117,29 +116,3 @@
             self.faults.before()
         except FaultDown as exc:
             raise ObjectsUnavailable("the object store is down") from exc
-
-
-class MemoryInstances:
-    """List instances; implements `toucanspool.platform.instances.InstanceList`.
-
-    Parameters
-    ----------
-    instances : sequence of Instance, default=()
-        The list at first.
-    faults : Faults, optional
-        The faults in force.
-    """
-
-    def __init__(
-        self, instances: Sequence[Instance] = (), *, faults: Faults | None = None
-    ) -> None:
-        self.faults = faults or Faults()
-        self.instances = list(instances)
-
-    def read(self) -> list[Instance]:
-        """Return all instances listed now."""
-        try:
-            self.faults.before()
-        except FaultDown as exc:
-            raise InstancesUnavailable("the instance list is down") from exc
-        return list(self.instances)
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -9,7 +9,6 @@
 from standins.answers import DEFAULT_TOKENS, answer_token, prompt_seed
 from toucanspool.config.records import Team
 from toucanspool.entry.caller_request import CallerRequest
-from toucanspool.entry.continuation import DONE
 from toucanspool.entry.decisions import Decisions
 from toucanspool.entry.dispatcher import Dispatcher
 from toucanspool.entry.problems import Problem
@@ -20,6 +19,7 @@
 from toucanspool.routing.policy import Work
 from toucanspool.settings.settings import Entry
 from toucanspool.wire.connection import ConnectionLost
+from toucanspool.wire.events import DONE
 from toucanspool.wire.gen.messages.ttypes import (
     Chunk,
     End,
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -12,6 +12,7 @@
 from toucanspool.agent.report_rota import ReportRota
 from toucanspool.agent.upstream_client import UpstreamClient
 from toucanspool.config.exchange import Exchange
+from toucanspool.config.records import DRAIN, SERVE
 from toucanspool.config.service import ConfigService
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
@@ -66,7 +67,7 @@
         self._clock = HubClock()
         self._calls: dict[tuple[int, int], Call] = {}
         self._labels = platform_labels(cfg)
-        self._state = "serve"
+        self._state = SERVE
         self._stopping = False
         self._rota: ReportRota[Connection] = ReportRota()
         self._closing = ExitStack()
@@ -150,7 +151,7 @@
             raise _not_run(Refusal.DRAINING, "The upstream's instance is stopping.")
         if not self._config.ready:
             raise _not_run(Refusal.NO_CONFIG, "The agent has no configuration yet.")
-        if self._state == "drain":
+        if self._state == DRAIN:
             raise _not_run(Refusal.DRAINING, "The upstream drains by a selector.")
         if len(self._calls) > self._cfg.agent.max_running:
             raise _not_run(Refusal.BUSY, "The upstream has all the calls it may have.")
@@ -197,7 +198,7 @@
             self._send_report(conn)
 
     def _send_report(self, conn: Connection) -> None:
-        state = "drain" if self._stopping else self._state
+        state = DRAIN if self._stopping else self._state
         report = self._watch.report(
             calls=len(self._calls), state=state, revision=self._config.revision
         )
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -19,6 +19,7 @@
 from toucanspool.protected.clock import Clock
 from toucanspool.protected.errors import ClaimRefused
 from toucanspool.protected.writes import Claim
+from toucanspool.retries.deadline import Deadline
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
     Chunk,
@@ -95,7 +96,7 @@
         self._claims = claims
         self._clock = clock
         self._credit = Semaphore(opened.window)
-        self._deadline = clock.now() + opened.deadline_ms / 1000.0
+        self._deadline = Deadline.from_ms(opened.deadline_ms, clock.now())
         self._handed_over = False
         self._sent = 0
         self._last: Chunk | None = None
@@ -129,7 +130,7 @@
             self._greenlet.kill(block=False)
 
     def _run(self) -> None:
-        remaining_s = max(0.0, self._deadline - self._clock.now())
+        remaining_s = self._deadline.left_s(self._clock.now())
         try:
             with gevent.Timeout(None if self.guarded else remaining_s):
                 self._serve()
@@ -159,7 +160,7 @@
                 opened.idempotency_key,
                 f"{opened.request_id}/{opened.attempt}",
                 _call_hash(self._scope, opened),
-                deadline=self._deadline,
+                deadline=self._deadline.at,
             )
         except ClaimRefused as exc:
             raise CallRefused(
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -8,11 +8,10 @@
 from geventhttpclient.response import HTTPParseError
 
 from toucanspool.settings.settings import Address
+from toucanspool.wire.events import EVENT_END, is_event_stream
 
 CONNECT_TIMEOUT_S = 2.0
 READ_BLOCK_BYTES = 16 * 1024
-EVENT_STREAM = "text/event-stream"
-EVENT_END = b"\n\n"
 
 
 class UpstreamUnreachable(Exception):
@@ -42,7 +41,7 @@
     @property
     def streamed(self) -> bool:
         """Whether the body is a stream of server-sent events."""
-        return self.headers["content-type"].startswith(EVENT_STREAM)
+        return is_event_stream(self.headers["content-type"])
 
     def pieces(self) -> Iterator[bytes]:
         """Yield the body: whole events of a stream, else blocks.
--- a/toucanspool/config/records.py
+++ b/toucanspool/config/records.py
@@ -11,6 +11,9 @@
 
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$"
 KEY_HASH_PATTERN = r"^[0-9a-f]{64}$"
+SERVE = "serve"
+STANDBY = "standby"
+DRAIN = "drain"
 MAX_LABEL_CHARS = 128
 MAX_LABELS = 64
 
--- a/toucanspool/config/view.py
+++ b/toucanspool/config/view.py
@@ -6,6 +6,7 @@
 from toucanspool.config.match import Labels
 from toucanspool.config.records import (
     KINDS,
+    SERVE,
     Change,
     Operator,
     Record,
@@ -256,7 +257,7 @@
         for selector in self._states:
             if selector.upstreams.fits(labels):
                 return selector.action, selector
-        return "serve", None
+        return SERVE, None
 
     def _index_selectors(self) -> None:
         selectors = sorted(
--- a/toucanspool/entry/attempt.py
+++ b/toucanspool/entry/attempt.py
@@ -167,7 +167,6 @@
 
     def _opened(self, number: int, revision: int, body: bytes) -> Open:
         req = self._req
-        left_s = req.deadline.left_s(self._clock.now())
         return Open(
             request_id=req.request_id,
             attempt=number,
@@ -177,7 +176,7 @@
             path=req.path,
             headers=dict(req.headers),
             body=body,
-            deadline_ms=int(left_s * MS_PER_S),
+            deadline_ms=req.deadline.left_ms(self._clock.now()),
             idempotency_key=req.idempotency_key,
             guarded=req.guarded,
             priority=req.priority,
--- a/toucanspool/entry/caller_request.py
+++ b/toucanspool/entry/caller_request.py
@@ -26,7 +26,7 @@
         Body.
     headers : mapping of str to str
         Headers towards the upstream.
-    labels : mapping of str to str
+    labels : dict of str to str
         What selectors match.
     work : Work
         What the routing policy may know.
@@ -51,7 +51,7 @@
     method: str
     path: str
     body: bytes
-    labels: Mapping[str, str]
+    labels: dict[str, str]
     work: Work
     deadline: Deadline
     headers: Mapping[str, str] = field(default_factory=dict)
--- a/toucanspool/entry/continuation.py
+++ b/toucanspool/entry/continuation.py
@@ -9,9 +9,8 @@
 
 import orjson
 
-EVENT_END = b"\n\n"
-DATA = b"data: "
-DONE = b"data: [DONE]\n\n"
+from toucanspool.wire.events import DATA, DONE, EVENT_END
+
 LENGTH_FIELDS = ("max_tokens", "max_completion_tokens")
 
 
--- a/toucanspool/entry/directory.py
+++ b/toucanspool/entry/directory.py
@@ -3,16 +3,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from toucanspool.config.records import Selector
+from toucanspool.config.match import Labels
+from toucanspool.config.records import DRAIN, SERVE, STANDBY, Selector
 from toucanspool.config.view import View
 from toucanspool.entry.link import Link
 from toucanspool.platform.instances import ROLE_AGENT, STATE_LIVE, Instance
 from toucanspool.routing.candidate import Candidate
 from toucanspool.wire.gen.messages.ttypes import Report
 
-SERVE = "serve"
-STANDBY = "standby"
-DRAIN = "drain"
 POOL_LABELS = ("model", "service")
 
 
@@ -190,14 +188,14 @@
         labels = view.upstream_labels(target.instance.upstream, target.given)
         return DRAIN if target.leaving else view.state(labels)[0]
 
-    def eligible(self, work: dict[str, str], view: View) -> Eligible:
+    def eligible(self, work: Labels, view: View) -> Eligible:
         """Return the upstreams that a request may go to.
 
         Those standing by are returned only where none serves.
 
         Parameters
         ----------
-        work : dict of str to str
+        work : mapping of str to str
             The request's labels.
         view : View
             The configuration.
@@ -214,7 +212,7 @@
                 by_state[state].append(standing.target)
         return Eligible(by_state[SERVE] or by_state[STANDBY], selector)
 
-    def _pool(self, work: dict[str, str], view: View) -> list[Standing]:
+    def _pool(self, work: Labels, view: View) -> list[Standing]:
         """Return the upstreams of a request's model or service."""
         known_at = (view.revision, self._lists)
         if known_at != self._known_at:
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -11,7 +11,6 @@
 from toucanspool.entry.attempt import Attempt, AttemptFailed
 from toucanspool.entry.caller_request import CallerRequest
 from toucanspool.entry.continuation import (
-    DONE,
     CannotContinue,
     NothingLeft,
     answered_text,
@@ -32,12 +31,12 @@
 from toucanspool.retries.budget import RetryBudget
 from toucanspool.retries.verdict import Verdict, may_retry
 from toucanspool.settings.settings import Entry
+from toucanspool.wire.events import DONE, is_event_stream
 from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
 MAX_REROUTES = 4
 HTTP_SERVER_ERROR = 500
 PRIORITY_HEADER = "x-priority"
-EVENT_STREAM = "text/event-stream"
 
 # The upstream is well and has refused at once: going elsewhere amplifies nothing.
 REROUTED = frozenset({Refusal.DRAINING, Refusal.WRONG_UPSTREAM, Refusal.NO_CONFIG})
@@ -299,9 +298,7 @@
 
 
 def _is_stream(progress: Progress) -> bool:
-    return progress.attempt.head.headers.get("content-type", "").startswith(
-        EVENT_STREAM
-    )
+    return is_event_stream(progress.attempt.head.headers.get("content-type", ""))
 
 
 def _is_done(progress: Progress) -> bool:
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -99,7 +99,7 @@
             body=body,
             streamed=bool(fields.get("stream")),
             idempotent=not key,
-            guarded=bool(key),
+            key=key,
             prompt=orjson.dumps(fields["messages"]),
         )
 
@@ -145,7 +145,7 @@
             body=self._body(req),
             streamed=False,
             idempotent=req.method in IDEMPOTENT_METHODS,
-            guarded=bool(key) and req.method == "POST",
+            key=key if req.method == "POST" else "",
         )
 
     def _made(
@@ -159,14 +159,13 @@
         body: bytes,
         streamed: bool,
         idempotent: bool,
-        guarded: bool,
+        key: str,
         prompt: bytes = b"",
     ) -> CallerRequest:
         labels = self._config.view.request_labels(own, team)
         headers = {"accept": req.get_header("Accept") or "*/*"}
         if body:
             headers["content-type"] = req.content_type or "application/octet-stream"
-        key = _idempotency_key(req) if guarded else ""
         if key:
             headers["idempotency-key"] = key
         return CallerRequest(
@@ -180,9 +179,9 @@
             work=self._work(prompt),
             deadline=self._deadline(req),
             streamed=streamed,
-            idempotent=idempotent and not guarded,
+            idempotent=idempotent and not key,
             idempotency_key=key,
-            guarded=guarded,
+            guarded=bool(key),
             priority=_priority(labels),
             share=self._local_share(labels),
         )
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -7,6 +7,7 @@
 import structlog
 
 from toucanspool.config.exchange import Exchange
+from toucanspool.config.records import DRAIN
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.attempt import AttemptFailed
 from toucanspool.entry.caller_request import CallerRequest
@@ -116,7 +117,7 @@
         Problem
             There is none.
         """
-        eligible = self.directory.eligible(dict(req.labels), self._config.view)
+        eligible = self.directory.eligible(req.labels, self._config.view)
         targets = self._usable(eligible.targets, tried)
         if not targets:
             self._note(req, eligible, None, "no upstream may take it", attempt)
@@ -153,7 +154,7 @@
             How it failed.
         """
         if exc.refusal == Refusal.DRAINING:
-            target.said_state = "drain"
+            target.said_state = DRAIN
         result = _HEALTH.get(exc.refusal)
         if result is not None:
             self._record(target, result)
@@ -236,7 +237,7 @@
             Decision(
                 request_id=req.request_id,
                 team=req.team.name,
-                labels=dict(req.labels),
+                labels=req.labels,
                 selector=eligible.selector.name if eligible.selector else None,
                 candidates=names[:LISTED_CANDIDATES],
                 eligible=len(names),
--- a/toucanspool/wire/listener.py
+++ b/toucanspool/wire/listener.py
@@ -43,10 +43,6 @@
         """Begin accepting."""
         self._server.start()
 
-    def stop_accepting(self) -> None:
-        """Refuse new connections; those open go on."""
-        self._server.close()
-
     def stop(self) -> None:
         """Refuse new connections and close those open."""
         self._server.close()
