--- a/bench/addresses.py
+++ b/bench/addresses.py
@@ -16,8 +16,8 @@
 from absl import app, flags
 
 from bench.entry_count import entry_count
+from toucanspool.backing.instances import ROLE_ENTRY, STATE_LEAVING, Instance
 from toucanspool.membership.addresses import pick_entries, wanted_entries
-from toucanspool.platform.instances import ROLE_ENTRY, STATE_LEAVING, Instance
 
 ENTRIES = flags.DEFINE_integer("entries", 370, "Entries.")
 TEAMS = flags.DEFINE_integer("teams", 4500, "Teams.")
--- a/bench/capacity_duties.py
+++ b/bench/capacity_duties.py
@@ -8,10 +8,10 @@
 from bench.capacity_fit import Slope, cpu_ms, measure
 from bench.capacity_parts import view
 from standins.memory import MemoryObjects, MemoryTable
+from toucanspool.backing.table import Write
 from toucanspool.config.reader import ConfigReader
 from toucanspool.config.records import decode_record, encode
 from toucanspool.config.snapshot import encode_view
-from toucanspool.platform.table import Write
 from toucanspool.protected.claims import Claims
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.janitor import Janitor
--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -10,6 +10,7 @@
 import orjson
 
 from bench.capacity_fit import Slope, cpu_ms, measure
+from toucanspool.backing.instances import ROLE_AGENT, ROLE_ENTRY, Instance
 from toucanspool.config.match import Match
 from toucanspool.config.records import Change, Selector, Team, Upstream
 from toucanspool.config.view import View, key_hash
@@ -20,7 +21,6 @@
 from toucanspool.groups.rebalancer import Rebalancer
 from toucanspool.membership.addresses import pick_entries
 from toucanspool.membership.spread import Spread
-from toucanspool.platform.instances import ROLE_AGENT, ROLE_ENTRY, Instance
 from toucanspool.routing.expected import ExpectedRoom
 from toucanspool.routing.policy import Work
 from toucanspool.routing.prefix import PrefixIndex
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -19,7 +19,7 @@
 from hdrh.histogram import HdrHistogram
 
 from standins.memory import MemoryObjects, MemoryTable
-from toucanspool.platform.table import TableThrottled
+from toucanspool.backing.table import TableThrottled
 from toucanspool.protected.claims import Answer, Claims, Started
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import ClaimRefused
--- a/bench/config_load.py
+++ b/bench/config_load.py
@@ -17,6 +17,7 @@
 from absl import app, flags
 
 from standins.memory import MemoryObjects, MemoryTable
+from toucanspool.backing.table import Check, Row, Write
 from toucanspool.config.diff import describe
 from toucanspool.config.match import Match
 from toucanspool.config.proposal import MAX_RECORDS, Proposal
@@ -26,7 +27,6 @@
 from toucanspool.config.snapshot_keeper import SnapshotKeeper
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.view import View, key_hash
-from toucanspool.platform.table import Check, Row, Write
 
 TEAMS = flags.DEFINE_integer("teams", 4500, "Teams.")
 UPSTREAMS = flags.DEFINE_integer("upstreams", 600, "Upstreams.")
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -14,9 +14,9 @@
 import numpy as np
 from absl import app, flags
 
+from toucanspool.backing.instances import ROLE_AGENT, ROLE_ENTRY, Instance
 from toucanspool.config.records import Change, Upstream, encode
 from toucanspool.membership.spread import Spread, assigned
-from toucanspool.platform.instances import ROLE_AGENT, ROLE_ENTRY, Instance
 from toucanspool.wire import codec
 from toucanspool.wire.gen.messages.ttypes import Changes, Frame, Hello, Pull
 
--- a/standins/lockstep.py
+++ b/standins/lockstep.py
@@ -12,8 +12,8 @@
 from standins.http import HOST, serve
 from standins.lockstep_group import LockstepGroup, RankEngine
 from standins.lockstep_work import WorkModel
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
 from toucanspool.groups.engine import NO_MAP, EngineRefused, EngineUnavailable
-from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
 
 RANKS = flags.DEFINE_integer("ranks", 4, "Number of ranks.")
 VERSION = flags.DEFINE_integer("version", 0, "Map version at first.")
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -6,8 +6,8 @@
 from collections.abc import Mapping, Sequence
 
 from standins.faults import FaultDown, FaultLostAnswer, Faults
-from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import (
+from toucanspool.backing.objects import ObjectsUnavailable
+from toucanspool.backing.table import (
     Check,
     Row,
     TableConflict,
@@ -18,7 +18,7 @@
 
 
 class MemoryTable:
-    """Keep rows in memory; implements `toucanspool.platform.table.Table`.
+    """Keep rows in memory; implements `toucanspool.backing.table.Table`.
 
     Parameters
     ----------
@@ -85,7 +85,7 @@
 
 
 class MemoryObjects:
-    """Keep objects in memory; implements `toucanspool.platform.objects.Objects`.
+    """Keep objects in memory; implements `toucanspool.backing.objects.Objects`.
 
     Parameters
     ----------
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -9,7 +9,7 @@
 
 from standins.http import make_app, serve
 from standins.memory import MemoryObjects
-from toucanspool.platform.objects import ObjectsUnavailable
+from toucanspool.backing.objects import ObjectsUnavailable
 
 
 class ObjectPage:
--- a/standins/table.py
+++ b/standins/table.py
@@ -14,7 +14,7 @@
 
 from standins.http import make_app, serve
 from standins.memory import MemoryTable
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     Row,
     TableConflict,
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -13,7 +13,7 @@
 
 from standins.faults import Faults
 from standins.memory import MemoryTable
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     Row,
     TableError,
--- a/tests/platform/test_http_instances.py
+++ b/tests/backing/test_http_instances.py
@@ -6,10 +6,10 @@
 from standins.faults import Faults
 from standins.http import make_app
 from standins.instance_pages import InstancePages
+from toucanspool.backing.http_client import JsonClient
+from toucanspool.backing.http_instances import HttpInstances
+from toucanspool.backing.instances import InstancesUnavailable
 from toucanspool.entry.http_server import HttpServer
-from toucanspool.platform.http_client import JsonClient
-from toucanspool.platform.http_instances import HttpInstances
-from toucanspool.platform.instances import InstancesUnavailable
 
 FIELDS = {
     "name": "entry-1",
--- a/tests/config/scripted.py
+++ b/tests/config/scripted.py
@@ -9,7 +9,7 @@
 import orjson
 
 from standins.memory import MemoryTable
-from toucanspool.platform.table import TableUnavailable, TableUncertain
+from toucanspool.backing.table import TableUnavailable, TableUncertain
 
 
 class Violation(AssertionError):
--- a/tests/config/test_config_machine.py
+++ b/tests/config/test_config_machine.py
@@ -19,6 +19,7 @@
 
 from standins.memory import MemoryObjects
 from tests.config.scripted import Oracle, ScriptedTable, Violation, must
+from toucanspool.backing.table import TableError, TableUnavailable
 from toucanspool.config.failures import (
     ApplyBusy,
     ApplyError,
@@ -32,7 +33,6 @@
 from toucanspool.config.snapshot_keeper import SnapshotKeeper
 from toucanspool.config.store import ConfigStore
 from toucanspool.config.transaction import Transaction
-from toucanspool.platform.table import TableError, TableUnavailable
 
 KEPT = 6
 OPERATORS = ("ana", "ben", "cyd")
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -3,11 +3,11 @@
 import pytest
 
 from standins.memory import MemoryTable
+from toucanspool.backing.table import TableUnavailable
 from toucanspool.config.follower import Follower, NoConfiguration
 from toucanspool.config.proposal import Proposal
 from toucanspool.config.records import BadRecord, Upstream, encode
 from toucanspool.config.store import ConfigStore
-from toucanspool.platform.table import TableUnavailable
 
 
 @pytest.fixture
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -2,10 +2,10 @@
 
 from types import SimpleNamespace
 
+from toucanspool.backing.instances import Instance
 from toucanspool.config.records import Selector, Upstream
 from toucanspool.config.view import View
 from toucanspool.entry.directory import Directory
-from toucanspool.platform.instances import Instance
 from toucanspool.wire.gen.messages.ttypes import Report
 
 MATCH_DRAIN = {"has": {"state": "drain"}}
--- a/tests/groups/test_coordinator.py
+++ b/tests/groups/test_coordinator.py
@@ -4,6 +4,7 @@
 
 from standins.memory import MemoryObjects, MemoryTable
 from tests.groups.switch_world import LIMITS, FakeLease, World
+from toucanspool.backing.table import TableUncertain
 from toucanspool.groups.coordinator import Coordinator
 from toucanspool.groups.coordinator_failures import (
     LeaseLapsed,
@@ -15,7 +16,6 @@
 from toucanspool.groups.record import GroupRecord, MapStore, RecordStore
 from toucanspool.groups.switch import Round
 from toucanspool.groups.switch_intent import Intent, Outcome, Phase
-from toucanspool.platform.table import TableUncertain
 from toucanspool.wire.gen.messages.ttypes import (
     Order,
     OrderKind,
--- a/tests/membership/test_addresses.py
+++ b/tests/membership/test_addresses.py
@@ -7,14 +7,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from toucanspool.limits.share import share_of
-from toucanspool.membership.addresses import pick_entries, wanted_entries
-from toucanspool.platform.instances import (
+from toucanspool.backing.instances import (
     ROLE_AGENT,
     ROLE_ENTRY,
     STATE_LEAVING,
     Instance,
 )
+from toucanspool.limits.share import share_of
+from toucanspool.membership.addresses import pick_entries, wanted_entries
 
 TEAM = "members"
 CASES = settings(derandomize=True, deadline=None, max_examples=150)
--- a/tests/membership/test_membership_spread.py
+++ b/tests/membership/test_membership_spread.py
@@ -6,13 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from toucanspool.membership.spread import FANOUT, Spread, assigned
-from toucanspool.platform.instances import (
+from toucanspool.backing.instances import (
     ROLE_AGENT,
     ROLE_ENTRY,
     STATE_LEAVING,
     Instance,
 )
+from toucanspool.membership.spread import FANOUT, Spread, assigned
 
 AGENTS = [f"agent-{n}" for n in range(12)]
 CASES = settings(derandomize=True, deadline=None, max_examples=100)
--- a/tests/protected/test_claims.py
+++ b/tests/protected/test_claims.py
@@ -9,7 +9,7 @@
 
 from standins.memory import MemoryObjects
 from standins.virtual import GatedTable, Gates, VirtualClock, settle
-from toucanspool.platform.table import Write
+from toucanspool.backing.table import Write
 from toucanspool.protected.claims import Answer, Claims, Replay, Started
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import (
--- a/tests/protected/test_committer.py
+++ b/tests/protected/test_committer.py
@@ -7,7 +7,7 @@
 
 from standins.memory import MemoryTable
 from standins.virtual import GatedTable, Gates, VirtualClock, settle
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     TableConflict,
     TableThrottled,
--- a/tests/protected/test_janitor.py
+++ b/tests/protected/test_janitor.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.memory import MemoryObjects, MemoryTable
-from toucanspool.platform.table import TableUncertain, Write
+from toucanspool.backing.table import TableUncertain, Write
 from toucanspool.protected.janitor import Cleaned, Janitor
 from toucanspool.protected.marks import TICK_S, VersionsNotGlobal
 from toucanspool.protected.row import (
--- a/tests/protected/test_pending.py
+++ b/tests/protected/test_pending.py
@@ -1,6 +1,6 @@
 """Writes wait for the table in bounded memory."""
 
-from toucanspool.platform.table import TableUnavailable
+from toucanspool.backing.table import TableUnavailable
 from toucanspool.protected.pending import PendingWrites
 
 
--- a/tests/protected/world.py
+++ b/tests/protected/world.py
@@ -11,7 +11,7 @@
 
 from standins.memory import MemoryObjects
 from standins.virtual import GatedTable, Gates, VirtualClock, settle
-from toucanspool.platform.table import Check, TableUncertain, Write
+from toucanspool.backing.table import Check, TableUncertain, Write
 from toucanspool.protected.claims import Answer, Claims, Replay
 from toucanspool.protected.committer import Committer
 from toucanspool.protected.errors import ClaimRefused, InProgress
--- a/tests/recovery/test_lease.py
+++ b/tests/recovery/test_lease.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.memory import MemoryTable
-from toucanspool.platform.table import TableUnavailable
+from toucanspool.backing.table import TableUnavailable
 from toucanspool.recovery.fence import Fence, FenceNotReady, StaleToken
 from toucanspool.recovery.lease import Lease, LeaseLost
 
--- a/tests/recovery/test_lease_fuzz.py
+++ b/tests/recovery/test_lease_fuzz.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
 from standins.virtual import GatedTable, Gates, settle
-from toucanspool.platform.table import TableError
+from toucanspool.backing.table import TableError
 from toucanspool.recovery.fence import Fence, FenceNotReady, StaleToken
 from toucanspool.recovery.lease import Lease, LeaseLost
 from toucanspool.recovery.lease_row import decode_lease
--- a/tests/standins/test_memory.py
+++ b/tests/standins/test_memory.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.memory import MemoryTable
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     TableConflict,
     TableUnavailable,
--- a/toucanspool/agent/ranks.py
+++ b/toucanspool/agent/ranks.py
@@ -6,13 +6,13 @@
 import gevent
 import structlog
 
+from toucanspool.backing.http_client import JsonClient
 from toucanspool.groups.engine import EngineError
 from toucanspool.groups.http_engine import HttpEngine
 from toucanspool.groups.rank_agent import RankAgent
 from toucanspool.groups.record import RecordStore
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.platform.http_client import JsonClient
 from toucanspool.settings.settings import Address, Ranks
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
--- a/toucanspool/platform/http_instances.py
+++ b/toucanspool/backing/http_instances.py
@@ -1,7 +1,7 @@
 """The platform's instance list over HTTP; implements `InstanceList`."""
 
-from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
-from toucanspool.platform.instances import Instance, InstancesUnavailable
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.backing.instances import Instance, InstancesUnavailable
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
--- a/toucanspool/platform/http_objects.py
+++ b/toucanspool/backing/http_objects.py
@@ -2,8 +2,8 @@
 
 from urllib.parse import quote
 
-from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
-from toucanspool.platform.objects import ObjectsUnavailable
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.backing.objects import ObjectsUnavailable
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
--- a/toucanspool/platform/http_table.py
+++ b/toucanspool/backing/http_table.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
-from toucanspool.platform.table import (
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.backing.table import (
     Check,
     Row,
     TableConflict,
--- a/toucanspool/platform/service.py
+++ b/toucanspool/backing/service.py
@@ -2,10 +2,10 @@
 
 from contextlib import ExitStack
 
+from toucanspool.backing.http_instances import HttpInstances
+from toucanspool.backing.http_objects import HttpObjects
+from toucanspool.backing.http_table import HttpTable
 from toucanspool.kernel.kernel import Kernel
-from toucanspool.platform.http_instances import HttpInstances
-from toucanspool.platform.http_objects import HttpObjects
-from toucanspool.platform.http_table import HttpTable
 from toucanspool.settings.settings import Platform
 
 
--- a/toucanspool/config/failures.py
+++ b/toucanspool/config/failures.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from toucanspool.backing.table import TableError
 from toucanspool.config.rows import RecordKey
-from toucanspool.platform.table import TableError
 
 
 class ApplyError(Exception):
--- a/toucanspool/config/reader.py
+++ b/toucanspool/config/reader.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from toucanspool.backing.table import Row, Table
 from toucanspool.config.failures import ChangesPruned, LoadTorn
 from toucanspool.config.records import Change, Record
 from toucanspool.config.rows import (
@@ -17,7 +18,6 @@
     decode_revision,
 )
 from toucanspool.config.view import View
-from toucanspool.platform.table import Row, Table
 
 PAGE_ROWS = 1000
 SLICE_ROWS = 200
--- a/toucanspool/config/rows.py
+++ b/toucanspool/config/rows.py
@@ -6,9 +6,9 @@
 from pydantic import TypeAdapter
 from pydantic.dataclasses import dataclass as checked
 
+from toucanspool.backing.table import Row
 from toucanspool.config.match import STRICT
 from toucanspool.config.records import Change, Record, decode_change
-from toucanspool.platform.table import Row
 
 REVISION_KEY = "config/revision"
 CHANGE_PREFIX = "config/change/"
--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -8,6 +8,7 @@
 import gevent
 import structlog
 
+from toucanspool.backing.table import TableError
 from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.follower import Follower
 from toucanspool.config.records import BadRecord, Change, decode_record, encode
@@ -16,7 +17,6 @@
 from toucanspool.config.view import View
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.platform.table import TableError
 from toucanspool.wire.gen.messages.ttypes import Changes, Pull
 
 MAX_CHANGES = 64
--- a/toucanspool/config/snapshot.py
+++ b/toucanspool/config/snapshot.py
@@ -12,13 +12,13 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
+from toucanspool.backing.objects import Objects, ObjectsUnavailable
+from toucanspool.backing.table import Table
 from toucanspool.config.failures import ChangesPruned
 from toucanspool.config.match import STRICT
 from toucanspool.config.reader import PAGE_ROWS, SLICE_ROWS, ConfigReader
 from toucanspool.config.records import Record
 from toucanspool.config.view import View
-from toucanspool.platform.objects import Objects, ObjectsUnavailable
-from toucanspool.platform.table import Table
 
 SNAPSHOT_NAME = "config/snapshot"
 COMPRESSION_LEVEL = 1
--- a/toucanspool/config/snapshot_keeper.py
+++ b/toucanspool/config/snapshot_keeper.py
@@ -1,5 +1,7 @@
 """Upkeep of the configuration's rows and snapshot."""
 
+from toucanspool.backing.objects import Objects
+from toucanspool.backing.table import Check, Row, Table, Write
 from toucanspool.config.reader import PAGE_ROWS
 from toucanspool.config.rows import (
     CHANGE_PREFIX,
@@ -10,8 +12,6 @@
 )
 from toucanspool.config.snapshot import SNAPSHOT_NAME, SnapshotReader, encode_view
 from toucanspool.config.view import View
-from toucanspool.platform.objects import Objects
-from toucanspool.platform.table import Check, Row, Table, Write
 
 SNAPSHOT_EVERY_CHANGES = 200
 PRUNE_ROWS = 500
--- a/toucanspool/config/store.py
+++ b/toucanspool/config/store.py
@@ -7,6 +7,12 @@
 
 import gevent
 
+from toucanspool.backing.table import (
+    Table,
+    TableConflict,
+    TableUnavailable,
+    TableUncertain,
+)
 from toucanspool.config.diff import Description, describe
 from toucanspool.config.failures import (
     ApplyBusy,
@@ -24,12 +30,6 @@
 from toucanspool.config.rows import KEPT_CHANGES
 from toucanspool.config.transaction import Transaction
 from toucanspool.config.view import View
-from toucanspool.platform.table import (
-    Table,
-    TableConflict,
-    TableUnavailable,
-    TableUncertain,
-)
 
 APPLY_ATTEMPTS = 16
 RETRY_PAUSE_S = 0.02
--- a/toucanspool/config/transaction.py
+++ b/toucanspool/config/transaction.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from toucanspool.backing.table import Check, Row, Table, Write
 from toucanspool.config.failures import (
     BadProposal,
     ChangeIdReused,
@@ -25,7 +26,6 @@
     encode_row,
     record_key,
 )
-from toucanspool.platform.table import Check, Row, Table, Write
 
 
 class Transaction:
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -16,11 +16,11 @@
 from absl import app, flags
 from gevent.event import Event
 
+from toucanspool.backing.service import PlatformService
 from toucanspool.config.service import ConfigService
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.randoms import Randoms
 from toucanspool.membership.service import InstancesService
-from toucanspool.platform.service import PlatformService
 from toucanspool.settings.settings import Settings, SettingsError, load
 from toucanspool.telemetry.logs import set_up
 
--- a/toucanspool/entry/directory.py
+++ b/toucanspool/entry/directory.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from toucanspool.backing.instances import ROLE_AGENT, STATE_LIVE, Instance
 from toucanspool.config.match import Labels
 from toucanspool.config.records import DRAIN, SERVE, STANDBY, Selector
 from toucanspool.config.view import View
 from toucanspool.entry.link import Link
-from toucanspool.platform.instances import ROLE_AGENT, STATE_LIVE, Instance
 from toucanspool.routing.candidate import Candidate
 from toucanspool.wire.gen.messages.ttypes import Report
 
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -7,6 +7,7 @@
 import gevent
 import structlog
 
+from toucanspool.backing.table import TableError
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.access import Access
 from toucanspool.entry.admin_api import AdminPages
@@ -26,7 +27,6 @@
 from toucanspool.entry.status_api import HealthPage, MetricsPage, ReadyPage
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.membership.service import InstancesService
-from toucanspool.platform.table import TableError
 from toucanspool.protected.clock import HubClock
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
--- a/toucanspool/entry/router.py
+++ b/toucanspool/entry/router.py
@@ -6,6 +6,7 @@
 import gevent
 import structlog
 
+from toucanspool.backing.instances import Instance
 from toucanspool.config.exchange import Exchange
 from toucanspool.config.records import DRAIN
 from toucanspool.config.service import ConfigService
@@ -18,7 +19,6 @@
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.service import InstancesService
-from toucanspool.platform.instances import Instance
 from toucanspool.protected.clock import HubClock
 from toucanspool.retries.ejection import Ejector, Result
 from toucanspool.routing.expected import ExpectedRoom
--- a/toucanspool/groups/coordinator.py
+++ b/toucanspool/groups/coordinator.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from toucanspool.backing.objects import ObjectsUnavailable
 from toucanspool.groups.coordinator_failures import (
     LeaseLapsed,
     Superseded,
@@ -21,7 +22,6 @@
 from toucanspool.groups.round_log import RoundLog
 from toucanspool.groups.switch import Round
 from toucanspool.groups.switch_intent import Intent, Limits, Outcome
-from toucanspool.platform.objects import ObjectsUnavailable
 from toucanspool.wire.gen.messages.ttypes import Order, OrderKind, OrderResult
 
 COLLECT_S = 0.05
@@ -164,7 +164,7 @@
             A later coordinator is at work.
         TableConflict, TableUnavailable, TableUncertain
             The switch could not be recorded, or not settled.
-        toucanspool.platform.objects.ObjectsUnavailable
+        toucanspool.backing.objects.ObjectsUnavailable
             The map could not be stored.
         """
         current = self.settle() if self._settled is None else self._settled
--- a/toucanspool/groups/coordinator_task.py
+++ b/toucanspool/groups/coordinator_task.py
@@ -4,14 +4,14 @@
 
 import structlog
 
+from toucanspool.backing.objects import ObjectsUnavailable
+from toucanspool.backing.table import TableError
 from toucanspool.groups.coordinator import Coordinator
 from toucanspool.groups.coordinator_failures import (
     LeaseLapsed,
     Superseded,
     SwitchFailed,
 )
-from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import TableError
 
 PROBE_INTERVAL_S = 1.0
 RETRY_S = 0.1
--- a/toucanspool/groups/duty.py
+++ b/toucanspool/groups/duty.py
@@ -8,6 +8,8 @@
 import structlog
 from gevent.queue import Empty, Queue
 
+from toucanspool.backing.objects import ObjectsUnavailable
+from toucanspool.backing.table import TableError
 from toucanspool.config.exchange import Exchange
 from toucanspool.groups.coordinator import Coordinator
 from toucanspool.groups.coordinator_task import CoordinatorTask
@@ -22,8 +24,6 @@
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.service import InstancesService
-from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import TableError
 from toucanspool.recovery.elected import may_stand
 from toucanspool.recovery.lease import Lease
 from toucanspool.settings.settings import Group, Settings
--- a/toucanspool/groups/fence.py
+++ b/toucanspool/groups/fence.py
@@ -68,7 +68,7 @@
 
         Raises
         ------
-        toucanspool.platform.table.TableUnavailable
+        toucanspool.backing.table.TableUnavailable
             The table did not answer.
         """
         ...
--- a/toucanspool/groups/http_engine.py
+++ b/toucanspool/groups/http_engine.py
@@ -3,8 +3,8 @@
 from base64 import b64encode
 from typing import Any
 
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
 from toucanspool.groups.engine import EngineRefused, EngineState, EngineUnavailable
-from toucanspool.platform.http_client import CallLost, CallRefused, JsonClient
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
--- a/toucanspool/groups/rank_agent.py
+++ b/toucanspool/groups/rank_agent.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from toucanspool.backing.table import TableError
 from toucanspool.groups.engine import (
     NO_MAP,
     Engine,
@@ -14,7 +15,6 @@
     EngineUnavailable,
 )
 from toucanspool.groups.fence import FenceGate, FenceSource
-from toucanspool.platform.table import TableError
 from toucanspool.wire.gen.messages.ttypes import (
     Order,
     OrderKind,
--- a/toucanspool/groups/rank_links.py
+++ b/toucanspool/groups/rank_links.py
@@ -7,11 +7,11 @@
 from gevent import Timeout
 from gevent.event import AsyncResult
 
+from toucanspool.backing.instances import Instance
 from toucanspool.config.exchange import Exchange
 from toucanspool.entry.link import Link
 from toucanspool.groups.load import RankReport
 from toucanspool.groups.orders import RankUnreachable
-from toucanspool.platform.instances import Instance
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import Frame, Order, OrderReply, Report
 
--- a/toucanspool/groups/record.py
+++ b/toucanspool/groups/record.py
@@ -7,8 +7,8 @@
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass as checked_dataclass
 
-from toucanspool.platform.objects import Objects
-from toucanspool.platform.table import (
+from toucanspool.backing.objects import Objects
+from toucanspool.backing.table import (
     Check,
     Table,
     TableUnavailable,
@@ -163,7 +163,7 @@
 
         Raises
         ------
-        toucanspool.platform.objects.ObjectsUnavailable
+        toucanspool.backing.objects.ObjectsUnavailable
             The object store did not answer.
         """
         self._objects.put(self._name(version), experts)
@@ -183,7 +183,7 @@
 
         Raises
         ------
-        toucanspool.platform.objects.ObjectsUnavailable
+        toucanspool.backing.objects.ObjectsUnavailable
             The object store did not answer.
         """
         if version not in self._kept:
--- a/toucanspool/groups/round_log.py
+++ b/toucanspool/groups/round_log.py
@@ -4,11 +4,11 @@
 
 import structlog
 
+from toucanspool.backing.table import TableConflict, TableError, TableUncertain
 from toucanspool.groups.coordinator_failures import LeaseLapsed, Superseded
 from toucanspool.groups.fence import MAX_ROUND, fence_of, lease_token_of, round_of
 from toucanspool.groups.record import GroupRecord, RecordStore
 from toucanspool.groups.switch_intent import Intent
-from toucanspool.platform.table import TableConflict, TableError, TableUncertain
 
 log = structlog.get_logger()
 
--- a/toucanspool/membership/addresses.py
+++ b/toucanspool/membership/addresses.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from toucanspool.platform.instances import ROLE_ENTRY, STATE_LIVE, Instance
+from toucanspool.backing.instances import ROLE_ENTRY, STATE_LIVE, Instance
 
 MAX_ENTRIES = 512
 
--- a/toucanspool/membership/peers.py
+++ b/toucanspool/membership/peers.py
@@ -5,6 +5,7 @@
 import gevent
 import structlog
 
+from toucanspool.backing.instances import ROLE_ENTRY, Instance
 from toucanspool.config.exchange import Exchange
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.link import Link
@@ -13,7 +14,6 @@
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.service import InstancesService
 from toucanspool.membership.spread import Spread
-from toucanspool.platform.instances import ROLE_ENTRY, Instance
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.connection import Connection, ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import Frame, Pull, Report
--- a/toucanspool/membership/service.py
+++ b/toucanspool/membership/service.py
@@ -5,15 +5,15 @@
 
 import structlog
 
-from toucanspool.kernel.kernel import Kernel
-from toucanspool.kernel.ticker import Ticker
-from toucanspool.platform.instances import (
+from toucanspool.backing.instances import (
     ROLE_ENTRY,
     STATE_LIVE,
     Instance,
     InstanceList,
     InstancesUnavailable,
 )
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
 
 Listener = Callable[[list[Instance]], None]
 
--- a/toucanspool/membership/spread.py
+++ b/toucanspool/membership/spread.py
@@ -16,7 +16,7 @@
 
 import xxhash
 
-from toucanspool.platform.instances import (
+from toucanspool.backing.instances import (
     ROLE_AGENT,
     ROLE_ENTRY,
     STATE_LIVE,
--- a/toucanspool/protected/claims.py
+++ b/toucanspool/protected/claims.py
@@ -8,8 +8,8 @@
 import secrets
 from collections.abc import Callable
 
-from toucanspool.platform.objects import Objects
-from toucanspool.platform.table import (
+from toucanspool.backing.objects import Objects
+from toucanspool.backing.table import (
     Check,
     Row,
     Table,
--- a/toucanspool/protected/committer.py
+++ b/toucanspool/protected/committer.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     Table,
     TableConflict,
--- a/toucanspool/protected/janitor.py
+++ b/toucanspool/protected/janitor.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
-from toucanspool.platform.objects import Objects, ObjectsUnavailable
-from toucanspool.platform.table import Check, Row, Table, TableConflict, Write
+from toucanspool.backing.objects import Objects, ObjectsUnavailable
+from toucanspool.backing.table import Check, Row, Table, TableConflict, Write
 from toucanspool.protected.marks import TICK_S, Marks
 from toucanspool.protected.row import (
     ABANDONED,
--- a/toucanspool/protected/marks.py
+++ b/toucanspool/protected/marks.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from toucanspool.platform.table import Check, Row, Table, Write
+from toucanspool.backing.table import Check, Row, Table, Write
 
 MARKS_KEY = "claims/marks"
 PROBE_PREFIX = "claims/probe/"
--- a/toucanspool/protected/pending.py
+++ b/toucanspool/protected/pending.py
@@ -6,8 +6,8 @@
 from gevent.event import Event
 from gevent.pool import Group, Pool
 
-from toucanspool.platform.objects import ObjectsUnavailable
-from toucanspool.platform.table import TableError
+from toucanspool.backing.objects import ObjectsUnavailable
+from toucanspool.backing.table import TableError
 
 MAX_TASKS = 20_000
 MAX_BYTES = 32 << 20
--- a/toucanspool/protected/row.py
+++ b/toucanspool/protected/row.py
@@ -8,7 +8,7 @@
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
-from toucanspool.platform.table import TableError
+from toucanspool.backing.table import TableError
 
 PREFIX = "claim/"
 OBJECT_PREFIX = "answer/"
--- a/toucanspool/protected/submitter.py
+++ b/toucanspool/protected/submitter.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from toucanspool.platform.table import Check, Write
+from toucanspool.backing.table import Check, Write
 
 
 class Submitter(Protocol):
--- a/toucanspool/protected/transaction.py
+++ b/toucanspool/protected/transaction.py
@@ -4,7 +4,7 @@
 
 from gevent.event import AsyncResult
 
-from toucanspool.platform.table import Check, TableConflict, TableUncertain, Write
+from toucanspool.backing.table import Check, TableConflict, TableUncertain, Write
 
 
 class Transaction:
--- a/toucanspool/protected/verdict.py
+++ b/toucanspool/protected/verdict.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from toucanspool.platform.objects import Objects, ObjectsUnavailable
-from toucanspool.platform.table import Row
+from toucanspool.backing.objects import Objects, ObjectsUnavailable
+from toucanspool.backing.table import Row
 from toucanspool.protected.errors import (
     Abandoned,
     AnswerGone,
--- a/toucanspool/protected/waiting.py
+++ b/toucanspool/protected/waiting.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from toucanspool.platform.table import TableError
+from toucanspool.backing.table import TableError
 from toucanspool.protected.transaction import Transaction, fail
 
 MAX_BATCH_BYTES = 1 << 20
--- a/toucanspool/protected/writes.py
+++ b/toucanspool/protected/writes.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from toucanspool.platform.objects import Objects
-from toucanspool.platform.table import Check, Table, TableConflict, Write
+from toucanspool.backing.objects import Objects
+from toucanspool.backing.table import Check, Table, TableConflict, Write
 from toucanspool.protected.row import (
     ABANDONED,
     DONE,
--- a/toucanspool/recovery/elected.py
+++ b/toucanspool/recovery/elected.py
@@ -7,12 +7,12 @@
 
 import structlog
 
+from toucanspool.backing.instances import Instance
+from toucanspool.backing.table import TableError
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.addresses import pick_entries
 from toucanspool.membership.service import InstancesService
-from toucanspool.platform.instances import Instance
-from toucanspool.platform.table import TableError
 from toucanspool.recovery.lease import Lease
 
 LEASE_TTL_S = 60.0
--- a/toucanspool/recovery/fence.py
+++ b/toucanspool/recovery/fence.py
@@ -1,6 +1,6 @@
 """The last check of fencing tokens, beside the resource that they protect."""
 
-from toucanspool.platform.table import Table
+from toucanspool.backing.table import Table
 from toucanspool.recovery.lease import lease_key
 from toucanspool.recovery.lease_row import decode_lease
 
--- a/toucanspool/recovery/lease.py
+++ b/toucanspool/recovery/lease.py
@@ -9,7 +9,7 @@
 import secrets
 from collections.abc import Callable
 
-from toucanspool.platform.table import (
+from toucanspool.backing.table import (
     Check,
     Row,
     Table,
--- a/toucanspool/recovery/lease_row.py
+++ b/toucanspool/recovery/lease_row.py
@@ -5,7 +5,7 @@
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
-from toucanspool.platform.table import Row, TableError
+from toucanspool.backing.table import Row, TableError
 
 
 class BadLease(TableError):
