--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -8,6 +8,7 @@
 monkey.patch_all()
 
 import gc
+import os
 import signal
 import sys
 
@@ -16,15 +17,16 @@
 from absl import app, flags
 from gevent.event import Event
 
-from toucanspool.backing.service import PlatformService
-from toucanspool.config.service import ConfigService
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.randoms import Randoms
-from toucanspool.membership.service import InstancesService
 from toucanspool.settings.settings import Settings, SettingsError, load
 from toucanspool.telemetry.logs import set_up
 
-SETTINGS = flags.DEFINE_string("settings", None, "Settings file, YAML.", required=True)
+SETTINGS = flags.DEFINE_string(
+    "settings",
+    os.environ.get("TOUCANSPOOL_SETTINGS"),
+    "Settings file, YAML; TOUCANSPOOL_SETTINGS names the default.",
+)
 CHECK = flags.DEFINE_bool("check", False, "Only check the settings.")
 
 EXIT_BAD_SETTINGS = 2
@@ -46,12 +48,7 @@
     """
     kernel = Kernel()
     kernel.add("rng", Randoms(cfg.seed, cfg.instance))
-    kernel.add("platform", PlatformService(cfg.platform))
-    kernel.add("config", ConfigService(cfg.config_interval_s, told=cfg.role == "agent"))
-    if cfg.role == "entry":
-        _add_entry(kernel, cfg)
-    else:
-        _add_agent(kernel, cfg)
+    _ROLES[cfg.role](kernel, cfg)
     return kernel
 
 
@@ -68,6 +65,9 @@
     int
         Exit status.
     """
+    if not SETTINGS.value:
+        print("--settings is due: the file with the settings", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     try:
         cfg = load(SETTINGS.value)
     except SettingsError as exc:
@@ -100,6 +100,14 @@
     app.run(main)
 
 
+def _add_backing(kernel: Kernel, cfg: Settings) -> None:
+    from toucanspool.backing.service import PlatformService
+    from toucanspool.config.service import ConfigService
+
+    kernel.add("platform", PlatformService(cfg.platform))
+    kernel.add("config", ConfigService(cfg.config_interval_s, told=cfg.role == "agent"))
+
+
 def _add_entry(kernel: Kernel, cfg: Settings) -> None:
     from toucanspool.entry.decisions import Decisions
     from toucanspool.entry.dispatcher import Dispatcher
@@ -107,6 +115,7 @@
     from toucanspool.entry.router import Router
     from toucanspool.groups.duty import GroupDuty
     from toucanspool.membership.peers import PeersService
+    from toucanspool.membership.service import InstancesService
     from toucanspool.recovery.duties import (
         JANITOR_INTERVAL_S,
         SNAPSHOT_INTERVAL_S,
@@ -115,6 +124,7 @@
     )
     from toucanspool.recovery.elected import Elected
 
+    _add_backing(kernel, cfg)
     decisions = Decisions()
     kernel.add("instances", InstancesService(cfg.instances_interval_s))
     kernel.add("router", Router(cfg, decisions))
@@ -134,11 +144,21 @@
     from toucanspool.agent.ranks import RanksService
     from toucanspool.protected.service import ClaimsService
 
+    _add_backing(kernel, cfg)
     kernel.add("claims", ClaimsService(cfg.instance))
     if cfg.agent.ranks:
         kernel.add("ranks", RanksService(cfg.agent.ranks, cfg.agent.address))
     kernel.add("agent", Agent(cfg))
 
 
+def _add_gateway(kernel: Kernel, cfg: Settings) -> None:
+    from toucanspool.platform.gateway_role import GatewayRole
+
+    kernel.add("gateway", GatewayRole(cfg))
+
+
+_ROLES = {"entry": _add_entry, "agent": _add_agent, "gateway": _add_gateway}
+
+
 if __name__ == "__main__":
     run()
--- /dev/null
+++ b/toucanspool/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a call by route, straight to an upstream."""
--- /dev/null
+++ b/toucanspool/gateway/caller_server.py
@@ -0,0 +1,74 @@
+"""The HTTP server for callers by route."""
+
+from typing import Any
+
+from gevent import socket
+from gevent.pywsgi import WSGIHandler
+
+from toucanspool.entry.http_server import HttpServer
+from toucanspool.gateway.call import Header
+from toucanspool.routing.routes import Limits
+
+HANDLER_KEY = "toucanspool.handler"
+
+
+class BadFraming(ValueError):
+    """Report a request whose length is ambiguous (RFC 9112, 6.3)."""
+
+
+class CallerHandler(WSGIHandler):
+    """Give the application the connection and the headers as they came."""
+
+    @property
+    def header_list(self) -> list[Header]:
+        """Return the request's headers in order, with duplicates."""
+        return list(self.headers.items())
+
+    @property
+    def sock(self) -> socket.socket:
+        """Return the caller's connection."""
+        return self.socket
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read a request's head; called by the library."""
+        limits: Limits = self.server.limits
+        self.socket.settimeout(limits.header_timeout_s)
+        try:
+            good = super().read_request(raw_requestline)
+        finally:
+            self.socket.settimeout(limits.idle_timeout_s)
+        lengths = self.headers.get_all("content-length") or []
+        codings = self.headers.get_all("transfer-encoding") or []
+        if len(lengths) > 1 or len(codings) > 1 or (lengths and codings):
+            raise BadFraming("the request has more than one length")
+        if codings and codings[0].lower() != "chunked":
+            raise BadFraming("the request has an unknown transfer coding")
+        return good
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the request's environment; called by the library."""
+        environ = super().get_environ()
+        environ[HANDLER_KEY] = self
+        return environ
+
+
+class CallerServer(HttpServer):
+    """Serve callers by route.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        Port; 0 picks a free one.
+    app : callable
+        The WSGI application.
+    limits : Limits
+        What callers may send; may be replaced while it runs.
+    """
+
+    handler_class = CallerHandler
+
+    def __init__(self, host: str, port: int, app: Any, *, limits: Limits) -> None:
+        super().__init__(host, port, app, idle_timeout_s=limits.idle_timeout_s)
+        self.limits = limits
--- /dev/null
+++ b/toucanspool/gateway/exchange.py
@@ -0,0 +1,171 @@
+"""One hand-over of a call to one upstream, on a connection of its own."""
+
+import http.client
+import time
+from collections.abc import Iterable, Iterator
+
+from toucanspool.gateway.call import Header
+from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
+
+CONNECT_TIMEOUT_S = 0.5
+READ_BLOCK_BYTES = 16 * 1024
+
+
+class Unreachable(Exception):
+    """Report that no connection could be opened: the upstream saw no request."""
+
+
+class Silent(Exception):
+    """Report that an upstream sent nothing for too long: it may have acted."""
+
+
+class Exchange:
+    """Send one request and take the reply; to be closed.
+
+    A connection serves one request. So no earlier reply can be taken for this
+    one's, and no connection that the upstream closes meanwhile loses a request.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    method : str
+        HTTP method.
+
+    Attributes
+    ----------
+    parser : ReplyParser
+        The reply so far.
+    sent : bool
+        Whether a byte of the request may have reached the upstream.
+    """
+
+    __slots__ = ("_conn", "_method", "parser", "sent")
+
+    def __init__(self, host: str, port: int, method: str) -> None:
+        self._conn = http.client.HTTPConnection(host, port, timeout=CONNECT_TIMEOUT_S)
+        self._method = method
+        self.parser = ReplyParser(method)
+        self.sent = False
+
+    def send(self, target: str, headers: Iterable[Header], body: bytes) -> None:
+        """Connect and send the request.
+
+        Parameters
+        ----------
+        target : str
+            Path with query.
+        headers : iterable of (str, str)
+            All headers.
+        body : bytes
+            The body.
+
+        Raises
+        ------
+        Unreachable
+            No connection could be opened.
+        BrokenReply
+            The connection was lost while the request was sent.
+        """
+        conn = self._conn
+        try:
+            conn.connect()
+        except OSError as exc:
+            raise Unreachable(str(exc)) from exc
+        conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
+        for name, value in headers:
+            conn.putheader(name, value)
+        self.sent = True
+        try:
+            conn.endheaders(body or None)
+        except OSError as exc:
+            raise BrokenReply(str(exc)) from exc
+
+    def head(self, until: float) -> None:
+        """Wait for the reply's head.
+
+        Parameters
+        ----------
+        until : float
+            Seconds on the monotonic clock.
+
+        Raises
+        ------
+        Silent
+            It did not come in time.
+        BrokenReply
+            The connection broke.
+        """
+        while not self.parser.begun:
+            self._receive(until)
+
+    def whole(self, until: float) -> bytes:
+        """Return the whole body.
+
+        Parameters
+        ----------
+        until : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        Silent
+            It did not come in time.
+        BrokenReply
+            It did not come whole.
+        """
+        while not self.parser.complete:
+            self._receive(until)
+        return self.parser.take_body()
+
+    def pieces(self, silence_s: float, until: float) -> Iterator[bytes]:
+        """Yield the body as it comes.
+
+        Parameters
+        ----------
+        silence_s : float
+            The longest wait for a piece, in seconds.
+        until : float
+            The last moment, in seconds on the monotonic clock.
+
+        Yields
+        ------
+        bytes
+
+        Raises
+        ------
+        Silent
+            Nothing came for too long.
+        BrokenReply
+            The body did not come whole.
+        """
+        while True:
+            if data := self.parser.take_body():
+                yield data
+            if self.parser.complete:
+                return
+            self._receive(min(until, time.monotonic() + silence_s))
+
+    def close(self) -> None:
+        """Close the connection; harmless when repeated."""
+        self._conn.close()
+
+    def _receive(self, until: float) -> None:
+        left_s = until - time.monotonic()
+        if left_s <= 0.0:
+            raise Silent
+        sock = self._conn.sock
+        sock.settimeout(left_s)
+        try:
+            data = sock.recv(READ_BLOCK_BYTES)
+        except TimeoutError as exc:
+            raise Silent from exc
+        except OSError as exc:
+            raise BrokenReply(str(exc)) from exc
+        self.parser.take(data)
--- a/toucanspool/limits/admission.py
+++ b/toucanspool/limits/admission.py
@@ -40,6 +40,8 @@
         Part of the capacity kept for teams within theirs.
     on_settled : callable, optional
         Called with each ticket that stops waiting.
+    retry_after : RetryAfter, optional
+        When callers that are shed may come back.
 
     References
     ----------
@@ -70,12 +72,13 @@
         max_wait_s: float = MAX_WAIT_S,
         headroom: float = HEADROOM,
         on_settled: Callable[[Ticket], None] | None = None,
+        retry_after: RetryAfter | None = None,
     ) -> None:
         self._capacity = capacity
         self._max_wait_s = max_wait_s
         self._headroom = headroom
         self._on_settled = on_settled
-        self._retry_after = RetryAfter(rng)
+        self._retry_after = retry_after or RetryAfter(rng)
         self._queue = TicketQueue()
         self._teams = Teams()
         self._hold_s = FIRST_HOLD_S
--- a/toucanspool/limits/shed.py
+++ b/toucanspool/limits/shed.py
@@ -44,12 +44,24 @@
     ----------
     rng : random.Random
         Source of the spread.
+    least_s : float, default=1.0
+        The shortest time told, in seconds.
+    spread_s : float, default=2.0
+        The least spread beyond it, in seconds.
     """
 
-    __slots__ = ("_at", "_rng", "_shed")
+    __slots__ = ("_at", "_least_s", "_rng", "_shed", "_spread_s")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        least_s: float = MIN_RETRY_AFTER_S,
+        spread_s: float = MIN_SPREAD_S,
+    ) -> None:
         self._rng = rng
+        self._least_s = least_s
+        self._spread_s = spread_s
         self._shed = 0.0
         self._at = 0.0
 
@@ -66,12 +78,12 @@
         Returns
         -------
         float
-            Seconds from now, 1 to 60.
+            Seconds from now, at most 60.
         """
         fade = max(0.0, 1.0 - (now - self._at) / RECENT_S)
         self._shed = self._shed * fade + 1.0
         self._at = now
         spread_s = self._shed / rate if rate > 0.0 else 0.0
-        widest_s = MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S
-        spread_s = min(widest_s, max(MIN_SPREAD_S, spread_s))
-        return MIN_RETRY_AFTER_S + self._rng.uniform(0.0, spread_s)
+        widest_s = MAX_RETRY_AFTER_S - self._least_s
+        spread_s = min(widest_s, max(self._spread_s, spread_s))
+        return self._least_s + self._rng.uniform(0.0, spread_s)
--- /dev/null
+++ b/toucanspool/membership/entries.py
@@ -0,0 +1,154 @@
+"""The entries that callers may use: listed in the table, and probed by each other."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import orjson
+import structlog
+
+from toucanspool.backing.table import Row
+
+PREFIX = "entry/"
+MISSES_TO_DROP = 2
+
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True, frozen=True)
+class EntryRecord:
+    """Hold what an entry lists of itself.
+
+    Parameters
+    ----------
+    name : str
+        Its instance.
+    address : str
+        Where callers connect.
+    probe : str
+        Where its readiness page is.
+    """
+
+    name: str
+    address: str
+    probe: str
+
+    def encode(self) -> bytes:
+        """Return the record as JSON."""
+        return orjson.dumps(self)
+
+
+def decode_entry(row: Row) -> EntryRecord | None:
+    """Return the record in a row, or None where it can't be read.
+
+    Parameters
+    ----------
+    row : Row
+        The row.
+
+    Returns
+    -------
+    EntryRecord or None
+    """
+    try:
+        data = orjson.loads(row.value)
+        return EntryRecord(data["name"], data["address"], data["probe"])
+    except (ValueError, KeyError, TypeError) as exc:
+        _log.warning("unreadable entry", key=row.key, error=repr(exc))
+        return None
+
+
+class Entries:
+    """Keep the entries that are listed and answer probes.
+
+    Parameters
+    ----------
+    own : EntryRecord
+        This entry.
+    """
+
+    __slots__ = ("_listed", "_misses", "_own", "leaving")
+
+    def __init__(self, own: EntryRecord) -> None:
+        self._own = own
+        self._listed: dict[str, EntryRecord] = {own.name: own}
+        self._misses: dict[str, int] = {}
+        self.leaving = False
+
+    @property
+    def live(self) -> list[EntryRecord]:
+        """Return the entries to use, by name; all that are listed if none answers."""
+        listed = sorted(self._listed.values(), key=lambda entry: entry.name)
+        if self.leaving:
+            listed = [entry for entry in listed if entry != self._own] or listed
+        live = [e for e in listed if self._misses.get(e.name, 0) < MISSES_TO_DROP]
+        return live or listed
+
+    @property
+    def position(self) -> float:
+        """Return this entry's place among those that live, from 0 to 1."""
+        names = [entry.name for entry in self.live]
+        if self._own.name not in names:
+            return 0.0
+        return names.index(self._own.name) / len(names)
+
+    @property
+    def peers(self) -> list[EntryRecord]:
+        """Return the other entries that are listed."""
+        return [entry for entry in self._listed.values() if entry != self._own]
+
+    def replace(self, rows: Iterable[Row]) -> None:
+        """Take all rows of entries.
+
+        Parameters
+        ----------
+        rows : iterable of Row
+            The rows.
+        """
+        self._listed = {self._own.name: self._own}
+        for row in rows:
+            self.put(row)
+
+    def put(self, row: Row) -> None:
+        """Take a row that is new or has changed.
+
+        Parameters
+        ----------
+        row : Row
+            The row.
+        """
+        entry = decode_entry(row)
+        if entry is None or entry.name == self._own.name:
+            return
+        if self._listed.get(entry.name) != entry:
+            _log.info("entry listed", entry=entry.name, address=entry.address)
+        self._listed[entry.name] = entry
+        self._misses.pop(entry.name, None)
+
+    def drop(self, key: str) -> None:
+        """Forget an entry that has left.
+
+        Parameters
+        ----------
+        key : str
+            Key of its row.
+        """
+        name = key.removeprefix(PREFIX)
+        if name != self._own.name and self._listed.pop(name, None) is not None:
+            _log.info("entry left", entry=name)
+
+    def probed(self, name: str, *, ready: bool) -> None:
+        """Take note of a probe.
+
+        Parameters
+        ----------
+        name : str
+            The entry.
+        ready : bool
+            Whether it answered that it is ready.
+        """
+        before = self._misses.get(name, 0)
+        self._misses[name] = 0 if ready else before + 1
+        if ready and before >= MISSES_TO_DROP:
+            _log.info("entry back", entry=name, missed_probes=before)
+        elif self._misses[name] == MISSES_TO_DROP:
+            _log.warning("entry lost", entry=name, missed_probes=MISSES_TO_DROP)
--- /dev/null
+++ b/toucanspool/platform/frontend.py
@@ -0,0 +1,268 @@
+"""The page that callers' requests come to: HTTP to calls and replies to HTTP."""
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
+from http import HTTPStatus
+from typing import Any
+
+import gevent
+import orjson
+import structlog
+
+from toucanspool.gateway.call import Call, Header, RefusalCause, Refused, Reply
+from toucanspool.gateway.caller import CallerLeft, CallerWatch, ReplyCutOff
+from toucanspool.gateway.caller_server import HANDLER_KEY, CallerHandler
+from toucanspool.gateway.front import Front
+from toucanspool.platform import headers as names
+from toucanspool.retries.deadline import Deadline
+from toucanspool.routing.routes import Route, RouteTable
+from toucanspool.telemetry.call_metrics import CallMetrics
+
+MS_PER_S = 1000.0
+BEARER = "bearer "
+# A caller that says nothing is thought to wait this long.
+DEFAULT_PATIENCE_MS = 30_000.0
+PROBLEM_JSON = "application/problem+json"
+
+_STATUS = {
+    RefusalCause.NO_CONFIG: 503,
+    RefusalCause.NO_ROUTE: 404,
+    RefusalCause.NO_KEY: 401,
+    RefusalCause.NO_UPSTREAM: 503,
+    RefusalCause.NO_ROOM: 503,
+    RefusalCause.WAITED: 503,
+    RefusalCause.DRAINING: 503,
+    RefusalCause.UNREACHABLE: 503,
+    RefusalCause.TURNED_AWAY: 503,
+    RefusalCause.DEADLINE: 503,
+    RefusalCause.MAYBE_RUN: 502,
+    RefusalCause.BROKEN: 502,
+    RefusalCause.BAD_REQUEST: 400,
+    RefusalCause.BODY_TOO_LARGE: 413,
+    RefusalCause.BODY_TOO_SLOW: 408,
+}
+MAY_HAVE_RUN = {503: 504}
+
+StartResponse = Callable[[str, list[Header]], Any]
+
+_log = structlog.get_logger()
+
+
+class Frontend:
+    """Serve callers; a WSGI application.
+
+    Parameters
+    ----------
+    front : Front
+        Carries calls out.
+    routes : callable
+        Returns the `RouteTable` in force, or None before the first.
+    rng : random.Random
+        Draws services by weight.
+    metrics : CallMetrics
+        Where calls are counted.
+    """
+
+    __slots__ = ("_front", "_metrics", "_rng", "_routes")
+
+    def __init__(
+        self,
+        front: Front,
+        routes: Callable[[], RouteTable | None],
+        rng: Any,
+        metrics: CallMetrics,
+    ) -> None:
+        self._front = front
+        self._routes = routes
+        self._rng = rng
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        handler: CallerHandler = environ[HANDLER_KEY]
+        arrived_at = time.monotonic()
+        closing = ExitStack()
+        call_id = handler.headers.get(names.ATTEMPT_ID, "")
+        try:
+            call = self._call(handler, environ, arrived_at)
+            closing.enter_context(CallerWatch(handler.sock))
+            timeout = gevent.Timeout.start_new(call.deadline.left_s(arrived_at))
+            closing.callback(timeout.close)
+            reply = self._in_time(call, closing, timeout)
+        except Refused as exc:
+            closing.close()
+            return self._refuse(call_id, exc, start_response, arrived_at)
+        except CallerLeft:
+            closing.close()
+            self._end(call_id, "caller left", arrived_at)
+            raise
+        except BaseException:
+            closing.close()
+            raise
+        return self._send(call, reply, closing, timeout, start_response)
+
+    def _in_time(
+        self, call: Call, closing: ExitStack, timeout: gevent.Timeout
+    ) -> Reply:
+        try:
+            return self._front.serve(call, closing)
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            raise Refused(RefusalCause.DEADLINE, ran=True) from exc
+
+    def _call(
+        self, handler: CallerHandler, environ: dict[str, Any], arrived_at: float
+    ) -> Call:
+        table = self._routes()
+        if table is None:
+            raise Refused(RefusalCause.NO_CONFIG, retry_after_s=0.2)
+        body = _body(environ, table.limits.body_bytes)
+        known = {name.lower(): value for name, value in handler.header_list}
+        host = known.get("host", "").partition(":")[0].lower()
+        path = handler.path.partition("?")[0]
+        route = table.find(host, path)
+        if route is None:
+            raise Refused(RefusalCause.NO_ROUTE)
+        team, priority = _team(table, route, known)
+        patience_ms = names.number(
+            known.get(names.DEADLINE_MS, ""), DEFAULT_PATIENCE_MS
+        )
+        left_s = min(patience_ms / MS_PER_S, route.timeout_s)
+        prompt_tokens, answer_tokens = names.sizes(known)
+        return Call(
+            id=known.get(names.ATTEMPT_ID, ""),
+            method=handler.command,
+            target=handler.path,
+            headers=names.passed_on(handler.header_list),
+            body=body,
+            route=route,
+            service=route.service(self._rng),
+            team=team,
+            priority=priority,
+            deadline=Deadline.after(left_s, arrived_at),
+            arrived_at=arrived_at,
+            caller_left_s=patience_ms / MS_PER_S,
+            prompt_tokens=prompt_tokens,
+            answer_tokens=answer_tokens,
+            last_event_id=known.get(names.LAST_EVENT_ID, ""),
+            subject=names.subject(known),
+        )
+
+    def _refuse(
+        self,
+        call_id: str,
+        exc: Refused,
+        start_response: StartResponse,
+        arrived_at: float,
+    ) -> list[bytes]:
+        status = _STATUS[exc.cause]
+        if exc.ran:
+            status = MAY_HAVE_RUN.get(status, status)
+        body = orjson.dumps(
+            {
+                "title": exc.cause.value,
+                "status": status,
+                "outcome": "unknown" if exc.ran else "not_run",
+            }
+        )
+        headers = [("Content-Type", PROBLEM_JSON), ("Content-Length", str(len(body)))]
+        if status in (429, 503):
+            headers.append(("Retry-After", f"{exc.retry_after_s:.3f}"))
+        if self._front.draining:
+            headers.append(("Connection", "close"))
+        self._metrics.refused(exc.cause.name)
+        self._end(
+            call_id,
+            "refused",
+            arrived_at,
+            cause=exc.cause.name,
+            status=status,
+            may_have_run=exc.ran,
+            retry_after_s=round(exc.retry_after_s, 3),
+        )
+        start_response(_status_line(status), headers)
+        return [body]
+
+    def _send(
+        self,
+        call: Call,
+        reply: Reply,
+        closing: ExitStack,
+        timeout: gevent.Timeout,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        headers = list(reply.headers)
+        if self._front.draining:
+            headers.append(("Connection", "close"))
+        if isinstance(reply.body, bytes):
+            closing.close()
+            if call.method != "HEAD":
+                headers.append(("Content-Length", str(len(reply.body))))
+            start_response(_status_line(reply.status), headers)
+            self._metrics.answered(reply.status, time.monotonic() - call.arrived_at)
+            self._end(call.id, "answered", call.arrived_at, status=reply.status)
+            return [reply.body]
+        start_response(_status_line(reply.status), headers)
+        self._metrics.begun(time.monotonic() - call.arrived_at)
+        return self._stream(call, reply, closing, timeout)
+
+    def _stream(
+        self, call: Call, reply: Reply, closing: ExitStack, timeout: gevent.Timeout
+    ) -> Iterator[bytes]:
+        outcome = "caller left"
+        try:
+            with closing:
+                yield from reply.body
+            outcome = "answered"
+        except ReplyCutOff:
+            outcome = "cut off"
+            raise
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            outcome = "cut off at its deadline"
+            raise ReplyCutOff from exc
+        finally:
+            self._metrics.answered(reply.status, time.monotonic() - call.arrived_at)
+            self._end(call.id, outcome, call.arrived_at, status=reply.status)
+
+    def _end(self, call_id: str, outcome: str, arrived_at: float, **more: Any) -> None:
+        took_ms = round((time.monotonic() - arrived_at) * MS_PER_S)
+        _log.info(
+            "call ended", request_id=call_id, outcome=outcome, took_ms=took_ms, **more
+        )
+
+
+def _body(environ: dict[str, Any], most: int) -> bytes:
+    if int(environ.get("CONTENT_LENGTH") or 0) > most:
+        raise Refused(RefusalCause.BODY_TOO_LARGE)
+    try:
+        body = environ["wsgi.input"].read(most + 1)
+    except TimeoutError as exc:
+        raise Refused(RefusalCause.BODY_TOO_SLOW) from exc
+    if len(body) > most:
+        raise Refused(RefusalCause.BODY_TOO_LARGE)
+    return body
+
+
+def _team(table: RouteTable, route: Route, known: dict[str, str]) -> tuple[str, int]:
+    if route.public or not table.teams:
+        return "", route.priority
+    credentials = known.get("authorization", "")
+    key = credentials[len(BEARER) :].strip()
+    holder = table.keys.get(key) if credentials.lower().startswith(BEARER) else None
+    if holder is None:
+        raise Refused(RefusalCause.NO_KEY)
+    priority = route.priority if holder.priority is None else holder.priority
+    return holder.name, priority
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/toucanspool/platform/gateway_role.py
@@ -0,0 +1,288 @@
+"""The gateway role on the platform: its pages, its feeds, and its part in both."""
+
+import time
+from contextlib import ExitStack
+
+import gevent
+import structlog
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from toucanspool.backing.table import TableError, Write
+from toucanspool.entry.http_server import HttpServer
+from toucanspool.gateway.caller_server import CallerServer
+from toucanspool.gateway.core import GatewayCore
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.membership.entries import PREFIX, Entries, EntryRecord
+from toucanspool.platform import configuration, pages, runners
+from toucanspool.platform.frontend import Frontend
+from toucanspool.platform.headers import PlatformDialect
+from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.recovery.feed import Changes, FeedFollower
+from toucanspool.retries.ejection import Result
+from toucanspool.routing.routes import Limits
+from toucanspool.settings.settings import Address, Settings
+from toucanspool.telemetry.call_metrics import CallMetrics
+
+TICK_S = 0.1
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.8
+REPORT_INTERVAL_S = 1.0
+LIST_RETRY_S = 0.5
+# Callers keep an answer up to three times as long as told.
+KEEP_FACTOR = 3.0
+# Left for the last answers before the process is killed.
+END_SLACK_S = 0.6
+
+_log = structlog.get_logger()
+
+
+class GatewayRole:
+    """Serve callers by route on the platform.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The process's settings.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_closing",
+        "_core",
+        "_entries",
+        "_kernel",
+        "_metrics",
+        "_own",
+        "_server",
+        "_store",
+        "_upstreams_known",
+    )
+
+    def __init__(self, cfg: Settings) -> None:
+        gateway = cfg.gateway
+        self._cfg = cfg
+        self._own = EntryRecord(
+            cfg.instance, _text(gateway.callers), _text(gateway.readiness)
+        )
+        self._entries = Entries(self._own)
+        self._metrics = CallMetrics()
+        self._closing = ExitStack()
+        self._upstreams_known = False
+
+    def start(self, kernel: Kernel) -> None:
+        """Open the pages and follow the store; see `Service`."""
+        cfg = self._cfg.gateway
+        rng = kernel.find("rng").named("gateway")
+        store = cfg.store
+        self._store = RowStore(
+            store.address.host, store.address.port, feed_wait_s=store.feed_wait_s
+        )
+        self._closing.callback(self._store.close)
+        self._core = GatewayCore(
+            self._entries,
+            PlatformDialect(),
+            cfg.retries,
+            failure_domain=self._cfg.failure_domain,
+            rng=rng,
+            metrics=self._metrics,
+        )
+        self._follow(configuration.TABLE, self._routes, self._routes, rng=rng)
+        self._follow(
+            runners.TABLE,
+            self._all_upstreams,
+            self._changed_upstreams,
+            rng=rng,
+            wait_s=store.list_interval_s,
+            pause_s=store.list_interval_s,
+        )
+        self._follow(OWN_TABLE, self._all_entries, self._changed_entries, rng=rng)
+        frontend = Frontend(
+            self._core.front, lambda: self._core.routes, rng, self._metrics
+        )
+        self._server = CallerServer(
+            cfg.callers.host, cfg.callers.port, frontend, limits=Limits()
+        )
+        self._serve(self._server)
+        self._page(cfg.readiness, pages.readiness_page(lambda: self.ready))
+        addresses = pages.directory_page(self._addresses, cfg.address_ttl_s)
+        self._page(cfg.directory, addresses)
+        if cfg.metrics is not None:
+            self._page(cfg.metrics, pages.metrics_page(self._metrics.page))
+        for name, interval_s, func in (
+            ("limits", TICK_S, self._core.tick),
+            ("probes", PROBE_INTERVAL_S, self._probe),
+            ("report", REPORT_INTERVAL_S, self._report),
+        ):
+            ticker = Ticker(name, interval_s, func, rng=rng)
+            ticker.start()
+            self._closing.callback(ticker.stop)
+        listing = gevent.spawn(self._list_self)
+        self._closing.callback(listing.kill)
+
+    def stop(self) -> None:
+        """Leave without cutting off a call; see `Service`."""
+        started = time.monotonic()
+        end = started + self._cfg.drain.grace_s - END_SLACK_S
+        self._entries.leaving = True
+        gevent.spawn(self._unlist_self)
+        # Callers that hold an earlier answer still come.
+        keep_s = min(
+            KEEP_FACTOR * self._cfg.gateway.address_ttl_s,
+            self._cfg.drain.grace_s / 2,
+        )
+        gevent.sleep(keep_s)
+        self._core.front.draining = True
+        while self._core.front.running and time.monotonic() < end:
+            gevent.sleep(0.02)
+        _log.info(
+            "drained",
+            running=self._core.front.running,
+            took_s=round(time.monotonic() - started, 2),
+        )
+        self._closing.close()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may come."""
+        return (
+            self._core.routes is not None
+            and self._upstreams_known
+            and not self._entries.leaving
+        )
+
+    def _follow(
+        self,
+        table: str,
+        on_snapshot,
+        on_changes,
+        *,
+        rng,
+        wait_s: float | None = None,
+        pause_s: float = 0.0,
+    ) -> None:
+        follower = FeedFollower(
+            self._store,
+            table,
+            on_snapshot,
+            on_changes,
+            wait_s=wait_s or self._cfg.gateway.store.feed_wait_s,
+            pause_s=pause_s,
+            rng=rng,
+        )
+        follower.start()
+        self._closing.callback(follower.stop)
+
+    def _page(self, address: Address, page: pages.Page) -> None:
+        self._serve(HttpServer(address.host, address.port, page))
+
+    def _serve(self, server: HttpServer) -> None:
+        server.start()
+        self._closing.callback(server.stop, timeout=0)
+
+    def _addresses(self) -> list[str]:
+        live = self._entries.live
+        if not self.ready:
+            live = [entry for entry in live if entry != self._own]
+        return [entry.address for entry in live]
+
+    def _routes(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key != configuration.KEY:
+                continue
+            try:
+                routes = configuration.decode_configuration(row.value)
+            except configuration.BadConfiguration as exc:
+                _log.error("unreadable configuration", error=str(exc), row=row.version)
+                continue
+            self._core.put_routes(routes)
+            self._server.limits = routes.limits
+
+    def _all_upstreams(self, changes: Changes) -> None:
+        listings = [runners.decode_listing(row) for row in changes.rows]
+        known = [listing for listing in listings if listing is not None]
+        self._core.upstreams.replace(known, changes.version)
+        self._core.upstreams_changed()
+        self._upstreams_known = True
+
+    def _changed_upstreams(self, changes: Changes) -> None:
+        changed = {row.key: runners.decode_listing(row) for row in changes.rows}
+        changed.update(dict.fromkeys(changes.gone))
+        self._core.upstreams.change(changed, changes.version)
+        self._core.upstreams_changed()
+
+    def _all_entries(self, changes: Changes) -> None:
+        self._entries.replace(r for r in changes.rows if r.key.startswith(PREFIX))
+
+    def _changed_entries(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key.startswith(PREFIX):
+                self._entries.put(row)
+        for key in changes.gone:
+            self._entries.drop(key)
+
+    def _list_self(self) -> None:
+        write = Write(PREFIX + self._own.name, self._own.encode())
+        while not self._written(write):
+            gevent.sleep(LIST_RETRY_S)
+
+    def _unlist_self(self) -> None:
+        self._written(Write(PREFIX + self._own.name, None))
+
+    def _written(self, write: Write) -> bool:
+        try:
+            self._store.commit([], [write])
+        except TableError as exc:
+            _log.warning("own record not written", error=repr(exc))
+            return False
+        return True
+
+    def _probe(self) -> None:
+        for entry in self._entries.peers:
+            gevent.spawn(self._probe_entry, entry)
+        for name in self._core.ejector.due(time.monotonic()):
+            gevent.spawn(self._probe_upstream, name)
+
+    def _probe_entry(self, entry: EntryRecord) -> None:
+        host, _, port = entry.probe.rpartition(":")
+        ready = _answers(host, int(port), "/readyz", PROBE_TIMEOUT_S)
+        self._entries.probed(entry.name, ready=ready)
+
+    def _probe_upstream(self, name: str) -> None:
+        upstream = self._core.upstreams.find(name)
+        if upstream is None or self._core.routes is None:
+            return
+        listing = upstream.listing
+        path = self._core.routes.service(listing.service).health_path
+        good = _answers(listing.host, listing.port, path, PROBE_TIMEOUT_S)
+        result = Result.OK if good else Result.FAILED
+        if self._core.ejector.probed(name, result, time.monotonic()):
+            _log.info("upstream returned", upstream=name)
+
+    def _report(self) -> None:
+        _log.info(
+            "load",
+            running=self._core.front.running,
+            limits=self._core.limits(),
+            entries=len(self._entries.live),
+            upstreams=len(self._core.upstreams),
+            ejected=sorted(self._core.ejector.ejected),
+        )
+
+
+def _answers(host: str, port: int, path: str, timeout_s: float) -> bool:
+    client = HTTPClient(
+        host, port, connection_timeout=timeout_s, network_timeout=timeout_s
+    )
+    try:
+        return client.get(path).status_code == 200
+    except (OSError, HTTPParseError) as exc:
+        _log.debug("probe failed", host=host, port=port, error=repr(exc))
+        return False
+    finally:
+        client.close()
+
+
+def _text(address: Address) -> str:
+    return f"{address.host}:{address.port}"
--- /dev/null
+++ b/toucanspool/routing/placing.py
@@ -0,0 +1,93 @@
+"""The choice of an upstream for a call by route."""
+
+import random
+from collections.abc import Collection
+
+from toucanspool.retries.ejection import Ejector
+from toucanspool.routing.upstreams import Upstream, UpstreamList
+
+FAR_LOAD = 0.25
+
+
+class Placing:
+    """Choose the upstream with the least load for its share of work.
+
+    Entries that know the same loads would all choose the same upstream, so each
+    entry breaks ties from a starting point of its own.
+
+    Parameters
+    ----------
+    upstreams : UpstreamList
+        Those known.
+    ejector : Ejector
+        Which of them fail.
+    failure_domain : str
+        Where this entry runs.
+    rng : random.Random
+        Draws the starting point.
+    """
+
+    __slots__ = ("_ejector", "_failure_domain", "_start", "_upstreams")
+
+    def __init__(
+        self,
+        upstreams: UpstreamList,
+        ejector: Ejector,
+        failure_domain: str,
+        rng: random.Random,
+    ) -> None:
+        self._upstreams = upstreams
+        self._ejector = ejector
+        self._failure_domain = failure_domain
+        self._start = rng.random()
+
+    def start_at(self, part: float) -> None:
+        """Break ties from a point in the list of upstreams.
+
+        Parameters
+        ----------
+        part : float
+            From 0 to 1; entries that spread these evenly load upstreams evenly.
+        """
+        self._start = part
+
+    def choose(
+        self, service: str, tried: Collection[str], now: float, *, near: bool
+    ) -> Upstream | None:
+        """Return an upstream that takes new work, or None.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        tried : collection of str
+            Upstreams that the call has been sent to; used again only where there
+            is no other.
+        now : float
+            Seconds on the monotonic clock.
+        near : bool
+            Whether the entry's own failure domain is preferred among equals.
+
+        Returns
+        -------
+        Upstream or None
+        """
+        ready = self._upstreams.ready(service)
+        fresh = [upstream for upstream in ready if upstream.name not in tried]
+        usable = [
+            (self._ejector.weight(upstream.name, now), position, upstream)
+            for position, upstream in enumerate(fresh)
+        ]
+        usable = [entry for entry in usable if entry[0] > 0.0] or usable
+        if not usable:
+            return None
+        first = int(self._start * len(fresh))
+
+        def cost(entry: tuple[float, int, Upstream]) -> tuple[float, int]:
+            weight, position, upstream = entry
+            load = upstream.load(now)
+            if near and upstream.listing.failure_domain != self._failure_domain:
+                load += FAR_LOAD
+            return (load + 1.0) / max(weight, 0.01), (position - first) % len(fresh)
+
+        return min(usable, key=cost)[2]
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -6,6 +6,10 @@
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+ROLES = ("entry", "agent", "gateway", "rank_agent")
+# These roles use a table, an object store and an instance list of their own.
+PLATFORM_ROLES = ("entry", "agent")
+
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0, le=3600)]
 Text = Annotated[str, Field(min_length=1, max_length=128)]
@@ -36,11 +40,19 @@
 
 
 class Address(Model):
-    """Name a place to connect to."""
+    """Name a place to connect to; also read from a text ``HOST:PORT``."""
 
     host: Text
     port: Port
 
+    @model_validator(mode="before")
+    @classmethod
+    def _from_text(cls, value: Any) -> Any:
+        if isinstance(value, str):
+            host, _, port = value.rpartition(":")
+            return {"host": host, "port": port}
+        return value
+
 
 class Platform(Model):
     """Name the platform's services."""
@@ -130,18 +142,58 @@
     grace_s: Seconds = 30.0
 
 
+class RowStore(Model):
+    """Name the store of rows that lists upstreams, routes and entries."""
+
+    address: Address
+    feed_wait_s: Seconds = 20.0
+    list_interval_s: Seconds = 1.0
+
+
+class RetryBudget(Model):
+    """Bound the repeats that all entries together may send to a service."""
+
+    ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    window_s: Seconds = 10.0
+    extra: Annotated[float, Field(ge=0)] = 0.0
+
+
+class Gateway(Model):
+    """Set the gateway role: calls by route, straight to upstreams."""
+
+    callers: Address
+    readiness: Address
+    directory: Address
+    metrics: Address | None = None
+    store: RowStore
+    retries: RetryBudget = RetryBudget()
+    address_ttl_s: Seconds = 2.0
+    stall_s: Seconds = 1.5
+
+
+class RankAgent(Model):
+    """Set the rank agent role: the agent beside one rank of a lock-step group."""
+
+    engine: Address
+    service: Text
+    store: RowStore
+    metrics: Address | None = None
+
+
 class Settings(Model):
     """Hold all settings of a process."""
 
     instance: Text
-    role: Literal["entry", "agent"]
+    role: Literal["entry", "agent", "gateway", "rank_agent"]
     failure_domain: Text
     region: Text = "default"
     host: Text
     port: Port
-    platform: Platform
+    platform: Platform | None = None
     entry: Entry | None = None
     agent: Agent | None = None
+    gateway: Gateway | None = None
+    rank_agent: RankAgent | None = None
     drain: Drain = Drain()
     config_interval_s: Seconds = 2.0
     instances_interval_s: Seconds = 2.0
@@ -152,9 +204,13 @@
     def _role_section(self) -> "Settings":
         if getattr(self, self.role) is None:
             raise ValueError(f"role is {self.role}, so a section {self.role!r} is due")
-        other = "agent" if self.role == "entry" else "entry"
-        if getattr(self, other) is not None:
-            raise ValueError(f"role is {self.role}, so section {other!r} has no use")
+        for other in ROLES:
+            if other != self.role and getattr(self, other) is not None:
+                raise ValueError(
+                    f"role is {self.role}, so section {other!r} has no use"
+                )
+        if self.role in PLATFORM_ROLES and self.platform is None:
+            raise ValueError(f"role is {self.role}, so a section 'platform' is due")
         return self
 
 
