--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -157,7 +157,18 @@
     kernel.add("gateway", GatewayRole(cfg))
 
 
-_ROLES = {"entry": _add_entry, "agent": _add_agent, "gateway": _add_gateway}
+def _add_rank_agent(kernel: Kernel, cfg: Settings) -> None:
+    from toucanspool.platform.rank_role import RankRole
+
+    kernel.add("rank_agent", RankRole(cfg))
+
+
+_ROLES = {
+    "entry": _add_entry,
+    "agent": _add_agent,
+    "gateway": _add_gateway,
+    "rank_agent": _add_rank_agent,
+}
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/toucanspool/groups/armed_switch.py
@@ -0,0 +1,298 @@
+"""The switch of a lock-step group to another map, at one pass for all ranks.
+
+All ranks copy the experts of the new map first, which holds nobody up. Then one rank
+holds a pass that is to come, so that the group can't begin it; each rank is armed to
+switch as that pass begins; and only once each of them has shown that it is armed is
+the pass let go. If one can't be armed, all are disarmed before the pass begins. An
+order may be lost and be carried out seconds later: by then its pass has begun, and
+the engine refuses it.
+"""
+
+import time
+from collections.abc import Iterable, Mapping
+from copy import copy
+from enum import Enum
+from typing import Protocol
+
+import gevent
+import structlog
+
+from toucanspool.groups.expert_map import IntArray
+from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_engine import NONE
+from toucanspool.groups.rank_keeper import MAP_TYPE
+from toucanspool.wire.gen.messages.ttypes import (
+    RankAction,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
+
+# Passes from the last one seen to the one held: time to arm all ranks without
+# holding the group up.
+AHEAD_PASSES = 2
+HOLD_TRIES = 3
+ARM_TRIES = 8
+PREPARE_TRIES = 3
+UNDO_PAUSE_S = 0.05
+POLL_S = 0.05
+
+_log = structlog.get_logger()
+
+
+class Link(Protocol):
+    """Ask the agent of one rank."""
+
+    def ask(self, ask: RankAsk, *, timeout_s: float = ...) -> RankAnswer:
+        """Return the answer, or raise `AskLost`."""
+        ...
+
+
+class Replaced(Exception):
+    """Report that another coordinator has been elected."""
+
+
+class GroupChanged(Exception):
+    """Report that the group has formed anew, or that a rank can't be reached."""
+
+
+class SwitchEnd(Enum):
+    """Name how a switch ended; each value is a sentence for the log."""
+
+    DONE = "all ranks switch as the pass begins"
+    NOT_COPIED = "not all ranks have copied the experts in time"
+    NOT_HELD = "the pass could not be held"
+    NOT_ARMED = "not all ranks could be armed, and all are disarmed"
+
+
+class ArmedSwitch:
+    """Give the orders of one coordinator to one group.
+
+    Parameters
+    ----------
+    group : str
+        The group.
+    epoch : int
+        Its epoch.
+    token : int
+        The coordinator's token.
+    links : mapping of int to Link
+        One for each rank.
+    holder : int
+        The rank that holds the pass.
+    """
+
+    __slots__ = ("_epoch", "_group", "_holder", "_links", "_token")
+
+    def __init__(
+        self,
+        group: str,
+        epoch: int,
+        token: int,
+        links: Mapping[int, Link],
+        holder: int,
+    ) -> None:
+        self._group = group
+        self._epoch = epoch
+        self._token = token
+        self._links = links
+        self._holder = holder
+
+    def run(self, version: int, experts: IntArray, copy_s: float) -> SwitchEnd:
+        """Bring the group to a map.
+
+        Parameters
+        ----------
+        version : int
+            Higher than any that a rank has had.
+        experts : ndarray of int, shape (sets, ranks, places)
+            The map.
+        copy_s : float
+            The time by which all ranks should have copied, in seconds.
+
+        Returns
+        -------
+        SwitchEnd
+
+        Raises
+        ------
+        Replaced
+            Another coordinator has been elected.
+        GroupChanged
+            The group has formed anew, or an agent can't be reached while nothing is
+            held.
+        """
+        if not self._prepare(version, experts, copy_s):
+            return SwitchEnd.NOT_COPIED
+        step = self._hold()
+        if step == NONE:
+            return SwitchEnd.NOT_HELD
+        if self._arm(version, step):
+            self._go(step)
+            return SwitchEnd.DONE
+        self._disarm(version)
+        self._go(step)
+        return SwitchEnd.NOT_ARMED
+
+    def resolve(self, answers: Mapping[int, RankAnswer]) -> bool:
+        """Finish or undo what another coordinator, or a late order, has left.
+
+        Parameters
+        ----------
+        answers : mapping of int to RankAnswer
+            The newest of each rank, all of them given to this coordinator's token.
+
+        Returns
+        -------
+        bool
+            Whether the group is at rest: nothing is held or armed.
+        """
+        held = {rank: a.held for rank, a in answers.items() if a.held != NONE}
+        armed = {a.armed for a in answers.values()} - {NONE}
+        if not held and not armed:
+            return True
+        # A rank that runs on the map already has begun the pass, and so have all.
+        partly = {
+            version
+            for version in armed
+            if any(version not in (a.armed, a.map_version) for a in answers.values())
+        }
+        for version in partly:
+            self._disarm(version)
+        for rank, step in held.items():
+            self._go(step, holder=rank)
+        if held or partly:
+            _log.warning(
+                "unfinished switch resolved",
+                group=self._group,
+                held=held,
+                armed=sorted(armed),
+                disarmed=sorted(partly),
+                token=self._token,
+            )
+        return False
+
+    def _prepare(self, version: int, experts: IntArray, copy_s: float) -> bool:
+        until = time.monotonic() + copy_s
+        data = experts.astype(MAP_TYPE).tobytes()
+        _, ranks, places = experts.shape
+        waiting = set(self._links)
+        asked = dict.fromkeys(waiting, 0)
+        while waiting:
+            if time.monotonic() > until:
+                return False
+            due = [rank for rank in waiting if asked[rank] < PREPARE_TRIES]
+            for rank in due:
+                asked[rank] += 1
+            prepare = RankAsk(
+                action=RankAction.PREPARE,
+                version=version,
+                experts=data,
+                ranks=ranks,
+                places=places,
+            )
+            status = RankAsk(action=RankAction.STATUS)
+            answers = self._all(due or waiting, prepare if due else status)
+            for rank, answer in answers.items():
+                if answer is None:
+                    continue
+                if answer.result in (RankResult.OK, RankResult.REFUSED):
+                    asked[rank] = PREPARE_TRIES
+                if answer.prepared == version:
+                    waiting.discard(rank)
+            if waiting:
+                gevent.sleep(POLL_S)
+        return True
+
+    def _hold(self) -> int:
+        for _ in range(HOLD_TRIES):
+            status = self._ask(self._holder, RankAsk(action=RankAction.STATUS))
+            step = status.step + AHEAD_PASSES
+            answer = self._ask(self._holder, RankAsk(action=RankAction.HOLD, step=step))
+            if answer.held != NONE:
+                return answer.held
+        return NONE
+
+    def _arm(self, version: int, step: int) -> bool:
+        waiting = set(self._links)
+        for _ in range(ARM_TRIES):
+            answers = self._all(
+                waiting,
+                RankAsk(action=RankAction.ARM, version=version, step=step),
+                tolerant=True,
+            )
+            for rank, answer in answers.items():
+                if answer is None:
+                    continue
+                if answer.armed == version:
+                    waiting.discard(rank)
+                elif answer.result == RankResult.REFUSED:
+                    return False
+            if not waiting:
+                return True
+        return False
+
+    def _disarm(self, version: int) -> None:
+        """Disarm all ranks; the held pass can't begin before that."""
+        waiting = set(self._links)
+        while waiting:
+            answers = self._all(
+                waiting,
+                RankAsk(action=RankAction.DISARM, version=version),
+                tolerant=True,
+            )
+            for rank, answer in answers.items():
+                if answer is not None and answer.armed == NONE:
+                    waiting.discard(rank)
+            if waiting:
+                gevent.sleep(UNDO_PAUSE_S)
+
+    def _go(self, step: int, *, holder: int | None = None) -> None:
+        rank = self._holder if holder is None else holder
+        while True:
+            ask = RankAsk(action=RankAction.GO, step=step)
+            answers = self._all([rank], ask, tolerant=True)
+            answer = answers[rank]
+            if answer is not None and answer.held == NONE:
+                return
+            gevent.sleep(UNDO_PAUSE_S)
+
+    def _all(
+        self,
+        ranks: Iterable[int],
+        make: Callable[[], RankAsk],
+        *,
+        tolerant: bool = False,
+    ) -> dict[int, RankAnswer | None]:
+        tasks = {rank: gevent.spawn(self._try, rank, copy(ask)) for rank in ranks}
+        gevent.joinall(list(tasks.values()))
+        answers = {rank: task.value for rank, task in tasks.items()}
+        for answer in answers.values():
+            if isinstance(answer, Replaced):
+                raise answer
+            if isinstance(answer, GroupChanged):
+                raise answer
+            if answer is None and not tolerant:
+                raise GroupChanged("a rank's agent can't be reached")
+        return answers
+
+    def _try(
+        self, rank: int, ask: RankAsk
+    ) -> RankAnswer | Replaced | GroupChanged | None:
+        try:
+            return self._ask(rank, ask)
+        except AskLost:
+            return None
+        except (Replaced, GroupChanged) as exc:
+            return exc
+
+    def _ask(self, rank: int, ask: RankAsk) -> RankAnswer:
+        ask.group, ask.token, ask.epoch = self._group, self._token, self._epoch
+        answer = self._links[rank].ask(ask)
+        if answer.result == RankResult.STALE:
+            raise Replaced(f"token {answer.token} is newer than {self._token}")
+        if answer.rank == NONE:
+            raise AskLost(answer.detail)
+        if answer.epoch != self._epoch or answer.rank != rank:
+            raise GroupChanged(f"epoch {answer.epoch} in place of {self._epoch}")
+        return answer
--- /dev/null
+++ b/toucanspool/groups/copies.py
@@ -0,0 +1,254 @@
+"""Which rank holds copies of which expert, and the copies that help most now."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from toucanspool.groups.expert_map import EMPTY, FloatArray, IntArray
+
+HOTTEST = 4
+POWER = 12.0
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """Say that a rank takes a copy of an expert.
+
+    Parameters
+    ----------
+    layer_set, rank, expert : int
+        Where, and which.
+    dropped : int
+        The expert whose copy it gives up; `EMPTY` for none.
+    """
+
+    layer_set: int
+    rank: int
+    expert: int
+    dropped: int
+
+
+class Copies:
+    """Hold, for each set of layers, which rank has a copy of which expert.
+
+    The ranks that hold an expert share its tokens evenly.
+
+    Parameters
+    ----------
+    held : ndarray of bool, shape (sets, ranks, experts)
+        Whether the rank has a copy.
+    places : int
+        Experts that a rank holds at most, in a set.
+    """
+
+    __slots__ = ("held", "places")
+
+    def __init__(self, held: np.ndarray, places: int) -> None:
+        self.held = held
+        self.places = places
+
+    @classmethod
+    def from_lists(cls, lists: IntArray, n_experts: int) -> "Copies":
+        """Return copies from a map.
+
+        Parameters
+        ----------
+        lists : ndarray of int, shape (sets, ranks, places)
+            The experts; `EMPTY` for an empty place.
+        n_experts : int
+            Experts in a set.
+
+        Returns
+        -------
+        Copies
+        """
+        sets, ranks, places = lists.shape
+        held = np.zeros((sets, ranks, n_experts + 1), dtype=bool)
+        index = np.where(lists == EMPTY, n_experts, lists)
+        np.put_along_axis(held, index, True, axis=2)
+        return cls(held[:, :, :n_experts], places)
+
+    @classmethod
+    def in_turn(cls, sets: int, ranks: int, n_experts: int, places: int) -> "Copies":
+        """Return the map that a group starts with: experts dealt in turn."""
+        held = np.zeros((sets, ranks, n_experts), dtype=bool)
+        experts = np.arange(n_experts)
+        held[:, experts % ranks, experts] = True
+        return cls(held, places)
+
+    def lists(self) -> IntArray:
+        """Return the map as lists of experts.
+
+        Returns
+        -------
+        ndarray of int, shape (sets, ranks, places)
+        """
+        sets, ranks, _ = self.held.shape
+        lists = np.full((sets, ranks, self.places), EMPTY, dtype=np.int16)
+        for layer_set in range(sets):
+            for rank in range(ranks):
+                experts = np.flatnonzero(self.held[layer_set, rank])
+                lists[layer_set, rank, : experts.size] = experts
+        return lists
+
+    def loads(self, demand: FloatArray) -> FloatArray:
+        """Return the load of each rank, the mean of a set being 1.
+
+        Parameters
+        ----------
+        demand : ndarray of float, shape (sets, experts)
+            Each set adds up to 1.
+
+        Returns
+        -------
+        ndarray of float, shape (sets, ranks)
+        """
+        each = demand / self.held.sum(axis=1)
+        return np.einsum("sre,se->sr", self.held, each) * self.held.shape[1]
+
+    def skew(self, demand: FloatArray) -> float:
+        """Return the most loaded rank's load over the mean, averaged over sets.
+
+        Parameters
+        ----------
+        demand : ndarray of float, shape (sets, experts)
+            Each set adds up to 1.
+
+        Returns
+        -------
+        float
+        """
+        return float(self.loads(demand).max(axis=1).mean())
+
+    def after(self, copies: list[Copy]) -> "Copies":
+        """Return the copies after changes.
+
+        Parameters
+        ----------
+        copies : list of Copy
+            The changes.
+
+        Returns
+        -------
+        Copies
+        """
+        held = self.held.copy()
+        for copy in copies:
+            held[copy.layer_set, copy.rank, copy.expert] = True
+            if copy.dropped != EMPTY:
+                held[copy.layer_set, copy.rank, copy.dropped] = False
+        return Copies(held, self.places)
+
+
+class CopySearch:
+    """Find the copies that lower the load of the most loaded ranks most.
+
+    Each step adds the one copy, in any set, that lowers a smooth maximum of the
+    ranks' loads most; the rank that takes it gives up a copy that others hold too,
+    or fills an empty place.
+
+    Parameters
+    ----------
+    copies : Copies
+        Those in force.
+    demand : ndarray of float, shape (sets, experts)
+        Each set adds up to 1.
+    """
+
+    __slots__ = ("_copies", "_counts", "_demand", "_held", "_left", "_loads")
+
+    def __init__(self, copies: Copies, demand: FloatArray) -> None:
+        self._copies = copies
+        self._held = copies.held.copy()
+        self._demand = demand * copies.held.shape[1]
+        self._counts = self._held.sum(axis=1)
+        self._loads = copies.loads(demand)
+        self._left: np.ndarray
+
+    def run(self, *, per_rank: int, least_gain: float) -> list[Copy]:
+        """Return the copies to make.
+
+        Parameters
+        ----------
+        per_rank : int
+            Copies that a rank takes at most, in all sets together.
+        least_gain : float
+            The least that a copy must take off a set's smooth maximum.
+
+        Returns
+        -------
+        list of Copy
+        """
+        sets, ranks, _ = self._held.shape
+        self._left = np.full(ranks, per_rank)
+        found: list[Copy] = []
+        best = [self._best(layer_set) for layer_set in range(sets)]
+        while True:
+            layer_set = int(np.argmax([gain for gain, _ in best]))
+            gain, copy = best[layer_set]
+            if copy is None or gain < least_gain:
+                return found
+            if self._left[copy.rank] <= 0:
+                best[layer_set] = self._best(layer_set)
+                continue
+            self._apply(copy)
+            found.append(copy)
+            best[layer_set] = self._best(layer_set)
+
+    def _best(self, layer_set: int) -> tuple[float, Copy | None]:
+        loads = self._loads[layer_set]
+        held = self._held[layer_set]
+        counts = self._counts[layer_set]
+        demand = self._demand[layer_set]
+        each = demand / counts
+        top = int(loads.argmax())
+        hottest = np.argsort(np.where(held[top], each, -1.0))[::-1][:HOTTEST]
+        takers = np.flatnonzero(self._left > 0)
+        before = _smooth_max(loads[None, :])[0]
+        best_gain, best = 0.0, None
+        for expert in hottest:
+            if not held[top, expert]:
+                continue
+            cut = each[expert] - demand[expert] / (counts[expert] + 1)
+            base = loads - np.where(held[:, expert], cut, 0.0)
+            gained = demand[expert] / (counts[expert] + 1)
+            ranks, dropped, trials = [], [], []
+            for rank in takers:
+                if held[rank, expert]:
+                    continue
+                if held[rank].sum() < self._copies.places:
+                    options = [EMPTY]
+                else:
+                    spare = held[rank] & (counts > 1)
+                    options = list(np.flatnonzero(spare))
+                for drop in options:
+                    trial = base.copy()
+                    trial[rank] += gained
+                    if drop != EMPTY:
+                        more = demand[drop] / (counts[drop] - 1) - each[drop]
+                        trial += np.where(held[:, drop], more, 0.0)
+                        trial[rank] -= each[drop] + more
+                    ranks.append(int(rank))
+                    dropped.append(int(drop))
+                    trials.append(trial)
+            if not trials:
+                continue
+            gains = before - _smooth_max(np.asarray(trials))
+            index = int(gains.argmax())
+            if gains[index] > best_gain:
+                best_gain = float(gains[index])
+                best = Copy(layer_set, ranks[index], int(expert), dropped[index])
+        return best_gain, best
+
+    def _apply(self, copy: Copy) -> None:
+        s = copy.layer_set
+        self._held[s, copy.rank, copy.expert] = True
+        if copy.dropped != EMPTY:
+            self._held[s, copy.rank, copy.dropped] = False
+        self._counts[s] = self._held[s].sum(axis=0)
+        self._loads[s] = self._held[s] @ (self._demand[s] / self._counts[s])
+        self._left[copy.rank] -= 1
+
+
+def _smooth_max(loads: FloatArray) -> FloatArray:
+    return (loads**POWER).mean(axis=1) ** (1.0 / POWER)
--- /dev/null
+++ b/toucanspool/groups/map_coordinator.py
@@ -0,0 +1,218 @@
+"""The coordinator of one lock-step group: it follows demand with the expert map."""
+
+import time
+from collections.abc import Callable, Mapping
+
+import gevent
+import numpy as np
+import structlog
+
+from toucanspool.groups.armed_switch import (
+    ArmedSwitch,
+    GroupChanged,
+    Link,
+    Replaced,
+    SwitchEnd,
+)
+from toucanspool.groups.copies import Copies, CopySearch
+from toucanspool.groups.demand import Demand
+from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_engine import NONE
+from toucanspool.groups.rank_keeper import MAP_TYPE, PICKS_TYPE
+from toucanspool.routing.routes import EngineModel
+from toucanspool.wire.gen.messages.ttypes import (
+    RankAction,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
+
+FIRST_VERSION = 0
+# The copies of a rank come one after the other, so one at a time is in force soonest.
+COPIES_PER_RANK = 1
+LEAST_GAIN = 0.02
+LEAST_SKEW_GAIN = 0.04
+# A copy may take this much longer than the link's rate says, and this long besides.
+COPY_SLACK = 2.0
+COPY_SLACK_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class MapCoordinator:
+    """Plan and switch the maps of a group for as long as one is its coordinator.
+
+    Parameters
+    ----------
+    group : str
+        The group.
+    token : int
+        Got when this coordinator was elected.
+    own_rank : int
+        The rank beside this process, which holds passes.
+    engine : callable
+        Returns the `EngineModel` of the group, or None while it is not known.
+    """
+
+    __slots__ = (
+        "_copies",
+        "_demand",
+        "_engine",
+        "_group",
+        "_own_rank",
+        "_token",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        token: int,
+        own_rank: int,
+        engine: Callable[[], EngineModel | None],
+    ) -> None:
+        self._group = group
+        self._token = token
+        self._own_rank = own_rank
+        self._engine = engine
+        self._demand = Demand()
+        self._version = NONE
+        self._copies: Copies | None = None
+
+    def step(self, links: Mapping[int, Link]) -> None:
+        """Look at the group once, and change its map where that pays.
+
+        Parameters
+        ----------
+        links : mapping of int to Link
+            The agents of the group's ranks, by rank.
+
+        Raises
+        ------
+        Replaced
+            Another coordinator has been elected.
+        """
+        answers = self._statuses(links)
+        engine = self._engine()
+        if engine is None or not self._whole(answers):
+            return
+        self._count(answers, engine)
+        first = next(iter(answers.values()))
+        switch = ArmedSwitch(
+            self._group, first.epoch, self._token, links, self._own_rank
+        )
+        try:
+            if not switch.resolve(answers):
+                return
+            versions = {answer.map_version for answer in answers.values()}
+            if len(versions) == 1 and all(a.open for a in answers.values()):
+                self._follow(switch, answers, links, versions.pop(), engine)
+        except (GroupChanged, AskLost) as exc:
+            _log.info("map left as it is", group=self._group, reason=str(exc))
+
+    def _follow(
+        self,
+        switch: ArmedSwitch,
+        answers: Mapping[int, RankAnswer],
+        links: Mapping[int, Link],
+        version: int,
+        engine: EngineModel,
+    ) -> None:
+        if version != self._version or self._copies is None:
+            self._copies = self._read(links, version, engine)
+            self._version = version
+        if not self._demand.known:
+            return
+        demand = self._demand.shares
+        copies = CopySearch(self._copies, demand).run(
+            per_rank=COPIES_PER_RANK, least_gain=LEAST_GAIN
+        )
+        planned = self._copies.after(copies)
+        before, after = self._copies.skew(demand), planned.skew(demand)
+        if not copies or before - after < LEAST_SKEW_GAIN:
+            return
+        new = max(answer.newest_version for answer in answers.values()) + 1
+        started = time.monotonic()
+        _log.info(
+            "map planned",
+            group=self._group,
+            version=new,
+            copies=len(copies),
+            skew=round(before, 2),
+            skew_after=round(after, 2),
+            token=self._token,
+        )
+        copy_s = COPY_SLACK * COPIES_PER_RANK * engine.expert_s + COPY_SLACK_S
+        end = switch.run(new, planned.lists(), copy_s)
+        if end is SwitchEnd.DONE:
+            self._version, self._copies = new, planned
+        _log.info(
+            "map switch ended",
+            group=self._group,
+            version=new,
+            result=end.value,
+            took_ms=round((time.monotonic() - started) * 1000),
+        )
+
+    def _statuses(self, links: Mapping[int, Link]) -> dict[int, RankAnswer]:
+        tasks = {rank: gevent.spawn(self._status, link) for rank, link in links.items()}
+        gevent.joinall(list(tasks.values()))
+        answers = {}
+        for rank, task in tasks.items():
+            answer = task.value
+            if answer is None:
+                continue
+            if answer.result == RankResult.STALE:
+                raise Replaced(f"token {answer.token} is newer than {self._token}")
+            if answer.rank == rank and answer.group == self._group:
+                answers[rank] = answer
+        return answers
+
+    def _status(self, link: Link) -> RankAnswer | None:
+        ask = RankAsk(
+            action=RankAction.STATUS, group=self._group, token=self._token, epoch=NONE
+        )
+        try:
+            return link.ask(ask)
+        except AskLost as exc:
+            _log.info("rank agent silent", group=self._group, error=str(exc))
+            return None
+
+    def _whole(self, answers: Mapping[int, RankAnswer]) -> bool:
+        if not answers:
+            return False
+        size = next(iter(answers.values())).size
+        return len(answers) == size and len({a.epoch for a in answers.values()}) == 1
+
+    def _count(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
+        total = np.zeros((engine.layer_sets, engine.experts))
+        for answer in answers.values():
+            picks = np.frombuffer(answer.picks, dtype=PICKS_TYPE)
+            if picks.size == total.size:
+                total += picks.reshape(total.shape)
+        self._demand.count(total, time.monotonic())
+
+    def _read(
+        self, links: Mapping[int, Link], version: int, engine: EngineModel
+    ) -> Copies:
+        if version == FIRST_VERSION:
+            return Copies.in_turn(
+                engine.layer_sets, len(links), engine.experts, engine.places
+            )
+        lists = np.full(
+            (engine.layer_sets, len(links), engine.places), NONE, dtype=MAP_TYPE
+        )
+        for rank, link in links.items():
+            ask = RankAsk(
+                action=RankAction.LISTS,
+                group=self._group,
+                token=self._token,
+                epoch=NONE,
+                places=engine.places,
+            )
+            answer = link.ask(ask)
+            if answer.map_version != version or answer.rank != rank:
+                raise GroupChanged("the map has changed while it was read")
+            experts = np.frombuffer(answer.experts, dtype=MAP_TYPE)
+            lists[:, rank, :] = experts.reshape(engine.layer_sets, engine.places)
+        return Copies.from_lists(lists, engine.experts)
--- /dev/null
+++ b/toucanspool/groups/rank_keeper.py
@@ -0,0 +1,177 @@
+"""The last check before a rank's engine: no order of a replaced coordinator."""
+
+import time
+
+import numpy as np
+import structlog
+
+from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_engine import (
+    NONE,
+    OrderLost,
+    OrderRefused,
+    Picks,
+    RankEngine,
+    RankEngineError,
+    RankState,
+)
+from toucanspool.wire.gen.messages.ttypes import (
+    RankAction,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
+
+READS = frozenset({RankAction.STATUS, RankAction.LISTS})
+MAP_TYPE = np.int16
+PICKS_TYPE = np.uint32
+
+_log = structlog.get_logger()
+
+
+class RankKeeper:
+    """Carry out a coordinator's asks on one engine.
+
+    Asks carry the token that their coordinator got when it was elected. An ask with a
+    token lower than one seen before does nothing. Each ask gives the engine at most
+    one order, and only its sender tries again, since an order without an answer may
+    be carried out seconds later.
+
+    Parameters
+    ----------
+    engine : RankEngine
+        The engine.
+
+    Attributes
+    ----------
+    token : int
+        The highest token seen; -1 before the first.
+    heard_at : float
+        When a coordinator last asked, in seconds on the monotonic clock.
+    """
+
+    __slots__ = ("_engine", "_newest", "_picks", "heard_at", "token")
+
+    def __init__(self, engine: RankEngine) -> None:
+        self._engine = engine
+        self._picks: Picks | None = None
+        self._newest = NONE
+        self.token = -1
+        self.heard_at = time.monotonic()
+
+    def answer(self, ask: RankAsk) -> RankAnswer:
+        """Carry out an ask.
+
+        Parameters
+        ----------
+        ask : RankAsk
+            The ask.
+
+        Returns
+        -------
+        RankAnswer
+        """
+        if ask.token < self.token:
+            return self._refusal(ask, RankResult.STALE, "a newer coordinator is known")
+        if ask.token > self.token:
+            _log.info("coordinator accepted", token=ask.token, before=self.token)
+            self.token = ask.token
+        self.heard_at = time.monotonic()
+        result, detail = RankResult.OK, ""
+        try:
+            if ask.action not in READS:
+                result, detail = self._order(ask)
+            state = self._engine.state()
+            picks = b""
+            if ask.action == RankAction.STATUS:
+                picks = self._new_picks(state)
+            experts = b""
+            if ask.action == RankAction.LISTS:
+                experts = _padded(self._engine.experts(), ask.places)
+        except RankEngineError as exc:
+            return self._refusal(ask, RankResult.LOST, repr(exc))
+        self._newest = max(self._newest, state.map_version, state.prepared)
+        return RankAnswer(
+            call=ask.call,
+            result=result,
+            token=self.token,
+            group=state.group,
+            epoch=state.epoch,
+            rank=state.rank,
+            size=state.size,
+            open=state.open,
+            step=state.step,
+            map_version=state.map_version,
+            prepared=state.prepared,
+            armed=state.armed,
+            held=state.held,
+            running=state.running,
+            waiting=state.waiting,
+            picks=picks,
+            newest_version=self._newest,
+            detail=detail,
+            experts=experts,
+        )
+
+    def _order(self, ask: RankAsk) -> tuple[int, str]:
+        try:
+            self._send(ask)
+        except OrderRefused as exc:
+            return RankResult.REFUSED, str(exc)
+        except OrderLost as exc:
+            return RankResult.LOST, str(exc)
+        return RankResult.OK, ""
+
+    def _send(self, ask: RankAsk) -> None:
+        engine = self._engine
+        if ask.action == RankAction.PREPARE:
+            self._newest = max(self._newest, ask.version)
+            engine.prepare(ask.version, decode_map(ask), ask.epoch)
+        elif ask.action == RankAction.HOLD:
+            engine.hold(ask.step, ask.epoch)
+        elif ask.action == RankAction.ARM:
+            engine.arm(ask.version, ask.step, ask.epoch)
+        elif ask.action == RankAction.DISARM:
+            engine.disarm(ask.version, ask.epoch)
+        elif ask.action == RankAction.GO:
+            engine.go(ask.step, ask.epoch)
+
+    def _new_picks(self, state: RankState) -> bytes:
+        picks = self._engine.picks()
+        before = self._picks
+        self._picks = picks
+        if before is None or before.counts.shape != picks.counts.shape:
+            return b""
+        new = picks.counts - before.counts
+        # Counts start anew where the rank has started again.
+        if picks.epoch != before.epoch or new.min() < 0:
+            new = picks.counts
+        return new.astype(PICKS_TYPE).tobytes()
+
+    def _refusal(self, ask: RankAsk, result: int, detail: str) -> RankAnswer:
+        return RankAnswer(
+            call=ask.call, result=result, token=self.token, rank=NONE, detail=detail
+        )
+
+
+def _padded(lists: list[list[int]], places: int) -> bytes:
+    padded = np.full((len(lists), places), EMPTY, dtype=MAP_TYPE)
+    for row, experts in zip(padded, lists, strict=True):
+        row[: len(experts)] = experts
+    return padded.tobytes()
+
+
+def decode_map(ask: RankAsk) -> np.ndarray:
+    """Return the map that an ask carries.
+
+    Parameters
+    ----------
+    ask : RankAsk
+        A PREPARE.
+
+    Returns
+    -------
+    ndarray of int, shape (sets, ranks, places)
+    """
+    flat = np.frombuffer(ask.experts, dtype=MAP_TYPE)
+    return flat.reshape(-1, ask.ranks, ask.places)
--- /dev/null
+++ b/toucanspool/platform/rank_role.py
@@ -0,0 +1,111 @@
+"""The rank agent role on the platform: beside an engine, which it reaches for free."""
+
+from contextlib import ExitStack
+
+import gevent
+import structlog
+
+from toucanspool.groups.rank_calls import AskReceiver
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.groups.rank_member import PREFIX, WATCH_S, RankMember
+from toucanspool.kernel.kernel import Kernel
+from toucanspool.kernel.ticker import Ticker
+from toucanspool.platform import configuration
+from toucanspool.platform.engine import PlatformEngine
+from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.recovery.feed import Changes, FeedFollower
+from toucanspool.routing.routes import EngineModel, RouteTable
+from toucanspool.settings.settings import Settings
+from toucanspool.wire.listener import Listener
+
+_log = structlog.get_logger()
+
+
+class RankRole:
+    """Guard one rank, and stand for the coordinator of its group.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The process's settings.
+    """
+
+    __slots__ = ("_cfg", "_closing", "_member", "_routes")
+
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._closing = ExitStack()
+        self._routes: RouteTable | None = None
+
+    def start(self, kernel: Kernel) -> None:
+        """Take asks and follow the store; see `Service`."""
+        cfg = self._cfg.rank_agent
+        rng = kernel.find("rng").named("rank")
+        address = cfg.store.address
+        store = RowStore(address.host, address.port, feed_wait_s=cfg.store.feed_wait_s)
+        self._closing.callback(store.close)
+        engine = PlatformEngine(cfg.engine.host, cfg.engine.port)
+        self._closing.callback(engine.close)
+        keeper = RankKeeper(engine)
+        self._member = RankMember(
+            self._cfg.instance,
+            self._cfg.host,
+            self._cfg.port,
+            engine=engine,
+            keeper=keeper,
+            table=store,
+            engine_model=self._engine_model,
+        )
+        self._closing.callback(self._member.close)
+        listener = Listener(
+            self._cfg.host, self._cfg.port, lambda: AskReceiver(keeper.answer)
+        )
+        listener.start()
+        self._closing.callback(listener.stop)
+        for table, on_snapshot, on_changes in (
+            (configuration.TABLE, self._take_routes, self._take_routes),
+            (OWN_TABLE, self._all_ranks, self._changed_ranks),
+        ):
+            follower = FeedFollower(
+                store,
+                table,
+                on_snapshot,
+                on_changes,
+                wait_s=cfg.store.feed_wait_s,
+                rng=rng,
+            )
+            follower.start()
+            self._closing.callback(follower.stop)
+        ticker = Ticker("rank watch", WATCH_S, self._member.watch, rng=rng)
+        ticker.start()
+        self._closing.callback(ticker.stop)
+        runner = gevent.spawn(self._member.run)
+        self._closing.callback(runner.kill)
+
+    def stop(self) -> None:
+        """Close all; see `Service`."""
+        self._closing.close()
+
+    def _engine_model(self) -> EngineModel | None:
+        if self._routes is None:
+            return None
+        return self._routes.service(self._cfg.rank_agent.service).engine
+
+    def _take_routes(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key != configuration.KEY:
+                continue
+            try:
+                self._routes = configuration.decode_configuration(row.value)
+            except configuration.BadConfiguration as exc:
+                _log.error("unreadable configuration", error=str(exc), row=row.version)
+
+    def _all_ranks(self, changes: Changes) -> None:
+        self._member.replace([r for r in changes.rows if r.key.startswith(PREFIX)])
+
+    def _changed_ranks(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key.startswith(PREFIX):
+                self._member.put(row)
+        for key in changes.gone:
+            self._member.drop(key)
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -130,6 +130,60 @@
     }
 
 
+class RankAction(object):
+    STATUS = 1
+    PREPARE = 2
+    HOLD = 3
+    ARM = 4
+    DISARM = 5
+    GO = 6
+    LISTS = 7
+
+    _VALUES_TO_NAMES = {
+        1: "STATUS",
+        2: "PREPARE",
+        3: "HOLD",
+        4: "ARM",
+        5: "DISARM",
+        6: "GO",
+        7: "LISTS",
+    }
+
+    _NAMES_TO_VALUES = {
+        "STATUS": 1,
+        "PREPARE": 2,
+        "HOLD": 3,
+        "ARM": 4,
+        "DISARM": 5,
+        "GO": 6,
+        "LISTS": 7,
+    }
+
+
+class RankResult(object):
+    OK = 1
+    STALE = 2
+    REFUSED = 3
+    LOST = 4
+    NOT_READY = 5
+
+    _VALUES_TO_NAMES = {
+        1: "OK",
+        2: "STALE",
+        3: "REFUSED",
+        4: "LOST",
+        5: "NOT_READY",
+    }
+
+    _NAMES_TO_VALUES = {
+        "OK": 1,
+        "STALE": 2,
+        "REFUSED": 3,
+        "LOST": 4,
+        "NOT_READY": 5,
+    }
+
+
 class Open(object):
     """
     Attributes:
@@ -1814,6 +1868,466 @@
         return not (self == other)
 
 
+class RankAsk(object):
+    """
+    Attributes:
+     - call
+     - group
+     - token
+     - action
+     - version
+     - step
+     - epoch
+     - experts
+     - ranks
+     - places
+
+    """
+
+    __slots__ = (
+        'call',
+        'group',
+        'token',
+        'action',
+        'version',
+        'step',
+        'epoch',
+        'experts',
+        'ranks',
+        'places',
+    )
+
+
+    def __init__(self, call=None, group=None, token=None, action=None, version=None, step=None, epoch=None, experts=None, ranks=None, places=None,):
+        self.call = call
+        self.group = group
+        self.token = token
+        self.action = action
+        self.version = version
+        self.step = step
+        self.epoch = epoch
+        self.experts = experts
+        self.ranks = ranks
+        self.places = places
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.action = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.experts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.ranks = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.places = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankAsk')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 2)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.action is not None:
+            oprot.writeFieldBegin('action', TType.I32, 4)
+            oprot.writeI32(self.action)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 6)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 7)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.STRING, 8)
+            oprot.writeBinary(self.experts)
+            oprot.writeFieldEnd()
+        if self.ranks is not None:
+            oprot.writeFieldBegin('ranks', TType.I32, 9)
+            oprot.writeI32(self.ranks)
+            oprot.writeFieldEnd()
+        if self.places is not None:
+            oprot.writeFieldBegin('places', TType.I32, 10)
+            oprot.writeI32(self.places)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankAnswer(object):
+    """
+    Attributes:
+     - call
+     - result
+     - token
+     - group
+     - epoch
+     - rank
+     - size
+     - open
+     - step
+     - map_version
+     - prepared
+     - armed
+     - held
+     - running
+     - waiting
+     - picks
+     - newest_version
+     - detail
+     - experts
+
+    """
+
+    __slots__ = (
+        'call',
+        'result',
+        'token',
+        'group',
+        'epoch',
+        'rank',
+        'size',
+        'open',
+        'step',
+        'map_version',
+        'prepared',
+        'armed',
+        'held',
+        'running',
+        'waiting',
+        'picks',
+        'newest_version',
+        'detail',
+        'experts',
+    )
+
+
+    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None,):
+        self.call = call
+        self.result = result
+        self.token = token
+        self.group = group
+        self.epoch = epoch
+        self.rank = rank
+        self.size = size
+        self.open = open
+        self.step = step
+        self.map_version = map_version
+        self.prepared = prepared
+        self.armed = armed
+        self.held = held
+        self.running = running
+        self.waiting = waiting
+        self.picks = picks
+        self.newest_version = newest_version
+        self.detail = detail
+        self.experts = experts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.result = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.map_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.prepared = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.armed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.held = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.picks = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.newest_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRING:
+                    self.experts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankAnswer')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.I32, 2)
+            oprot.writeI32(self.result)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 4)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 6)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I32, 7)
+            oprot.writeI32(self.size)
+            oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 8)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 9)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.map_version is not None:
+            oprot.writeFieldBegin('map_version', TType.I64, 10)
+            oprot.writeI64(self.map_version)
+            oprot.writeFieldEnd()
+        if self.prepared is not None:
+            oprot.writeFieldBegin('prepared', TType.I64, 11)
+            oprot.writeI64(self.prepared)
+            oprot.writeFieldEnd()
+        if self.armed is not None:
+            oprot.writeFieldBegin('armed', TType.I64, 12)
+            oprot.writeI64(self.armed)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I64, 13)
+            oprot.writeI64(self.held)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 14)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 15)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.picks is not None:
+            oprot.writeFieldBegin('picks', TType.STRING, 16)
+            oprot.writeBinary(self.picks)
+            oprot.writeFieldEnd()
+        if self.newest_version is not None:
+            oprot.writeFieldBegin('newest_version', TType.I64, 17)
+            oprot.writeI64(self.newest_version)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 18)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.STRING, 19)
+            oprot.writeBinary(self.experts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1830,6 +2344,8 @@
      - order
      - order_reply
      - rank_load
+     - rank_ask
+     - rank_answer
 
     """
 
@@ -1847,10 +2363,12 @@
         'order',
         'order_reply',
         'rank_load',
+        'rank_ask',
+        'rank_answer',
     )
 
 
-    def __init__(self, open=None, head=None, chunk=None, end=None, credit=None, cancel=None, report=None, hello=None, pull=None, changes=None, order=None, order_reply=None, rank_load=None,):
+    def __init__(self, open=None, head=None, chunk=None, end=None, credit=None, cancel=None, report=None, hello=None, pull=None, changes=None, order=None, order_reply=None, rank_load=None, rank_ask=None, rank_answer=None,):
         self.open = open
         self.head = head
         self.chunk = chunk
@@ -1864,6 +2382,8 @@
         self.order = order
         self.order_reply = order_reply
         self.rank_load = rank_load
+        self.rank_ask = rank_ask
+        self.rank_answer = rank_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1952,6 +2472,18 @@
                     self.rank_load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.rank_ask = RankAsk()
+                    self.rank_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.rank_answer = RankAnswer()
+                    self.rank_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2014,6 +2546,14 @@
             oprot.writeFieldBegin('rank_load', TType.STRUCT, 13)
             self.rank_load.write(oprot)
             oprot.writeFieldEnd()
+        if self.rank_ask is not None:
+            oprot.writeFieldBegin('rank_ask', TType.STRUCT, 14)
+            self.rank_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_answer is not None:
+            oprot.writeFieldBegin('rank_answer', TType.STRUCT, 15)
+            self.rank_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2165,6 +2705,43 @@
     (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
     (8, TType.I32, 'age_ms', None, None, ),  # 8
 )
+all_structs.append(RankAsk)
+RankAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.STRING, 'group', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.I32, 'action', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.I64, 'step', None, None, ),  # 6
+    (7, TType.I64, 'epoch', None, None, ),  # 7
+    (8, TType.STRING, 'experts', 'BINARY', None, ),  # 8
+    (9, TType.I32, 'ranks', None, None, ),  # 9
+    (10, TType.I32, 'places', None, None, ),  # 10
+)
+all_structs.append(RankAnswer)
+RankAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.I32, 'result', None, None, ),  # 2
+    (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.STRING, 'group', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
+    (6, TType.I32, 'rank', None, None, ),  # 6
+    (7, TType.I32, 'size', None, None, ),  # 7
+    (8, TType.BOOL, 'open', None, None, ),  # 8
+    (9, TType.I64, 'step', None, None, ),  # 9
+    (10, TType.I64, 'map_version', None, None, ),  # 10
+    (11, TType.I64, 'prepared', None, None, ),  # 11
+    (12, TType.I64, 'armed', None, None, ),  # 12
+    (13, TType.I64, 'held', None, None, ),  # 13
+    (14, TType.I32, 'running', None, None, ),  # 14
+    (15, TType.I32, 'waiting', None, None, ),  # 15
+    (16, TType.STRING, 'picks', 'BINARY', None, ),  # 16
+    (17, TType.I64, 'newest_version', None, None, ),  # 17
+    (18, TType.STRING, 'detail', 'UTF8', None, ),  # 18
+    (19, TType.STRING, 'experts', 'BINARY', None, ),  # 19
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2181,6 +2758,8 @@
     (11, TType.STRUCT, 'order', [Order, None], None, ),  # 11
     (12, TType.STRUCT, 'order_reply', [OrderReply, None], None, ),  # 12
     (13, TType.STRUCT, 'rank_load', [RankLoad, None], None, ),  # 13
+    (14, TType.STRUCT, 'rank_ask', [RankAsk, None], None, ),  # 14
+    (15, TType.STRUCT, 'rank_answer', [RankAnswer, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -75,11 +75,34 @@
   6: i32 layers, 7: list<i32> tokens, 8: i32 age_ms
 }
 
+enum RankAction { STATUS = 1, PREPARE = 2, HOLD = 3, ARM = 4, DISARM = 5, GO = 6, LISTS = 7 }
+
+enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
+
+// A coordinator asks the agent of one rank; experts holds them by set, rank and
+// place as 16-bit numbers, -1 for an empty place.
+struct RankAsk {
+  1: i64 call, 2: string group, 3: i64 token, 4: RankAction action, 5: i64 version,
+  6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places
+}
+
+// What the rank is at, after the action; a version or step of -1 stands for none.
+// experts holds the experts of its map by set and place, as in RankAsk. picks holds how
+// often the rank chose each expert since the last answer, by set and
+// expert as 32-bit numbers.
+struct RankAnswer {
+  1: i64 call, 2: RankResult result, 3: i64 token, 4: string group, 5: i64 epoch,
+  6: i32 rank, 7: i32 size, 8: bool open, 9: i64 step, 10: i64 map_version,
+  11: i64 prepared, 12: i64 armed, 13: i64 held, 14: i32 running, 15: i32 waiting,
+  16: binary picks, 17: i64 newest_version, 18: string detail, 19: binary experts
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Open open, 2: optional Head head, 3: optional Chunk chunk,
   4: optional End end, 5: optional Credit credit, 6: optional Cancel cancel,
   7: optional Report report, 8: optional Hello hello, 9: optional Pull pull,
   10: optional Changes changes, 11: optional Order order,
-  12: optional OrderReply order_reply, 13: optional RankLoad rank_load
+  12: optional OrderReply order_reply, 13: optional RankLoad rank_load,
+  14: optional RankAsk rank_ask, 15: optional RankAnswer rank_answer
 }
