--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -260,7 +260,7 @@
     def _all(
         self,
         ranks: Iterable[int],
-        make: Callable[[], RankAsk],
+        ask: RankAsk,
         *,
         tolerant: bool = False,
     ) -> dict[int, RankAnswer | None]:
