Give up a switch by preparing a newer version

Ruled out: disarming again, which a late order can follow again. Also: logs go to standard output in the background and are bounded; SIGHUP reads the settings again; an agent gives no order before it knows the last election.

--- /dev/null
+++ b/tests/groups/test_armed_switch.py
@@ -0,0 +1,228 @@
+"""The switch of a group at one pass, with orders lost, late and given up half-way."""
+
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+import numpy as np
+import pytest
+
+from standins.pass_group import GROUP, PassGroup
+from toucanspool.groups import armed_switch
+from toucanspool.groups.armed_switch import (
+    ArmedSwitch,
+    Replaced,
+    SwitchEnd,
+    is_armed_whole,
+)
+from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_engine import NONE, OrderLost
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.wire.gen.messages.ttypes import RankAction, RankAnswer, RankAsk
+
+MAP = np.array([[[0, 1], [2, 3], [1, 2]]], dtype=np.int16)
+DEALT = np.array([[[0, 3], [1, EMPTY], [2, EMPTY]]], dtype=np.int16)
+TICK_S = 0.001
+COPY_S = 1.0
+
+
+class KeeperLink:
+    """Ask a keeper, unless the coordinator is to die at this ask."""
+
+    def __init__(self, keeper: RankKeeper, dies: "Death") -> None:
+        self._keeper = keeper
+        self._dies = dies
+
+    def ask(self, ask: RankAsk, *, timeout_s: float = 0.0) -> RankAnswer:
+        """Return the keeper's answer."""
+        self._dies.count()
+        gevent.sleep(0)
+        return self._keeper.answer(ask)
+
+
+class Dead(Exception):
+    """Stand for the end of a coordinator's process."""
+
+
+class Death:
+    """End a coordinator at its n-th ask."""
+
+    def __init__(self, at: int | None = None) -> None:
+        self._left = at
+
+    def count(self) -> None:
+        """Count an ask; the last one raises `Dead`."""
+        if self._left is not None:
+            self._left -= 1
+            if self._left < 0:
+                raise Dead
+
+
+@pytest.fixture(autouse=True)
+def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(armed_switch, "POLL_S", TICK_S)
+    monkeypatch.setattr(armed_switch, "UNDO_PAUSE_S", TICK_S)
+
+
+@contextmanager
+def ticking(
+    group: PassGroup, *, idle: Callable[[], bool] = lambda: False
+) -> Iterator[gevent.Greenlet]:
+    def tick() -> None:
+        while True:
+            group.tick(busy=not idle())
+            gevent.sleep(TICK_S)
+
+    task = gevent.spawn(tick)
+    try:
+        yield task
+        if task.exception is not None:
+            raise task.exception
+    finally:
+        task.kill()
+
+
+def keepers(group: PassGroup) -> list[RankKeeper]:
+    made = [RankKeeper(group.engine(rank)) for rank in range(len(group.rows))]
+    for keeper in made:
+        keeper.restore(0)
+    return made
+
+
+def switch(
+    made: list[RankKeeper], token: int = 1, death: Death | None = None
+) -> ArmedSwitch:
+    links = {r: KeeperLink(k, death or Death()) for r, k in enumerate(made)}
+    return ArmedSwitch(GROUP, 1, token, links, 0)
+
+
+def statuses(made: list[RankKeeper], token: int) -> dict[int, RankAnswer]:
+    ask = RankAsk(action=RankAction.STATUS, group=GROUP, token=token, epoch=NONE)
+    return {rank: keeper.answer(ask) for rank, keeper in enumerate(made)}
+
+
+def at_rest(made: list[RankKeeper], token: int) -> bool:
+    answers = statuses(made, token)
+    if any(answer.rank == NONE for answer in answers.values()):
+        return False
+    held = any(answer.held != NONE for answer in answers.values())
+    armed = any(answer.armed != NONE for answer in answers.values())
+    if held or (armed and not is_armed_whole(answers)):
+        switch(made, token).resolve(answers, DEALT)
+    return not held and not armed
+
+
+def runs_on(group: PassGroup) -> None:
+    step = group.step
+    with gevent.Timeout(2):
+        while group.step <= step:
+            gevent.sleep(TICK_S)
+
+
+def settle(group: PassGroup, made: list[RankKeeper], token: int) -> None:
+    with gevent.Timeout(10):
+        while not at_rest(made, token):
+            gevent.sleep(TICK_S)
+
+
+def test_all_ranks_switch_at_one_pass():
+    group = PassGroup(3, random.Random(1))
+    with ticking(group):
+        assert switch(keepers(group)).run(1, MAP, DEALT, COPY_S) is SwitchEnd.DONE
+        gevent.sleep(0.05)
+    assert {row.map for row in group.rows} == {(1, MAP.tobytes())}
+
+
+def test_lost_orders_do_not_stop_a_switch():
+    group = PassGroup(3, random.Random(2), lost_share=0.3)
+    with ticking(group):
+        made = keepers(group)
+        end = switch(made).run(1, MAP, DEALT, COPY_S)
+        settle(group, made, 1)
+    assert end in (SwitchEnd.DONE, SwitchEnd.NOT_COPIED, SwitchEnd.NOT_HELD)
+
+
+def test_a_rank_that_takes_no_order_leaves_the_map_and_the_group_running():
+    group = PassGroup(3, random.Random(3))
+    made = keepers(group)
+    with ticking(group):
+        deaf = group.engine(2)
+        deaf.arm = lambda *args: group.order(9, "arm")  # type: ignore[method-assign]
+        made[2] = RankKeeper(deaf)
+        made[2].restore(0)
+        group.order = _losing(group, 9)  # type: ignore[method-assign]
+        assert switch(made).run(1, MAP, DEALT, COPY_S) is SwitchEnd.NOT_ARMED
+        runs_on(group)
+    assert {row.map[0] for row in group.rows} == {0}
+    assert all(row.armed is None for row in group.rows)
+
+
+def _losing(group: PassGroup, lost_rank: int) -> Callable[..., None]:
+    def order(rank: int, name: str, *args: object) -> None:
+        if rank == lost_rank:
+            raise OrderLost("lost")
+        group.carry_out(rank, name, args)
+
+    return order
+
+
+def test_an_older_token_is_refused():
+    group = PassGroup(3, random.Random(4))
+    made = keepers(group)
+    with ticking(group):
+        statuses(made, 5)
+        with pytest.raises(Replaced):
+            switch(made, 4).run(1, MAP, DEALT, COPY_S)
+    assert {row.map[0] for row in group.rows} == {0}
+
+
+def test_an_agent_that_has_forgotten_the_last_election_gives_no_order():
+    group = PassGroup(3, random.Random(5))
+    made = [RankKeeper(group.engine(rank)) for rank in range(3)]
+    with ticking(group), pytest.raises((armed_switch.GroupChanged, AskLost)):
+        switch(made).run(1, MAP, DEALT, COPY_S)
+    assert all(row.prepared is None for row in group.rows)
+
+
+@pytest.mark.parametrize("at", range(0, 40, 1))
+def test_a_coordinator_that_dies_at_any_ask_leaves_nothing_that_another_cannot_mend(at):
+    group = PassGroup(3, random.Random(at))
+    made = keepers(group)
+    with ticking(group):
+        task = gevent.spawn(switch(made, 1, Death(at)).run, 1, MAP, DEALT, COPY_S)
+        task.join(timeout=2)
+        task.kill()
+        settle(group, made, 2)
+        runs_on(group)
+        end = switch(made, 2).run(5, MAP, DEALT, COPY_S)
+        gevent.sleep(0.03)
+    assert end is SwitchEnd.DONE
+    assert {row.map[0] for row in group.rows} == {5}
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_random_losses_late_orders_and_deaths_never_mix_maps(seed):
+    rng = random.Random(seed)
+    group = PassGroup(4, rng, lost_share=0.1, late_share=rng.choice((0.1, 0.3, 0.5)))
+    made = keepers(group)
+    maps = np.array([[[0, 1], [2, 3], [1, 2], [0, 3]]], dtype=np.int16)
+    token = 1
+    idle_share = rng.choice((0.0, 0.5, 0.9))
+    with ticking(group, idle=lambda: rng.random() < idle_share) as task:
+        for _ in range(4):
+            death = Death(rng.randrange(60) if rng.random() < 0.5 else None)
+            newest = max(
+                answer.newest_version for answer in statuses(made, token).values()
+            )
+            run = gevent.spawn(switch(made, token, death).run, newest + 1, maps, 0.2)
+            run.join(timeout=2)
+            run.kill()
+            token += 1
+            settle(group, made, token)
+            assert task.exception is None
+        group.late_share = group.lost_share = 0.0
+        gevent.sleep(0.1)
+        settle(group, made, token + 1)
+        runs_on(group)
--- /dev/null
+++ b/tests/groups/test_copies.py
@@ -0,0 +1,64 @@
+"""The search for copies of experts that help most."""
+
+import numpy as np
+import pytest
+
+from toucanspool.groups.copies import Copies, CopySearch
+from toucanspool.groups.expert_map import EMPTY
+
+SETS, RANKS, EXPERTS, PLACES = 3, 12, 96, 11
+
+
+def demand(seed: int) -> np.ndarray:
+    rng = np.random.default_rng(seed)
+    ranked = 1.0 / np.arange(1, EXPERTS + 1) ** 1.3
+    found = np.stack([ranked[rng.permutation(EXPERTS)] for _ in range(SETS)])
+    return found / found.sum(axis=1, keepdims=True)
+
+
+def dealt() -> Copies:
+    return Copies.in_turn(SETS, RANKS, EXPERTS, PLACES)
+
+
+def test_experts_are_dealt_in_turn():
+    lists = dealt().lists()
+    assert list(lists[0, 1][:3]) == [1, 13, 25]
+    assert (lists[:, :, 8:] == EMPTY).all()
+
+
+def test_lists_and_back():
+    copies = dealt()
+    again = Copies.from_lists(copies.lists(), EXPERTS)
+    assert np.array_equal(again.held, copies.held)
+
+
+def test_even_demand_is_left_alone():
+    even = np.full((SETS, EXPERTS), 1.0 / EXPERTS)
+    assert CopySearch(dealt(), even).run(per_rank=1, least_gain=0.02) == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_one_copy_a_rank_lowers_the_skew_by_a_third(seed):
+    copies, wanted = dealt(), demand(seed)
+    found = CopySearch(copies, wanted).run(per_rank=1, least_gain=0.02)
+    assert copies.after(found).skew(wanted) < copies.skew(wanted) * 2 / 3
+    assert max(np.bincount([copy.rank for copy in found])) <= 1
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_every_expert_keeps_a_copy_through_changes_of_demand(seed):
+    copies = dealt()
+    for turn in range(6):
+        wanted = demand(100 * seed + turn)
+        found = CopySearch(copies, wanted).run(per_rank=2, least_gain=0.02)
+        copies = copies.after(found)
+        assert copies.held.any(axis=1).all()
+        assert (copies.held.sum(axis=2) <= PLACES).all()
+
+
+def test_a_few_rounds_come_near_the_even_load():
+    copies, wanted = dealt(), demand(3)
+    for _ in range(5):
+        found = CopySearch(copies, wanted).run(per_rank=1, least_gain=0.01)
+        copies = copies.after(found)
+    assert copies.skew(wanted) < 1.25
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -82,6 +82,7 @@
         gevent.signal_handler(number, told.set)
     kernel = build(cfg)
     kernel.start()
+    gevent.signal_handler(signal.SIGHUP, _reload, kernel, SETTINGS.value)
     # What stands now stays: full collections need not look at it again.
     gc.collect()
     gc.freeze()
@@ -93,6 +94,17 @@
     return 0
 
 
+def _reload(kernel: Kernel, path: str) -> None:
+    """Read the settings again; mistakes leave those in force."""
+    try:
+        cfg = load(path)
+    except SettingsError as exc:
+        _log.error("settings not reloaded", mistakes=exc.mistakes)
+        return
+    kernel.reload(cfg)
+    _log.info("settings reloaded", path=path)
+
+
 def run() -> None:
     """Run the daemon's command line."""
     # The program's help is this page, also where a script calls this function.
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -36,14 +36,10 @@
         When the caller's interest or the route's time ends.
     arrived_at : float
         Seconds on the monotonic clock.
-    caller_left_s : float
-        How long the caller said that it would wait, in seconds.
     prompt_tokens, answer_tokens : int
         Size of a generation; 0 for other calls.
     last_event_id : str
         The event after which a stream goes on; empty for the start.
-    subject : str
-        What the prompt's shared part is about; empty where not known.
     """
 
     id: str
@@ -57,11 +53,9 @@
     priority: int
     deadline: Deadline
     arrived_at: float
-    caller_left_s: float = 0.0
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
-    subject: str = ""
 
 
 class RefusalCause(Enum):
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -97,6 +97,18 @@
         streams = StreamRelay(relay, dialect, self._paused)
         self.front = Front(relay, streams, self._gates.get, rng)
 
+    def set_retries(self, retries: RetryBudget) -> None:
+        """Put new bounds of repeats in force.
+
+        Parameters
+        ----------
+        retries : RetryBudget
+            The bounds.
+        """
+        self._budget.bound(
+            ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
+        )
+
     def put_routes(self, routes: RouteTable) -> None:
         """Put routes in force unless they are older than those in force.
 
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -3,9 +3,11 @@
 All ranks copy the experts of the new map first, which holds nobody up. Then one rank
 holds a pass that is to come, so that the group can't begin it; each rank is armed to
 switch as that pass begins; and only once each of them has shown that it is armed is
-the pass let go. If one can't be armed, all are disarmed before the pass begins. An
-order may be lost and be carried out seconds later: by then its pass has begun, and
-the engine refuses it.
+the pass let go. If one can't be armed, all are disarmed before the pass begins.
+
+An order may be lost and be carried out seconds later. A late order to arm is refused
+once its pass has begun, or once a newer version is prepared. So a switch is given up
+by preparing the map in use under a newer version, which copies nothing.
 """
 
 import time
@@ -65,6 +67,26 @@
     NOT_ARMED = "not all ranks could be armed, and all are disarmed"
 
 
+def is_armed_whole(answers: Mapping[int, RankAnswer]) -> bool:
+    """Return whether all ranks are armed with one version, or have switched to it.
+
+    Parameters
+    ----------
+    answers : mapping of int to RankAnswer
+        The newest of each rank.
+
+    Returns
+    -------
+    bool
+    """
+    armed = {answer.armed for answer in answers.values()} - {NONE}
+    if len(armed) != 1:
+        return False
+    # A rank that runs on the map already has begun the pass, and so have all.
+    (version,) = armed
+    return all(version in (a.armed, a.map_version) for a in answers.values())
+
+
 class ArmedSwitch:
     """Give the orders of one coordinator to one group.
 
@@ -98,15 +120,17 @@
         self._links = links
         self._holder = holder
 
-    def run(self, version: int, experts: IntArray, copy_s: float) -> SwitchEnd:
+    def run(
+        self, version: int, experts: IntArray, current: IntArray, copy_s: float
+    ) -> SwitchEnd:
         """Bring the group to a map.
 
         Parameters
         ----------
         version : int
             Higher than any that a rank has had.
-        experts : ndarray of int, shape (sets, ranks, places)
-            The map.
+        experts, current : ndarray of int, shape (sets, ranks, places)
+            The map, and the one in use.
         copy_s : float
             The time by which all ranks should have copied, in seconds.
 
@@ -128,69 +152,49 @@
         if step == NONE:
             return SwitchEnd.NOT_HELD
         if self._arm(version, step):
-            self._go(step)
+            self._go(step, self._holder)
             return SwitchEnd.DONE
-        self._disarm(version)
-        self._go(step)
+        self._give_up(version + 1, current)
+        self._go(step, self._holder)
         return SwitchEnd.NOT_ARMED
 
-    def resolve(self, answers: Mapping[int, RankAnswer]) -> bool:
+    def resolve(self, answers: Mapping[int, RankAnswer], current: IntArray) -> None:
         """Finish or undo what another coordinator, or a late order, has left.
 
         Parameters
         ----------
         answers : mapping of int to RankAnswer
             The newest of each rank, all of them given to this coordinator's token.
-
-        Returns
-        -------
-        bool
-            Whether the group is at rest: nothing is held or armed.
+        current : ndarray of int, shape (sets, ranks, places)
+            The map in use.
         """
         held = {rank: a.held for rank, a in answers.items() if a.held != NONE}
-        armed = {a.armed for a in answers.values()} - {NONE}
-        if not held and not armed:
-            return True
-        # A rank that runs on the map already has begun the pass, and so have all.
-        partly = {
-            version
-            for version in armed
-            if any(version not in (a.armed, a.map_version) for a in answers.values())
-        }
-        for version in partly:
-            self._disarm(version)
+        complete = is_armed_whole(answers)
+        if not complete:
+            newest = max(answer.newest_version for answer in answers.values())
+            self._give_up(newest + 1, current)
         for rank, step in held.items():
-            self._go(step, holder=rank)
-        if held or partly:
-            _log.warning(
-                "unfinished switch resolved",
-                group=self._group,
-                held=held,
-                armed=sorted(armed),
-                disarmed=sorted(partly),
-                token=self._token,
-            )
-        return False
+            self._go(step, rank)
+        _log.warning(
+            "unfinished switch resolved",
+            group=self._group,
+            held=held,
+            armed=sorted({answer.armed for answer in answers.values()}),
+            result="finished" if complete else "undone",
+            token=self._token,
+        )
 
     def _prepare(self, version: int, experts: IntArray, copy_s: float) -> bool:
         until = time.monotonic() + copy_s
-        data = experts.astype(MAP_TYPE).tobytes()
-        _, ranks, places = experts.shape
         waiting = set(self._links)
         asked = dict.fromkeys(waiting, 0)
+        prepare = self._prepare_ask(version, experts)
         while waiting:
             if time.monotonic() > until:
                 return False
             due = [rank for rank in waiting if asked[rank] < PREPARE_TRIES]
             for rank in due:
                 asked[rank] += 1
-            prepare = RankAsk(
-                action=RankAction.PREPARE,
-                version=version,
-                experts=data,
-                ranks=ranks,
-                places=places,
-            )
             status = RankAsk(action=RankAction.STATUS)
             answers = self._all(due or waiting, prepare if due else status)
             for rank, answer in answers.items():
@@ -232,31 +236,41 @@
                 return True
         return False
 
-    def _disarm(self, version: int) -> None:
-        """Disarm all ranks; the held pass can't begin before that."""
+    def _give_up(self, version: int, current: IntArray) -> None:
+        """Disarm all ranks for good; what is held stays held."""
         waiting = set(self._links)
+        prepare = self._prepare_ask(version, current)
         while waiting:
-            answers = self._all(
-                waiting,
-                RankAsk(action=RankAction.DISARM, version=version),
-                tolerant=True,
-            )
+            answers = self._all(waiting, prepare, tolerant=True)
             for rank, answer in answers.items():
-                if answer is not None and answer.armed == NONE:
+                if answer is None:
+                    continue
+                if answer.prepared == version and answer.armed == NONE:
                     waiting.discard(rank)
+                elif answer.armed != NONE:
+                    ask = RankAsk(action=RankAction.DISARM, version=answer.armed)
+                    self._all([rank], ask, tolerant=True)
             if waiting:
                 gevent.sleep(UNDO_PAUSE_S)
 
-    def _go(self, step: int, *, holder: int | None = None) -> None:
-        rank = self._holder if holder is None else holder
+    def _go(self, step: int, rank: int) -> None:
         while True:
             ask = RankAsk(action=RankAction.GO, step=step)
-            answers = self._all([rank], ask, tolerant=True)
-            answer = answers[rank]
+            answer = self._all([rank], ask, tolerant=True)[rank]
             if answer is not None and answer.held == NONE:
                 return
             gevent.sleep(UNDO_PAUSE_S)
 
+    def _prepare_ask(self, version: int, experts: IntArray) -> RankAsk:
+        _, ranks, places = experts.shape
+        return RankAsk(
+            action=RankAction.PREPARE,
+            version=version,
+            experts=experts.astype(MAP_TYPE).tobytes(),
+            ranks=ranks,
+            places=places,
+        )
+
     def _all(
         self,
         ranks: Iterable[int],
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -13,6 +13,7 @@
     Link,
     Replaced,
     SwitchEnd,
+    is_armed_whole,
 )
 from toucanspool.groups.copies import Copies, CopySearch
 from toucanspool.groups.demand import Demand
@@ -102,25 +103,42 @@
             self._group, first.epoch, self._token, links, self._own_rank
         )
         try:
-            if not switch.resolve(answers):
-                return
-            versions = {answer.map_version for answer in answers.values()}
-            if len(versions) == 1 and all(a.open for a in answers.values()):
-                self._follow(switch, answers, links, versions.pop(), engine)
+            self._look(switch, answers, links, engine)
         except (GroupChanged, AskLost) as exc:
             _log.info("map left as it is", group=self._group, reason=str(exc))
 
-    def _follow(
+    def _look(
         self,
         switch: ArmedSwitch,
         answers: Mapping[int, RankAnswer],
         links: Mapping[int, Link],
-        version: int,
         engine: EngineModel,
     ) -> None:
+        held = any(answer.held != NONE for answer in answers.values())
+        armed = any(answer.armed != NONE for answer in answers.values())
+        if armed and not held and is_armed_whole(answers):
+            # All ranks switch as the next pass begins.
+            return
+        versions = {answer.map_version for answer in answers.values()}
+        if len(versions) > 1:
+            # The pass with the switch has begun between two answers.
+            return
+        version = versions.pop()
         if version != self._version or self._copies is None:
             self._copies = self._read(links, version, engine)
             self._version = version
+        if held or armed:
+            switch.resolve(answers, self._copies.lists())
+        elif all(answer.open for answer in answers.values()):
+            self._follow(switch, answers, engine)
+
+    def _follow(
+        self,
+        switch: ArmedSwitch,
+        answers: Mapping[int, RankAnswer],
+        engine: EngineModel,
+    ) -> None:
+        assert self._copies is not None
         if not self._demand.known:
             return
         demand = self._demand.shares
@@ -143,7 +161,7 @@
             token=self._token,
         )
         copy_s = COPY_SLACK * COPIES_PER_RANK * engine.expert_s + COPY_SLACK_S
-        end = switch.run(new, planned.lists(), copy_s)
+        end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
         if end is SwitchEnd.DONE:
             self._version, self._copies = new, planned
         _log.info(
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -50,15 +50,27 @@
         When a coordinator last asked, in seconds on the monotonic clock.
     """
 
-    __slots__ = ("_engine", "_newest", "_picks", "heard_at", "token")
+    __slots__ = ("_engine", "_newest", "_picks", "_restored", "heard_at", "token")
 
     def __init__(self, engine: RankEngine) -> None:
         self._engine = engine
         self._picks: Picks | None = None
         self._newest = NONE
+        self._restored = False
         self.token = -1
         self.heard_at = time.monotonic()
 
+    def restore(self, token: int) -> None:
+        """Take the token of the last election, before which no order is given.
+
+        Parameters
+        ----------
+        token : int
+            The token.
+        """
+        self.token = max(self.token, token)
+        self._restored = True
+
     def answer(self, ask: RankAsk) -> RankAnswer:
         """Carry out an ask.
 
@@ -73,6 +85,9 @@
         """
         if ask.token < self.token:
             return self._refusal(ask, RankResult.STALE, "a newer coordinator is known")
+        if ask.action not in READS and not self._restored:
+            detail = "the last election is not known yet"
+            return self._refusal(ask, RankResult.NOT_READY, detail)
         if ask.token > self.token:
             _log.info("coordinator accepted", token=ask.token, before=self.token)
             self.token = ask.token
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -14,7 +14,7 @@
 from toucanspool.groups.rank_calls import RankLink
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
 from toucanspool.groups.rank_keeper import RankKeeper
-from toucanspool.recovery.token import elect
+from toucanspool.recovery.token import elect, held_token
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
 
@@ -121,6 +121,7 @@
         "_name",
         "_own",
         "_port",
+        "_stopping",
         "_table",
     )
 
@@ -146,6 +147,7 @@
         self._listed: dict[str, RankRecord] = {}
         self._links: dict[tuple[str, int], RankLink] = {}
         self._coordinator: MapCoordinator | None = None
+        self._stopping = False
 
     def watch(self) -> None:
         """Find out the engine's group and rank, and list them where they changed."""
@@ -158,6 +160,7 @@
         if own == self._own:
             return
         try:
+            self._keeper.restore(held_token(self._table, _duty(own.group)))
             self._table.commit([], [Write(PREFIX + self._name, own.encode())])
         except TableError as exc:
             _log.warning("rank not listed", error=repr(exc))
@@ -166,8 +169,8 @@
         self._own = own
 
     def run(self) -> None:
-        """Act for ever: as coordinator, or standing by."""
-        while True:
+        """Act as coordinator, or stand by, until told to stop."""
+        while not self._stopping:
             started = time.monotonic()
             if self._coordinator is not None:
                 self._coordinate()
@@ -176,6 +179,10 @@
             passed_s = time.monotonic() - started
             gevent.sleep(max(0.01, STEP_S - passed_s))
 
+    def stop(self) -> None:
+        """End after the switch under way."""
+        self._stopping = True
+
     def put(self, row: Row) -> None:
         """Take a row of a rank agent that is new or has changed."""
         record = decode_rank(row)
@@ -206,7 +213,7 @@
 
     def _stand(self, own: RankRecord) -> None:
         token = elect(
-            self._table, f"group/{own.group}", self._name, above=self._keeper.token
+            self._table, _duty(own.group), self._name, above=self._keeper.token
         )
         if token is None:
             # Another stands too, or the table is away: wait for a coordinator again.
@@ -238,3 +245,7 @@
             self._links[address].close()
         self._links = used
         return links
+
+
+def _duty(group: str) -> str:
+    return f"group/{group}"
--- a/toucanspool/kernel/kernel.py
+++ b/toucanspool/kernel/kernel.py
@@ -1,7 +1,7 @@
 """The micro-kernel: services found by name, started in order, stopped in reverse."""
 
 from contextlib import ExitStack
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 
 class Service(Protocol):
@@ -22,6 +22,21 @@
         ...
 
 
+@runtime_checkable
+class Reloadable(Protocol):
+    """Take new settings while running."""
+
+    def reload(self, cfg: Any) -> None:
+        """Put new settings in force.
+
+        Parameters
+        ----------
+        cfg : Any
+            The settings.
+        """
+        ...
+
+
 class UnknownService(Exception):
     """Report that no service has a name.
 
@@ -111,6 +126,18 @@
                 starting.callback(service.stop)
             self._running = starting.pop_all()
 
+    def reload(self, cfg: Any) -> None:
+        """Give new settings to the services that can change theirs while they run.
+
+        Parameters
+        ----------
+        cfg : Any
+            The new settings.
+        """
+        for service in self._services.values():
+            if isinstance(service, Reloadable):
+                service.reload(cfg)
+
     def stop(self) -> None:
         """Stop all services in the reverse order, each even if another fails."""
         self._running.close()
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -145,11 +145,9 @@
             priority=priority,
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
-            caller_left_s=patience_ms / MS_PER_S,
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
             last_event_id=known.get(names.LAST_EVENT_ID, ""),
-            subject=names.subject(known),
         )
 
     def _refuse(
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -106,7 +106,9 @@
         )
         self._serve(self._server)
         self._page(cfg.readiness, pages.readiness_page(lambda: self.ready))
-        addresses = pages.directory_page(self._addresses, cfg.address_ttl_s)
+        addresses = pages.directory_page(
+            self._addresses, lambda: self._cfg.gateway.address_ttl_s
+        )
         self._page(cfg.directory, addresses)
         if cfg.metrics is not None:
             self._page(cfg.metrics, pages.metrics_page(self._metrics.page))
@@ -121,6 +123,11 @@
         listing = gevent.spawn(self._list_self)
         self._closing.callback(listing.kill)
 
+    def reload(self, cfg: Settings) -> None:
+        """Take new bounds and times; addresses hold until the next start."""
+        self._cfg = cfg
+        self._core.set_retries(cfg.gateway.retries)
+
     def stop(self) -> None:
         """Leave without cutting off a call; see `Service`."""
         started = time.monotonic()
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -9,10 +9,7 @@
 DEADLINE_MS = "toucanspool-deadline-ms"
 EXPECT_INSTANCE = "toucanspool-expect-instance"
 LAST_EVENT_ID = "last-event-id"
-MODEL = "toucanspool-model"
 NOT_EXECUTED = "toucanspool-not-executed"
-# The parts of the prompt with their lengths, not a hash.
-PROMPT_PARTS = "toucanspool-prefix-hash"
 PRIORITY = "toucanspool-request-priority"
 # Running and waiting requests and slots of the upstream.
 SERVER_LOAD = "toucanspool-server-load"
@@ -120,11 +117,6 @@
     return int(number(prompt, 0.0)), int(answer)
 
 
-def subject(headers: Mapping[str, str]) -> str:
-    """Return the name of the first part of the prompt, which requests share."""
-    return headers.get(PROMPT_PARTS, "").partition(",")[0].partition(":")[0]
-
-
 def number(text: str, default: float) -> float:
     """Return a header's number, or a default where it holds none."""
     try:
--- a/toucanspool/platform/pages.py
+++ b/toucanspool/platform/pages.py
@@ -35,15 +35,17 @@
     return page
 
 
-def directory_page(addresses: Callable[[], Sequence[str]], keep_s: float) -> Page:
+def directory_page(
+    addresses: Callable[[], Sequence[str]], keep_s: Callable[[], float]
+) -> Page:
     """Return the page that tells callers which entries to use.
 
     Parameters
     ----------
     addresses : callable
         Returns the entries' addresses.
-    keep_s : float
-        How long callers may keep the answer, in seconds.
+    keep_s : callable
+        Returns how long callers may keep the answer, in seconds.
 
     Returns
     -------
@@ -57,7 +59,7 @@
         found = list(addresses())[:MOST_ADDRESSES]
         if not found:
             return _answer(start_response, UNAVAILABLE, b"")
-        body = orjson.dumps({"addresses": found, "ttlS": keep_s})
+        body = orjson.dumps({"addresses": found, "ttlS": keep_s()})
         return _answer(start_response, OK, body, "application/json")
 
     return page
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -30,7 +30,7 @@
         The process's settings.
     """
 
-    __slots__ = ("_cfg", "_closing", "_member", "_routes")
+    __slots__ = ("_cfg", "_closing", "_member", "_routes", "_runner")
 
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
@@ -79,11 +79,13 @@
         ticker = Ticker("rank watch", WATCH_S, self._member.watch, rng=rng)
         ticker.start()
         self._closing.callback(ticker.stop)
-        runner = gevent.spawn(self._member.run)
-        self._closing.callback(runner.kill)
+        self._runner = gevent.spawn(self._member.run)
 
     def stop(self) -> None:
-        """Close all; see `Service`."""
+        """End a switch under way, then close all; see `Service`."""
+        self._member.stop()
+        self._runner.join(timeout=self._cfg.drain.grace_s / 2)
+        self._runner.kill()
         self._closing.close()
 
     def _engine_model(self) -> EngineModel | None:
--- a/toucanspool/recovery/token.py
+++ b/toucanspool/recovery/token.py
@@ -38,6 +38,29 @@
         return 0
 
 
+def held_token(table: Table, duty: str) -> int:
+    """Return the token of a duty's holder; 0 before the first.
+
+    Parameters
+    ----------
+    table : Table
+        Where the row is.
+    duty : str
+        The duty.
+
+    Returns
+    -------
+    int
+
+    Raises
+    ------
+    TableError
+        The table did not answer.
+    """
+    key = PREFIX + duty
+    return token_of(table.get([key]).get(key))
+
+
 def elect(table: Table, duty: str, holder: str, *, above: int) -> int | None:
     """Make a process the holder of a duty.
 
--- a/toucanspool/retries/shared_budget.py
+++ b/toucanspool/retries/shared_budget.py
@@ -20,18 +20,27 @@
         Length of the window, in seconds.
     extra : float
         Repeats allowed besides, for all entries together.
+
+    Attributes
+    ----------
+    entries : int
+        Entries that share the fixed number; 0 while it is not known.
     """
 
     __slots__ = ("_extra", "_firsts", "_ratio", "_repeats", "_window_s", "entries")
 
     def __init__(self, *, ratio: float, window_s: float, extra: float) -> None:
-        self._ratio = ratio
-        self._window_s = window_s
-        self._extra = extra
+        self.bound(ratio=ratio, window_s=window_s, extra=extra)
         self._firsts: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
         self.entries = 0
 
+    def bound(self, *, ratio: float, window_s: float, extra: float) -> None:
+        """Put other bounds in force; the parameters are those of the class."""
+        self._ratio = ratio
+        self._window_s = window_s
+        self._extra = extra
+
     def request(self, service: str, now: float) -> None:
         """Count a request of a caller.
 
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -168,7 +168,6 @@
     store: RowStore
     retries: RetryBudget = RetryBudget()
     address_ttl_s: Seconds = 2.0
-    stall_s: Seconds = 1.5
 
 
 class RankAgent(Model):
--- a/toucanspool/telemetry/logs.py
+++ b/toucanspool/telemetry/logs.py
@@ -1,12 +1,16 @@
 """Structured logs: JSON lines, or coloured lines on a terminal."""
 
+import atexit
 import logging
 import sys
 from collections.abc import Callable
 from typing import Any
 
+import orjson
 import structlog
 
+from toucanspool.telemetry.line_writer import LineWriter
+
 
 def set_up(instance: str, *, level: str = "info") -> None:
     """Set up logging for the process.
@@ -20,9 +24,12 @@
     """
     renderer = (
         structlog.dev.ConsoleRenderer()
-        if sys.stderr.isatty()
-        else structlog.processors.JSONRenderer()
+        if sys.stdout.isatty()
+        else structlog.processors.JSONRenderer(serializer=_dumps)
     )
+    writer = LineWriter(sys.stdout.fileno())
+    writer.start()
+    atexit.register(writer.flush)
     structlog.configure(
         processors=[
             _bind(instance),
@@ -34,11 +41,15 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *args: writer,
         cache_logger_on_first_use=True,
     )
 
 
+def _dumps(event: dict[str, Any], **options: Any) -> str:
+    return orjson.dumps(event, default=repr).decode()
+
+
 def _bind(instance: str) -> Callable[[Any, str, dict], dict]:
     def add(logger: Any, method: str, event: dict) -> dict:
         event["instance"] = instance
