--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -17,7 +17,7 @@
 from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.placing import Placing
-from toucanspool.routing.routes import RouteTable
+from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.routing.upstreams import UpstreamList
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
@@ -125,7 +125,7 @@
         for route in routes.routes:
             for name, _ in route.services:
                 if routes.service(name).engine and route.pause_s:
-                    self._limit(name, route.pause_s)
+                    self._limit(name, route)
         _log.info(
             "routes in force",
             version=routes.version,
@@ -150,9 +150,9 @@
             ready = len(self.upstreams.ready(name))
             if engine is None or not ready:
                 continue
-            pace.size(engine, ready, entries)
             admission = self._gates[name].admission
-            admission.resize(pace.adapt(admission.running, now), now)
+            limit = pace.adapt(engine, ready, entries, admission.running, now)
+            admission.resize(limit, now)
             self._metrics.limit.labels(name).set(pace.limit)
             self._metrics.running.labels(name).set(admission.running)
 
@@ -167,12 +167,12 @@
             for name, pace in self._paces.items()
         }
 
-    def _limit(self, service: str, pause_s: float) -> None:
+    def _limit(self, service: str, route: Route) -> None:
         pace = self._paces.get(service)
         if pace is not None:
-            pace.pause_s = pause_s
+            pace.pause_s, pace.answer_s = route.pause_s, route.timeout_s
             return
-        self._paces[service] = Pace(pause_s)
+        self._paces[service] = Pace(route.pause_s, route.timeout_s)
         returns = RetryAfter(
             self._rng, least_s=RETURN_LEAST_S, spread_s=RETURN_SPREAD_S
         )
--- a/toucanspool/groups/copies.py
+++ b/toucanspool/groups/copies.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     layer_set, rank, expert : int
-        Where, and which.
+        Where, and which; `EMPTY` where the rank only gives a copy up.
     dropped : int
         The expert whose copy it gives up; `EMPTY` for none.
     """
@@ -106,19 +106,21 @@
         each = demand / self.held.sum(axis=1)
         return np.einsum("sre,se->sr", self.held, each) * self.held.shape[1]
 
-    def skew(self, demand: FloatArray) -> float:
-        """Return the most loaded rank's load over the mean, averaged over sets.
+    def skew(self, demand: FloatArray, paces: FloatArray) -> float:
+        """Return the slowest rank's time over that of the mean load.
 
         Parameters
         ----------
         demand : ndarray of float, shape (sets, experts)
             Each set adds up to 1.
+        paces : ndarray of float, shape (ranks,)
+            How many times as long as usual each rank's work takes.
 
         Returns
         -------
         float
         """
-        return float(self.loads(demand).max(axis=1).mean())
+        return float((self.loads(demand) * paces).max(axis=1).mean())
 
     def after(self, copies: list[Copy]) -> "Copies":
         """Return the copies after changes.
@@ -134,7 +136,8 @@
         """
         held = self.held.copy()
         for copy in copies:
-            held[copy.layer_set, copy.rank, copy.expert] = True
+            if copy.expert != EMPTY:
+                held[copy.layer_set, copy.rank, copy.expert] = True
             if copy.dropped != EMPTY:
                 held[copy.layer_set, copy.rank, copy.dropped] = False
         return Copies(held, self.places)
@@ -153,12 +156,23 @@
         Those in force.
     demand : ndarray of float, shape (sets, experts)
         Each set adds up to 1.
+    paces : ndarray of float, shape (ranks,)
+        How many times as long as usual each rank's work takes.
     """
 
-    __slots__ = ("_copies", "_counts", "_demand", "_held", "_left", "_loads")
-
-    def __init__(self, copies: Copies, demand: FloatArray) -> None:
+    __slots__ = (
+        "_copies",
+        "_counts",
+        "_demand",
+        "_held",
+        "_left",
+        "_loads",
+        "_paces",
+    )
+
+    def __init__(self, copies: Copies, demand: FloatArray, paces: FloatArray) -> None:
         self._copies = copies
+        self._paces = paces
         self._held = copies.held.copy()
         self._demand = demand * copies.held.shape[1]
         self._counts = self._held.sum(axis=1)
@@ -188,7 +202,7 @@
             gain, copy = best[layer_set]
             if copy is None or gain < least_gain:
                 return found
-            if self._left[copy.rank] <= 0:
+            if copy.expert != EMPTY and self._left[copy.rank] <= 0:
                 best[layer_set] = self._best(layer_set)
                 continue
             self._apply(copy)
@@ -197,15 +211,16 @@
 
     def _best(self, layer_set: int) -> tuple[float, Copy | None]:
         loads = self._loads[layer_set]
+        paces = self._paces
         held = self._held[layer_set]
         counts = self._counts[layer_set]
         demand = self._demand[layer_set]
         each = demand / counts
-        top = int(loads.argmax())
+        top = int((loads * paces).argmax())
         hottest = np.argsort(np.where(held[top], each, -1.0))[::-1][:HOTTEST]
         takers = np.flatnonzero(self._left > 0)
-        before = _smooth_max(loads[None, :])[0]
-        best_gain, best = 0.0, None
+        before = _smooth_max((loads * paces)[None, :])[0]
+        best_gain, best = self._best_drop(layer_set, top, before)
         for expert in hottest:
             if not held[top, expert]:
                 continue
@@ -233,21 +248,42 @@
                     trials.append(trial)
             if not trials:
                 continue
-            gains = before - _smooth_max(np.asarray(trials))
+            gains = before - _smooth_max(np.asarray(trials) * paces)
             index = int(gains.argmax())
             if gains[index] > best_gain:
                 best_gain = float(gains[index])
                 best = Copy(layer_set, ranks[index], int(expert), dropped[index])
         return best_gain, best
 
+    def _best_drop(
+        self, layer_set: int, rank: int, before: float
+    ) -> tuple[float, Copy | None]:
+        """Return the copy that a rank had better give up to the others that hold it."""
+        held = self._held[layer_set]
+        counts = self._counts[layer_set]
+        demand = self._demand[layer_set]
+        spare = np.flatnonzero(held[rank] & (counts > 1))
+        if not spare.size:
+            return 0.0, None
+        each = demand[spare] / counts[spare]
+        more = demand[spare] / (counts[spare] - 1) - each
+        trials = self._loads[layer_set] + held[:, spare].T * more[:, None]
+        trials[:, rank] -= each + more
+        gains = before - _smooth_max(trials * self._paces)
+        index = int(gains.argmax())
+        if gains[index] <= 0.0:
+            return 0.0, None
+        return float(gains[index]), Copy(layer_set, rank, EMPTY, int(spare[index]))
+
     def _apply(self, copy: Copy) -> None:
         s = copy.layer_set
-        self._held[s, copy.rank, copy.expert] = True
+        if copy.expert != EMPTY:
+            self._held[s, copy.rank, copy.expert] = True
+            self._left[copy.rank] -= 1
         if copy.dropped != EMPTY:
             self._held[s, copy.rank, copy.dropped] = False
         self._counts[s] = self._held[s].sum(axis=0)
         self._loads[s] = self._held[s] @ (self._demand[s] / self._counts[s])
-        self._left[copy.rank] -= 1
 
 
 def _smooth_max(loads: FloatArray) -> FloatArray:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -17,6 +17,7 @@
 )
 from toucanspool.groups.copies import Copies, CopySearch
 from toucanspool.groups.demand import Demand
+from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE
 from toucanspool.groups.rank_keeper import MAP_TYPE, PICKS_TYPE
@@ -142,11 +143,13 @@
         if not self._demand.known:
             return
         demand = self._demand.shares
-        copies = CopySearch(self._copies, demand).run(
+        paces = np.array([answers[rank].pace for rank in sorted(answers)])
+        copies = CopySearch(self._copies, demand, paces).run(
             per_rank=COPIES_PER_RANK, least_gain=LEAST_GAIN
         )
         planned = self._copies.after(copies)
-        before, after = self._copies.skew(demand), planned.skew(demand)
+        before = self._copies.skew(demand, paces)
+        after = planned.skew(demand, paces)
         if not copies or before - after < LEAST_SKEW_GAIN:
             return
         new = max(answer.newest_version for answer in answers.values()) + 1
@@ -155,7 +158,8 @@
             "map planned",
             group=self._group,
             version=new,
-            copies=len(copies),
+            copies=sum(copy.expert != EMPTY for copy in copies),
+            slowest=round(float(paces.max()), 1),
             skew=round(before, 2),
             skew_after=round(after, 2),
             token=self._token,
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -1,16 +1,30 @@
 """Asks of a coordinator and answers of rank agents, over connections."""
 
 import itertools
+import time
 from collections.abc import Callable
 
 import gevent
+import structlog
 from gevent.event import AsyncResult
 
+from toucanspool.groups.rank_keeper import RankKeeper
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
-from toucanspool.wire.gen.messages.ttypes import Frame, RankAnswer, RankAsk
+from toucanspool.wire.gen.messages.ttypes import (
+    Frame,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
 
-CONNECT_TIMEOUT_S = 0.4
-ASK_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.25
+# Agents answer within milliseconds, or after a packet was sent again.
+ASK_TIMEOUT_S = 0.35
+# An agent that was silent is asked again after this time.
+SILENT_S = 1.0
+
+
+_log = structlog.get_logger()
 
 
 class AskLost(Exception):
@@ -26,13 +40,28 @@
         IP number.
     port : int
         Port.
+    fallback : RankKeeper, optional
+        Reaches the rank's engine from here while its agent is silent. Such orders
+        cost more, and only the agents of the other ranks check the token.
     """
 
-    __slots__ = ("_calls", "_conn", "_host", "_port", "_waiting")
-
-    def __init__(self, host: str, port: int) -> None:
+    __slots__ = (
+        "_calls",
+        "_conn",
+        "_fallback",
+        "_host",
+        "_port",
+        "_silent_until",
+        "_waiting",
+    )
+
+    def __init__(
+        self, host: str, port: int, *, fallback: RankKeeper | None = None
+    ) -> None:
         self._host = host
         self._port = port
+        self._fallback = fallback
+        self._silent_until = 0.0
         self._conn: Connection | None = None
         self._calls = itertools.count(1)
         self._waiting: dict[int, AsyncResult] = {}
@@ -44,8 +73,8 @@
         ----------
         ask : RankAsk
             The ask; its number is set here.
-        timeout_s : float, default=0.8
-            The longest wait, in seconds.
+        timeout_s : float, default=0.35
+            The longest wait for the agent, in seconds.
 
         Returns
         -------
@@ -56,6 +85,25 @@
         AskLost
             No answer came.
         """
+        if time.monotonic() < self._silent_until:
+            return self._ask_engine(ask)
+        try:
+            return self._ask_agent(ask, timeout_s)
+        except AskLost as exc:
+            if self._fallback is None:
+                raise
+            _log.info("rank agent silent", host=self._host, error=str(exc))
+            self._silent_until = time.monotonic() + SILENT_S
+            return self._ask_engine(ask)
+
+    def _ask_engine(self, ask: RankAsk) -> RankAnswer:
+        assert self._fallback is not None
+        answer = self._fallback.answer(ask)
+        if answer.result == RankResult.LOST and answer.rank < 0:
+            raise AskLost(answer.detail)
+        return answer
+
+    def _ask_agent(self, ask: RankAsk, timeout_s: float) -> RankAnswer:
         ask.call = next(self._calls)
         found = self._waiting[ask.call] = AsyncResult()
         try:
--- a/toucanspool/groups/rank_engine.py
+++ b/toucanspool/groups/rank_engine.py
@@ -48,6 +48,8 @@
         Pass that the group does not begin; `NONE` for none.
     running, waiting : int
         Requests.
+    pace : float
+        How many times as long as usual its work takes.
     """
 
     group: str
@@ -62,6 +64,7 @@
     held: int = NONE
     running: int = 0
     waiting: int = 0
+    pace: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -23,6 +23,7 @@
 )
 
 READS = frozenset({RankAction.STATUS, RankAction.LISTS})
+NO_TOKEN = -1
 MAP_TYPE = np.int16
 PICKS_TYPE = np.uint32
 
@@ -57,7 +58,7 @@
         self._picks: Picks | None = None
         self._newest = NONE
         self._restored = False
-        self.token = -1
+        self.token = NO_TOKEN
         self.heard_at = time.monotonic()
 
     def restore(self, token: int) -> None:
@@ -126,6 +127,7 @@
             newest_version=self._newest,
             detail=detail,
             experts=experts,
+            pace=state.pace,
         )
 
     def _order(self, ask: RankAsk) -> tuple[int, str]:
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -2,10 +2,8 @@
 
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 import gevent
-import orjson
 import structlog
 
 from toucanspool.backing.table import Row, Table, TableError, Write
@@ -13,70 +11,24 @@
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import RankLink
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
-from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.groups.rank_keeper import NO_TOKEN, RankKeeper
+from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.token import elect, held_token
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
 
-PREFIX = "rank/"
 STEP_S = 0.2
-WATCH_S = 1.0
+WATCH_S = 0.5
+# Smaller changes of pace are not told to entries.
+PACE_CHANGE = 0.2
 # A group without a coordinator for this long elects another; each rank waits a
 # little longer than the one before it, so that one of them stands alone.
-TAKEOVER_S = 1.5
-RANK_DELAY_S = 0.25
+TAKEOVER_S = 1.2
+RANK_DELAY_S = 0.15
 
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True, frozen=True)
-class RankRecord:
-    """Hold what a rank agent lists of itself.
-
-    Parameters
-    ----------
-    name : str
-        Its instance.
-    host : str
-        IP number.
-    port : int
-        Port.
-    group : str
-        The group of its engine.
-    rank : int
-        Its engine's rank.
-    """
-
-    name: str
-    host: str
-    port: int
-    group: str
-    rank: int
-
-    def encode(self) -> bytes:
-        """Return the record as JSON."""
-        return orjson.dumps(self)
-
-
-def decode_rank(row: Row) -> RankRecord | None:
-    """Return the record in a row, or None where it can't be read.
-
-    Parameters
-    ----------
-    row : Row
-        The row.
-
-    Returns
-    -------
-    RankRecord or None
-    """
-    try:
-        return RankRecord(**orjson.loads(row.value))
-    except (ValueError, TypeError) as exc:
-        _log.warning("unreadable rank record", key=row.key, error=repr(exc))
-        return None
-
-
 class _OwnLink:
     """Ask the agent in this process."""
 
@@ -102,6 +54,10 @@
         Port.
     engine : RankEngine
         The engine beside.
+    engine_address : str
+        Where it listens, as ``HOST:PORT``.
+    connect : callable
+        Takes the address of another rank's engine and returns it.
     keeper : RankKeeper
         Guards the engine.
     table : Table
@@ -111,8 +67,10 @@
     """
 
     __slots__ = (
+        "_connect",
         "_coordinator",
         "_engine",
+        "_engine_address",
         "_engine_model",
         "_host",
         "_keeper",
@@ -132,6 +90,8 @@
         port: int,
         *,
         engine: RankEngine,
+        engine_address: str,
+        connect: Callable[[str], RankEngine],
         keeper: RankKeeper,
         table: Table,
         engine_model: Callable[[], EngineModel | None],
@@ -140,6 +100,8 @@
         self._host = host
         self._port = port
         self._engine = engine
+        self._engine_address = engine_address
+        self._connect = connect
         self._keeper = keeper
         self._table = table
         self._engine_model = engine_model
@@ -172,10 +134,10 @@
         """Act as coordinator, or stand by, until told to stop."""
         while not self._stopping:
             started = time.monotonic()
-            if self._coordinator is not None:
-                self._coordinate()
-            elif self._own is not None and self._alone(self._own):
-                self._stand(self._own)
+            try:
+                self._act()
+            except Exception:
+                _log.exception("coordination failed")
             passed_s = time.monotonic() - started
             gevent.sleep(max(0.01, STEP_S - passed_s))
 
@@ -204,8 +166,32 @@
         for link in self._links.values():
             link.close()
 
+    def _act(self) -> None:
+        if self._coordinator is not None:
+            self._coordinate()
+        elif self._own is not None and self._alone(self._own):
+            self._stand(self._own)
+
+    def _direct(self, record: RankRecord) -> RankKeeper:
+        """Return a way to a rank's engine past its agent, for while that is away."""
+        keeper = RankKeeper(self._connect(record.engine))
+        keeper.restore(NO_TOKEN)
+        return keeper
+
     def _record(self, state: RankState) -> RankRecord:
-        return RankRecord(self._name, self._host, self._port, state.group, state.rank)
+        before = self._own.pace if self._own else 1.0
+        pace = before
+        if abs(state.pace - before) > PACE_CHANGE * before:
+            pace = round(state.pace, 2)
+        return RankRecord(
+            name=self._name,
+            host=self._host,
+            port=self._port,
+            group=state.group,
+            rank=state.rank,
+            engine=self._engine_address,
+            pace=pace,
+        )
 
     def _alone(self, own: RankRecord) -> bool:
         silent_s = time.monotonic() - self._keeper.heard_at
@@ -238,7 +224,9 @@
             if record.group != own.group or record.name == self._name:
                 continue
             address = (record.host, record.port)
-            link = self._links.get(address) or RankLink(*address)
+            link = self._links.get(address)
+            if link is None:
+                link = RankLink(*address, fallback=self._direct(record))
             used[address] = link
             links.setdefault(record.rank, link)
         for address in self._links.keys() - used.keys():
--- /dev/null
+++ b/toucanspool/groups/rank_record.py
@@ -0,0 +1,66 @@
+"""What a rank agent lists of itself in the table."""
+
+from dataclasses import dataclass
+
+import orjson
+import structlog
+
+from toucanspool.backing.table import Row
+
+PREFIX = "rank/"
+
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True, frozen=True)
+class RankRecord:
+    """Hold what a rank agent lists of itself.
+
+    Parameters
+    ----------
+    name : str
+        Its instance.
+    host : str
+        IP number.
+    port : int
+        Port.
+    group : str
+        The group of its engine.
+    rank : int
+        Its engine's rank.
+    engine : str
+        Where its engine listens, as ``HOST:PORT``.
+    pace : float
+        How many times as long as usual its engine's work takes.
+    """
+
+    name: str
+    host: str
+    port: int
+    group: str
+    rank: int
+    engine: str
+    pace: float
+
+    def encode(self) -> bytes:
+        """Return the record as JSON."""
+        return orjson.dumps(self)
+
+
+def decode_rank(row: Row) -> RankRecord | None:
+    """Return the record in a row, or None where it can't be read.
+
+    Parameters
+    ----------
+    row : Row
+        The row.
+
+    Returns
+    -------
+    RankRecord or None
+    """
+    try:
+        return RankRecord(**orjson.loads(row.value))
+    except (ValueError, TypeError) as exc:
+        _log.warning("unreadable rank record", key=row.key, error=repr(exc))
+        return None
--- a/toucanspool/limits/pace.py
+++ b/toucanspool/limits/pace.py
@@ -1,66 +1,72 @@
 """How many streams an entry may carry so that their events come in time.
 
-All streams of a lock-step group wait for the same passes. So each entry sees in its
-own streams' pauses how long passes take, and entries need not tell each other how
-much they carry.
+All streams of a lock-step group wait for the same passes. So each entry sees in the
+pauses of its own streams how long passes take, and entries need not tell each other
+what they carry: an entry takes it that the others carry as much as itself.
 """
 
+import math
+
 from toucanspool.routing.routes import EngineModel
 
 # Part of the pause allowed that passes may take: the rest is for their spread.
 TARGET_PART = 0.75
-MEMORY_PAUSES = 40.0
-STEP_S = 0.25
-RAISE = 0.03
-MOST_CUT = 0.85
-# A pass with slots full may be this much longer than the model says, since a group
-# waits for its most loaded rank.
-FIRST_PART = 0.6
+# Part of the time for a whole answer that passes may take where no pause is in time.
+WHOLE_PART = 0.6
+MEMORY_S = 0.4
+# Below this many requests a rank, more are carried, though late.
+LEAST_IN_TIME = 1.0
+# Pauses longer than this many times the one allowed say no more.
+LONGEST_PAUSES = 8.0
 LEAST = 1.0
 
 
 class Pace:
-    """Adapt the number of streams to the pauses seen.
+    """Work out the number of streams from the pauses seen and the engines' model.
+
+    The model gives the time of a pass for the requests of a rank. How much longer the
+    passes seen were is put down to load that is spread unevenly and to slow ranks, and
+    is thought to last.
 
     Parameters
     ----------
     pause_s : float
         The longest pause that is on time, in seconds.
-    """
+    answer_s : float
+        The longest time for a whole answer, in seconds.
 
-    __slots__ = ("_changed_at", "_mean_s", "limit", "pause_s", "most")
+    Attributes
+    ----------
+    limit : float
+        Streams that may be carried; 0 before the first look.
+    """
 
-    def __init__(self, pause_s: float) -> None:
+    __slots__ = (
+        "_at",
+        "_carried",
+        "_count",
+        "_mean_s",
+        "_sum_s",
+        "answer_s",
+        "limit",
+        "pause_s",
+    )
+
+    def __init__(self, pause_s: float, answer_s: float) -> None:
         self.pause_s = pause_s
+        self.answer_s = answer_s
         self.limit = 0.0
-        self.most = 0.0
         self._mean_s = 0.0
-        self._changed_at = 0.0
+        self._carried = 0.0
+        self._sum_s = 0.0
+        self._count = 0
+        self._at = 0.0
 
     @property
     def mean_s(self) -> float:
         """Return the mean pause of late, in seconds; 0 before the first."""
         return self._mean_s
 
-    def size(self, engine: EngineModel, upstreams: int, entries: int) -> None:
-        """Set what the upstreams could carry for this entry.
-
-        Parameters
-        ----------
-        engine : EngineModel
-            The upstreams' engines.
-        upstreams : int
-            Upstreams that take work.
-        entries : int
-            Entries that share them.
-        """
-        most = max(LEAST, engine.slots * upstreams / max(1, entries))
-        if not self.limit:
-            self.limit = FIRST_PART * most
-        elif self.most:
-            self.limit *= most / self.most
-        self.most = most
-
     def paused(self, seconds: float) -> None:
         """Count a pause between two events of a stream.
 
@@ -69,17 +75,29 @@
         seconds : float
             The pause.
         """
-        if not self._mean_s:
-            self._mean_s = seconds
-        self._mean_s += (min(seconds, 4 * self.pause_s) - self._mean_s) / MEMORY_PAUSES
-
-    def adapt(self, running: int, now: float) -> float:
-        """Return the limit, changed where the pauses ask for it.
+        self._sum_s += min(seconds, LONGEST_PAUSES * self.pause_s)
+        self._count += 1
+
+    def adapt(
+        self,
+        engine: EngineModel,
+        upstreams: int,
+        entries: int,
+        running: int,
+        now: float,
+    ) -> float:
+        """Return the limit for what was seen until now.
 
         Parameters
         ----------
+        engine : EngineModel
+            The upstreams' engines.
+        upstreams : int
+            Upstreams that take work.
+        entries : int
+            Entries that share them.
         running : int
-            Streams carried now.
+            Streams that this entry carries.
         now : float
             Seconds on the monotonic clock.
 
@@ -87,13 +105,58 @@
         -------
         float
         """
-        if now - self._changed_at < STEP_S or not self._mean_s:
-            return self.limit
-        self._changed_at = now
-        ratio = self._mean_s / (TARGET_PART * self.pause_s)
-        if ratio > 1.0:
-            self.limit *= max(MOST_CUT, 1.0 / ratio**0.5)
-        elif running >= self.limit - 1.0:
-            self.limit *= 1.0 + RAISE * min(1.0, 4.0 * (1.0 - ratio))
-        self.limit = min(self.most, max(LEAST, self.limit))
+        entries = max(1, entries)
+        self._look(running * entries / upstreams, now)
+        allowed = self._per_upstream(engine)
+        self.limit = max(LEAST, allowed * upstreams / entries)
         return self.limit
+
+    def _look(self, carried: float, now: float) -> None:
+        """Bring what was seen since the last look into the means."""
+        gain = 1.0 - math.exp(-(now - self._at) / MEMORY_S)
+        self._at = now
+        self._carried += gain * (carried - self._carried)
+        if not self._count:
+            return
+        seen_s = self._sum_s / self._count
+        self._sum_s, self._count = 0.0, 0
+        self._mean_s += (gain if self._mean_s else 1.0) * (seen_s - self._mean_s)
+
+    def _per_upstream(self, engine: EngineModel) -> float:
+        """Return the requests that an upstream may have at once."""
+        stretch = max(1.0, self._mean_s / pass_s(engine, self._carried))
+        in_time = _requests(engine, TARGET_PART * self.pause_s / stretch)
+        if in_time >= LEAST_IN_TIME:
+            return min(in_time, engine.slots)
+        events = max(1.0, engine.usual_answer_tokens / engine.steps_per_pass)
+        late = _requests(engine, WHOLE_PART * self.answer_s / events / stretch)
+        return min(max(LEAST_IN_TIME, late), engine.slots)
+
+
+def pass_s(engine: EngineModel, requests: float) -> float:
+    """Return how long a pass takes by the engines' model.
+
+    Parameters
+    ----------
+    engine : EngineModel
+        The model.
+    requests : float
+        Requests that each rank writes for; one more is being read.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    step_s = engine.step_s + engine.per_request_s * requests
+    return engine.steps_per_pass * step_s + _read_s(engine)
+
+
+def _requests(engine: EngineModel, seconds: float) -> float:
+    """Return the requests of each rank with which a pass takes a given time."""
+    step_s = (seconds - _read_s(engine)) / engine.steps_per_pass
+    return (step_s - engine.step_s) / engine.per_request_s
+
+
+def _read_s(engine: EngineModel) -> float:
+    return engine.usual_prompt_tokens / engine.read_tokens_per_s
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -62,6 +62,7 @@
                 held=_version(data.get("held")),
                 running=int(data.get("active", 0)),
                 waiting=int(data.get("queued", 0)),
+                pace=float(data.get("pace") or 1.0),
             )
         except (KeyError, TypeError, ValueError) as exc:
             raise BadAnswer(repr(exc)) from exc
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -12,6 +12,8 @@
 from toucanspool.entry.http_server import HttpServer
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
+from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
+from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.entries import PREFIX, Entries, EntryRecord
@@ -55,6 +57,7 @@
         "_kernel",
         "_metrics",
         "_own",
+        "_ranks",
         "_server",
         "_store",
         "_upstreams_known",
@@ -69,6 +72,7 @@
         self._entries = Entries(self._own)
         self._metrics = CallMetrics()
         self._closing = ExitStack()
+        self._ranks: dict[str, RankRecord] = {}
         self._upstreams_known = False
 
     def start(self, kernel: Kernel) -> None:
@@ -97,7 +101,7 @@
             wait_s=store.list_interval_s,
             pause_s=store.list_interval_s,
         )
-        self._follow(OWN_TABLE, self._all_entries, self._changed_entries, rng=rng)
+        self._follow(OWN_TABLE, self._all_own, self._changed_own, rng=rng)
         frontend = Frontend(
             self._core.front, lambda: self._core.routes, rng, self._metrics
         )
@@ -219,15 +223,26 @@
         self._core.upstreams.change(changed, changes.version)
         self._core.upstreams_changed()
 
-    def _all_entries(self, changes: Changes) -> None:
+    def _all_own(self, changes: Changes) -> None:
         self._entries.replace(r for r in changes.rows if r.key.startswith(PREFIX))
+        self._ranks.clear()
+        self._note_ranks(changes)
 
-    def _changed_entries(self, changes: Changes) -> None:
+    def _changed_own(self, changes: Changes) -> None:
         for row in changes.rows:
             if row.key.startswith(PREFIX):
                 self._entries.put(row)
         for key in changes.gone:
             self._entries.drop(key)
+            self._ranks.pop(key, None)
+        self._note_ranks(changes)
+
+    def _note_ranks(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key.startswith(RANK_PREFIX) and (record := decode_rank(row)):
+                self._ranks[row.key] = record
+        paces = {record.engine: record.pace for record in self._ranks.values()}
+        self._core.upstreams.set_paces(paces)
 
     def _list_self(self) -> None:
         write = Write(PREFIX + self._own.name, self._own.encode())
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -7,7 +7,8 @@
 
 from toucanspool.groups.rank_calls import AskReceiver
 from toucanspool.groups.rank_keeper import RankKeeper
-from toucanspool.groups.rank_member import PREFIX, WATCH_S, RankMember
+from toucanspool.groups.rank_member import WATCH_S, RankMember
+from toucanspool.groups.rank_record import PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.platform import configuration
@@ -52,6 +53,8 @@
             self._cfg.host,
             self._cfg.port,
             engine=engine,
+            engine_address=f"{cfg.engine.host}:{cfg.engine.port}",
+            connect=_connect,
             keeper=keeper,
             table=store,
             engine_model=self._engine_model,
@@ -111,3 +114,8 @@
                 self._member.put(row)
         for key in changes.gone:
             self._member.drop(key)
+
+
+def _connect(address: str) -> PlatformEngine:
+    host, _, port = address.rpartition(":")
+    return PlatformEngine(host, int(port))
--- a/toucanspool/routing/placing.py
+++ b/toucanspool/routing/placing.py
@@ -7,6 +7,7 @@
 from toucanspool.routing.upstreams import Upstream, UpstreamList
 
 FAR_LOAD = 0.25
+LEAST_WEIGHT = 0.01
 
 
 class Placing:
@@ -88,6 +89,7 @@
             load = upstream.load(now)
             if near and upstream.listing.failure_domain != self._failure_domain:
                 load += FAR_LOAD
-            return (load + 1.0) / max(weight, 0.01), (position - first) % len(fresh)
+            slowness = self._upstreams.pace(upstream) / max(weight, LEAST_WEIGHT)
+            return (load + 1.0) * slowness, (position - first) % len(fresh)
 
         return min(usable, key=cost)[2]
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -44,6 +44,11 @@
     slots: int = 1
     started_ms: int = 0
 
+    @property
+    def address(self) -> str:
+        """Return its address as ``HOST:PORT``."""
+        return f"{self.host}:{self.port}"
+
 
 class Upstream:
     """Follow one upstream.
@@ -108,10 +113,11 @@
 class UpstreamList:
     """Keep the upstreams by name and by service."""
 
-    __slots__ = ("_by_name", "version")
+    __slots__ = ("_by_name", "_paces", "version")
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
+        self._paces: dict[str, float] = {}
         self.version = 0
 
     def __len__(self) -> int:
@@ -124,6 +130,25 @@
         """Return an upstream by name, or None."""
         return self._by_name.get(name)
 
+    def set_paces(self, paces: Mapping[str, float]) -> None:
+        """Take how slow upstreams are.
+
+        Parameters
+        ----------
+        paces : mapping of str to float
+            By address as ``HOST:PORT``, how many times as long as usual work takes;
+            1 for those that are not named.
+        """
+        for address in paces.keys() | self._paces.keys():
+            before, after = self._paces.get(address, 1.0), paces.get(address, 1.0)
+            if before != after:
+                _log.info("pace changed", address=address, pace=after, before=before)
+        self._paces = dict(paces)
+
+    def pace(self, upstream: Upstream) -> float:
+        """Return how many times as long as usual an upstream's work takes."""
+        return self._paces.get(upstream.listing.address, 1.0)
+
     def replace(self, listings: Iterable[Listing], version: int) -> None:
         """Take the whole list.
 
@@ -186,7 +211,7 @@
                 "upstream listed",
                 upstream=listing.name,
                 service=listing.service,
-                address=f"{listing.host}:{listing.port}",
+                address=listing.address,
                 ready=listing.ready,
                 version=version,
             )
--- a/toucanspool/telemetry/logs.py
+++ b/toucanspool/telemetry/logs.py
@@ -46,8 +46,9 @@
     )
 
 
-def _dumps(event: dict[str, Any], **options: Any) -> str:
-    return orjson.dumps(event, default=repr).decode()
+def _dumps(event: dict[str, Any], **unused: Any) -> str:
+    options = orjson.OPT_NON_STR_KEYS
+    return orjson.dumps(event, default=repr, option=options).decode()
 
 
 def _bind(instance: str) -> Callable[[Any, str, dict], dict]:
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -2066,6 +2066,7 @@
      - newest_version
      - detail
      - experts
+     - pace
 
     """
 
@@ -2089,10 +2090,11 @@
         'newest_version',
         'detail',
         'experts',
+        'pace',
     )
 
 
-    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None,):
+    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None, pace=None,):
         self.call = call
         self.result = result
         self.token = token
@@ -2112,6 +2114,7 @@
         self.newest_version = newest_version
         self.detail = detail
         self.experts = experts
+        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2217,6 +2220,11 @@
                     self.experts = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2303,6 +2311,10 @@
             oprot.writeFieldBegin('experts', TType.STRING, 19)
             oprot.writeBinary(self.experts)
             oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 20)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2741,6 +2753,7 @@
     (17, TType.I64, 'newest_version', None, None, ),  # 17
     (18, TType.STRING, 'detail', 'UTF8', None, ),  # 18
     (19, TType.STRING, 'experts', 'BINARY', None, ),  # 19
+    (20, TType.DOUBLE, 'pace', None, None, ),  # 20
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -94,7 +94,8 @@
   1: i64 call, 2: RankResult result, 3: i64 token, 4: string group, 5: i64 epoch,
   6: i32 rank, 7: i32 size, 8: bool open, 9: i64 step, 10: i64 map_version,
   11: i64 prepared, 12: i64 armed, 13: i64 held, 14: i32 running, 15: i32 waiting,
-  16: binary picks, 17: i64 newest_version, 18: string detail, 19: binary experts
+  16: binary picks, 17: i64 newest_version, 18: string detail, 19: binary experts,
+  20: double pace
 }
 
 // Exactly one field is set.
