--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -35,12 +35,14 @@
         self._keeper = keeper
         self._dies = dies
 
-    def ask(self, ask: RankAsk, *, timeout_s: float = 0.0) -> RankAnswer:
+    def ask(self, ask: RankAsk) -> RankAnswer:
         """Return the keeper's answer."""
         self._dies.count()
         gevent.sleep(0)
         return self._keeper.answer(ask)
 
+    ask_engine = ask
+
 
 class Dead(Exception):
     """Stand for the end of a coordinator's process."""
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -5,6 +5,10 @@
 switch as that pass begins; and only once each of them has shown that it is armed is
 the pass let go. If one can't be armed, all are disarmed before the pass begins.
 
+The pass is held at another machine than the coordinator's, and the coordinator's own
+rank is armed last. So where the coordinator's machine stops, another coordinator can
+let the group go on: as long as any other rank is not armed, that rank is not either.
+
 An order may be lost and be carried out seconds later. A late order to arm is refused
 once its pass has begun, or once a newer version is prepared. So a switch is given up
 by preparing the map in use under a newer version, which copies nothing.
@@ -45,10 +49,14 @@
 class Link(Protocol):
     """Ask the agent of one rank."""
 
-    def ask(self, ask: RankAsk, *, timeout_s: float = ...) -> RankAnswer:
+    def ask(self, ask: RankAsk) -> RankAnswer:
         """Return the answer, or raise `AskLost`."""
         ...
 
+    def ask_engine(self, ask: RankAsk) -> RankAnswer:
+        """Ask the rank's engine past its agent, or raise `AskLost`."""
+        ...
+
 
 class Replaced(Exception):
     """Report that another coordinator has been elected."""
@@ -99,12 +107,12 @@
     token : int
         The coordinator's token.
     links : mapping of int to Link
-        One for each rank.
-    holder : int
-        The rank that holds the pass.
+        One for each rank that can be reached.
+    own_rank : int
+        The rank beside the coordinator.
     """
 
-    __slots__ = ("_epoch", "_group", "_holder", "_links", "_token")
+    __slots__ = ("_epoch", "_group", "_links", "_own_rank", "_token")
 
     def __init__(
         self,
@@ -112,13 +120,13 @@
         epoch: int,
         token: int,
         links: Mapping[int, Link],
-        holder: int,
+        own_rank: int,
     ) -> None:
         self._group = group
         self._epoch = epoch
         self._token = token
         self._links = links
-        self._holder = holder
+        self._own_rank = own_rank
 
     def run(
         self, version: int, experts: IntArray, current: IntArray, copy_s: float
@@ -148,14 +156,18 @@
         """
         if not self._prepare(version, experts, copy_s):
             return SwitchEnd.NOT_COPIED
-        step = self._hold()
+        holder = self._holder()
+        step = self._hold(holder)
         if step == NONE:
             return SwitchEnd.NOT_HELD
-        if self._arm(version, step):
-            self._go(step, self._holder)
+        others = self._links.keys() - {self._own_rank}
+        if self._arm(others, version, step) and self._arm(
+            {self._own_rank}, version, step
+        ):
+            self._go(step, holder)
             return SwitchEnd.DONE
         self._give_up(version + 1, current)
-        self._go(step, self._holder)
+        self._go(step, holder)
         return SwitchEnd.NOT_ARMED
 
     def resolve(self, answers: Mapping[int, RankAnswer], current: IntArray) -> None:
@@ -208,17 +220,24 @@
                 gevent.sleep(POLL_S)
         return True
 
-    def _hold(self) -> int:
+    def _holder(self) -> int:
+        """Return the rank that holds the pass: the next after the coordinator's."""
+        ranks = sorted(self._links)
+        return ranks[(ranks.index(self._own_rank) + 1) % len(ranks)]
+
+    def _hold(self, holder: int) -> int:
         for _ in range(HOLD_TRIES):
-            status = self._ask(self._holder, RankAsk(action=RankAction.STATUS))
+            status = self._ask(holder, RankAsk(action=RankAction.STATUS))
             step = status.step + AHEAD_PASSES
-            answer = self._ask(self._holder, RankAsk(action=RankAction.HOLD, step=step))
-            if answer.held != NONE:
-                return answer.held
+            ask = RankAsk(action=RankAction.HOLD, step=step)
+            answer = self._ask(holder, ask, past_agent=True)
+            # From afar an engine's state is told late; that it took the order is not.
+            if answer.result == RankResult.OK or answer.held == step:
+                return step
         return NONE
 
-    def _arm(self, version: int, step: int) -> bool:
-        waiting = set(self._links)
+    def _arm(self, ranks: Iterable[int], version: int, step: int) -> bool:
+        waiting = set(ranks)
         for _ in range(ARM_TRIES):
             answers = self._all(
                 waiting,
@@ -228,7 +247,7 @@
             for rank, answer in answers.items():
                 if answer is None:
                     continue
-                if answer.armed == version:
+                if answer.result == RankResult.OK or answer.armed == version:
                     waiting.discard(rank)
                 elif answer.result == RankResult.REFUSED:
                     return False
@@ -300,9 +319,10 @@
         except (Replaced, GroupChanged) as exc:
             return exc
 
-    def _ask(self, rank: int, ask: RankAsk) -> RankAnswer:
+    def _ask(self, rank: int, ask: RankAsk, *, past_agent: bool = False) -> RankAnswer:
         ask.group, ask.token, ask.epoch = self._group, self._token, self._epoch
-        answer = self._links[rank].ask(ask)
+        link = self._links[rank]
+        answer = link.ask_engine(ask) if past_agent else link.ask(ask)
         if answer.result == RankResult.STALE:
             raise Replaced(f"token {answer.token} is newer than {self._token}")
         if answer.rank == NONE:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -51,9 +51,11 @@
     token : int
         Got when this coordinator was elected.
     own_rank : int
-        The rank beside this process, which holds passes.
+        The rank beside this process.
     engine : callable
         Returns the `EngineModel` of the group, or None while it is not known.
+    rank_before : int or None
+        The rank beside the coordinator before, if it is known.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "_engine",
         "_group",
         "_own_rank",
+        "_rank_before",
         "_token",
         "_version",
     )
@@ -72,7 +75,10 @@
         token: int,
         own_rank: int,
         engine: Callable[[], EngineModel | None],
+        *,
+        rank_before: int | None = None,
     ) -> None:
+        self._rank_before = rank_before
         self._group = group
         self._token = token
         self._own_rank = own_rank
@@ -96,12 +102,15 @@
         """
         answers = self._statuses(links)
         engine = self._engine()
-        if engine is None or not self._whole(answers):
+        if engine is None or not answers:
             return
         self._count(answers, engine)
+        if not self._may_act(answers):
+            return
         first = next(iter(answers.values()))
+        reached = {rank: links[rank] for rank in answers}
         switch = ArmedSwitch(
-            self._group, first.epoch, self._token, links, self._own_rank
+            self._group, first.epoch, self._token, reached, self._own_rank
         )
         try:
             self._look(switch, answers, links, engine)
@@ -126,11 +135,12 @@
             return
         version = versions.pop()
         if version != self._version or self._copies is None:
-            self._copies = self._read(links, version, engine)
+            self._copies = self._read(links, answers, version, engine)
             self._version = version
         if held or armed:
             switch.resolve(answers, self._copies.lists())
-        elif all(answer.open for answer in answers.values()):
+            self._version = NONE
+        elif self._whole(answers) and all(a.open for a in answers.values()):
             self._follow(switch, answers, engine)
 
     def _follow(
@@ -201,10 +211,21 @@
             return None
 
     def _whole(self, answers: Mapping[int, RankAnswer]) -> bool:
-        if not answers:
+        return len(answers) == next(iter(answers.values())).size
+
+    def _may_act(self, answers: Mapping[int, RankAnswer]) -> bool:
+        """Return whether enough is known of all ranks."""
+        if len({answer.epoch for answer in answers.values()}) > 1:
             return False
+        if self._whole(answers):
+            return True
         size = next(iter(answers.values())).size
-        return len(answers) == size and len({a.epoch for a in answers.values()}) == 1
+        missing = set(range(size)) - answers.keys()
+        held = any(answer.held != NONE for answer in answers.values())
+        # A coordinator arms its own rank last, so where another rank is not armed
+        # its own is not either.
+        others_armed = all(answer.armed != NONE for answer in answers.values())
+        return held and missing == {self._rank_before} and not others_armed
 
     def _count(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
         total = np.zeros((engine.layer_sets, engine.experts))
@@ -215,16 +236,20 @@
         self._demand.count(total, time.monotonic())
 
     def _read(
-        self, links: Mapping[int, Link], version: int, engine: EngineModel
+        self,
+        links: Mapping[int, Link],
+        answers: Mapping[int, RankAnswer],
+        version: int,
+        engine: EngineModel,
     ) -> Copies:
+        size = next(iter(answers.values())).size
         if version == FIRST_VERSION:
             return Copies.in_turn(
-                engine.layer_sets, len(links), engine.experts, engine.places
+                engine.layer_sets, size, engine.experts, engine.places
             )
-        lists = np.full(
-            (engine.layer_sets, len(links), engine.places), NONE, dtype=MAP_TYPE
-        )
-        for rank, link in links.items():
+        shape = (engine.layer_sets, size, engine.places)
+        lists = np.full(shape, EMPTY, dtype=MAP_TYPE)
+        for rank in answers:
             ask = RankAsk(
                 action=RankAction.LISTS,
                 group=self._group,
@@ -232,9 +257,13 @@
                 epoch=NONE,
                 places=engine.places,
             )
-            answer = link.ask(ask)
+            answer = links[rank].ask(ask)
             if answer.map_version != version or answer.rank != rank:
                 raise GroupChanged("the map has changed while it was read")
             experts = np.frombuffer(answer.experts, dtype=MAP_TYPE)
             lists[:, rank, :] = experts.reshape(engine.layer_sets, engine.places)
-        return Copies.from_lists(lists, engine.experts)
+        copies = Copies.from_lists(lists, engine.experts)
+        for rank in set(range(size)) - answers.keys():
+            # Each expert is held somewhere, so it holds what no other rank does.
+            copies.held[:, rank, :] = ~copies.held.any(axis=1)
+        return copies
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -14,12 +14,11 @@
     Frame,
     RankAnswer,
     RankAsk,
-    RankResult,
 )
 
 CONNECT_TIMEOUT_S = 0.25
 # Agents answer within milliseconds, or after a packet was sent again.
-ASK_TIMEOUT_S = 0.35
+ASK_TIMEOUT_S = 0.3
 # An agent that was silent is asked again after this time.
 SILENT_S = 1.0
 
@@ -40,41 +39,37 @@
         IP number.
     port : int
         Port.
-    fallback : RankKeeper, optional
-        Reaches the rank's engine from here while its agent is silent. Such orders
-        cost more, and only the agents of the other ranks check the token.
+    engine : RankKeeper
+        Reaches the rank's engine from here, past its agent. Such orders cost more,
+        and only the agents of the other ranks check their token.
     """
 
     __slots__ = (
         "_calls",
         "_conn",
-        "_fallback",
+        "_engine",
         "_host",
         "_port",
         "_silent_until",
         "_waiting",
     )
 
-    def __init__(
-        self, host: str, port: int, *, fallback: RankKeeper | None = None
-    ) -> None:
+    def __init__(self, host: str, port: int, engine: RankKeeper) -> None:
         self._host = host
         self._port = port
-        self._fallback = fallback
+        self._engine = engine
         self._silent_until = 0.0
         self._conn: Connection | None = None
         self._calls = itertools.count(1)
         self._waiting: dict[int, AsyncResult] = {}
 
-    def ask(self, ask: RankAsk, *, timeout_s: float = ASK_TIMEOUT_S) -> RankAnswer:
-        """Return the answer to an ask.
+    def ask(self, ask: RankAsk) -> RankAnswer:
+        """Return the answer to an ask, of the engine itself while its agent is silent.
 
         Parameters
         ----------
         ask : RankAsk
             The ask; its number is set here.
-        timeout_s : float, default=0.35
-            The longest wait for the agent, in seconds.
 
         Returns
         -------
@@ -86,20 +81,18 @@
             No answer came.
         """
         if time.monotonic() < self._silent_until:
-            return self._ask_engine(ask)
+            return self.ask_engine(ask)
         try:
-            return self._ask_agent(ask, timeout_s)
+            return self._ask_agent(ask, ASK_TIMEOUT_S)
         except AskLost as exc:
-            if self._fallback is None:
-                raise
             _log.info("rank agent silent", host=self._host, error=str(exc))
             self._silent_until = time.monotonic() + SILENT_S
-            return self._ask_engine(ask)
+            return self.ask_engine(ask)
 
-    def _ask_engine(self, ask: RankAsk) -> RankAnswer:
-        assert self._fallback is not None
-        answer = self._fallback.answer(ask)
-        if answer.result == RankResult.LOST and answer.rank < 0:
+    def ask_engine(self, ask: RankAsk) -> RankAnswer:
+        """Return the engine's answer to an ask; the parameters are those of `ask`."""
+        answer = self._engine.answer(ask)
+        if answer.rank < 0:
             raise AskLost(answer.detail)
         return answer
 
--- a/toucanspool/groups/rank_engine.py
+++ b/toucanspool/groups/rank_engine.py
@@ -50,6 +50,8 @@
         Requests.
     pace : float
         How many times as long as usual its work takes.
+    started_ms : int
+        When the engine started, in Unix milliseconds by its own clock.
     """
 
     group: str
@@ -65,6 +67,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
+    started_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -15,6 +15,7 @@
 from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.token import elect, held_token
 from toucanspool.routing.routes import EngineModel
+from toucanspool.routing.upstreams import Listing
 from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
 
 STEP_S = 0.2
@@ -23,8 +24,8 @@
 PACE_CHANGE = 0.2
 # A group without a coordinator for this long elects another; each rank waits a
 # little longer than the one before it, so that one of them stands alone.
-TAKEOVER_S = 1.2
-RANK_DELAY_S = 0.15
+TAKEOVER_S = 0.8
+RANK_DELAY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -37,9 +38,11 @@
     def __init__(self, keeper: RankKeeper) -> None:
         self._keeper = keeper
 
-    def ask(self, ask: RankAsk, *, timeout_s: float = 0.0) -> RankAnswer:
+    def ask(self, ask: RankAsk) -> RankAnswer:
         return self._keeper.answer(ask)
 
+    ask_engine = ask
+
 
 class RankMember:
     """Keep a rank listed, and stand for its group's coordinator.
@@ -54,8 +57,8 @@
         Port.
     engine : RankEngine
         The engine beside.
-    engine_address : str
-        Where it listens, as ``HOST:PORT``.
+    find_listing : callable
+        Returns the `Listing` of the engine, or None while it is not listed.
     connect : callable
         Takes the address of another rank's engine and returns it.
     keeper : RankKeeper
@@ -70,15 +73,17 @@
         "_connect",
         "_coordinator",
         "_engine",
-        "_engine_address",
         "_engine_model",
+        "_find_listing",
         "_host",
         "_keeper",
         "_links",
         "_listed",
+        "_listing",
         "_name",
         "_own",
         "_port",
+        "_started_ms",
         "_stopping",
         "_table",
     )
@@ -90,7 +95,7 @@
         port: int,
         *,
         engine: RankEngine,
-        engine_address: str,
+        find_listing: Callable[[], Listing | None],
         connect: Callable[[str], RankEngine],
         keeper: RankKeeper,
         table: Table,
@@ -100,7 +105,9 @@
         self._host = host
         self._port = port
         self._engine = engine
-        self._engine_address = engine_address
+        self._find_listing = find_listing
+        self._listing: Listing | None = None
+        self._started_ms = 0
         self._connect = connect
         self._keeper = keeper
         self._table = table
@@ -118,13 +125,18 @@
         except RankEngineError as exc:
             _log.info("engine silent", error=repr(exc))
             return
-        own = self._record(state)
-        if own == self._own:
-            return
         try:
+            if self._listing is None or state.started_ms != self._started_ms:
+                self._listing = self._find_listing()
+                self._started_ms = state.started_ms
+            if self._listing is None:
+                return
+            own = self._record(state, self._listing)
+            if own == self._own:
+                return
             self._keeper.restore(held_token(self._table, _duty(own.group)))
             self._table.commit([], [Write(PREFIX + self._name, own.encode())])
-        except TableError as exc:
+        except (TableError, RankEngineError) as exc:
             _log.warning("rank not listed", error=repr(exc))
             return
         _log.info("rank listed", group=own.group, rank=own.rank, epoch=state.epoch)
@@ -178,7 +190,7 @@
         keeper.restore(NO_TOKEN)
         return keeper
 
-    def _record(self, state: RankState) -> RankRecord:
+    def _record(self, state: RankState, listing: Listing) -> RankRecord:
         before = self._own.pace if self._own else 1.0
         pace = before
         if abs(state.pace - before) > PACE_CHANGE * before:
@@ -189,7 +201,8 @@
             port=self._port,
             group=state.group,
             rank=state.rank,
-            engine=self._engine_address,
+            upstream=listing.name,
+            engine=listing.address,
             pace=pace,
         )
 
@@ -198,16 +211,20 @@
         return silent_s > TAKEOVER_S + RANK_DELAY_S * own.rank
 
     def _stand(self, own: RankRecord) -> None:
-        token = elect(
-            self._table, _duty(own.group), self._name, above=self._keeper.token
-        )
-        if token is None:
+        won = elect(self._table, _duty(own.group), self._name, above=self._keeper.token)
+        if won is None:
             # Another stands too, or the table is away: wait for a coordinator again.
             self._keeper.heard_at = time.monotonic()
             return
+        before = self._listed.get(won.before)
         self._coordinator = MapCoordinator(
-            own.group, token, own.rank, self._engine_model
+            own.group,
+            won.token,
+            own.rank,
+            self._engine_model,
+            rank_before=before.rank if before else None,
         )
+        self._coordinate()
 
     def _coordinate(self) -> None:
         assert self._own is not None
@@ -226,7 +243,7 @@
             address = (record.host, record.port)
             link = self._links.get(address)
             if link is None:
-                link = RankLink(*address, fallback=self._direct(record))
+                link = RankLink(*address, self._direct(record))
             used[address] = link
             links.setdefault(record.rank, link)
         for address in self._links.keys() - used.keys():
--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -28,8 +28,10 @@
         The group of its engine.
     rank : int
         Its engine's rank.
+    upstream : str
+        Name of its engine among upstreams.
     engine : str
-        Where its engine listens, as ``HOST:PORT``.
+        Where its engine takes calls of others, as ``HOST:PORT``.
     pace : float
         How many times as long as usual its engine's work takes.
     """
@@ -39,6 +41,7 @@
     port: int
     group: str
     rank: int
+    upstream: str
     engine: str
     pace: float
 
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -18,6 +18,7 @@
 
 # An engine answers its own machine within milliseconds.
 TIMEOUT_S = 0.3
+INSTANCE_ID = "toucanspool-instance-id"
 GROUP_OPEN = "open"
 DONE = (200, 202)
 
@@ -63,6 +64,7 @@
                 running=int(data.get("active", 0)),
                 waiting=int(data.get("queued", 0)),
                 pace=float(data.get("pace") or 1.0),
+                started_ms=int(data.get("born") or 0),
             )
         except (KeyError, TypeError, ValueError) as exc:
             raise BadAnswer(repr(exc)) from exc
@@ -86,6 +88,32 @@
         except (KeyError, TypeError, ValueError) as exc:
             raise BadAnswer(repr(exc)) from exc
 
+    def name(self, health_path: str) -> str:
+        """Return the engine's name among upstreams.
+
+        Parameters
+        ----------
+        health_path : str
+            Path of its health page, which tells the name also when it is not well.
+
+        Returns
+        -------
+        str
+
+        Raises
+        ------
+        RankEngineError
+            It did not tell.
+        """
+        try:
+            headers = self._client.head(health_path)
+        except (CallRefused, CallLost) as exc:
+            raise RankEngineError(str(exc)) from exc
+        name = headers.get(INSTANCE_ID, "")
+        if not name:
+            raise BadAnswer("the health page does not tell the name")
+        return name
+
     def prepare(self, version: int, experts: IntArray, epoch: int) -> None:
         """Begin to copy the experts of a map; see `RankEngine`."""
         lists = [
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -241,7 +241,7 @@
         for row in changes.rows:
             if row.key.startswith(RANK_PREFIX) and (record := decode_rank(row)):
                 self._ranks[row.key] = record
-        paces = {record.engine: record.pace for record in self._ranks.values()}
+        paces = {record.upstream: record.pace for record in self._ranks.values()}
         self._core.upstreams.set_paces(paces)
 
     def _list_self(self) -> None:
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -11,11 +11,13 @@
 from toucanspool.groups.rank_record import PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.platform import configuration
+from toucanspool.platform import configuration, runners
 from toucanspool.platform.engine import PlatformEngine
+from toucanspool.platform.runners import decode_listing
 from toucanspool.platform.store import OWN_TABLE, RowStore
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
+from toucanspool.routing.upstreams import Listing
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.listener import Listener
 
@@ -53,7 +55,7 @@
             self._cfg.host,
             self._cfg.port,
             engine=engine,
-            engine_address=f"{cfg.engine.host}:{cfg.engine.port}",
+            find_listing=lambda: self._find_listing(store, engine),
             connect=_connect,
             keeper=keeper,
             table=store,
@@ -96,6 +98,13 @@
             return None
         return self._routes.service(self._cfg.rank_agent.service).engine
 
+    def _find_listing(self, store: RowStore, engine: PlatformEngine) -> Listing | None:
+        if self._routes is None:
+            return None
+        service = self._routes.service(self._cfg.rank_agent.service)
+        row = store.row(runners.TABLE, engine.name(service.health_path))
+        return decode_listing(row) if row else None
+
     def _take_routes(self, changes: Changes) -> None:
         for row in changes.rows:
             if row.key != configuration.KEY:
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -50,10 +50,30 @@
         """Return the own rows present among `keys`; see `Table`."""
         found = {}
         for key in keys:
-            rows, _ = self._range(OWN_TABLE, {"from": key, "target": key + "\0"})
-            found.update({row.key: row for row in rows})
+            if row := self.row(OWN_TABLE, key):
+                found[key] = row
         return found
 
+    def row(self, table: str, key: str) -> Row | None:
+        """Return a row of any table, or None where there is none.
+
+        Parameters
+        ----------
+        table, key : str
+            Where it is.
+
+        Returns
+        -------
+        Row or None
+
+        Raises
+        ------
+        TableUnavailable
+            The store did not answer.
+        """
+        rows, _ = self._range(table, {"from": key, "target": key + "\0"})
+        return rows[0] if rows else None
+
     def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> list[Row]:
         """Return own rows by prefix; see `Table`."""
         start = max(prefix, after + "\0") if after else prefix
--- a/toucanspool/recovery/token.py
+++ b/toucanspool/recovery/token.py
@@ -1,5 +1,7 @@
 """The token of a duty's holder, raised by a commit with each election."""
 
+from dataclasses import dataclass
+
 import orjson
 import structlog
 
@@ -17,27 +19,6 @@
 _log = structlog.get_logger()
 
 
-def token_of(row: Row | None) -> int:
-    """Return the token in a duty's row; 0 where there is none that can be read.
-
-    Parameters
-    ----------
-    row : Row or None
-        The row.
-
-    Returns
-    -------
-    int
-    """
-    if row is None:
-        return 0
-    try:
-        return int(orjson.loads(row.value)["token"])
-    except (ValueError, KeyError, TypeError) as exc:
-        _log.error("unreadable duty", key=row.key, error=repr(exc))
-        return 0
-
-
 def held_token(table: Table, duty: str) -> int:
     """Return the token of a duty's holder; 0 before the first.
 
@@ -58,10 +39,26 @@
         The table did not answer.
     """
     key = PREFIX + duty
-    return token_of(table.get([key]).get(key))
+    return _last(table.get([key]).get(key)).token
+
+
+@dataclass(slots=True, frozen=True)
+class Election:
+    """Hold what an election gave.
+
+    Parameters
+    ----------
+    token : int
+        Higher than any before.
+    before : str
+        The holder before; empty for none.
+    """
 
+    token: int
+    before: str
 
-def elect(table: Table, duty: str, holder: str, *, above: int) -> int | None:
+
+def elect(table: Table, duty: str, holder: str, *, above: int) -> Election | None:
     """Make a process the holder of a duty.
 
     Nobody is asked: who is replaced finds out by its old token being refused. No
@@ -80,13 +77,14 @@
 
     Returns
     -------
-    int or None
-        The new token; None where another was elected, or the table did not answer.
+    Election or None
+        None where another was elected, or the table did not answer.
     """
     key = PREFIX + duty
     try:
         row = table.get([key]).get(key)
-        token = max(token_of(row), above) + 1
+        last = _last(row)
+        token = max(last.token, above) + 1
         value = orjson.dumps({"holder": holder, "token": token})
         check = Check(key, row.version if row else 0)
         table.commit([check], [Write(key, value)])
@@ -95,5 +93,17 @@
     except TableError as exc:
         _log.warning("not elected", duty=duty, error=repr(exc))
         return None
-    _log.info("elected", duty=duty, token=token)
-    return token
+    _log.info("elected", duty=duty, token=token, before=last.before)
+    return Election(token, last.before)
+
+
+def _last(row: Row | None) -> Election:
+    """Return token and holder of a duty's row."""
+    if row is None:
+        return Election(0, "")
+    try:
+        data = orjson.loads(row.value)
+        return Election(int(data["token"]), str(data["holder"]))
+    except (ValueError, KeyError, TypeError) as exc:
+        _log.error("unreadable duty", key=row.key, error=repr(exc))
+        return Election(0, "")
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -136,18 +136,18 @@
         Parameters
         ----------
         paces : mapping of str to float
-            By address as ``HOST:PORT``, how many times as long as usual work takes;
-            1 for those that are not named.
+            By name, how many times as long as usual work takes; 1 for those that
+            are not named.
         """
-        for address in paces.keys() | self._paces.keys():
-            before, after = self._paces.get(address, 1.0), paces.get(address, 1.0)
+        for name in paces.keys() | self._paces.keys():
+            before, after = self._paces.get(name, 1.0), paces.get(name, 1.0)
             if before != after:
-                _log.info("pace changed", address=address, pace=after, before=before)
+                _log.info("pace changed", upstream=name, pace=after, before=before)
         self._paces = dict(paces)
 
     def pace(self, upstream: Upstream) -> float:
         """Return how many times as long as usual an upstream's work takes."""
-        return self._paces.get(upstream.listing.address, 1.0)
+        return self._paces.get(upstream.name, 1.0)
 
     def replace(self, listings: Iterable[Listing], version: int) -> None:
         """Take the whole list.
