Test the gateway's decisions and its path; mend what the tests found

They found: a request with both lengths was taken, since the HTTP library drops one of them first; a call given up at its deadline was told as 502; the limit took 1.4 s to forget a slow rank, as a mean of ten times too long pauses fades slowly. After: the lengths are checked as headers are read; 504 at the deadline; the geometric mean.

--- /dev/null
+++ b/standins/raw_upstream.py
@@ -0,0 +1,130 @@
+"""An upstream on loopback that answers with the bytes of a script."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+READ_BYTES = 65536
+
+
+@dataclass(slots=True)
+class Seen:
+    """Hold a request as it came."""
+
+    head: str
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return a header's value, empty where there is none."""
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return ""
+
+
+Script = Callable[[socket.socket, Seen], None]
+
+
+@dataclass(slots=True)
+class RawUpstream:
+    """Serve scripted answers; a context manager.
+
+    Parameters
+    ----------
+    script : callable
+        Takes the connection and the request, and sends what it likes.
+    """
+
+    script: Script
+    seen: list[Seen] = field(default_factory=list)
+    closed_early: int = 0
+    port: int = 0
+    _server: StreamServer | None = None
+
+    def __enter__(self) -> "RawUpstream":
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.port = self._server.server_port
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            block = sock.recv(READ_BYTES)
+            if not block:
+                return
+            data += block
+        head, _, body = data.partition(b"\r\n\r\n")
+        seen = Seen(head.decode("latin-1"), b"")
+        length = int(seen.header("content-length") or 0)
+        while len(body) < length:
+            body += sock.recv(READ_BYTES)
+        seen.body = body
+        self.seen.append(seen)
+        try:
+            self.script(sock, seen)
+        except OSError:
+            self.closed_early += 1
+
+
+def reply(
+    seen: Seen,
+    body: bytes = b"answer",
+    *,
+    status: str = "200 OK",
+    headers: str = "",
+    signed: bool = True,
+) -> bytes:
+    """Return the bytes of a whole reply to a request."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+    lines.append(f"Toucanspool-Attempt-Id: {seen.header('toucanspool-attempt-id')}")
+    if signed:
+        lines.append("Toucanspool-Server-Signature: s.1")
+    if headers:
+        lines.append(headers)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def answering(body: bytes = b"answer", **options: object) -> Script:
+    """Return a script that sends one whole reply."""
+
+    def script(sock: socket.socket, seen: Seen) -> None:
+        sock.sendall(reply(seen, body, **options))
+
+    return script
+
+
+def streaming(
+    events: list[bytes], *, gap_s: float = 0.0, cut: bool = False, partial: bytes = b""
+) -> Script:
+    """Return a script that sends events, each in a chunk, and may break off."""
+
+    def script(sock: socket.socket, seen: Seen) -> None:
+        first = int(seen.header("last-event-id") or 0)
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Toucanspool-Attempt-Id: {seen.header('toucanspool-attempt-id')}\r\n"
+            "Toucanspool-Server-Signature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        for event in events[first:]:
+            gevent.sleep(gap_s)
+            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        if partial:
+            sock.sendall(b"%x\r\n%s\r\n" % (len(partial), partial))
+        if not cut:
+            sock.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,170 @@
+"""The users' row store in memory: transactions, ranges and a feed, with its failures.
+
+It speaks the pages of the users' platform, and serves tests of the adapter.
+"""
+
+import base64
+import time
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import orjson
+
+from toucanspool.entry.http_server import HttpServer
+
+MS_PER_S = 1000
+PAGE_ROWS = 500
+POLL_S = 0.005
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class RowStorePages:
+    """Serve the store's calls; a WSGI application.
+
+    Attributes
+    ----------
+    status : int
+        Answer all calls with this status instead; 0 for none.
+    lose_answers : int
+        Carry this many writes out and break the connection.
+    history_from : int
+        Versions before this one are forgotten.
+    calls : list of str
+        Paths called.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.lose_answers = 0
+        self.history_from = 0
+        self.calls: list[str] = []
+        self._version = 0
+        self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self._history: list[tuple[int, str, str, bytes | None]] = []
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Set a row as the operator or a runner does."""
+        self._version += 1
+        self._set(table, key, value)
+        return self._version
+
+    def drop(self, table: str, key: str) -> None:
+        """Delete a row as a runner does."""
+        self._version += 1
+        self._set(table, key, None)
+
+    def row(self, table: str, key: str) -> bytes | None:
+        """Return a row's value, or None."""
+        found = self._rows.get((table, key))
+        return found[0] if found else None
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        """Answer a call."""
+        path = environ["PATH_INFO"]
+        self.calls.append(path)
+        if self.status:
+            return self._answer(start_response, self.status, {})
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        if path == "/rows-tx":
+            status, body = self._commit(orjson.loads(environ["wsgi.input"].read()))
+            if status == 200 and self.lose_answers:
+                self.lose_answers -= 1
+                raise ConnectionResetError(104, "the answer is lost")
+        elif path == "/rows-get":
+            status, body = self._range(query)
+        elif path == "/rows-feed":
+            status, body = self._feed(query)
+        else:
+            status, body = 404, {}
+        return self._answer(start_response, status, body)
+
+    def _commit(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for check in body["expectedRevision"]:
+            found = self._rows.get((check["table"], check["key"]))
+            if (found[1] if found else 0) != check["ver"]:
+                return 412, {"rows": []}
+        self._version += 1
+        for put in body["puts"]:
+            self._set(put["table"], put["key"], base64.b64decode(put["value"]))
+        for gone in body["remove"]:
+            self._set(gone["table"], gone["key"], None)
+        return 200, {"ver": self._version}
+
+    def _range(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        table, start, end = query["table"], query.get("from", ""), query.get("target")
+        limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
+        keys = sorted(k for t, k in self._rows if t == table and k >= start)
+        keys = [key for key in keys if end is None or key < end]
+        rows = [self._row(table, key) for key in keys[:limit]]
+        return 200, {"rows": rows, "hasMore": len(keys) > limit, "ver": self._version}
+
+    def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        if after < self.history_from:
+            return 410, {}
+        until = time.monotonic() + int(query["waitMs"]) / MS_PER_S
+        while True:
+            rows = [
+                {"table": t, "key": k, "ver": v, "tombstone": True}
+                if value is None
+                else {"table": t, "key": k, "ver": v, "value": _text(value)}
+                for v, t, k, value in self._history
+                if v > after and t == query["table"]
+            ]
+            if rows or time.monotonic() >= until:
+                return 200, {"rows": rows, "ver": self._version}
+            gevent.sleep(POLL_S)
+
+    def _set(self, table: str, key: str, value: bytes | None) -> None:
+        self._history.append((self._version, table, key, value))
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = (value, self._version)
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        value, version = self._rows[table, key]
+        return {"table": table, "key": key, "value": _text(value), "ver": version}
+
+    def _answer(
+        self, start_response: StartResponse, status: int, body: dict[str, Any]
+    ) -> list[bytes]:
+        data = orjson.dumps(body)
+        start_response(
+            f"{status} X",
+            [("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
+        )
+        return [data]
+
+
+class RowStore:
+    """Serve a row store on loopback; a context manager.
+
+    Attributes
+    ----------
+    pages : RowStorePages
+        The store.
+    port : int
+        Where it listens.
+    """
+
+    def __init__(self) -> None:
+        self.pages = RowStorePages()
+        self._server = HttpServer("127.0.0.1", 0, self.pages)
+
+    def __enter__(self) -> "RowStore":
+        self._server.start()
+        self.port = self._server.server_port
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._server.stop(timeout=0)
+
+
+def _text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
--- /dev/null
+++ b/tests/gateway/gateways.py
@@ -0,0 +1,140 @@
+"""A frontend on loopback before scripted upstreams."""
+
+import random
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+from gevent import socket
+
+from standins.raw_upstream import RawUpstream, Script
+from toucanspool.gateway.caller_server import CallerServer
+from toucanspool.gateway.core import GatewayCore
+from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.platform.frontend import Frontend
+from toucanspool.platform.headers import PlatformDialect
+from toucanspool.routing.routes import CallKind, KeyHolder, Limits, Route, RouteTable
+from toucanspool.routing.upstreams import Listing
+from toucanspool.settings.settings import RetryBudget
+from toucanspool.telemetry.call_metrics import CallMetrics
+
+HOST = "desk.example"
+TIMEOUT_S = 5.0
+
+
+def route(kind: CallKind = CallKind.IDEMPOTENT, **more: object) -> Route:
+    """Return the route ``/p/`` of `HOST`, a test's one."""
+    options = {
+        "name": "r",
+        "host": HOST,
+        "prefix": "/p/",
+        "kind": kind,
+        "services": (("desk", 1.0),),
+        "timeout_s": 2.0,
+        "objective_s": 0.5,
+        "max_attempts": 2,
+        **more,
+    }
+    return Route(**options)
+
+
+class Gateway:
+    """Hold a running gateway.
+
+    Attributes
+    ----------
+    core : GatewayCore
+        Its decisions.
+    port : int
+        Where callers connect.
+    upstreams : list of RawUpstream
+        Those behind it, in the order in which they are chosen first.
+    """
+
+    def __init__(
+        self, core: GatewayCore, port: int, upstreams: list[RawUpstream]
+    ) -> None:
+        self.core = core
+        self.port = port
+        self.upstreams = upstreams
+
+    def connect(self) -> socket.socket:
+        """Return a connection to it."""
+        return socket.create_connection(("127.0.0.1", self.port), timeout=TIMEOUT_S)
+
+    def send(
+        self,
+        method: str = "GET",
+        *,
+        path: str = "/p/x",
+        headers: str = "",
+        body: bytes = b"",
+    ) -> socket.socket:
+        """Send a request on a new connection and return it."""
+        sock = self.connect()
+        sock.sendall(request(method, path=path, headers=headers, body=body))
+        return sock
+
+    def call(self, method: str = "GET", **more: object) -> tuple[int, str, bytes]:
+        """Return status, head and the bytes after it, up to the connection's end."""
+        sock = self.send(method, **more)
+        sock.settimeout(TIMEOUT_S)
+        data = b""
+        try:
+            while block := sock.recv(65536):
+                data += block
+        except OSError:
+            data += b"(reset)"
+        head, _, body = data.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        return (int(text.split(" ")[1]) if text else 0), text, body
+
+
+def request(
+    method: str, *, path: str = "/p/x", headers: str = "", body: bytes = b""
+) -> bytes:
+    """Return the bytes of a request that asks for the connection's end."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", "Connection: close"]
+    lines += ["Toucanspool-Attempt-Id: a1", "Toucanspool-Deadline-Ms: 4000"]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    if headers:
+        lines.append(headers)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+@contextmanager
+def gateway(
+    *scripts: Script,
+    routes: list[Route] | None = None,
+    keys: dict[str, KeyHolder] | None = None,
+) -> Iterator[Gateway]:
+    """Run a gateway before one upstream for each script."""
+    with ExitStack() as closing:
+        behind = [closing.enter_context(RawUpstream(script)) for script in scripts]
+        own = EntryRecord("e1", "127.0.0.1:1", "127.0.0.1:2")
+        metrics = CallMetrics()
+        rng = random.Random(1)
+        core = GatewayCore(
+            Entries(own),
+            PlatformDialect(),
+            RetryBudget(ratio=0.2, window_s=10.0, extra=50.0),
+            failure_domain="one",
+            rng=rng,
+            metrics=metrics,
+        )
+        listings = [
+            Listing(name=f"u{n}", service="desk", host="127.0.0.1", port=up.port)
+            for n, up in enumerate(behind)
+        ]
+        core.upstreams.replace(listings, 1)
+        core.upstreams_changed()
+        table = RouteTable(
+            version=1, routes=routes or [route()], keys=keys or {}, teams=bool(keys)
+        )
+        core.put_routes(table)
+        core.tick()
+        frontend = Frontend(core.front, lambda: core.routes, rng, metrics)
+        server = CallerServer("127.0.0.1", 0, frontend, limits=Limits())
+        server.start()
+        closing.callback(server.stop, timeout=0)
+        yield Gateway(core, server.server_port, behind)
--- /dev/null
+++ b/tests/gateway/test_calls.py
@@ -0,0 +1,237 @@
+"""Calls that are answered in one piece, as callers and upstreams see them."""
+
+import gevent
+import gevent.event
+import pytest
+
+from standins.raw_upstream import answering, reply
+from tests.gateway.gateways import HOST, gateway, route
+from toucanspool.routing.routes import CallKind, KeyHolder
+
+ONCE = [route(CallKind.AT_MOST_ONCE, max_attempts=1)]
+
+
+def breaking_off(sock, seen):
+    sock.sendall(reply(seen, b"whole answer")[:-4])
+
+
+def resetting(sock, seen):
+    sock.close()
+
+
+def silent(sock, seen):
+    gevent.sleep(30)
+
+
+def turning_away(sock, seen):
+    sock.sendall(
+        reply(
+            seen,
+            b"",
+            status="503 Full",
+            headers="Toucanspool-Not-Executed: 1",
+            signed=False,
+        )
+    )
+
+
+def late_answer_of_another(sock, seen):
+    sock.sendall(reply(seen).replace(b"a1", b"zz"))
+
+
+def runs(behind) -> int:
+    return sum(len(upstream.seen) for upstream in behind)
+
+
+def test_a_call_reaches_its_upstream_unchanged():
+    with gateway(answering()) as gw:
+        status, head, body = gw.call(
+            "POST", path="/p/a%2Fb?q=1&q=2", headers="X-Own: kept", body=b"order"
+        )
+        seen = gw.upstreams[0].seen[0]
+    assert (status, body) == (200, b"answer")
+    assert "Toucanspool-Server-Signature: s.1" in head
+    assert seen.head.startswith("POST /p/a%2Fb?q=1&q=2 HTTP/1.1")
+    assert seen.body == b"order"
+    assert seen.header("host") == HOST
+    assert seen.header("x-own") == "kept"
+    assert seen.header("toucanspool-expect-instance") == "u0"
+    assert 0 < int(seen.header("toucanspool-deadline-ms")) <= 2000
+
+
+def test_a_body_in_chunks_goes_on_whole():
+    with gateway(answering()) as gw:
+        sock = gw.connect()
+        sock.sendall(
+            f"POST /p/x HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n"
+            "Toucanspool-Attempt-Id: a1\r\nConnection: close\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n".encode()
+        )
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        assert gw.upstreams[0].seen[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "lengths",
+    [
+        "Content-Length: 3\r\nContent-Length: 5",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip",
+    ],
+)
+def test_an_ambiguous_length_is_refused_and_reaches_no_upstream(lengths):
+    with gateway(answering()) as gw:
+        sock = gw.connect()
+        sock.sendall(
+            f"POST /p/x HTTP/1.1\r\nHost: {HOST}\r\n{lengths}\r\n\r\nabc".encode()
+        )
+        assert sock.recv(100).startswith(b"HTTP/1.1 400")
+        assert not runs(gw.upstreams)
+
+
+def test_the_key_is_replaced_by_its_team():
+    keys = {"k1": KeyHolder(name="clerks")}
+    with gateway(answering(), keys=keys) as gw:
+        status, _, _ = gw.call(
+            headers="Authorization: Bearer k1\r\nToucanspool-Tenant: forged"
+        )
+        seen = gw.upstreams[0].seen[0]
+    assert status == 200
+    assert seen.header("toucanspool-tenant") == "clerks"
+    assert not seen.header("authorization")
+
+
+@pytest.mark.parametrize("headers", ["", "Authorization: Bearer k2"])
+def test_an_unknown_key_is_refused(headers):
+    with gateway(answering(), keys={"k1": KeyHolder(name="clerks")}) as gw:
+        assert gw.call(headers=headers)[0] == 401
+        assert not runs(gw.upstreams)
+
+
+def test_no_route_is_told():
+    with gateway(answering()) as gw:
+        assert gw.call(path="/other/x")[0] == 404
+
+
+@pytest.mark.parametrize("fault", [breaking_off, resetting, late_answer_of_another])
+def test_an_idempotent_call_is_sent_to_another_upstream(fault):
+    with gateway(fault, answering(b"second")) as gw:
+        gw.core._placing.start_at(0.0)
+        assert gw.call()[2] == b"second"
+        assert runs(gw.upstreams) == 2
+
+
+@pytest.mark.parametrize("fault", [breaking_off, resetting, late_answer_of_another])
+def test_a_call_that_may_have_run_once_is_not_sent_again_nor_called_not_run(fault):
+    with gateway(fault, fault, routes=ONCE) as gw:
+        status, _, _ = gw.call("POST", body=b"book")
+        assert status in (502, 504)
+        assert runs(gw.upstreams) == 1
+
+
+def test_a_call_that_was_turned_away_goes_elsewhere_also_when_it_may_run_once():
+    with gateway(turning_away, answering(b"booked"), routes=ONCE) as gw:
+        gw.core._placing.start_at(0.0)
+        assert gw.call("POST", body=b"book")[2] == b"booked"
+
+
+def test_a_call_that_all_turn_away_is_told_as_not_run_with_a_time():
+    with gateway(turning_away, turning_away, routes=ONCE) as gw:
+        status, head, body = gw.call("POST", body=b"book")
+    assert status == 503
+    assert "Retry-After: 0" in head
+    assert b'"not_run"' in body
+
+
+def test_no_upstream_is_told_as_not_run():
+    with gateway(routes=ONCE) as gw:
+        assert gw.call("POST", body=b"book")[0] == 503
+
+
+def test_a_closed_port_is_no_run():
+    with gateway(answering(), answering(), routes=ONCE) as gw:
+        gw.upstreams[0].__exit__()
+        gw.core._placing.start_at(0.0)
+        assert gw.call("POST", body=b"book")[0] == 200
+
+
+def test_a_call_ends_with_its_routes_time_and_may_have_run():
+    routes = [route(CallKind.AT_MOST_ONCE, timeout_s=0.3, max_attempts=1)]
+    with gateway(silent, routes=routes) as gw, gevent.Timeout(1.0):
+        assert gw.call("POST", body=b"book")[0] == 504
+
+
+def test_a_silent_upstream_leaves_an_idempotent_call_time_for_another():
+    routes = [route(timeout_s=0.6)]
+    with gateway(silent, answering(b"second"), routes=routes) as gw:
+        gw.core._placing.start_at(0.0)
+        assert gw.call()[2] == b"second"
+
+
+def test_a_success_that_the_upstream_does_not_vouch_for_is_not_passed_on():
+    with gateway(answering(signed=False), routes=ONCE) as gw:
+        assert gw.call("POST", body=b"book")[0] == 502
+
+
+def test_the_upstreams_failure_is_passed_on_as_it_is():
+    with gateway(answering(b"no", status="500 Failed"), routes=ONCE) as gw:
+        status, head, body = gw.call("POST", body=b"book")
+    assert (status, body) == (500, b"no")
+    assert "Toucanspool-Server-Signature" in head
+
+
+def test_bytes_after_the_answer_belong_to_nobody():
+    def extra(sock, seen):
+        sock.sendall(reply(seen) + reply(seen, b"another"))
+
+    with gateway(extra) as gw:
+        assert gw.call()[2] == b"answer"
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    def unframed(sock, seen):
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nToucanspool-Attempt-Id: a1\r\n"
+            b"Toucanspool-Server-Signature: s.1\r\n\r\nto the end"
+        )
+
+    with gateway(unframed) as gw:
+        assert gw.call()[2] == b"to the end"
+
+
+def test_the_upstreams_work_ends_as_the_caller_leaves():
+    left = gevent.event.Event()
+
+    def working(sock, seen):
+        if not sock.recv(1):
+            left.set()
+
+    with gateway(working, routes=ONCE) as gw:
+        sock = gw.send("POST", body=b"book")
+        gevent.sleep(0.05)
+        sock.close()
+        assert left.wait(0.5)
+        gevent.sleep(0.05)
+        assert gw.core.front.running == 0
+        assert runs(gw.upstreams) == 1
+
+
+def test_a_connection_serves_one_call_after_another():
+    with gateway(answering()) as gw:
+        sock = gw.connect()
+        for _ in range(3):
+            sock.sendall(
+                f"GET /p/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                "Toucanspool-Attempt-Id: a1\r\n\r\n".encode()
+            )
+            data = sock.recv(4000)
+            assert data.startswith(b"HTTP/1.1 200")
+            assert data.endswith(b"answer")
+
+
+def test_a_draining_entry_refuses_and_ends_the_connection():
+    with gateway(answering()) as gw:
+        gw.core.front.draining = True
+        status, head, _ = gw.call()
+    assert status == 503
+    assert "Connection: close" in head
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,99 @@
+"""Streams: whole events, resumption, and ends that do not look complete."""
+
+import gevent
+
+from standins.raw_upstream import event, streaming
+from tests.gateway.gateways import gateway, route
+from toucanspool.gateway import stream
+from toucanspool.routing.routes import CallKind
+
+EVENTS = [event(number) for number in range(1, 6)]
+ALL = b"".join(EVENTS)
+STREAM = [route(CallKind.STREAM, resumable=True)]
+UNRESUMABLE = [route(CallKind.STREAM, resumable=False, max_attempts=1)]
+
+
+def payload(body: bytes) -> bytes:
+    """Return what chunks hold, with the last one marked."""
+    found = b""
+    while body:
+        size, _, rest = body.partition(b"\r\n")
+        if not size.strip() or size.startswith(b"("):
+            return found + b"(cut)"
+        length = int(size, 16)
+        if not length:
+            return found + b"(end)"
+        found += rest[:length]
+        body = rest[length + 2 :]
+    return found + b"(cut)"
+
+
+def test_events_come_whole_and_the_stream_ends():
+    with gateway(streaming(EVENTS), routes=STREAM) as gw:
+        status, head, body = gw.call("POST", body=b"ask")
+    assert status == 200
+    assert "text/event-stream" in head
+    assert payload(body) == ALL + b"(end)"
+
+
+def test_the_first_event_does_not_wait_for_the_second():
+    with gateway(streaming(EVENTS, gap_s=0.2), routes=STREAM) as gw:
+        sock = gw.send("POST", body=b"ask")
+        with gevent.Timeout(0.5):
+            assert b"piece 1" in sock.recv(4000) + sock.recv(4000)
+
+
+def test_a_broken_stream_goes_on_at_another_upstream_with_no_gap_and_no_repeat():
+    broken = streaming(EVENTS[:2], cut=True, partial=b"id: 3\nda")
+    with gateway(broken, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._placing.start_at(0.0)
+        _, _, body = gw.call("POST", body=b"ask")
+        assert gw.upstreams[1].seen[0].header("last-event-id") == "2"
+    assert payload(body) == ALL + b"(end)"
+
+
+def test_a_silent_stream_goes_on_elsewhere(monkeypatch):
+    monkeypatch.setattr(stream, "SILENCE_S", 0.1)
+
+    def silent(sock, seen):
+        streaming(EVENTS[:2], cut=True)(sock, seen)
+        gevent.sleep(30)
+
+    with gateway(silent, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._placing.start_at(0.0)
+        assert payload(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+def test_a_stream_that_can_not_go_on_does_not_look_complete():
+    with gateway(streaming(EVENTS[:2], cut=True), routes=UNRESUMABLE) as gw:
+        assert (
+            payload(gw.call("POST", body=b"ask")[2]) == b"".join(EVENTS[:2]) + b"(cut)"
+        )
+
+
+def test_a_stream_that_broke_before_its_first_event_is_told_as_a_failure():
+    with gateway(streaming([], cut=True), routes=UNRESUMABLE) as gw:
+        assert gw.call("POST", body=b"ask")[0] == 502
+
+
+def test_a_caller_that_resumes_gets_the_rest():
+    with gateway(streaming(EVENTS), routes=STREAM) as gw:
+        _, _, body = gw.call("POST", headers="Last-Event-Id: 3", body=b"ask")
+    assert payload(body) == b"".join(EVENTS[3:]) + b"(end)"
+
+
+def test_a_stream_is_cut_at_its_routes_time():
+    routes = [route(CallKind.STREAM, resumable=True, timeout_s=0.3)]
+    with gateway(streaming(EVENTS, gap_s=0.1), routes=routes) as gw, gevent.Timeout(1):
+        body = payload(gw.call("POST", body=b"ask")[2])
+    assert body.endswith(b"(cut)")
+
+
+def test_the_upstreams_stream_ends_as_the_caller_leaves():
+    with gateway(streaming(EVENTS * 20, gap_s=0.02), routes=STREAM) as gw:
+        sock = gw.send("POST", body=b"ask")
+        sock.recv(100)
+        sock.close()
+        gevent.sleep(0.2)
+        assert gw.upstreams[0].closed_early == 1
+        assert gw.core.front.running == 0
--- /dev/null
+++ b/tests/groups/test_map_coordinator.py
@@ -0,0 +1,179 @@
+"""A coordinator that follows demand, and mends what another left."""
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+import numpy as np
+import pytest
+
+from standins.pass_group import GROUP, PassGroup
+from tests.limits.test_pace import ENGINE
+from toucanspool.groups import armed_switch
+from toucanspool.groups.map_coordinator import MapCoordinator
+from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.routing.routes import EngineModel
+from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
+
+RANKS, EXPERTS, PLACES = 4, 16, 6
+MODEL = EngineModel(
+    **{
+        **{name: getattr(ENGINE, name) for name in EngineModel.__slots__},
+        "layer_sets": 1,
+        "experts": EXPERTS,
+        "places": PLACES,
+        "spare": 4,
+        "expert_s": 0.01,
+    }
+)
+HOT = 3
+
+
+class Link:
+    """Ask a keeper unless its machine is away."""
+
+    def __init__(self, keeper: RankKeeper) -> None:
+        self._keeper = keeper
+        self.away = False
+
+    def ask(self, ask: RankAsk) -> RankAnswer:
+        """Return the keeper's answer."""
+        gevent.sleep(0)
+        if self.away:
+            raise AskLost("away")
+        return self._keeper.answer(ask)
+
+    ask_engine = ask
+
+
+@pytest.fixture(autouse=True)
+def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(armed_switch, "POLL_S", 0.001)
+    monkeypatch.setattr(armed_switch, "UNDO_PAUSE_S", 0.001)
+
+
+class World:
+    """Hold a busy group with its agents.
+
+    Attributes
+    ----------
+    group : PassGroup
+        The group.
+    links : dict of int to Link
+        One for each rank.
+    """
+
+    def __init__(self) -> None:
+        self.group = PassGroup(RANKS, random.Random(1))
+        for row in self.group.rows:
+            row.counts = np.ones((1, EXPERTS), dtype=int)
+        self.links = {}
+        for rank in range(RANKS):
+            keeper = RankKeeper(self.group.engine(rank))
+            keeper.restore(0)
+            self.links[rank] = Link(keeper)
+
+    def coordinator(self, token: int, own: int, **more: int) -> MapCoordinator:
+        """Return a coordinator with a token."""
+        return MapCoordinator(GROUP, token, own, lambda: MODEL, **more)
+
+    def demand(self, hot: int) -> None:
+        """Let all ranks choose an expert often."""
+        for row in self.group.rows:
+            row.counts = row.counts + 100
+            row.counts[0, hot] += 3000
+
+    def holders(self, expert: int) -> int:
+        """Return how many ranks hold an expert."""
+        lists = [self.group.engine(rank).experts()[0] for rank in range(RANKS)]
+        return sum(expert in experts for experts in lists)
+
+
+@contextmanager
+def busy(world: World) -> Iterator[None]:
+    def tick() -> None:
+        while True:
+            world.group.tick()
+            gevent.sleep(0.001)
+
+    task = gevent.spawn(tick)
+    try:
+        yield
+        if task.exception is not None:
+            raise task.exception
+    finally:
+        task.kill()
+
+
+def test_a_hot_expert_gets_copies():
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    with busy(world):
+        for _ in range(4):
+            coordinator.step(world.links)
+            world.demand(HOT)
+            gevent.sleep(0.02)
+        assert world.holders(HOT) >= 3
+
+
+def test_even_demand_moves_nothing():
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    with busy(world):
+        for _ in range(4):
+            for row in world.group.rows:
+                row.counts = row.counts + 1000
+            coordinator.step(world.links)
+            gevent.sleep(0.02)
+        assert {row.map[0] for row in world.group.rows} == {0}
+
+
+def test_nothing_is_planned_while_a_rank_is_away():
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    world.links[2].away = True
+    with busy(world):
+        for _ in range(4):
+            world.demand(HOT)
+            coordinator.step(world.links)
+        assert {row.map[0] for row in world.group.rows} == {0}
+
+
+def test_a_group_held_by_a_coordinator_whose_machine_is_away_goes_on():
+    world = World()
+    with busy(world):
+        world.group.carry_out(1, "hold", (world.group.step + 2,))
+        gevent.sleep(0.02)
+        assert world.group.held
+        world.links[0].away = True
+        world.coordinator(2, 2, rank_before=0).step(world.links)
+        assert not world.group.held
+
+
+def test_a_group_that_may_be_armed_at_a_rank_away_stays_held():
+    world = World()
+    with busy(world):
+        step = world.group.step + 2
+        world.group.carry_out(1, "hold", (step,))
+        world.links[3].away = True
+        world.coordinator(2, 2, rank_before=0).step(world.links)
+        gevent.sleep(0.02)
+        assert world.group.held
+
+
+def test_a_successor_reads_the_map_that_it_did_not_make():
+    world = World()
+    with busy(world):
+        first = world.coordinator(1, 0)
+        for _ in range(4):
+            first.step(world.links)
+            world.demand(HOT)
+            gevent.sleep(0.02)
+        second = world.coordinator(2, 1)
+        for _ in range(5):
+            second.step(world.links)
+            world.demand(HOT + 4)
+            gevent.sleep(0.02)
+        assert world.holders(HOT + 4) >= 2
--- /dev/null
+++ b/tests/groups/test_rank_calls.py
@@ -0,0 +1,70 @@
+"""Asks and answers between a coordinator and rank agents, over loopback."""
+
+import random
+
+import gevent
+import pytest
+
+from standins.pass_group import GROUP, PassGroup
+from toucanspool.groups.rank_calls import AskLost, AskReceiver, RankLink
+from toucanspool.groups.rank_engine import RankEngineError
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.wire.gen.messages.ttypes import RankAction, RankAnswer, RankAsk
+from toucanspool.wire.listener import Listener
+
+
+def keeper(group: PassGroup) -> RankKeeper:
+    made = RankKeeper(group.engine(0))
+    made.restore(0)
+    return made
+
+
+def status() -> RankAsk:
+    return RankAsk(action=RankAction.STATUS, group=GROUP, token=1, epoch=1)
+
+
+@pytest.fixture()
+def group() -> PassGroup:
+    return PassGroup(2, random.Random(1))
+
+
+def test_an_ask_is_answered_by_the_agent(group):
+    listener = Listener("127.0.0.1", 0, lambda: AskReceiver(keeper(group).answer))
+    listener.start()
+    link = RankLink("127.0.0.1", listener.port, keeper(PassGroup(9, random.Random(2))))
+    answer = link.ask(status())
+    assert (answer.rank, answer.size) == (0, 2)
+    link.close()
+    listener.stop()
+
+
+def test_the_engine_answers_while_the_agent_is_away(group):
+    link = RankLink("127.0.0.1", 1, keeper(group))
+    assert link.ask(status()).size == 2
+
+
+def test_a_silent_agent_is_passed_over_at_once_the_next_time(group):
+    def silent(ask: RankAsk) -> RankAnswer:
+        gevent.sleep(60)
+        raise AssertionError
+
+    listener = Listener("127.0.0.1", 0, lambda: AskReceiver(silent))
+    listener.start()
+    link = RankLink("127.0.0.1", listener.port, keeper(group))
+    link.ask(status())
+    with gevent.Timeout(0.1):
+        link.ask(status())
+    link.close()
+    listener.stop()
+
+
+def test_neither_agent_nor_engine_is_an_ask_that_is_lost(group):
+    broken = group.engine(0)
+
+    def down() -> None:
+        raise RankEngineError("down")
+
+    broken.state = down
+    link = RankLink("127.0.0.1", 1, RankKeeper(broken))
+    with pytest.raises(AskLost):
+        link.ask(status())
--- /dev/null
+++ b/tests/recovery/test_token.py
@@ -0,0 +1,48 @@
+"""Elections by a token in one row."""
+
+from standins.memory import MemoryTable
+from toucanspool.backing.table import Write
+from toucanspool.recovery.token import PREFIX, elect, held_token
+
+
+def test_each_election_raises_the_token_and_names_the_holder_before():
+    table = MemoryTable()
+    first = elect(table, "d", "a", above=-1)
+    second = elect(table, "d", "b", above=-1)
+    assert (first.token, first.before) == (1, "")
+    assert (second.token, second.before) == (2, "a")
+    assert held_token(table, "d") == 2
+
+
+def test_the_token_is_higher_than_any_that_is_known():
+    assert elect(MemoryTable(), "d", "a", above=7).token == 8
+
+
+def test_nobody_is_elected_while_the_table_is_down():
+    table = MemoryTable()
+    table.faults.down = True
+    assert elect(table, "d", "a", above=0) is None
+
+
+def test_an_election_whose_answer_was_lost_is_no_election_but_raises_the_token():
+    table = MemoryTable()
+    table.faults.lose_answers = 1
+    assert elect(table, "d", "a", above=0) is None
+    assert elect(table, "d", "b", above=0).token == 2
+
+
+def test_a_row_that_can_not_be_read_is_replaced():
+    table = MemoryTable()
+    table.commit([], [Write(PREFIX + "d", b"\xff")])
+    assert elect(table, "d", "a", above=4).token == 5
+
+
+def test_one_of_two_that_stand_at_once_is_elected():
+    class Racing(MemoryTable):
+        def commit(self, checks, writes):
+            """Let another commit come first, once."""
+            if not self.commits:
+                super().commit([], [Write(PREFIX + "d", b'{"holder":"x","token":1}')])
+            return super().commit(checks, writes)
+
+    assert elect(Racing(), "d", "a", above=0) is None
--- /dev/null
+++ b/tests/routing/test_routes.py
@@ -0,0 +1,65 @@
+"""Routes by host and longest prefix."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from toucanspool.routing.routes import CallKind, Route, RouteTable
+
+
+def route(name: str, prefix: str, *, host: str = "a.example", **more: object) -> Route:
+    options = {"kind": CallKind.IDEMPOTENT, "services": (("s", 1.0),), **more}
+    return Route(
+        name=name, host=host, prefix=prefix, timeout_s=1, objective_s=1, **options
+    )
+
+
+TABLE = RouteTable(
+    version=1,
+    routes=[
+        route("top", "/a/"),
+        route("deep", "/a/b/"),
+        route("other", "/a/", host="b.example"),
+    ],
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("a.example", "/a/x", "top"),
+        ("a.example", "/a/", "top"),
+        ("a.example", "/a/b/c/d", "deep"),
+        ("a.example", "/a/bc", "top"),
+        ("b.example", "/a/b/x", "other"),
+        ("a.example", "/a", None),
+        ("a.example", "/b/", None),
+        ("c.example", "/a/x", None),
+        ("a.example", "", None),
+    ],
+)
+def test_the_longest_prefix_wins(host, path, name):
+    found = TABLE.find(host, path)
+    assert (found.name if found else None) == name
+
+
+def test_services_are_drawn_by_weight():
+    split = route("r", "/", services=(("big", 90.0), ("small", 10.0)))
+    rng = random.Random(1)
+    drawn = Counter(split.service(rng) for _ in range(2000))
+    assert 0.07 < drawn["small"] / 2000 < 0.13
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        (CallKind.IDEMPOTENT, False, True),
+        (CallKind.AT_MOST_ONCE, False, False),
+        (CallKind.AT_MOST_ONCE, True, False),
+        (CallKind.STREAM, False, False),
+        (CallKind.STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated(kind, resumable, repeatable):
+    assert route("r", "/", kind=kind, resumable=resumable).repeatable is repeatable
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -29,21 +29,25 @@
         """Return the caller's connection."""
         return self.socket
 
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Return a request's headers; called by the library."""
+        headers = super().MessageClass(*args)
+        lengths = headers.get_all("content-length") or []
+        codings = headers.get_all("transfer-encoding") or []
+        if len(lengths) + len(codings) > 1:
+            raise BadFraming("the request has more than one length")
+        if codings and codings[0].lower() != "chunked":
+            raise BadFraming("the request has an unknown transfer coding")
+        return headers
+
     def read_request(self, raw_requestline: str) -> bool:
         """Read a request's head; called by the library."""
         limits: Limits = self.server.limits
         self.socket.settimeout(limits.header_timeout_s)
         try:
-            good = super().read_request(raw_requestline)
+            return super().read_request(raw_requestline)
         finally:
             self.socket.settimeout(limits.idle_timeout_s)
-        lengths = self.headers.get_all("content-length") or []
-        codings = self.headers.get_all("transfer-encoding") or []
-        if len(lengths) > 1 or len(codings) > 1 or (lengths and codings):
-            raise BadFraming("the request has more than one length")
-        if codings and codings[0].lower() != "chunked":
-            raise BadFraming("the request has an unknown transfer coding")
-        return good
 
     def get_environ(self) -> dict[str, Any]:
         """Return the request's environment; called by the library."""
--- a/toucanspool/gateway/exchange.py
+++ b/toucanspool/gateway/exchange.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Iterable, Iterator
 
+from gevent import socket
+
 from toucanspool.gateway.call import Header
 from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
 
@@ -45,7 +47,7 @@
     __slots__ = ("_conn", "_method", "parser", "sent")
 
     def __init__(self, host: str, port: int, method: str) -> None:
-        self._conn = http.client.HTTPConnection(host, port, timeout=CONNECT_TIMEOUT_S)
+        self._conn = http.client.HTTPConnection(host, port)
         self._method = method
         self.parser = ReplyParser(method)
         self.sent = False
@@ -70,13 +72,15 @@
             The connection was lost while the request was sent.
         """
         conn = self._conn
+        address = (conn.host, conn.port)
         try:
-            conn.connect()
+            conn.sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
         except OSError as exc:
             raise Unreachable(str(exc)) from exc
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
         for name, value in headers:
             conn.putheader(name, value)
+        conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sent = True
         try:
             conn.endheaders(body or None)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -207,6 +207,8 @@
             may_have_run=bool(sent and not turned_away),
             attempt=progress.sends,
         )
+        if call.deadline.passed(time.monotonic()):
+            raise Refused(RefusalCause.DEADLINE, ran=progress.runs > 0) from exc
         if progress.runs and not call.route.repeatable:
             raise Refused(RefusalCause.MAYBE_RUN, ran=True) from exc
         if unreachable and progress.unreached < MOST_SENDS:
--- a/toucanspool/limits/pace.py
+++ b/toucanspool/limits/pace.py
@@ -18,6 +18,8 @@
 LEAST_IN_TIME = 1.0
 # Pauses longer than this many times the one allowed say no more.
 LONGEST_PAUSES = 8.0
+# Events that come together tell nothing of passes shorter than this.
+SHORTEST_S = 0.001
 LEAST = 1.0
 
 
@@ -75,7 +77,7 @@
         seconds : float
             The pause.
         """
-        self._sum_s += min(seconds, LONGEST_PAUSES * self.pause_s)
+        self._sum_s += min(max(seconds, SHORTEST_S), LONGEST_PAUSES * self.pause_s)
         self._count += 1
 
     def adapt(
@@ -120,7 +122,10 @@
             return
         seen_s = self._sum_s / self._count
         self._sum_s, self._count = 0.0, 0
-        self._mean_s += (gain if self._mean_s else 1.0) * (seen_s - self._mean_s)
+        # The geometric mean forgets a pause ten times too long as soon as one ten
+        # times too short.
+        before_s = self._mean_s or seen_s
+        self._mean_s = before_s * (seen_s / before_s) ** gain
 
     def _per_upstream(self, engine: EngineModel) -> float:
         """Return the requests that an upstream may have at once."""
