--- /dev/null
+++ b/tests/platform/test_pages.py
@@ -0,0 +1,41 @@
+"""The small pages."""
+
+import orjson
+
+from toucanspool.platform import pages
+
+
+def get(page: pages.Page, path: str = "/") -> tuple[str, bytes]:
+    told: list[str] = []
+    body = page({"PATH_INFO": path}, lambda status, headers: told.append(status))
+    return told[0], b"".join(body)
+
+
+def test_readiness():
+    assert get(pages.readiness_page(lambda: True))[0] == pages.OK
+    assert get(pages.readiness_page(lambda: False))[0] == pages.UNAVAILABLE
+
+
+def test_the_directory_tells_addresses_and_how_long_they_hold():
+    page = pages.directory_page(lambda: ["10.0.0.1:80"], lambda: 2.0)
+    status, body = get(page, "/resolve")
+    assert status == pages.OK
+    assert orjson.loads(body) == {"addresses": ["10.0.0.1:80"], "ttlS": 2.0}
+
+
+def test_the_directory_tells_no_more_than_callers_take():
+    page = pages.directory_page(lambda: ["a:1"] * 100, lambda: 2.0)
+    assert len(orjson.loads(get(page, "/resolve")[1])["addresses"]) == 64
+
+
+def test_a_directory_without_entries_is_unavailable():
+    page = pages.directory_page(list, lambda: 2.0)
+    assert get(page, "/resolve")[0] == pages.UNAVAILABLE
+
+
+def test_another_path_is_not_found():
+    assert get(pages.directory_page(list, lambda: 2.0), "/x")[0] == pages.NOT_FOUND
+
+
+def test_metrics():
+    assert get(pages.metrics_page(lambda: b"m 1")) == (pages.OK, b"m 1")
--- /dev/null
+++ b/tests/platform/test_runners.py
@@ -0,0 +1,57 @@
+"""Rows of runners, decoded."""
+
+import orjson
+import pytest
+
+from toucanspool.backing.table import Row
+from toucanspool.platform.runners import decode_listing
+
+FIELDS = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "auckland",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def listing(**changes: object):
+    fields = {k: v for k, v in {**FIELDS, **changes}.items() if v is not None}
+    return decode_listing(Row("i-1", orjson.dumps(fields), 3))
+
+
+def test_a_runner():
+    found = listing()
+    assert (found.name, found.address, found.slots) == ("i-1", "10.0.0.9:8080", 6)
+    assert (found.ready, found.failure_domain) == (True, "auckland")
+    assert found.started_ms == 1700000000000
+
+
+def test_a_draining_runner_is_not_ready():
+    assert not listing(state="draining").ready
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": None},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9:http"},
+        {"state": "asleep"},
+        {"state": None},
+        {"service": ["s"]},
+        {"slots": "six"},
+        {"born": "long ago"},
+    ],
+)
+def test_another_writers_row_names_no_runner(changes):
+    assert listing(**changes) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[1]", b"7"])
+def test_bytes_that_can_not_be_read_name_no_runner(value):
+    assert decode_listing(Row("i-1", value, 3)) is None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,109 @@
+"""The row store's client, against a store on loopback."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from standins.row_store import RowStore as Standin
+from toucanspool.backing.table import (
+    Check,
+    TableConflict,
+    TableThrottled,
+    TableUnavailable,
+    TableUncertain,
+    Write,
+)
+from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.recovery.feed import HistoryGone
+
+
+@pytest.fixture()
+def standin() -> Iterator[Standin]:
+    with Standin() as running:
+        yield running
+
+
+@pytest.fixture()
+def store(standin: Standin) -> Iterator[RowStore]:
+    client = RowStore("127.0.0.1", standin.port, feed_wait_s=1.0)
+    yield client
+    client.close()
+
+
+def test_a_commit_is_read_back(store):
+    version = store.commit([Check("k", 0)], [Write("k", b"v")])
+    row = store.get(["k", "absent"])["k"]
+    assert (row.value, row.version) == (b"v", version)
+    assert set(store.get(["k", "absent"])) == {"k"}
+
+
+def test_a_check_that_does_not_hold_is_a_conflict(store):
+    store.commit([], [Write("k", b"v")])
+    with pytest.raises(TableConflict):
+        store.commit([Check("k", 0)], [Write("k", b"w")])
+
+
+def test_a_row_is_deleted(store):
+    store.commit([], [Write("k", b"v")])
+    store.commit([], [Write("k", None)])
+    assert store.get(["k"]) == {}
+
+
+def test_rows_by_prefix(store):
+    for key in ("a/1", "a/2", "b/1"):
+        store.commit([], [Write(key, b"v")])
+    assert [row.key for row in store.scan("a/")] == ["a/1", "a/2"]
+    assert [row.key for row in store.scan("a/", after="a/1")] == ["a/2"]
+
+
+def test_a_large_table_comes_whole(store, standin):
+    for number in range(1203):
+        standin.pages.put("servers", f"{number:05}", b"v")
+    assert len(store.snapshot("servers").rows) == 1203
+
+
+def test_changes_come_once_and_deletions_are_told(store, standin):
+    version = store.snapshot("servers").version
+    standin.pages.put("servers", "a", b"1")
+    standin.pages.put("servers", "a", b"2")
+    standin.pages.put("servers", "b", b"1")
+    standin.pages.drop("servers", "b")
+    changes = store.changes("servers", version, 0.0)
+    assert [(row.key, row.value) for row in changes.rows] == [("a", b"2")]
+    assert list(changes.gone) == ["b"]
+    assert not store.changes("servers", changes.version, 0.0).rows
+
+
+def test_forgotten_history_is_told(store, standin):
+    standin.pages.put("servers", "a", b"1")
+    standin.pages.history_from = 1
+    with pytest.raises(HistoryGone):
+        store.changes("servers", 0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("status", "error"), [(503, TableUnavailable), (429, TableThrottled)]
+)
+def test_a_refusal_is_no_write(store, standin, status, error):
+    standin.pages.status = status
+    with pytest.raises(error):
+        store.commit([], [Write("k", b"v")])
+    with pytest.raises(error):
+        store.snapshot("servers")
+    standin.pages.status = 0
+    assert standin.pages.row(OWN_TABLE, "k") is None
+
+
+def test_a_lost_answer_may_be_a_write(store, standin):
+    standin.pages.lose_answers = 1
+    with pytest.raises(TableUncertain):
+        store.commit([], [Write("k", b"v")])
+    assert store.get(["k"])["k"].value == b"v"
+
+
+def test_a_closed_store_is_unavailable():
+    client = RowStore("127.0.0.1", 1, feed_wait_s=1.0)
+    with pytest.raises(TableUnavailable):
+        client.get(["k"])
+    with pytest.raises(TableUnavailable):
+        client.commit([], [Write("k", b"v")])
