Let membership know nothing of entries, and share the HTTP server

Cause: membership imported the links of entries; gateways and entries serve HTTP alike. After: the exchange with peers lies with the entry, the HTTP server with the wire.

--- a/standins/http.py
+++ b/standins/http.py
@@ -7,7 +7,7 @@
 from absl import flags
 
 from standins.faults import FaultDown, FaultLostAnswer, Faults
-from toucanspool.entry.http_server import HttpServer
+from toucanspool.wire.http_server import HttpServer
 
 HOST = flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
 PORT = flags.DEFINE_integer("port", None, "Port to listen on.", required=True)
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -12,7 +12,7 @@
 import gevent
 import orjson
 
-from toucanspool.entry.http_server import HttpServer
+from toucanspool.wire.http_server import HttpServer
 
 MS_PER_S = 1000
 PAGE_ROWS = 500
--- a/tests/backing/test_http_instances.py
+++ b/tests/backing/test_http_instances.py
@@ -9,7 +9,7 @@
 from toucanspool.backing.http_client import JsonClient
 from toucanspool.backing.http_instances import HttpInstances
 from toucanspool.backing.instances import InstancesUnavailable
-from toucanspool.entry.http_server import HttpServer
+from toucanspool.wire.http_server import HttpServer
 
 FIELDS = {
     "name": "entry-1",
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -124,9 +124,9 @@
     from toucanspool.entry.decisions import Decisions
     from toucanspool.entry.dispatcher import Dispatcher
     from toucanspool.entry.http_service import HttpService
+    from toucanspool.entry.peers import PeersService
     from toucanspool.entry.router import Router
     from toucanspool.groups.duty import GroupDuty
-    from toucanspool.membership.peers import PeersService
     from toucanspool.membership.service import InstancesService
     from toucanspool.recovery.duties import (
         JANITOR_INTERVAL_S,
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -19,7 +19,6 @@
 )
 from toucanspool.entry.decisions import Decisions
 from toucanspool.entry.dispatcher import Dispatcher
-from toucanspool.entry.http_server import HttpServer
 from toucanspool.entry.presence import Presence
 from toucanspool.entry.problems import Problem
 from toucanspool.entry.request_reader import RequestReader, new_request_id
@@ -31,6 +30,7 @@
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
 from toucanspool.wire.gen.messages.ttypes import Outcome
+from toucanspool.wire.http_server import HttpServer
 
 REQUEST_ID_HEADER = "X-Request-Id"
 POLL_S = 0.02
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -5,9 +5,9 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler
 
-from toucanspool.entry.http_server import HttpServer
 from toucanspool.gateway.call import Header
 from toucanspool.routing.routes import Limits
+from toucanspool.wire.http_server import HttpServer
 
 HANDLER_KEY = "toucanspool.handler"
 
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -9,7 +9,6 @@
 from geventhttpclient.response import HTTPParseError
 
 from toucanspool.backing.table import TableError, Write
-from toucanspool.entry.http_server import HttpServer
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
@@ -26,6 +25,7 @@
 from toucanspool.routing.routes import Limits
 from toucanspool.settings.settings import Address, Settings
 from toucanspool.telemetry.call_metrics import CallMetrics
+from toucanspool.wire.http_server import HttpServer
 
 TICK_S = 0.1
 PROBE_INTERVAL_S = 1.0
