Send each call to the store once

It reset connections for 8 s; the HTTP library's pool sends a GET again on each of its connections, nine times in all, and followers tried again after 0.2 to 0.6 s. Ruled out: a feed that answers at once without an end (no such line in the logs). After: the adapter makes each call once on a connection of its own, and followers wait 0.3 to 0.9 s; a test with a store that resets reads sees one call (before: nine).

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
+from gevent.server import StreamServer
 
 from standins.row_store import RowStore as Standin
 from toucanspool.backing.table import (
@@ -24,10 +25,8 @@
 
 
 @pytest.fixture()
-def store(standin: Standin) -> Iterator[RowStore]:
-    client = RowStore("127.0.0.1", standin.port, feed_wait_s=1.0)
-    yield client
-    client.close()
+def store(standin: Standin) -> RowStore:
+    return RowStore("127.0.0.1", standin.port, feed_wait_s=1.0)
 
 
 def test_a_commit_is_read_back(store):
@@ -107,3 +106,19 @@
         client.get(["k"])
     with pytest.raises(TableUnavailable):
         client.commit([], [Write("k", b"v")])
+
+
+def test_a_read_that_is_reset_is_sent_once():
+    seen = []
+
+    def reset(sock, address):
+        seen.append(sock.recv(4000))
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), reset)
+    server.start()
+    client = RowStore("127.0.0.1", server.server_port, feed_wait_s=1.0)
+    with pytest.raises(TableUnavailable):
+        client.changes("op", 1, 0.0)
+    server.stop()
+    assert len(seen) == 1
--- a/toucanspool/__init__.py
+++ b/toucanspool/__init__.py
@@ -1,3 +1,3 @@
 """Balance requests over expert-parallel model groups by labels and selectors."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/toucanspool/backing/http_client.py
+++ b/toucanspool/backing/http_client.py
@@ -101,26 +101,6 @@
         resp, answer = self._request("GET", path, b"", headers)
         return resp.status_code, answer, str(resp.get("etag", ""))
 
-    def head(self, path: str) -> dict[str, str]:
-        """Return the headers of an answer to GET, by name in lower case.
-
-        Parameters
-        ----------
-        path : str
-            Path.
-
-        Returns
-        -------
-        dict of str to str
-
-        Raises
-        ------
-        CallRefused, CallLost
-            As of `call`.
-        """
-        resp, _ = self._request("GET", path, b"", {})
-        return {str(name).lower(): str(value) for name, value in resp.items()}
-
     def _request(
         self, method: str, path: str, data: bytes, headers: dict[str, str]
     ) -> tuple[HTTPResponse, Any]:
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.groups.expert_map import EMPTY, IntArray
 from toucanspool.groups.rank_engine import (
     NONE,
@@ -15,6 +15,7 @@
     RankEngineError,
     RankState,
 )
+from toucanspool.platform.json_calls import JsonCalls
 
 # An engine answers its own machine within milliseconds.
 TIMEOUT_S = 0.3
@@ -41,7 +42,7 @@
     __slots__ = ("_client", "_sets")
 
     def __init__(self, host: str, port: int) -> None:
-        self._client = JsonClient(host, port, timeout_s=TIMEOUT_S)
+        self._client = JsonCalls(host, port, timeout_s=TIMEOUT_S)
         self._sets = 0
 
     def state(self) -> RankState:
@@ -138,10 +139,6 @@
         """Let the group begin a pass that was held; see `RankEngine`."""
         self._order("go", epoch, step=step)
 
-    def close(self) -> None:
-        """Close all connections."""
-        self._client.close()
-
     def _order(self, operation: str, epoch: int, **more: Any) -> None:
         body = {"operation": operation, "epoch": epoch, **more}
         try:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -83,7 +83,6 @@
         self._store = RowStore(
             store.address.host, store.address.port, feed_wait_s=store.feed_wait_s
         )
-        self._closing.callback(self._store.close)
         self._core = GatewayCore(
             self._entries,
             PlatformDialect(),
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -46,9 +46,7 @@
         rng = kernel.find("rng").named("rank")
         address = cfg.store.address
         store = RowStore(address.host, address.port, feed_wait_s=cfg.store.feed_wait_s)
-        self._closing.callback(store.close)
         engine = PlatformEngine(cfg.engine.host, cfg.engine.port)
-        self._closing.callback(engine.close)
         keeper = RankKeeper(engine)
         self._member = RankMember(
             self._cfg.instance,
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -5,7 +5,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
+from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.backing.table import (
     Check,
     Row,
@@ -15,6 +15,7 @@
     TableUncertain,
     Write,
 )
+from toucanspool.platform.json_calls import JsonCalls
 from toucanspool.recovery.feed import Changes, HistoryGone
 
 OWN_TABLE = "toucanspool"
@@ -43,8 +44,8 @@
     __slots__ = ("_calls", "_feeds")
 
     def __init__(self, host: str, port: int, *, feed_wait_s: float) -> None:
-        self._calls = JsonClient(host, port, timeout_s=CALL_TIMEOUT_S)
-        self._feeds = JsonClient(host, port, timeout_s=feed_wait_s + FEED_SLACK_S)
+        self._calls = JsonCalls(host, port, timeout_s=CALL_TIMEOUT_S)
+        self._feeds = JsonCalls(host, port, timeout_s=feed_wait_s + FEED_SLACK_S)
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the own rows present among `keys`; see `Table`."""
@@ -126,11 +127,6 @@
                 rows[row["key"]] = _row(row)
         return Changes(list(rows.values()), list(gone), int(answer["ver"]))
 
-    def close(self) -> None:
-        """Close all connections."""
-        self._calls.close()
-        self._feeds.close()
-
     def _range(self, table: str, query: dict[str, str]) -> tuple[list[Row], int]:
         rows: list[Row] = []
         asked: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_ROWS}
@@ -146,7 +142,7 @@
                 return rows, version
             asked["from"] = rows[-1].key + "\0"
 
-    def _read(self, client: JsonClient, path: str, query: Mapping[str, Any]) -> Any:
+    def _read(self, client: JsonCalls, path: str, query: Mapping[str, Any]) -> Any:
         try:
             status, answer = client.call("GET", f"{path}?{urlencode(query)}")
         except (CallRefused, CallLost) as exc:
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -11,7 +11,8 @@
 
 from toucanspool.backing.table import Row, TableError
 
-RETRY_S = 0.4
+# Mean time between tries while the store is away or has dropped its history.
+RETRY_S = 0.6
 
 _log = structlog.get_logger()
 
@@ -163,7 +164,7 @@
         Returns
         -------
         bool
-            Whether the store answered.
+            Whether the reader is at the newest state.
         """
         try:
             if self._version is None:
@@ -175,7 +176,7 @@
         except HistoryGone:
             _log.warning("history gone", table=self._table, after=self._version)
             self._version = None
-            return True
+            return False
         except TableError as exc:
             self._lost(exc)
             return False
