--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -33,7 +33,10 @@
 # The copies of a rank come one after the other, so one at a time is in force soonest.
 COPIES_PER_RANK = 1
 LEAST_GAIN = 0.02
+# The least gain of skew that pays for copies, of a group whose engines are full and of
+# an idle one, whose callers feel skew less.
 LEAST_SKEW_GAIN = 0.04
+LEAST_SKEW_GAIN_IDLE = 0.2
 # A copy may take this much longer than the link's rate says, and this long besides.
 COPY_SLACK = 2.0
 COPY_SLACK_S = 1.0
@@ -160,7 +163,7 @@
         planned = self._copies.after(copies)
         before = self._copies.skew(demand, paces)
         after = planned.skew(demand, paces)
-        if not copies or before - after < LEAST_SKEW_GAIN:
+        if not copies or before - after < _least_gain(answers, engine):
             return
         new = max(answer.newest_version for answer in answers.values()) + 1
         started = time.monotonic()
@@ -170,6 +173,7 @@
             version=new,
             copies=sum(copy.expert != EMPTY for copy in copies),
             slowest=round(float(paces.max()), 1),
+            running=sum(answer.running for answer in answers.values()),
             skew=round(before, 2),
             skew_after=round(after, 2),
             token=self._token,
@@ -267,3 +271,9 @@
             # Each expert is held somewhere, so it holds what no other rank does.
             copies.held[:, rank, :] = ~copies.held.any(axis=1)
         return copies
+
+
+def _least_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
+    running = sum(answer.running + answer.waiting for answer in answers.values())
+    idle = max(0.0, 1.0 - running / (engine.slots * len(answers)))
+    return LEAST_SKEW_GAIN + idle * (LEAST_SKEW_GAIN_IDLE - LEAST_SKEW_GAIN)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -19,7 +19,7 @@
 from toucanspool.platform import configuration, pages, runners
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
-from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.platform.store import OWN_PAUSE_S, OWN_TABLE, RowStore
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.retries.ejection import Result
 from toucanspool.routing.routes import Limits
@@ -100,7 +100,13 @@
             wait_s=store.list_interval_s,
             pause_s=store.list_interval_s,
         )
-        self._follow(OWN_TABLE, self._all_own, self._changed_own, rng=rng)
+        self._follow(
+            OWN_TABLE,
+            self._all_own,
+            self._changed_own,
+            rng=rng,
+            pause_s=OWN_PAUSE_S,
+        )
         frontend = Frontend(
             self._core.front, lambda: self._core.routes, rng, self._metrics
         )
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -14,7 +14,7 @@
 from toucanspool.platform import configuration, runners
 from toucanspool.platform.engine import PlatformEngine
 from toucanspool.platform.runners import decode_listing
-from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.platform.store import OWN_PAUSE_S, OWN_TABLE, RowStore
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
 from toucanspool.routing.upstreams import Listing
@@ -65,9 +65,9 @@
         )
         listener.start()
         self._closing.callback(listener.stop)
-        for table, on_snapshot, on_changes in (
-            (configuration.TABLE, self._take_routes, self._take_routes),
-            (OWN_TABLE, self._all_ranks, self._changed_ranks),
+        for table, on_snapshot, on_changes, pause_s in (
+            (configuration.TABLE, self._take_routes, self._take_routes, 0.0),
+            (OWN_TABLE, self._all_ranks, self._changed_ranks, OWN_PAUSE_S),
         ):
             follower = FeedFollower(
                 store,
@@ -75,6 +75,7 @@
                 on_snapshot,
                 on_changes,
                 wait_s=cfg.store.feed_wait_s,
+                pause_s=pause_s,
                 rng=rng,
             )
             follower.start()
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -19,6 +19,8 @@
 from toucanspool.recovery.feed import Changes, HistoryGone
 
 OWN_TABLE = "toucanspool"
+# Many processes list themselves at once at the start: their rows are read together.
+OWN_PAUSE_S = 0.5
 CALL_TIMEOUT_S = 1.5
 MS_PER_S = 1000
 PAGE_ROWS = 500
