--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from toucanspool.backing.http_client import CallLost, CallRefused
+from toucanspool.backing.http_client import CallLost, CallRefused, JsonClient
 from toucanspool.groups.expert_map import EMPTY, IntArray
 from toucanspool.groups.rank_engine import (
     NONE,
@@ -39,10 +39,13 @@
         Port.
     """
 
-    __slots__ = ("_client", "_sets")
+    __slots__ = ("_client", "_once", "_sets")
 
     def __init__(self, host: str, port: int) -> None:
-        self._client = JsonCalls(host, port, timeout_s=TIMEOUT_S)
+        # New connections to an engine cost it time, so they are kept for what is
+        # asked several times a second.
+        self._client = JsonClient(host, port, timeout_s=TIMEOUT_S)
+        self._once = JsonCalls(host, port, timeout_s=TIMEOUT_S)
         self._sets = 0
 
     def state(self) -> RankState:
@@ -107,7 +110,7 @@
             It did not tell.
         """
         try:
-            headers = self._client.head(health_path)
+            headers = self._once.head(health_path)
         except (CallRefused, CallLost) as exc:
             raise RankEngineError(str(exc)) from exc
         name = headers.get(INSTANCE_ID, "")
@@ -139,6 +142,10 @@
         """Let the group begin a pass that was held; see `RankEngine`."""
         self._order("go", epoch, step=step)
 
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
     def _order(self, operation: str, epoch: int, **more: Any) -> None:
         body = {"operation": operation, "epoch": epoch, **more}
         try:
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -47,6 +47,7 @@
         address = cfg.store.address
         store = RowStore(address.host, address.port, feed_wait_s=cfg.store.feed_wait_s)
         engine = PlatformEngine(cfg.engine.host, cfg.engine.port)
+        self._closing.callback(engine.close)
         keeper = RankKeeper(engine)
         self._member = RankMember(
             self._cfg.instance,
