Make the fuzz of switches run switches again

After: the test gives other maps to each switch and demands that a switch ends with a result or a known failure. Conclusion: a task's failure is looked at.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -12,6 +12,7 @@
 from toucanspool.groups import armed_switch
 from toucanspool.groups.armed_switch import (
     ArmedSwitch,
+    GroupChanged,
     Replaced,
     SwitchEnd,
     is_armed_whole,
@@ -48,6 +49,10 @@
     """Stand for the end of a coordinator's process."""
 
 
+# How a switch may end besides a `SwitchEnd`.
+ENDS = Dead | Replaced | GroupChanged | AskLost
+
+
 class Death:
     """End a coordinator at its n-th ask."""
 
@@ -183,7 +188,7 @@
 def test_an_agent_that_has_forgotten_the_last_election_gives_no_order():
     group = PassGroup(3, random.Random(5))
     made = [RankKeeper(group.engine(rank)) for rank in range(3)]
-    with ticking(group), pytest.raises((armed_switch.GroupChanged, AskLost)):
+    with ticking(group), pytest.raises((GroupChanged, AskLost)):
         switch(made).run(1, MAP, DEALT, COPY_S)
     assert all(row.prepared is None for row in group.rows)
 
@@ -231,12 +236,14 @@
     with ticking(group, idle=lambda: rng.random() < idle_share) as task:
         for _ in range(4):
             death = Death(rng.randrange(60) if rng.random() < 0.5 else None)
-            newest = max(
-                answer.newest_version for answer in statuses(made, token).values()
-            )
-            run = gevent.spawn(switch(made, token, death).run, newest + 1, maps, 0.2)
+            one = switch(made, token, death)
+            new = one.next_version(statuses(made, token))
+            shuffled = shuffling.permuted(maps, axis=1)
+            run = gevent.spawn(one.run, new, shuffled, maps, 0.2)
             run.join(timeout=2)
             run.kill()
+            assert isinstance(run.value, SwitchEnd | gevent.GreenletExit | None)
+            assert isinstance(run.exception, ENDS | None)
             token += 1
             settle(group, made, token)
             assert task.exception is None
