--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -15,6 +15,7 @@
         "headers": [("X-Own", "1")],
         "body": b"",
         "route": route(CallKind.STREAM),
+        "routes_version": 1,
         "service": "desk",
         "team": "clerks",
         "priority": 1,
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -1,6 +1,6 @@
 """One call of a caller by route, and the reply to it."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -26,6 +26,8 @@
         The body.
     route : Route
         Its route.
+    routes_version : int
+        Version of the routes that it was found in.
     service : str
         The service that it goes to.
     team : str
@@ -48,6 +50,7 @@
     headers: Sequence[Header]
     body: bytes
     route: Route
+    routes_version: int
     service: str
     team: str
     priority: int
@@ -89,12 +92,20 @@
         Whether it may have run.
     retry_after_s : float, default=0.0
         When another try makes sense, in seconds from now; 0 for at once.
+    inputs : mapping of str to float, optional
+        What decided it, for the log.
     """
 
     def __init__(
-        self, cause: RefusalCause, *, ran: bool = False, retry_after_s: float = 0.0
+        self,
+        cause: RefusalCause,
+        *,
+        ran: bool = False,
+        retry_after_s: float = 0.0,
+        inputs: Mapping[str, float] | None = None,
     ) -> None:
         super().__init__(cause.value)
+        self.inputs = dict(inputs or {})
         self.cause = cause
         self.ran = ran
         self.retry_after_s = retry_after_s
--- a/toucanspool/gateway/exchange.py
+++ b/toucanspool/gateway/exchange.py
@@ -163,13 +163,13 @@
     def _receive(self, until: float) -> None:
         left_s = until - time.monotonic()
         if left_s <= 0.0:
-            raise Silent
+            raise Silent("no time is left")
         sock = self._conn.sock
         sock.settimeout(left_s)
         try:
             data = sock.recv(READ_BLOCK_BYTES)
         except TimeoutError as exc:
-            raise Silent from exc
+            raise Silent(f"nothing came for {left_s:.1f} s") from exc
         except OSError as exc:
             raise BrokenReply(str(exc)) from exc
         self.parser.take(data)
--- a/toucanspool/gateway/front.py
+++ b/toucanspool/gateway/front.py
@@ -97,7 +97,15 @@
         except Shed as exc:
             left_s = max(0.0, call.deadline.left_s(now))
             retry_s = min(exc.retry_after_s, left_s / 4.0)
-            raise Refused(_CAUSES[exc.cause], retry_after_s=retry_s) from exc
+            admission = gate.admission
+            inputs = {
+                "limit": round(admission.capacity, 1),
+                "running": admission.running,
+                "waiting": admission.waiting,
+            }
+            raise Refused(
+                _CAUSES[exc.cause], retry_after_s=retry_s, inputs=inputs
+            ) from exc
 
     def _ended(self) -> None:
         self.running -= 1
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -157,6 +157,8 @@
             load=round(upstream.load(now), 2),
             attempt=progress.sends + 1,
             left_ms=call.deadline.left_ms(now),
+            routes_version=call.routes_version,
+            list_version=self._placing.list_version,
         )
         return upstream
 
@@ -232,13 +234,25 @@
         self._ejector.record(upstream.name, Result.OK, time.monotonic())
 
     def _again(self, call: Call, progress: Progress) -> bool:
+        """Return whether the call may be sent once more, and say why it may not."""
         now = time.monotonic()
-        return (
-            progress.sends < MOST_SENDS
-            and progress.runs < call.route.max_attempts
-            and call.deadline.left_s(now) > MIN_LEFT_S
-            and self._budget.take(call.service, now)
-        )
+        reason = ""
+        if progress.sends >= MOST_SENDS or progress.runs >= call.route.max_attempts:
+            reason = "the attempts are used up"
+        elif call.deadline.left_s(now) <= MIN_LEFT_S:
+            reason = "too little time is left"
+        elif not self._budget.take(call.service, now):
+            reason = "the budget of repeats is used up"
+        if reason:
+            _log.info(
+                "no further attempt",
+                request_id=call.id,
+                reason=reason,
+                sends=progress.sends,
+                runs=progress.runs,
+                left_ms=call.deadline.left_ms(now),
+            )
+        return not reason
 
     def _until(self, call: Call, progress: Progress) -> float:
         """Return when to give an attempt up, in seconds on the monotonic clock."""
--- a/toucanspool/limits/admission.py
+++ b/toucanspool/limits/admission.py
@@ -86,6 +86,11 @@
         self._used = 0.0
         self._virtual = 0.0
 
+    @property
+    def capacity(self) -> float:
+        """Return the most cost that runs at once."""
+        return self._capacity
+
     @property
     def running(self) -> int:
         """Return the number of requests admitted and not released."""
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -126,7 +126,7 @@
         path = handler.path.partition("?")[0]
         route = table.find(host, path)
         if route is None:
-            raise Refused(RefusalCause.NO_ROUTE)
+            raise Refused(RefusalCause.NO_ROUTE, inputs={"routes": table.version})
         team, priority = _team(table, route, known)
         patience_ms = names.number(
             known.get(names.DEADLINE_MS, ""), DEFAULT_PATIENCE_MS
@@ -140,6 +140,7 @@
             headers=names.passed_on(handler.header_list),
             body=body,
             route=route,
+            routes_version=table.version,
             service=route.service(self._rng),
             team=team,
             priority=priority,
@@ -181,6 +182,7 @@
             status=status,
             may_have_run=exc.ran,
             retry_after_s=round(exc.retry_after_s, 3),
+            **exc.inputs,
         )
         start_response(_status_line(status), headers)
         return [body]
@@ -254,7 +256,7 @@
     key = credentials[len(BEARER) :].strip()
     holder = table.keys.get(key) if credentials.lower().startswith(BEARER) else None
     if holder is None:
-        raise Refused(RefusalCause.NO_KEY)
+        raise Refused(RefusalCause.NO_KEY, inputs={"routes": table.version})
     priority = route.priority if holder.priority is None else holder.priority
     return holder.name, priority
 
--- a/toucanspool/routing/placing.py
+++ b/toucanspool/routing/placing.py
@@ -42,6 +42,11 @@
         self._failure_domain = failure_domain
         self._start = rng.random()
 
+    @property
+    def list_version(self) -> int:
+        """Return the version of the list that is chosen from."""
+        return self._upstreams.version
+
     def start_at(self, part: float) -> None:
         """Break ties from a point in the list of upstreams.
 
