--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -216,6 +216,20 @@
         assert runs(gw.upstreams) == 1
 
 
+def test_a_caller_that_leaves_is_no_failure_of_the_upstream():
+    def working(sock, seen):
+        sock.recv(1)
+
+    with gateway(working, working) as gw:
+        for _ in range(4):
+            sock = gw.send()
+            gevent.sleep(0.05)
+            sock.close()
+            gevent.sleep(0.05)
+        assert runs(gw.upstreams) == 4
+        assert not gw.core.ejector.ejected
+
+
 def test_a_connection_serves_one_call_after_another():
     with gateway(answering()) as gw:
         sock = gw.connect()
--- a/toucanspool/gateway/caller.py
+++ b/toucanspool/gateway/caller.py
@@ -11,11 +11,12 @@
 READABLE = 1
 
 
-class CallerLeft(ConnectionResetError):
-    """Report that a caller has closed its connection before its answer's end."""
+class CallerLeft(Exception):
+    """Report that a caller has closed its connection before its answer's end.
 
-    def __init__(self) -> None:
-        super().__init__(errno.ECONNRESET, "the caller has closed its connection")
+    It is no `OSError`, since it is raised wherever the call's task waits, and so also
+    where the upstream's connection is read.
+    """
 
 
 class ReplyCutOff(ConnectionResetError):
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -95,10 +95,10 @@
         except Refused as exc:
             closing.close()
             return self._refuse(call_id, exc, start_response, arrived_at)
-        except CallerLeft:
+        except CallerLeft as exc:
             closing.close()
             self._end(call_id, "caller left", arrived_at)
-            raise
+            raise ReplyCutOff from exc
         except BaseException:
             closing.close()
             raise
@@ -221,6 +221,8 @@
         except ReplyCutOff:
             outcome = "cut off"
             raise
+        except CallerLeft as exc:
+            raise ReplyCutOff from exc
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
