--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -1,11 +1,13 @@
 """The HTTP server for callers by route."""
 
+import contextlib
 from typing import Any
 
 from gevent import socket
 from gevent.pywsgi import WSGIHandler
 
 from toucanspool.gateway.call import Header
+from toucanspool.gateway.caller import CallerLeft
 from toucanspool.routing.routes import Limits
 from toucanspool.wire.http_server import HttpServer
 
@@ -76,3 +78,9 @@
     def __init__(self, host: str, port: int, app: Any, *, limits: Limits) -> None:
         super().__init__(host, port, app, idle_timeout_s=limits.idle_timeout_s)
         self.limits = limits
+
+    def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        """Serve one connection; called by gevent."""
+        # The word of a caller's close may come as its call has just ended.
+        with contextlib.suppress(CallerLeft):
+            super().handle(sock, address)
