Grow to many ranks: counts by the link's rate, several copies at once, tables apart

After: counts take a quarter of the link and come as 16-bit numbers; rows of each kind have a table; a plan copies for 0.4 s; the search is vectorized.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, checks of the promises."""
--- /dev/null
+++ b/soak/oracle.py
@@ -0,0 +1,108 @@
+"""The promises, checked by what callers and upstreams saw; no code of the product."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+PIECES = 8
+# A call may be held this much longer than its route's time.
+HELD_SLACK_S = 0.6
+# An upstream gets no new work this long after its list said that it leaves.
+DRAIN_S = 2.5
+
+
+@dataclass(slots=True)
+class Broken:
+    """Hold one broken promise."""
+
+    promise: str
+    call: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Oracle:
+    """Collect what was seen and tell which promises were broken.
+
+    Attributes
+    ----------
+    runs : dict of str to list of str
+        By call, the upstreams that ran it.
+    answers : int
+        Calls that were answered with success.
+    """
+
+    runs: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    refused: set[str] = field(default_factory=set)
+    once: set[str] = field(default_factory=set)
+    answers: int = 0
+    refusals: int = 0
+    broken: list[Broken] = field(default_factory=list)
+
+    def ran(self, call: str, upstream: str, *, leaving_s: float) -> None:
+        """Take note that an upstream runs a call.
+
+        Parameters
+        ----------
+        call, upstream : str
+            Which, and where.
+        leaving_s : float
+            How long the list has said that the upstream leaves; 0 if it does not.
+        """
+        self.runs[call].append(upstream)
+        if call in self.once and len(self.runs[call]) > 1:
+            self._tell("at most once", call, f"ran at {self.runs[call]}")
+        if call in self.refused:
+            self._tell("not run is true", call, f"ran at {upstream} after a refusal")
+        if leaving_s > DRAIN_S:
+            self._tell("leaving", call, f"{upstream} leaves for {leaving_s:.1f} s")
+
+    def sent(self, call: str, *, once: bool) -> None:
+        """Take note of a call."""
+        if once:
+            self.once.add(call)
+
+    def whole(self, call: str, body: bytes) -> None:
+        """Check a whole answer."""
+        self.answers += 1
+        if body != b"answer to " + call.encode():
+            self._tell("one's own whole answer", call, repr(body[:60]))
+
+    def stream(self, call: str, events: list[str], *, complete: bool) -> None:
+        """Check the pieces of a stream.
+
+        Parameters
+        ----------
+        call : str
+            The call.
+        events : list of str
+            The pieces' texts in the order in which they came.
+        complete : bool
+            Whether it ended as complete.
+        """
+        self.answers += complete
+        wanted = [f"{call} piece {number}" for number in range(1, PIECES + 1)]
+        if events != wanted[: len(events)]:
+            self._tell("no piece missing or twice", call, repr(events))
+        elif complete and events != wanted:
+            self._tell("a cut stream does not look complete", call, repr(events))
+
+    def refuse(self, call: str, status: int) -> None:
+        """Take note of a refusal; 503 promises that the call does not run."""
+        self.refusals += 1
+        if status != 503:
+            return
+        self.refused.add(call)
+        if call in self.once and self.runs.get(call):
+            self._tell("not run is true", call, f"had run at {self.runs[call]}")
+
+    def held(self, call: str, seconds: float, allowed_s: float) -> None:
+        """Check how long a call was held."""
+        if seconds > allowed_s + HELD_SLACK_S:
+            self._tell("held no longer than its route's time", call, f"{seconds:.1f} s")
+
+    def maps(self, detail: str) -> None:
+        """Take note of a pass that was begun on two maps."""
+        self._tell("one map in each pass", "", detail)
+
+    def _tell(self, promise: str, call: str, detail: str) -> None:
+        self.broken.append(Broken(promise, call, detail))
--- /dev/null
+++ b/soak/upstreams.py
@@ -0,0 +1,108 @@
+"""Upstreams of the soak, which note what they run and fail at random."""
+
+import random
+import time
+
+import gevent
+import orjson
+from gevent import socket
+
+from soak.oracle import PIECES, Oracle
+from standins.raw_upstream import RawUpstream, Seen, reply
+from standins.row_store import RowStorePages
+
+PIECE_S = 0.04
+
+
+class SoakUpstream:
+    """Run calls and note them.
+
+    Parameters
+    ----------
+    name : str
+        Its name, which changes with each start.
+    oracle : Oracle
+        Told what runs.
+    rng : random.Random
+        Source of failures.
+
+    Attributes
+    ----------
+    fail_share : float
+        Part of the calls that fail in some way.
+    """
+
+    def __init__(self, name: str, oracle: Oracle, rng: random.Random) -> None:
+        self.name = name
+        self.fail_share = 0.0
+        self.leaving_at: float | None = None
+        self._oracle = oracle
+        self._rng = rng
+        self.server = RawUpstream(self._serve)
+
+    def list(self, pages: RowStorePages) -> None:
+        """Write itself to the store's list."""
+        fields = {
+            "service": "desk",
+            "address": f"127.0.0.1:{self.server.port}",
+            "zone": "one",
+            "slots": 8,
+            "state": "ready" if self.leaving_at is None else "draining",
+        }
+        pages.put("servers", self.name, orjson.dumps(fields))
+
+    def drain(self, pages: RowStorePages) -> None:
+        """Say that it leaves."""
+        self.leaving_at = time.monotonic()
+        self.list(pages)
+
+    def restart(self, pages: RowStorePages, number: int) -> None:
+        """Come back under another name at the same address."""
+        pages.drop("servers", self.name)
+        self.name = f"{self.name.partition('.')[0]}.{number}"
+        self.leaving_at = None
+        self.list(pages)
+
+    def _serve(self, sock: socket.socket, seen: Seen) -> None:
+        if seen.header("toucanspool-expect-instance") != self.name:
+            sock.sendall(reply(seen, b"", status="421 Other", signed=False))
+            return
+        fault = self._rng.random() < self.fail_share
+        kind = self._rng.choice(("full", "early", "late", "cut", "garbage", "hang"))
+        if fault and kind == "full":
+            headers = "Toucanspool-Not-Executed: 1"
+            options = {"status": "503 Full", "headers": headers, "signed": False}
+            sock.sendall(reply(seen, b"", **options))
+            return
+        call = seen.header("toucanspool-attempt-id")
+        leaving_s = time.monotonic() - self.leaving_at if self.leaving_at else 0.0
+        self._oracle.ran(call, self.name, leaving_s=leaving_s)
+        if fault and kind == "early":
+            return
+        if fault and kind == "garbage":
+            sock.sendall(b"\x00 no answer \r\n\r\n")
+            return
+        if fault and kind == "hang":
+            gevent.sleep(3.0)
+        if " /stream/" in seen.head:
+            self._stream(sock, seen, call, cut=fault)
+            return
+        gevent.sleep(self._rng.uniform(0.0, 0.05))
+        data = reply(seen, b"answer to " + call.encode())
+        sock.sendall(data[:-3] if fault else data)
+
+    def _stream(self, sock: socket.socket, seen: Seen, call: str, *, cut: bool) -> None:
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Toucanspool-Attempt-Id: {call}\r\nToucanspool-Server-Signature: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        first = int(seen.header("last-event-id") or 0) + 1
+        last = self._rng.randrange(first, PIECES + 1) if cut else PIECES
+        for number in range(first, last + 1):
+            gevent.sleep(PIECE_S)
+            event = f"id: {number}\ndata: {call} piece {number}\n\n".encode()
+            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        if not cut:
+            sock.sendall(b"0\r\n\r\n")
--- /dev/null
+++ b/standins/engine_pages.py
@@ -0,0 +1,111 @@
+"""The engines of a lock-step group in memory, behind the platform's pages."""
+
+from typing import Any
+
+import numpy as np
+import orjson
+
+from standins.pass_group import PassGroup
+from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_engine import NONE, OrderLost, OrderRefused
+from toucanspool.wire.http_server import HttpServer
+
+
+class EnginePages:
+    """Serve one rank's engine; a WSGI application.
+
+    Parameters
+    ----------
+    group : PassGroup
+        The group.
+    rank : int
+        The rank.
+    name : str
+        The engine's name among upstreams.
+    places : int
+        Experts that a rank holds at most, in a set.
+    """
+
+    def __init__(self, group: PassGroup, rank: int, name: str, places: int) -> None:
+        self._group = group
+        self._rank = rank
+        self._name = name
+        self._places = places
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        """Answer a call."""
+        path, engine = environ["PATH_INFO"], self._group.engine(self._rank)
+        status, body = 200, None
+        if path == "/report":
+            body = self._report()
+        elif path == "/picked" and environ["QUERY_STRING"]:
+            body = {"map": {"experts": engine.experts()}}
+        elif path == "/picked":
+            picks = engine.picks()
+            body = {"epoch": picks.epoch, "counts": picks.counts.ravel().tolist()}
+        elif path == "/order":
+            status = self._order(orjson.loads(environ["wsgi.input"].read()))
+        data = b"" if body is None else orjson.dumps(body)
+        headers = [("Content-Type", "application/json")]
+        headers.append(("Toucanspool-Instance-Id", self._name))
+        headers.append(("Content-Length", str(len(data))))
+        start_response(f"{status} X", headers)
+        return [data]
+
+    def _report(self) -> dict[str, Any]:
+        state = self._group.engine(self._rank).state()
+        shown = {
+            name: None if value == NONE else value
+            for name, value in (
+                ("prepared", state.prepared),
+                ("armed", state.armed),
+                ("held", state.held),
+            )
+        }
+        return {
+            "group": {
+                "name": state.group,
+                "epoch": state.epoch,
+                "rank": state.rank,
+                "state": "open",
+            },
+            "size": state.size,
+            "step": state.step,
+            "map": state.map_version,
+            "pace": 1.0,
+            "born": 1,
+            **shown,
+        }
+
+    def _order(self, order: dict[str, Any]) -> int:
+        engine = self._group.engine(self._rank)
+        epoch, name = order["epoch"], order["operation"]
+        try:
+            if name == "prepare":
+                engine.prepare(order["version"], self._padded(order["map"]), epoch)
+            elif name == "arm":
+                engine.arm(order["version"], order["step"], epoch)
+            elif name == "disarm":
+                engine.disarm(order["version"], epoch)
+            else:
+                getattr(engine, name)(order["step"], epoch)
+        except OrderRefused:
+            return 409
+        except OrderLost as exc:
+            raise ConnectionResetError(104, "the answer is lost") from exc
+        return 202
+
+    def _padded(self, lists: list[list[list[int]]]) -> np.ndarray:
+        shape = (len(lists), len(lists[0]), self._places)
+        padded = np.full(shape, EMPTY, dtype=np.int16)
+        for layer_set, ranks in enumerate(lists):
+            for rank, experts in enumerate(ranks):
+                padded[layer_set, rank, : len(experts)] = experts
+        return padded
+
+
+def serve_engine(pages: EnginePages) -> HttpServer:
+    """Return a started server of an engine's pages on a free port of loopback."""
+    server = HttpServer("127.0.0.1", 0, pages)
+    server.start()
+    return server
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -45,6 +45,11 @@
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[tuple[int, str, str, bytes | None]] = []
 
+    @property
+    def version(self) -> int:
+        """Return the newest version."""
+        return self._version
+
     def put(self, table: str, key: str, value: bytes) -> int:
         """Set a row as the operator or a runner does."""
         self._version += 1
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -77,7 +77,8 @@
 
     def coordinator(self, token: int, own: int, **more: int) -> MapCoordinator:
         """Return a coordinator with a token."""
-        return MapCoordinator(GROUP, token, own, lambda: MODEL, **more)
+        options = {"link_bits_per_s": 1e9, **more}
+        return MapCoordinator(GROUP, token, own, lambda: MODEL, **options)
 
     def demand(self, hot: int) -> None:
         """Let all ranks choose an expert often."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,7 @@
     TableUncertain,
     Write,
 )
-from toucanspool.platform.store import OWN_TABLE, RowStore
+from toucanspool.platform.store import RowStore, table_of
 from toucanspool.recovery.feed import HistoryGone
 
 
@@ -90,7 +90,7 @@
     with pytest.raises(error):
         store.snapshot("servers")
     standin.pages.status = 0
-    assert standin.pages.row(OWN_TABLE, "k") is None
+    assert standin.pages.row(table_of("k"), "k") is None
 
 
 def test_a_lost_answer_may_be_a_write(store, standin):
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -170,7 +170,7 @@
         one.process.send_signal(signal.SIGTERM)
         gevent.sleep(0.1)
         assert one.get(one.readiness, "/readyz")[0] == 503
-        assert one.store.pages.row("toucanspool", "entry/e1") is None
+        assert one.store.pages.row("toucanspool-entry", "entry/e1") is None
         status, body = stream.get(timeout=4)
         assert status == 200
         assert b"piece 8" in body
--- a/toucanspool/groups/copies.py
+++ b/toucanspool/groups/copies.py
@@ -218,43 +218,60 @@
         each = demand / counts
         top = int((loads * paces).argmax())
         hottest = np.argsort(np.where(held[top], each, -1.0))[::-1][:HOTTEST]
-        takers = np.flatnonzero(self._left > 0)
         before = _smooth_max((loads * paces)[None, :])[0]
         best_gain, best = self._best_drop(layer_set, top, before)
+        ranks, dropped = self._places_for_copies(held, counts)
         for expert in hottest:
-            if not held[top, expert]:
+            fits = ~held[ranks, expert]
+            if not held[top, expert] or not fits.any():
                 continue
             cut = each[expert] - demand[expert] / (counts[expert] + 1)
             base = loads - np.where(held[:, expert], cut, 0.0)
-            gained = demand[expert] / (counts[expert] + 1)
-            ranks, dropped, trials = [], [], []
-            for rank in takers:
-                if held[rank, expert]:
-                    continue
-                if held[rank].sum() < self._copies.places:
-                    options = [EMPTY]
-                else:
-                    spare = held[rank] & (counts > 1)
-                    options = list(np.flatnonzero(spare))
-                for drop in options:
-                    trial = base.copy()
-                    trial[rank] += gained
-                    if drop != EMPTY:
-                        more = demand[drop] / (counts[drop] - 1) - each[drop]
-                        trial += np.where(held[:, drop], more, 0.0)
-                        trial[rank] -= each[drop] + more
-                    ranks.append(int(rank))
-                    dropped.append(int(drop))
-                    trials.append(trial)
-            if not trials:
-                continue
-            gains = before - _smooth_max(np.asarray(trials) * paces)
+            takers, drops = ranks[fits], dropped[fits]
+            trials = np.repeat(base[None, :], takers.size, axis=0)
+            rows = np.arange(takers.size)
+            trials[rows, takers] += demand[expert] / (counts[expert] + 1)
+            swaps = np.flatnonzero(drops != EMPTY)
+            given_up = drops[swaps]
+            more = demand[given_up] / (counts[given_up] - 1) - each[given_up]
+            trials[swaps] += held[:, given_up].T * more[:, None]
+            trials[swaps, takers[swaps]] -= each[given_up] + more
+            gains = before - _smooth_max(trials * paces)
             index = int(gains.argmax())
             if gains[index] > best_gain:
                 best_gain = float(gains[index])
-                best = Copy(layer_set, ranks[index], int(expert), dropped[index])
+                best = Copy(
+                    layer_set, int(takers[index]), int(expert), int(drops[index])
+                )
         return best_gain, best
 
+    def _places_for_copies(
+        self, held: np.ndarray, counts: IntArray
+    ) -> tuple[IntArray, IntArray]:
+        """Return ranks that may take a copy, each with what it would give up.
+
+        Parameters
+        ----------
+        held : ndarray of bool, shape (ranks, experts)
+            The copies of a set.
+        counts : ndarray of int, shape (experts,)
+            Copies of each expert.
+
+        Returns
+        -------
+        ranks, dropped : ndarray of int, shape (n,)
+            Pairs; `EMPTY` where a rank has an empty place.
+        """
+        may_take = self._left > 0
+        full = held.sum(axis=1) >= self._copies.places
+        roomy = np.flatnonzero(may_take & ~full)
+        spare = held & (counts > 1) & (may_take & full)[:, None]
+        ranks, dropped = np.nonzero(spare)
+        return (
+            np.concatenate([roomy, ranks]),
+            np.concatenate([np.full(roomy.size, EMPTY), dropped]),
+        )
+
     def _best_drop(
         self, layer_set: int, rank: int, before: float
     ) -> tuple[float, Copy | None]:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -30,9 +30,12 @@
 )
 
 FIRST_VERSION = 0
-# The copies of a rank come one after the other, so one at a time is in force soonest.
-COPIES_PER_RANK = 1
+# A rank copies one expert after the other; what takes longer meets another demand.
+COPY_TIME_S = 0.4
+LEAST_COPY_S = 0.02
 LEAST_GAIN = 0.02
+# Part of the link of the coordinator's instance that counts may take.
+COUNTS_LINK_PART = 0.25
 # The least gain of skew that pays for copies, of a group whose engines are full and of
 # an idle one, whose callers feel skew less.
 LEAST_SKEW_GAIN = 0.04
@@ -57,15 +60,19 @@
         The rank beside this process.
     engine : callable
         Returns the `EngineModel` of the group, or None while it is not known.
+    link_bits_per_s : float
+        What this instance's link carries.
     rank_before : int or None
         The rank beside the coordinator before, if it is known.
     """
 
     __slots__ = (
         "_copies",
+        "_counts_due_at",
         "_demand",
         "_engine",
         "_group",
+        "_link_bits_per_s",
         "_own_rank",
         "_rank_before",
         "_token",
@@ -79,9 +86,12 @@
         own_rank: int,
         engine: Callable[[], EngineModel | None],
         *,
+        link_bits_per_s: float,
         rank_before: int | None = None,
     ) -> None:
         self._rank_before = rank_before
+        self._link_bits_per_s = link_bits_per_s
+        self._counts_due_at = 0.0
         self._group = group
         self._token = token
         self._own_rank = own_rank
@@ -103,11 +113,13 @@
         Replaced
             Another coordinator has been elected.
         """
-        answers = self._statuses(links)
         engine = self._engine()
+        counts = engine is not None and time.monotonic() >= self._counts_due_at
+        answers = self._statuses(links, counts=counts)
         if engine is None or not answers:
             return
-        self._count(answers, engine)
+        if counts:
+            self._count(answers, engine)
         if not self._may_act(answers):
             return
         first = next(iter(answers.values()))
@@ -157,8 +169,9 @@
             return
         demand = self._demand.shares
         paces = np.array([answers[rank].pace for rank in sorted(answers)])
+        per_rank = max(1, round(COPY_TIME_S / max(engine.expert_s, LEAST_COPY_S)))
         copies = CopySearch(self._copies, demand, paces).run(
-            per_rank=COPIES_PER_RANK, least_gain=LEAST_GAIN
+            per_rank=per_rank, least_gain=LEAST_GAIN
         )
         planned = self._copies.after(copies)
         before = self._copies.skew(demand, paces)
@@ -178,7 +191,7 @@
             skew_after=round(after, 2),
             token=self._token,
         )
-        copy_s = COPY_SLACK * COPIES_PER_RANK * engine.expert_s + COPY_SLACK_S
+        copy_s = COPY_SLACK * per_rank * engine.expert_s + COPY_SLACK_S
         end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
         if end is SwitchEnd.DONE:
             self._version, self._copies = new, planned
@@ -190,8 +203,14 @@
             took_ms=round((time.monotonic() - started) * 1000),
         )
 
-    def _statuses(self, links: Mapping[int, Link]) -> dict[int, RankAnswer]:
-        tasks = {rank: gevent.spawn(self._status, link) for rank, link in links.items()}
+    def _statuses(
+        self, links: Mapping[int, Link], *, counts: bool
+    ) -> dict[int, RankAnswer]:
+        action = RankAction.COUNTS if counts else RankAction.STATUS
+        tasks = {
+            rank: gevent.spawn(self._status, link, action)
+            for rank, link in links.items()
+        }
         gevent.joinall(list(tasks.values()))
         answers = {}
         for rank, task in tasks.items():
@@ -204,10 +223,8 @@
                 answers[rank] = answer
         return answers
 
-    def _status(self, link: Link) -> RankAnswer | None:
-        ask = RankAsk(
-            action=RankAction.STATUS, group=self._group, token=self._token, epoch=NONE
-        )
+    def _status(self, link: Link, action: int) -> RankAnswer | None:
+        ask = RankAsk(action=action, group=self._group, token=self._token, epoch=NONE)
         try:
             return link.ask(ask)
         except AskLost as exc:
@@ -233,8 +250,11 @@
 
     def _count(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
         total = np.zeros((engine.layer_sets, engine.experts))
+        bits = 8 * PICKS_TYPE().itemsize * total.size * len(answers)
+        pause_s = bits / (COUNTS_LINK_PART * self._link_bits_per_s)
+        self._counts_due_at = time.monotonic() + pause_s
         for answer in answers.values():
-            picks = np.frombuffer(answer.picks, dtype=PICKS_TYPE)
+            picks = np.frombuffer(answer.picks or b"", dtype=PICKS_TYPE)
             if picks.size == total.size:
                 total += picks.reshape(total.shape)
         self._demand.count(total, time.monotonic())
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -22,10 +22,10 @@
     RankResult,
 )
 
-READS = frozenset({RankAction.STATUS, RankAction.LISTS})
+READS = frozenset({RankAction.STATUS, RankAction.COUNTS, RankAction.LISTS})
 NO_TOKEN = -1
 MAP_TYPE = np.int16
-PICKS_TYPE = np.uint32
+PICKS_TYPE = np.uint16
 
 _log = structlog.get_logger()
 
@@ -42,6 +42,8 @@
     ----------
     engine : RankEngine
         The engine.
+    counts : bool, default=True
+        Whether counts are read; from another instance they hold the group up.
 
     Attributes
     ----------
@@ -51,10 +53,19 @@
         When a coordinator last asked, in seconds on the monotonic clock.
     """
 
-    __slots__ = ("_engine", "_newest", "_picks", "_restored", "heard_at", "token")
-
-    def __init__(self, engine: RankEngine) -> None:
+    __slots__ = (
+        "_counts",
+        "_engine",
+        "_newest",
+        "_picks",
+        "_restored",
+        "heard_at",
+        "token",
+    )
+
+    def __init__(self, engine: RankEngine, *, counts: bool = True) -> None:
         self._engine = engine
+        self._counts = counts
         self._picks: Picks | None = None
         self._newest = NONE
         self._restored = False
@@ -99,7 +110,7 @@
                 result, detail = self._order(ask)
             state = self._engine.state()
             picks = b""
-            if ask.action == RankAction.STATUS:
+            if ask.action == RankAction.COUNTS and self._counts:
                 picks = self._new_picks(state)
             experts = b""
             if ask.action == RankAction.LISTS:
@@ -163,6 +174,9 @@
         # Counts start anew where the rank has started again.
         if picks.epoch != before.epoch or new.min() < 0:
             new = picks.counts
+        # Shares matter, not counts: all are halved until the largest fits.
+        while new.max() > np.iinfo(PICKS_TYPE).max:
+            new //= 2
         return new.astype(PICKS_TYPE).tobytes()
 
     def _refusal(self, ask: RankAsk, result: int, detail: str) -> RankAnswer:
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -67,6 +67,8 @@
         Where ranks are listed and coordinators elected.
     engine_model : callable
         Returns the `EngineModel`, or None while it is not known.
+    link_bits_per_s : float
+        What this instance's link carries.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         "_find_listing",
         "_host",
         "_keeper",
+        "_link_bits_per_s",
         "_links",
         "_listed",
         "_listing",
@@ -100,6 +103,7 @@
         keeper: RankKeeper,
         table: Table,
         engine_model: Callable[[], EngineModel | None],
+        link_bits_per_s: float,
     ) -> None:
         self._name = name
         self._host = host
@@ -112,6 +116,7 @@
         self._keeper = keeper
         self._table = table
         self._engine_model = engine_model
+        self._link_bits_per_s = link_bits_per_s
         self._own: RankRecord | None = None
         self._listed: dict[str, RankRecord] = {}
         self._links: dict[tuple[str, int], RankLink] = {}
@@ -186,7 +191,7 @@
 
     def _direct(self, record: RankRecord) -> RankKeeper:
         """Return a way to a rank's engine past its agent, for while that is away."""
-        keeper = RankKeeper(self._connect(record.engine))
+        keeper = RankKeeper(self._connect(record.engine), counts=False)
         keeper.restore(NO_TOKEN)
         return keeper
 
@@ -222,6 +227,7 @@
             won.token,
             own.rank,
             self._engine_model,
+            link_bits_per_s=self._link_bits_per_s,
             rank_before=before.rank if before else None,
         )
         self._coordinate()
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -19,7 +19,7 @@
 from toucanspool.platform import configuration, pages, runners
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
-from toucanspool.platform.store import OWN_PAUSE_S, OWN_TABLE, RowStore
+from toucanspool.platform.store import OWN_PAUSE_S, RowStore, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.retries.ejection import Result
 from toucanspool.routing.routes import Limits
@@ -100,13 +100,17 @@
             wait_s=store.list_interval_s,
             pause_s=store.list_interval_s,
         )
-        self._follow(
-            OWN_TABLE,
-            self._all_own,
-            self._changed_own,
-            rng=rng,
-            pause_s=OWN_PAUSE_S,
-        )
+        for prefix, on_snapshot, on_changes in (
+            (PREFIX, self._all_entries, self._changed_entries),
+            (RANK_PREFIX, self._all_ranks, self._changed_ranks),
+        ):
+            self._follow(
+                table_of(prefix),
+                on_snapshot,
+                on_changes,
+                rng=rng,
+                pause_s=OWN_PAUSE_S,
+            )
         frontend = Frontend(
             self._core.front, lambda: self._core.routes, rng, self._metrics
         )
@@ -228,23 +232,24 @@
         self._core.upstreams.change(changed, changes.version)
         self._core.upstreams_changed()
 
-    def _all_own(self, changes: Changes) -> None:
-        self._entries.replace(r for r in changes.rows if r.key.startswith(PREFIX))
-        self._ranks.clear()
-        self._note_ranks(changes)
+    def _all_entries(self, changes: Changes) -> None:
+        self._entries.replace(changes.rows)
 
-    def _changed_own(self, changes: Changes) -> None:
+    def _changed_entries(self, changes: Changes) -> None:
         for row in changes.rows:
-            if row.key.startswith(PREFIX):
-                self._entries.put(row)
+            self._entries.put(row)
         for key in changes.gone:
             self._entries.drop(key)
-            self._ranks.pop(key, None)
-        self._note_ranks(changes)
 
-    def _note_ranks(self, changes: Changes) -> None:
+    def _all_ranks(self, changes: Changes) -> None:
+        self._ranks.clear()
+        self._changed_ranks(changes)
+
+    def _changed_ranks(self, changes: Changes) -> None:
+        for key in changes.gone:
+            self._ranks.pop(key, None)
         for row in changes.rows:
-            if row.key.startswith(RANK_PREFIX) and (record := decode_rank(row)):
+            if record := decode_rank(row):
                 self._ranks[row.key] = record
         paces = {record.upstream: record.pace for record in self._ranks.values()}
         self._core.upstreams.set_paces(paces)
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -14,13 +14,15 @@
 from toucanspool.platform import configuration, runners
 from toucanspool.platform.engine import PlatformEngine
 from toucanspool.platform.runners import decode_listing
-from toucanspool.platform.store import OWN_PAUSE_S, OWN_TABLE, RowStore
+from toucanspool.platform.store import OWN_PAUSE_S, RowStore, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
 from toucanspool.routing.upstreams import Listing
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.listener import Listener
 
+MBIT = 1e6
+
 _log = structlog.get_logger()
 
 
@@ -59,6 +61,7 @@
             keeper=keeper,
             table=store,
             engine_model=self._engine_model,
+            link_bits_per_s=cfg.link_mbit_per_s * MBIT,
         )
         self._closing.callback(self._member.close)
         listener = Listener(
@@ -68,7 +71,7 @@
         self._closing.callback(listener.stop)
         for table, on_snapshot, on_changes, pause_s in (
             (configuration.TABLE, self._take_routes, self._take_routes, 0.0),
-            (OWN_TABLE, self._all_ranks, self._changed_ranks, OWN_PAUSE_S),
+            (table_of(PREFIX), self._all_ranks, self._changed_ranks, OWN_PAUSE_S),
         ):
             follower = FeedFollower(
                 store,
@@ -115,12 +118,11 @@
                 _log.error("unreadable configuration", error=str(exc), row=row.version)
 
     def _all_ranks(self, changes: Changes) -> None:
-        self._member.replace([r for r in changes.rows if r.key.startswith(PREFIX)])
+        self._member.replace(list(changes.rows))
 
     def _changed_ranks(self, changes: Changes) -> None:
         for row in changes.rows:
-            if row.key.startswith(PREFIX):
-                self._member.put(row)
+            self._member.put(row)
         for key in changes.gone:
             self._member.drop(key)
 
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -18,7 +18,9 @@
 from toucanspool.platform.json_calls import JsonCalls
 from toucanspool.recovery.feed import Changes, HistoryGone
 
-OWN_TABLE = "toucanspool"
+# Rows of each kind have a table of their own, so that a reader of one kind isn't woken
+# by the others.
+OWN_TABLES = "toucanspool-"
 # Many processes list themselves at once at the start: their rows are read together.
 OWN_PAUSE_S = 0.5
 CALL_TIMEOUT_S = 1.5
@@ -53,7 +55,7 @@
         """Return the own rows present among `keys`; see `Table`."""
         found = {}
         for key in keys:
-            if row := self.row(OWN_TABLE, key):
+            if row := self.row(table_of(key), key):
                 found[key] = row
         return found
 
@@ -81,7 +83,7 @@
         """Return own rows by prefix; see `Table`."""
         start = max(prefix, after + "\0") if after else prefix
         query = {"from": start, "target": prefix + "\x7f"}
-        return self._range(OWN_TABLE, query)[0][:limit]
+        return self._range(table_of(prefix), query)[0][:limit]
 
     def commit(self, checks: Sequence[Check], writes: Sequence[Write]) -> int:
         """Write own rows if all checks hold; see `Table`."""
@@ -153,6 +155,21 @@
         return answer
 
 
+def table_of(key: str) -> str:
+    """Return the table of own rows whose keys begin like a key.
+
+    Parameters
+    ----------
+    key : str
+        Its part before the first slash is the kind of row.
+
+    Returns
+    -------
+    str
+    """
+    return OWN_TABLES + key.partition("/")[0]
+
+
 def _raise_unless_ok(status: int) -> None:
     if status == OK:
         return
@@ -164,7 +181,7 @@
 
 
 def _address(key: str) -> dict[str, str]:
-    return {"table": OWN_TABLE, "part": "", "key": key}
+    return {"table": table_of(key), "part": "", "key": key}
 
 
 def _row(row: Mapping[str, Any]) -> Row:
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -176,6 +176,7 @@
     engine: Address
     service: Text
     store: RowStore
+    link_mbit_per_s: Annotated[float, Field(gt=0)] = 1000.0
     metrics: Address | None = None
 
 
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -138,6 +138,7 @@
     DISARM = 5
     GO = 6
     LISTS = 7
+    COUNTS = 8
 
     _VALUES_TO_NAMES = {
         1: "STATUS",
@@ -147,6 +148,7 @@
         5: "DISARM",
         6: "GO",
         7: "LISTS",
+        8: "COUNTS",
     }
 
     _NAMES_TO_VALUES = {
@@ -157,6 +159,7 @@
         "DISARM": 5,
         "GO": 6,
         "LISTS": 7,
+        "COUNTS": 8,
     }
 
 
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -75,7 +75,9 @@
   6: i32 layers, 7: list<i32> tokens, 8: i32 age_ms
 }
 
-enum RankAction { STATUS = 1, PREPARE = 2, HOLD = 3, ARM = 4, DISARM = 5, GO = 6, LISTS = 7 }
+enum RankAction { STATUS = 1, PREPARE = 2, HOLD = 3, ARM = 4, DISARM = 5, GO = 6, LISTS = 7,
+  COUNTS = 8
+}
 
 enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
 
@@ -88,8 +90,8 @@
 
 // What the rank is at, after the action; a version or step of -1 stands for none.
 // experts holds the experts of its map by set and place, as in RankAsk. picks holds how
-// often the rank chose each expert since the last answer, by set and
-// expert as 32-bit numbers.
+// often the rank chose each expert since the last answer, by set and expert as 16-bit
+// numbers.
 struct RankAnswer {
   1: i64 call, 2: RankResult result, 3: i64 token, 4: string group, 5: i64 epoch,
   6: i32 rank, 7: i32 size, 8: bool open, 9: i64 step, 10: i64 map_version,
