--- a/soak/callers.py
+++ b/soak/callers.py
@@ -64,7 +64,7 @@
         except (OSError, gevent.Timeout, ValueError):
             self._drop()
         if not leaves:
-            self._oracle.held(call, time.monotonic() - started, ROUTE_S[prefix])
+            self._oracle.held(call, started, time.monotonic(), ROUTE_S[prefix])
 
     def _exchange(self, call: str, prefix: str) -> None:
         if self._sock is None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,7 +5,8 @@
 import sys
 import tempfile
 import time
-from contextlib import ExitStack, suppress
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 
 import gevent
@@ -299,9 +300,20 @@
 
 def _pause(world: World) -> None:
     process = world.any_process()
+    world.oracle.paused += 1
     process.signal(signal.SIGSTOP)
     gevent.sleep(world.rng.uniform(0.2, 3.0))
     process.signal(signal.SIGCONT)
+    world.oracle.paused -= 1
+    world.oracle.paused_at = time.monotonic()
+
+
+@contextmanager
+def _apart(world: World) -> Iterator[None]:
+    world.oracle.apart += 1
+    yield
+    world.oracle.apart -= 1
+    world.oracle.apart_at = time.monotonic()
 
 
 def _hang_up(world: World) -> None:
@@ -310,16 +322,18 @@
 
 def _bad_link(world: World) -> None:
     link = world.any_process().link
-    link.link = world.rng.choice([kind for kind in Link if kind is not Link.GOOD])
-    gevent.sleep(world.rng.uniform(0.5, 3.0))
-    link.link = Link.GOOD
-    link.reset()
+    with _apart(world):
+        link.link = world.rng.choice([kind for kind in Link if kind is not Link.GOOD])
+        gevent.sleep(world.rng.uniform(0.5, 3.0))
+        link.link = Link.GOOD
+        link.reset()
 
 
 def _store_down(world: World) -> None:
-    world.store.pages.status = world.rng.choice((503, 429))
-    gevent.sleep(world.rng.uniform(0.5, 2.0))
-    world.store.pages.status = 0
+    with _apart(world):
+        world.store.pages.status = world.rng.choice((503, 429))
+        gevent.sleep(world.rng.uniform(0.5, 2.0))
+        world.store.pages.status = 0
 
 
 def _store_loses(world: World) -> None:
@@ -327,7 +341,8 @@
 
 
 def _store_forgets(world: World) -> None:
-    world.store.pages.history_from = world.store.pages.version
+    with _apart(world):
+        world.store.pages.history_from = world.store.pages.version
 
 
 def _upstream_fails(world: World) -> None:
