Release late holds while copies are made, and look further ahead where orders are lost

After: a hold that this switch has not given is let go at once; after a switch that had to give orders again, the next one holds a pass 8 ahead.

--- a/soak/world.py
+++ b/soak/world.py
@@ -66,7 +66,7 @@
         self.link = Proxy(store_port)
         section = settings[settings["role"]]
         address = f"127.0.0.1:{self.link.port}"
-        section["store"] = {"address": address, "list_interval_s": 0.3}
+        section["store"] = {"address": address, "drain_ms": 600}
         self.log = folder / f"{self.name}.log"
         self._path = folder / f"{self.name}.yaml"
         self._path.write_text(yaml.safe_dump(settings))
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -178,3 +178,16 @@
             world.demand(HOT + 4)
             gevent.sleep(0.02)
         assert world.holders(HOT + 4) >= 2
+
+
+def test_a_late_order_to_hold_does_not_stop_the_group_while_copies_are_made():
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    with busy(world):
+        coordinator.step(world.links)
+        world.demand(HOT)
+        gevent.sleep(0.02)
+        world.group.carry_out(2, "hold", (world.group.step + 1,))
+        coordinator.step(world.links)
+        gevent.sleep(0.02)
+        assert not world.group.held
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -77,7 +77,7 @@
                 "address_ttl_s": 0.2,
                 "store": {
                     "address": f"127.0.0.1:{self.store.port}",
-                    "list_interval_s": 0.1,
+                    "drain_ms": 200,
                 },
                 **changes,
             },
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -113,9 +113,25 @@
         One for each rank that can be reached.
     own_rank : int
         The rank beside the coordinator.
+    ahead : int, default=2
+        Passes from the last one seen to the one held.
+
+    Attributes
+    ----------
+    arm_rounds : int
+        How often ranks were told to arm in the last switch; more than once where
+        orders were lost.
     """
 
-    __slots__ = ("_epoch", "_group", "_links", "_own_rank", "_token")
+    __slots__ = (
+        "_ahead",
+        "_epoch",
+        "_group",
+        "_links",
+        "_own_rank",
+        "_token",
+        "arm_rounds",
+    )
 
     def __init__(
         self,
@@ -124,7 +140,11 @@
         token: int,
         links: Mapping[int, Link],
         own_rank: int,
+        *,
+        ahead: int = AHEAD_PASSES,
     ) -> None:
+        self._ahead = ahead
+        self.arm_rounds = 0
         self._group = group
         self._epoch = epoch
         self._token = token
@@ -231,6 +251,9 @@
                     continue
                 if answer.result in (RankResult.OK, RankResult.REFUSED):
                     asked[rank] = PREPARE_TRIES
+                if answer.held != NONE:
+                    # A late order to hold; this switch has not given its own yet.
+                    self._go(answer.held, rank)
                 if answer.prepared == version:
                     waiting.discard(rank)
             if waiting:
@@ -245,7 +268,7 @@
     def _hold(self, holder: int) -> int:
         for _ in range(HOLD_TRIES):
             status = self._ask(holder, RankAsk(action=RankAction.STATUS))
-            step = status.step + AHEAD_PASSES
+            step = status.step + self._ahead
             ask = RankAsk(action=RankAction.HOLD, step=step)
             answer = self._ask(holder, ask, past_agent=True)
             # From afar an engine's state is told late; that it took the order is not.
@@ -256,6 +279,7 @@
     def _arm(self, ranks: Iterable[int], version: int, step: int) -> bool:
         waiting = set(ranks)
         for _ in range(ARM_TRIES):
+            self.arm_rounds += 1
             answers = self._all(
                 waiting,
                 RankAsk(action=RankAction.ARM, version=version, step=step),
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -8,6 +8,7 @@
 import structlog
 
 from toucanspool.groups.armed_switch import (
+    AHEAD_PASSES,
     ArmedSwitch,
     GroupChanged,
     Link,
@@ -30,6 +31,10 @@
 )
 
 FIRST_VERSION = 0
+# Passes ahead that leave time for orders to be given again, without holding any up.
+AHEAD_PASSES_LOSING = 8
+# The other ranks are armed once, and then the own one.
+CLEAN_ROUNDS = 2
 # A rank copies one expert after the other; what takes longer meets another demand.
 COPY_TIME_S = 0.4
 LEAST_COPY_S = 0.02
@@ -67,6 +72,7 @@
     """
 
     __slots__ = (
+        "_ahead",
         "_copies",
         "_counts_due_at",
         "_demand",
@@ -92,6 +98,7 @@
         self._rank_before = rank_before
         self._link_bits_per_s = link_bits_per_s
         self._counts_due_at = 0.0
+        self._ahead = AHEAD_PASSES
         self._group = group
         self._token = token
         self._own_rank = own_rank
@@ -125,7 +132,12 @@
         first = next(iter(answers.values()))
         reached = {rank: links[rank] for rank in answers}
         switch = ArmedSwitch(
-            self._group, first.epoch, self._token, reached, self._own_rank
+            self._group,
+            first.epoch,
+            self._token,
+            reached,
+            self._own_rank,
+            ahead=self._ahead,
         )
         try:
             self._look(switch, answers, links, engine)
@@ -193,6 +205,7 @@
         )
         copy_s = COPY_SLACK * per_rank * engine.expert_s + COPY_SLACK_S
         end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
+        self._look_ahead(switch.arm_rounds)
         if end is SwitchEnd.DONE:
             self._version, self._copies = new, planned
         _log.info(
@@ -203,6 +216,13 @@
             took_ms=round((time.monotonic() - started) * 1000),
         )
 
+    def _look_ahead(self, arm_rounds: int) -> None:
+        """Hold a later pass next time where orders were lost, an earlier one else."""
+        if arm_rounds > CLEAN_ROUNDS:
+            self._ahead = AHEAD_PASSES_LOSING
+        elif arm_rounds:
+            self._ahead = max(AHEAD_PASSES, self._ahead - 1)
+
     def _statuses(
         self, links: Mapping[int, Link], *, counts: bool
     ) -> dict[int, RankAnswer]:
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -18,7 +18,7 @@
 from toucanspool.platform.json_calls import JsonCalls
 
 # An engine answers its own machine within milliseconds.
-TIMEOUT_S = 0.3
+TIMEOUT_S = 0.2
 INSTANCE_ID = "toucanspool-instance-id"
 GROUP_OPEN = "open"
 DONE = (200, 202)
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -143,11 +143,22 @@
 
 
 class RowStore(Model):
-    """Name the store of rows that lists upstreams, routes and entries."""
+    """Name the store of rows that lists upstreams, routes and entries.
+
+    ``drain_ms`` is the time within which an upstream that leaves gets no new work.
+    """
 
     address: Address
     feed_wait_s: Seconds = 20.0
-    list_interval_s: Seconds = 1.0
+    drain_ms: Annotated[float, Field(gt=0)] = 2000.0
+
+    @property
+    def list_interval_s(self) -> float:
+        """Return how often the list is read, in seconds.
+
+        Half of the time within which an upstream that leaves gets no new work.
+        """
+        return self.drain_ms / 2000.0
 
 
 class RetryBudget(Model):
