--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PY := $(BIN)/python
 
-.PHONY: test demo format lint check bench capacity gen
+.PHONY: test demo format lint check bench capacity gen soak
 
 test: $(VENV)/.ready lint
 	$(PY) -m pytest -n 4 --dist loadfile
@@ -33,3 +33,6 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
+
+soak: $(VENV)/.ready
+	$(PY) -m soak --seed=$(or $(SEED),1) --runs=$(or $(RUNS),1)
