--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -10,14 +10,14 @@
 
 from standins.pass_group import GROUP, PassGroup
 from toucanspool.groups import armed_switch
-from toucanspool.groups.armed_switch import (
-    ArmedSwitch,
+from toucanspool.groups.armed_switch import ArmedSwitch, SwitchEnd
+from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_asker import (
     GroupChanged,
+    RankAsker,
     Replaced,
-    SwitchEnd,
     is_armed_whole,
 )
-from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE, OrderLost
 from toucanspool.groups.rank_keeper import RankKeeper
@@ -102,7 +102,7 @@
     made: list[RankKeeper], token: int = 1, death: Death | None = None
 ) -> ArmedSwitch:
     links = {r: KeeperLink(k, death or Death()) for r, k in enumerate(made)}
-    return ArmedSwitch(GROUP, 1, token, links, 0)
+    return ArmedSwitch(RankAsker(GROUP, token, links), 1, links, 0)
 
 
 def statuses(made: list[RankKeeper], token: int) -> dict[int, RankAnswer]:
--- a/tests/groups/test_copies.py
+++ b/tests/groups/test_copies.py
@@ -3,7 +3,8 @@
 import numpy as np
 import pytest
 
-from toucanspool.groups.copies import Copies, CopySearch
+from toucanspool.groups.copies import Copies
+from toucanspool.groups.copy_search import CopySearch
 from toucanspool.groups.expert_map import EMPTY
 
 SETS, RANKS, EXPERTS, PLACES = 3, 12, 96, 11
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -16,15 +16,17 @@
 
 import time
 from collections.abc import Iterable, Mapping
-from copy import copy
 from enum import Enum
-from typing import Protocol
 
 import gevent
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
-from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_asker import (
+    GroupChanged,
+    RankAsker,
+    is_armed_whole,
+)
 from toucanspool.groups.rank_engine import NONE
 from toucanspool.groups.rank_keeper import MAP_TYPE
 from toucanspool.wire.gen.messages.ttypes import (
@@ -49,26 +51,6 @@
 _log = structlog.get_logger()
 
 
-class Link(Protocol):
-    """Ask the agent of one rank."""
-
-    def ask(self, ask: RankAsk) -> RankAnswer:
-        """Return the answer, or raise `AskLost`."""
-        ...
-
-    def ask_engine(self, ask: RankAsk) -> RankAnswer:
-        """Ask the rank's engine past its agent, or raise `AskLost`."""
-        ...
-
-
-class Replaced(Exception):
-    """Report that another coordinator has been elected."""
-
-
-class GroupChanged(Exception):
-    """Report that the group has formed anew, or that a rank can't be reached."""
-
-
 class SwitchEnd(Enum):
     """Name how a switch ended; each value is a sentence for the log."""
 
@@ -78,39 +60,17 @@
     NOT_ARMED = "not all ranks could be armed, and all are disarmed"
 
 
-def is_armed_whole(answers: Mapping[int, RankAnswer]) -> bool:
-    """Return whether all ranks are armed with one version, or have switched to it.
-
-    Parameters
-    ----------
-    answers : mapping of int to RankAnswer
-        The newest of each rank.
-
-    Returns
-    -------
-    bool
-    """
-    armed = {answer.armed for answer in answers.values()} - {NONE}
-    if len(armed) != 1:
-        return False
-    # A rank that runs on the map already has begun the pass, and so have all.
-    (version,) = armed
-    return all(version in (a.armed, a.map_version) for a in answers.values())
-
-
 class ArmedSwitch:
     """Give the orders of one coordinator to one group.
 
     Parameters
     ----------
-    group : str
-        The group.
+    asker : RankAsker
+        Asks the ranks in the coordinator's name.
     epoch : int
-        Its epoch.
-    token : int
-        The coordinator's token.
-    links : mapping of int to Link
-        One for each rank that can be reached.
+        The group's epoch.
+    ranks : iterable of int
+        The ranks that can be reached.
     own_rank : int
         The rank beside the coordinator.
     ahead : int, default=2
@@ -123,33 +83,23 @@
         orders were lost.
     """
 
-    __slots__ = (
-        "_ahead",
-        "_epoch",
-        "_group",
-        "_links",
-        "_own_rank",
-        "_token",
-        "arm_rounds",
-    )
+    __slots__ = ("_ahead", "_asker", "_epoch", "_own_rank", "_ranks", "arm_rounds")
 
     def __init__(
         self,
-        group: str,
+        asker: RankAsker,
         epoch: int,
-        token: int,
-        links: Mapping[int, Link],
+        ranks: Iterable[int],
         own_rank: int,
         *,
         ahead: int = AHEAD_PASSES,
     ) -> None:
-        self._ahead = ahead
-        self.arm_rounds = 0
-        self._group = group
+        self._asker = asker
         self._epoch = epoch
-        self._token = token
-        self._links = links
+        self._ranks = frozenset(ranks)
         self._own_rank = own_rank
+        self._ahead = ahead
+        self.arm_rounds = 0
 
     def next_version(self, answers: Mapping[int, RankAnswer]) -> int:
         """Return a version that no rank has had, and no other coordinator gives.
@@ -164,7 +114,7 @@
         int
         """
         newest = max(answer.newest_version for answer in answers.values())
-        return max(newest + 1, self._token * VERSIONS_PER_TOKEN)
+        return max(newest + 1, self._asker.token * VERSIONS_PER_TOKEN)
 
     def run(
         self, version: int, experts: IntArray, current: IntArray, copy_s: float
@@ -198,7 +148,7 @@
         step = self._hold(holder)
         if step == NONE:
             return SwitchEnd.NOT_HELD
-        others = self._links.keys() - {self._own_rank}
+        others = self._ranks - {self._own_rank}
         if self._arm(others, version, step) and self._arm(
             {self._own_rank}, version, step
         ):
@@ -226,16 +176,16 @@
             self._go(step, rank)
         _log.warning(
             "unfinished switch resolved",
-            group=self._group,
+            group=self._asker.group,
             held=held,
             armed=sorted({answer.armed for answer in answers.values()}),
             result="finished" if complete else "undone",
-            token=self._token,
+            token=self._asker.token,
         )
 
     def _prepare(self, version: int, experts: IntArray, copy_s: float) -> bool:
         until = time.monotonic() + copy_s
-        waiting = set(self._links)
+        waiting = set(self._ranks)
         asked = dict.fromkeys(waiting, 0)
         prepare = self._prepare_ask(version, experts)
         while waiting:
@@ -246,6 +196,8 @@
                 asked[rank] += 1
             status = RankAsk(action=RankAction.STATUS)
             answers = self._all(due or waiting, prepare if due else status)
+            if None in answers.values():
+                raise GroupChanged("a rank's agent can't be reached")
             for rank, answer in answers.items():
                 if answer is None:
                     continue
@@ -262,15 +214,17 @@
 
     def _holder(self) -> int:
         """Return the rank that holds the pass: the next after the coordinator's."""
-        ranks = sorted(self._links)
+        ranks = sorted(self._ranks)
         return ranks[(ranks.index(self._own_rank) + 1) % len(ranks)]
 
     def _hold(self, holder: int) -> int:
         for _ in range(HOLD_TRIES):
-            status = self._ask(holder, RankAsk(action=RankAction.STATUS))
+            status = self._asker.ask(
+                holder, RankAsk(action=RankAction.STATUS), self._epoch
+            )
             step = status.step + self._ahead
             ask = RankAsk(action=RankAction.HOLD, step=step)
-            answer = self._ask(holder, ask, past_agent=True)
+            answer = self._asker.ask(holder, ask, self._epoch, past_agent=True)
             # From afar an engine's state is told late; that it took the order is not.
             if answer.result == RankResult.OK or answer.held == step:
                 return step
@@ -283,7 +237,6 @@
             answers = self._all(
                 waiting,
                 RankAsk(action=RankAction.ARM, version=version, step=step),
-                tolerant=True,
             )
             for rank, answer in answers.items():
                 if answer is None:
@@ -298,10 +251,10 @@
 
     def _give_up(self, version: int, current: IntArray) -> None:
         """Disarm all ranks for good; what is held stays held."""
-        waiting = set(self._links)
+        waiting = set(self._ranks)
         prepare = self._prepare_ask(version, current)
         while waiting:
-            answers = self._all(waiting, prepare, tolerant=True)
+            answers = self._all(waiting, prepare)
             for rank, answer in answers.items():
                 if answer is None:
                     continue
@@ -309,14 +262,14 @@
                     waiting.discard(rank)
                 elif answer.armed != NONE:
                     ask = RankAsk(action=RankAction.DISARM, version=answer.armed)
-                    self._all([rank], ask, tolerant=True)
+                    self._all([rank], ask)
             if waiting:
                 gevent.sleep(UNDO_PAUSE_S)
 
     def _go(self, step: int, rank: int) -> None:
         while True:
             ask = RankAsk(action=RankAction.GO, step=step)
-            answer = self._all([rank], ask, tolerant=True)[rank]
+            answer = self._all([rank], ask)[rank]
             if answer is not None and answer.held == NONE:
                 return
             gevent.sleep(UNDO_PAUSE_S)
@@ -331,43 +284,5 @@
             places=places,
         )
 
-    def _all(
-        self,
-        ranks: Iterable[int],
-        ask: RankAsk,
-        *,
-        tolerant: bool = False,
-    ) -> dict[int, RankAnswer | None]:
-        tasks = {rank: gevent.spawn(self._try, rank, copy(ask)) for rank in ranks}
-        gevent.joinall(list(tasks.values()))
-        answers = {rank: task.value for rank, task in tasks.items()}
-        for answer in answers.values():
-            if isinstance(answer, Replaced):
-                raise answer
-            if isinstance(answer, GroupChanged):
-                raise answer
-            if answer is None and not tolerant:
-                raise GroupChanged("a rank's agent can't be reached")
-        return answers
-
-    def _try(
-        self, rank: int, ask: RankAsk
-    ) -> RankAnswer | Replaced | GroupChanged | None:
-        try:
-            return self._ask(rank, ask)
-        except AskLost:
-            return None
-        except (Replaced, GroupChanged) as exc:
-            return exc
-
-    def _ask(self, rank: int, ask: RankAsk, *, past_agent: bool = False) -> RankAnswer:
-        ask.group, ask.token, ask.epoch = self._group, self._token, self._epoch
-        link = self._links[rank]
-        answer = link.ask_engine(ask) if past_agent else link.ask(ask)
-        if answer.result == RankResult.STALE:
-            raise Replaced(f"token {answer.token} is newer than {self._token}")
-        if answer.rank == NONE:
-            raise AskLost(answer.detail)
-        if answer.epoch != self._epoch or answer.rank != rank:
-            raise GroupChanged(f"epoch {answer.epoch} in place of {self._epoch}")
-        return answer
+    def _all(self, ranks: Iterable[int], ask: RankAsk) -> dict[int, RankAnswer | None]:
+        return self._asker.ask_all(ranks, ask, self._epoch)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -3,34 +3,30 @@
 import time
 from collections.abc import Callable, Mapping
 
-import gevent
 import numpy as np
 import structlog
 
 from toucanspool.groups.armed_switch import (
     AHEAD_PASSES,
     ArmedSwitch,
-    GroupChanged,
-    Link,
-    Replaced,
     SwitchEnd,
-    is_armed_whole,
 )
-from toucanspool.groups.copies import Copies, CopySearch
+from toucanspool.groups.copies import Copies
+from toucanspool.groups.copy_search import CopySearch
 from toucanspool.groups.demand import Demand
 from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_asker import (
+    GroupChanged,
+    Link,
+    RankAsker,
+    is_armed_whole,
+)
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE
-from toucanspool.groups.rank_keeper import MAP_TYPE, PICKS_TYPE
+from toucanspool.groups.rank_keeper import PICKS_TYPE
 from toucanspool.routing.routes import EngineModel
-from toucanspool.wire.gen.messages.ttypes import (
-    RankAction,
-    RankAnswer,
-    RankAsk,
-    RankResult,
-)
+from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
-FIRST_VERSION = 0
 # Passes ahead that leave time for orders to be given again, without holding any up.
 AHEAD_PASSES_LOSING = 8
 # The other ranks are armed once, and then the own one.
@@ -122,7 +118,8 @@
         """
         engine = self._engine()
         counts = engine is not None and time.monotonic() >= self._counts_due_at
-        answers = self._statuses(links, counts=counts)
+        asker = RankAsker(self._group, self._token, links)
+        answers = asker.statuses(counts=counts)
         if engine is None or not answers:
             return
         if counts:
@@ -130,25 +127,19 @@
         if not self._may_act(answers):
             return
         first = next(iter(answers.values()))
-        reached = {rank: links[rank] for rank in answers}
         switch = ArmedSwitch(
-            self._group,
-            first.epoch,
-            self._token,
-            reached,
-            self._own_rank,
-            ahead=self._ahead,
+            asker, first.epoch, answers, self._own_rank, ahead=self._ahead
         )
         try:
-            self._look(switch, answers, links, engine)
+            self._look(asker, switch, answers, engine)
         except (GroupChanged, AskLost) as exc:
             _log.info("map left as it is", group=self._group, reason=str(exc))
 
     def _look(
         self,
+        asker: RankAsker,
         switch: ArmedSwitch,
         answers: Mapping[int, RankAnswer],
-        links: Mapping[int, Link],
         engine: EngineModel,
     ) -> None:
         held = any(answer.held != NONE for answer in answers.values())
@@ -162,7 +153,7 @@
             return
         version = versions.pop()
         if version != self._version or self._copies is None:
-            self._copies = self._read(links, answers, version, engine)
+            self._copies = asker.read_copies(answers, version, engine)
             self._version = version
         if held or armed:
             switch.resolve(answers, self._copies.lists())
@@ -223,34 +214,6 @@
         elif arm_rounds:
             self._ahead = max(AHEAD_PASSES, self._ahead - 1)
 
-    def _statuses(
-        self, links: Mapping[int, Link], *, counts: bool
-    ) -> dict[int, RankAnswer]:
-        action = RankAction.COUNTS if counts else RankAction.STATUS
-        tasks = {
-            rank: gevent.spawn(self._status, link, action)
-            for rank, link in links.items()
-        }
-        gevent.joinall(list(tasks.values()))
-        answers = {}
-        for rank, task in tasks.items():
-            answer = task.value
-            if answer is None:
-                continue
-            if answer.result == RankResult.STALE:
-                raise Replaced(f"token {answer.token} is newer than {self._token}")
-            if answer.rank == rank and answer.group == self._group:
-                answers[rank] = answer
-        return answers
-
-    def _status(self, link: Link, action: int) -> RankAnswer | None:
-        ask = RankAsk(action=action, group=self._group, token=self._token, epoch=NONE)
-        try:
-            return link.ask(ask)
-        except AskLost as exc:
-            _log.info("rank agent silent", group=self._group, error=str(exc))
-            return None
-
     def _whole(self, answers: Mapping[int, RankAnswer]) -> bool:
         return len(answers) == next(iter(answers.values())).size
 
@@ -279,39 +242,6 @@
                 total += picks.reshape(total.shape)
         self._demand.count(total, time.monotonic())
 
-    def _read(
-        self,
-        links: Mapping[int, Link],
-        answers: Mapping[int, RankAnswer],
-        version: int,
-        engine: EngineModel,
-    ) -> Copies:
-        size = next(iter(answers.values())).size
-        if version == FIRST_VERSION:
-            return Copies.in_turn(
-                engine.layer_sets, size, engine.experts, engine.places
-            )
-        shape = (engine.layer_sets, size, engine.places)
-        lists = np.full(shape, EMPTY, dtype=MAP_TYPE)
-        for rank in answers:
-            ask = RankAsk(
-                action=RankAction.LISTS,
-                group=self._group,
-                token=self._token,
-                epoch=NONE,
-                places=engine.places,
-            )
-            answer = links[rank].ask(ask)
-            if answer.map_version != version or answer.rank != rank:
-                raise GroupChanged("the map has changed while it was read")
-            experts = np.frombuffer(answer.experts, dtype=MAP_TYPE)
-            lists[:, rank, :] = experts.reshape(engine.layer_sets, engine.places)
-        copies = Copies.from_lists(lists, engine.experts)
-        for rank in set(range(size)) - answers.keys():
-            # Each expert is held somewhere, so it holds what no other rank does.
-            copies.held[:, rank, :] = ~copies.held.any(axis=1)
-        return copies
-
 
 def _least_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
     running = sum(answer.running + answer.waiting for answer in answers.values())
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -7,8 +7,8 @@
 import structlog
 
 from toucanspool.backing.table import Row, Table, TableError, Write
-from toucanspool.groups.armed_switch import Link, Replaced
 from toucanspool.groups.map_coordinator import MapCoordinator
+from toucanspool.groups.rank_asker import Link, Replaced
 from toucanspool.groups.rank_calls import RankLink
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
 from toucanspool.groups.rank_keeper import NO_TOKEN, RankKeeper
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -5,8 +5,6 @@
 
 import gevent
 import structlog
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
 
 from toucanspool.backing.table import TableError, Write
 from toucanspool.gateway.caller_server import CallerServer
@@ -19,9 +17,9 @@
 from toucanspool.platform import configuration, pages, runners
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
+from toucanspool.platform.probes import Probes
 from toucanspool.platform.store import OWN_PAUSE_S, RowStore, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
-from toucanspool.retries.ejection import Result
 from toucanspool.routing.routes import Limits
 from toucanspool.settings.settings import Address, Settings
 from toucanspool.telemetry.call_metrics import CallMetrics
@@ -29,7 +27,6 @@
 
 TICK_S = 0.1
 PROBE_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 0.8
 REPORT_INTERVAL_S = 1.0
 LIST_RETRY_S = 0.5
 # Callers keep an answer up to three times as long as told.
@@ -127,7 +124,7 @@
             self._page(cfg.metrics, pages.metrics_page(self._metrics.page))
         for name, interval_s, func in (
             ("limits", TICK_S, self._core.tick),
-            ("probes", PROBE_INTERVAL_S, self._probe),
+            ("probes", PROBE_INTERVAL_S, Probes(self._entries, self._core).run),
             ("report", REPORT_INTERVAL_S, self._report),
         ):
             ticker = Ticker(name, interval_s, func, rng=rng)
@@ -270,28 +267,6 @@
             return False
         return True
 
-    def _probe(self) -> None:
-        for entry in self._entries.peers:
-            gevent.spawn(self._probe_entry, entry)
-        for name in self._core.ejector.due(time.monotonic()):
-            gevent.spawn(self._probe_upstream, name)
-
-    def _probe_entry(self, entry: EntryRecord) -> None:
-        host, _, port = entry.probe.rpartition(":")
-        ready = _answers(host, int(port), "/readyz", PROBE_TIMEOUT_S)
-        self._entries.probed(entry.name, ready=ready)
-
-    def _probe_upstream(self, name: str) -> None:
-        upstream = self._core.upstreams.find(name)
-        if upstream is None or self._core.routes is None:
-            return
-        listing = upstream.listing
-        path = self._core.routes.service(listing.service).health_path
-        good = _answers(listing.host, listing.port, path, PROBE_TIMEOUT_S)
-        result = Result.OK if good else Result.FAILED
-        if self._core.ejector.probed(name, result, time.monotonic()):
-            _log.info("upstream returned", upstream=name)
-
     def _report(self) -> None:
         _log.info(
             "load",
@@ -303,18 +278,5 @@
         )
 
 
-def _answers(host: str, port: int, path: str, timeout_s: float) -> bool:
-    client = HTTPClient(
-        host, port, connection_timeout=timeout_s, network_timeout=timeout_s
-    )
-    try:
-        return client.get(path).status_code == 200
-    except (OSError, HTTPParseError) as exc:
-        _log.debug("probe failed", host=host, port=port, error=repr(exc))
-        return False
-    finally:
-        client.close()
-
-
 def _text(address: Address) -> str:
     return f"{address.host}:{address.port}"
