--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -95,7 +95,7 @@
         )
         relay = Relay(self._placing, self.ejector, self._budget, dialect)
         streams = StreamRelay(relay, dialect, self._paused)
-        self.front = Front(relay, streams, self._gates.get, rng)
+        self.front = Front(relay, streams, self._gates.get)
 
     def set_retries(self, retries: RetryBudget) -> None:
         """Put new bounds of repeats in force.
--- a/toucanspool/gateway/front.py
+++ b/toucanspool/gateway/front.py
@@ -1,6 +1,5 @@
 """The way of a call through an entry: admission, attempts, and the reply."""
 
-import random
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -32,8 +31,6 @@
     gate_of : callable
         Takes the name of a service and returns its `Gate`, or None where calls of
         the service are not limited.
-    rng : random.Random
-        Spreads the return of callers.
 
     Attributes
     ----------
@@ -43,19 +40,17 @@
         Calls under way.
     """
 
-    __slots__ = ("_gate_of", "_relay", "_rng", "_streams", "draining", "running")
+    __slots__ = ("_gate_of", "_relay", "_streams", "draining", "running")
 
     def __init__(
         self,
         relay: Relay,
         streams: StreamRelay,
         gate_of: Callable[[str], Gate | None],
-        rng: random.Random,
     ) -> None:
         self._relay = relay
         self._streams = streams
         self._gate_of = gate_of
-        self._rng = rng
         self.draining = False
         self.running = 0
 
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -35,6 +35,8 @@
         Attempts that may have reached an upstream.
     runs : int
         Attempts that may have run.
+    unreached : int
+        Attempts that found no connection.
     tried : set of str
         Upstreams that have failed the call.
     """
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -1,6 +1,8 @@
 """The gateway role on the platform: its pages, its feeds, and its part in both."""
 
+import random
 import time
+from collections.abc import Callable
 from contextlib import ExitStack
 
 import gevent
@@ -34,6 +36,8 @@
 # Left for the last answers before the process is killed.
 END_SLACK_S = 0.6
 
+Take = Callable[[Changes], None]
+
 _log = structlog.get_logger()
 
 
@@ -51,7 +55,6 @@
         "_closing",
         "_core",
         "_entries",
-        "_kernel",
         "_metrics",
         "_own",
         "_ranks",
@@ -172,10 +175,10 @@
     def _follow(
         self,
         table: str,
-        on_snapshot,
-        on_changes,
+        on_snapshot: Take,
+        on_changes: Take,
         *,
-        rng,
+        rng: random.Random,
         wait_s: float | None = None,
         pause_s: float = 0.0,
     ) -> None:
