--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -1,5 +1,7 @@
 """Streams: whole events, resumption, and ends that do not look complete."""
 
+import time
+
 import gevent
 
 from standins.raw_upstream import event, streaming
@@ -76,6 +78,16 @@
         assert gw.call("POST", body=b"ask")[0] == 502
 
 
+def test_streams_add_to_the_budget_of_repeats():
+    with gateway(streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._budget.bound(ratio=0.5, window_s=10.0, extra=0.0)
+        for _ in range(5):
+            gw.call("POST", body=b"ask")
+        now = time.monotonic()
+        taken = [gw.core._budget.take("desk", now) for _ in range(3)]
+    assert taken == [True, True, False]
+
+
 def test_a_caller_that_resumes_gets_the_rest():
     with gateway(streaming(EVENTS), routes=STREAM) as gw:
         _, _, body = gw.call("POST", headers="Last-Event-Id: 3", body=b"ask")
--- /dev/null
+++ b/tests/groups/test_rank_member.py
@@ -0,0 +1,76 @@
+"""A rank agent's part in its group."""
+
+import random
+
+from standins.memory import MemoryTable
+from standins.pass_group import GROUP, PassGroup
+from toucanspool.backing.table import Row
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.groups.rank_member import RankMember
+from toucanspool.groups.rank_record import PREFIX, RankRecord
+from toucanspool.routing.upstreams import Listing
+
+
+def member(table: MemoryTable | None = None) -> RankMember:
+    group = PassGroup(3, random.Random(1))
+    engine = group.engine(0)
+    listing = Listing(name="u0", service="s", host="10.0.0.1", port=80)
+    return RankMember(
+        "r0",
+        "127.0.0.1",
+        1,
+        engine=engine,
+        find_listing=lambda: listing,
+        connect=lambda address: engine,
+        keeper=RankKeeper(engine),
+        table=table or MemoryTable(),
+        engine_model=lambda: None,
+        link_bits_per_s=1e9,
+    )
+
+
+def row(name: str, rank: int, host: str, version: int) -> Row:
+    record = RankRecord(
+        name=name,
+        host=host,
+        port=1,
+        group=GROUP,
+        rank=rank,
+        upstream="u",
+        engine="10.0.0.9:80",
+        pace=1.0,
+    )
+    return Row(PREFIX + name, record.encode(), version)
+
+
+def hosts(one: RankMember) -> dict[int, str]:
+    links = one._group_links(one._own)
+    return {rank: link._host for rank, link in links.items() if rank}
+
+
+def test_a_rank_is_listed_once_its_engine_is():
+    table = MemoryTable()
+    one = member(table)
+    one.watch()
+    assert table.get([PREFIX + "r0"])
+    assert one._own.upstream == "u0"
+
+
+def test_the_newest_row_of_a_rank_counts():
+    one = member()
+    one.watch()
+    one.replace([row("a-new", 1, "new", 9), row("z-old", 1, "old", 3)])
+    assert hosts(one) == {1: "new"}
+    one.put(row("z-old", 1, "back", 12))
+    assert hosts(one) == {1: "back"}
+
+
+def test_nothing_is_listed_while_the_table_is_down():
+    table = MemoryTable()
+    table.faults.down = True
+    one = member(table)
+    one.watch()
+    assert one._own is None
+    table.faults.down = False
+    one.watch()
+    assert one._own is not None
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -96,8 +96,7 @@
         Refused
             There is no reply.
         """
-        progress = Progress()
-        self._budget.request(call.service, time.monotonic())
+        progress = self.first(call)
         while True:
             upstream = self.choose(call, progress)
             with ExitStack() as closing:
@@ -119,6 +118,21 @@
                         continue
                 return Reply(attempt.status, "", list(attempt.facts.headers), body)
 
+    def first(self, call: Call) -> Progress:
+        """Return the start of a call's way, which adds to the budget of repeats.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+
+        Returns
+        -------
+        Progress
+        """
+        self._budget.request(call.service, time.monotonic())
+        return Progress()
+
     def choose(self, call: Call, progress: Progress) -> Upstream:
         """Return the upstream of the next attempt.
 
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -68,7 +68,7 @@
         Refused
             There is no reply.
         """
-        progress = Progress()
+        progress = self._relay.first(call)
         splitter = EventSplitter(last_id=call.last_event_id)
         current = closing.enter_context(ExitStack())
         attempt, upstream = self._open(call, progress, splitter, current)
--- a/toucanspool/groups/rank_engine.py
+++ b/toucanspool/groups/rank_engine.py
@@ -52,6 +52,8 @@
         How many times as long as usual its work takes.
     started_ms : int
         When the engine started, in Unix milliseconds by its own clock.
+    sequence : int
+        Grows with each map that is prepared.
     """
 
     group: str
@@ -68,6 +70,7 @@
     waiting: int = 0
     pace: float = 1.0
     started_ms: int = 0
+    sequence: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,12 +118,12 @@
         """
         ...
 
-    def arm(self, version: int, step: int, epoch: int) -> None:
-        """Switch to a prepared map as a pass begins."""
+    def arm(self, version: int, step: int, epoch: int, *, sequence: int) -> None:
+        """Switch to a map as a pass begins, unless one was prepared since a sequence."""
         ...
 
-    def disarm(self, version: int, epoch: int) -> None:
-        """Take an armed switch back."""
+    def disarm(self, version: int, epoch: int, *, sequence: int) -> None:
+        """Take an armed switch back, unless a map was prepared since a sequence."""
         ...
 
     def hold(self, step: int, epoch: int) -> None:
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -158,9 +158,13 @@
         elif ask.action == RankAction.HOLD:
             engine.hold(ask.step, ask.epoch)
         elif ask.action == RankAction.ARM:
-            engine.arm(ask.version, ask.step, ask.epoch)
+            # A late order to arm must not outlive a switch that was given up.
+            sequence = engine.state().sequence
+            engine.arm(ask.version, ask.step, ask.epoch, sequence=sequence)
         elif ask.action == RankAction.DISARM:
-            engine.disarm(ask.version, ask.epoch)
+            # A late order to disarm must not take a later switch back.
+            sequence = engine.state().sequence
+            engine.disarm(ask.version, ask.epoch, sequence=sequence)
         elif ask.action == RankAction.GO:
             engine.go(ask.step, ask.epoch)
 
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -119,7 +119,7 @@
         self._link_bits_per_s = link_bits_per_s
         self._own: RankRecord | None = None
         self._listed: dict[str, RankRecord] = {}
-        self._links: dict[tuple[str, int], RankLink] = {}
+        self._links: dict[tuple[str, int, str], RankLink] = {}
         self._coordinator: MapCoordinator | None = None
         self._stopping = False
 
@@ -166,12 +166,14 @@
         """Take a row of a rank agent that is new or has changed."""
         record = decode_rank(row)
         if record is not None:
+            # The newest stands last.
+            self._listed.pop(record.name, None)
             self._listed[record.name] = record
 
     def replace(self, rows: list[Row]) -> None:
         """Take all rows of rank agents."""
         self._listed = {}
-        for row in rows:
+        for row in sorted(rows, key=lambda row: row.version):
             self.put(row)
 
     def drop(self, key: str) -> None:
@@ -243,15 +245,16 @@
     def _group_links(self, own: RankRecord) -> Mapping[int, Link]:
         links: dict[int, Link] = {own.rank: _OwnLink(self._keeper)}
         used = {}
-        for record in self._listed.values():
-            if record.group != own.group or record.name == self._name:
+        for record in reversed(self._listed.values()):
+            if record.group != own.group or record.rank in links:
+                # The agent of a rank that was listed before may be gone for good.
                 continue
-            address = (record.host, record.port)
+            address = (record.host, record.port, record.engine)
             link = self._links.get(address)
             if link is None:
-                link = RankLink(*address, self._direct(record))
+                link = RankLink(record.host, record.port, self._direct(record))
             used[address] = link
-            links.setdefault(record.rank, link)
+            links[record.rank] = link
         for address in self._links.keys() - used.keys():
             self._links[address].close()
         self._links = used
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -69,6 +69,7 @@
                 waiting=int(data.get("queued", 0)),
                 pace=float(data.get("pace") or 1.0),
                 started_ms=int(data.get("born") or 0),
+                sequence=int(data.get("sequence") or 0),
             )
         except (KeyError, TypeError, ValueError) as exc:
             raise BadAnswer(repr(exc)) from exc
@@ -126,13 +127,13 @@
         ]
         self._order("prepare", epoch, version=version, map=lists)
 
-    def arm(self, version: int, step: int, epoch: int) -> None:
+    def arm(self, version: int, step: int, epoch: int, *, sequence: int) -> None:
         """Switch to a prepared map as a pass begins; see `RankEngine`."""
-        self._order("arm", epoch, version=version, step=step)
+        self._order("arm", epoch, version=version, step=step, expectedRevision=sequence)
 
-    def disarm(self, version: int, epoch: int) -> None:
+    def disarm(self, version: int, epoch: int, *, sequence: int) -> None:
         """Take an armed switch back; see `RankEngine`."""
-        self._order("disarm", epoch, version=version)
+        self._order("disarm", epoch, version=version, expectedRevision=sequence)
 
     def hold(self, step: int, epoch: int) -> None:
         """Keep the group from beginning a pass; see `RankEngine`."""
