--- a/toucanspool/groups/rank_engine.py
+++ b/toucanspool/groups/rank_engine.py
@@ -119,7 +119,7 @@
         ...
 
     def arm(self, version: int, step: int, epoch: int, *, sequence: int) -> None:
-        """Switch to a map as a pass begins, unless one was prepared since a sequence."""
+        """Switch to a map as a pass begins, if none was prepared since a sequence."""
         ...
 
     def disarm(self, version: int, epoch: int, *, sequence: int) -> None:
