--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -13,9 +13,10 @@
 from toucanspool.groups import armed_switch
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import AskLost
+from toucanspool.groups.rank_engine import NONE
 from toucanspool.groups.rank_keeper import RankKeeper
 from toucanspool.routing.routes import EngineModel
-from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
+from toucanspool.wire.gen.messages.ttypes import RankAction, RankAnswer, RankAsk
 
 RANKS, EXPERTS, PLACES = 4, 16, 6
 MODEL = EngineModel(
@@ -191,3 +192,28 @@
         coordinator.step(world.links)
         gevent.sleep(0.02)
         assert not world.group.held
+
+
+def test_a_state_told_late_does_not_undo_a_switch_that_is_let_go():
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    coordinator.step(world.links)
+    world.demand(HOT)
+    late = world.links[3]
+    fresh = late.ask
+    with busy(world):
+        coordinator.step(world.links)
+    told = fresh(RankAsk(action=RankAction.STATUS, group=GROUP, token=1, epoch=1))
+
+    def stale(ask: RankAsk) -> RankAnswer:
+        answer = fresh(ask)
+        if ask.action in (RankAction.STATUS, RankAction.COUNTS):
+            answer.armed, answer.map_version = NONE, told.map_version
+        return answer
+
+    for row in world.group.rows:
+        row.armed = (row.map[0] + 1, world.group.step + 5)
+        row.prepared = (row.map[0] + 1, row.map[1])
+    late.ask = stale
+    coordinator.step(world.links)
+    assert all(row.armed is not None for row in world.group.rows)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -29,6 +29,9 @@
 
 # Passes ahead that leave time for orders to be given again, without holding any up.
 AHEAD_PASSES_LOSING = 8
+# Engines tell their state from afar this much late at most, in seconds: three times the
+# lag that the platform names.
+SETTLE_S = 0.6
 # The other ranks are armed once, and then the own one.
 CLEAN_ROUNDS = 2
 # A rank copies one expert after the other; what takes longer meets another demand.
@@ -77,6 +80,7 @@
         "_link_bits_per_s",
         "_own_rank",
         "_rank_before",
+        "_settled_at",
         "_token",
         "_version",
     )
@@ -95,6 +99,7 @@
         self._link_bits_per_s = link_bits_per_s
         self._counts_due_at = 0.0
         self._ahead = AHEAD_PASSES
+        self._settled_at = 0.0
         self._group = group
         self._token = token
         self._own_rank = own_rank
@@ -155,6 +160,9 @@
         if version != self._version or self._copies is None:
             self._copies = asker.read_copies(answers, version, engine)
             self._version = version
+        if (held or armed) and time.monotonic() < self._settled_at:
+            # An engine that is asked from afar may still tell what was before.
+            return
         if held or armed:
             switch.resolve(answers, self._copies.lists())
             self._version = NONE
@@ -195,7 +203,10 @@
             token=self._token,
         )
         copy_s = COPY_SLACK * per_rank * engine.expert_s + COPY_SLACK_S
-        end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
+        try:
+            end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
+        finally:
+            self._settled_at = time.monotonic() + SETTLE_S
         self._look_ahead(switch.arm_rounds)
         if end is SwitchEnd.DONE:
             self._version, self._copies = new, planned
