Read the configuration's row in one place, and drop a field that stayed empty

Cause: both roles on the platform went through the changed rows and told of an unreadable configuration with the same lines; a reply's reason was always the empty text.

--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -119,8 +119,6 @@
     ----------
     status : int
         HTTP status.
-    reason : str
-        Text after the status.
     headers : list of (str, str)
         Headers that go to the caller.
     body : bytes or iterator of bytes
@@ -128,6 +126,5 @@
     """
 
     status: int
-    reason: str
     headers: list[Header]
     body: bytes | Iterator[bytes]
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -75,10 +75,10 @@
         headers = list(attempt.facts.headers)
         if attempt.status not in SUCCESS:
             body = attempt.whole(call.deadline.at)
-            return Reply(attempt.status, "", headers, body)
+            return Reply(attempt.status, headers, body)
         events = self._events(call, progress, splitter, current, attempt, upstream)
         first = next(events, b"")
-        return Reply(attempt.status, "", headers, _chain(first, events))
+        return Reply(attempt.status, headers, _chain(first, events))
 
     def _open(
         self,
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 import orjson
+import structlog
 
+from toucanspool.recovery.feed import Changes
 from toucanspool.routing.routes import (
     CallKind,
     EngineModel,
@@ -20,6 +22,8 @@
 MBIT = 1e6
 MB_IN_BITS = 8e6
 
+_log = structlog.get_logger()
+
 _KINDS = {
     "idempotent": CallKind.IDEMPOTENT,
     "non_idempotent": CallKind.AT_MOST_ONCE,
@@ -62,6 +66,29 @@
         raise BadConfiguration(repr(exc)) from exc
 
 
+def routes_in(changes: Changes) -> RouteTable | None:
+    """Return the configuration among changed rows.
+
+    Parameters
+    ----------
+    changes : Changes
+        Of the table `TABLE`.
+
+    Returns
+    -------
+    RouteTable or None
+        None where there is none, or none that can be read.
+    """
+    for row in changes.rows:
+        if row.key != KEY:
+            continue
+        try:
+            return decode_configuration(row.value)
+        except BadConfiguration as exc:
+            _log.error("unreadable configuration", error=str(exc), row=row.version)
+    return None
+
+
 def _route(route: dict[str, Any]) -> Route:
     # A route has either one service, or several with weights.
     split = route.get("backends") or [{"service": route["service"], "weight": 1}]
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -208,14 +208,8 @@
         return [entry.address for entry in live]
 
     def _routes(self, changes: Changes) -> None:
-        for row in changes.rows:
-            if row.key != configuration.KEY:
-                continue
-            try:
-                routes = configuration.decode_configuration(row.value)
-            except configuration.BadConfiguration as exc:
-                _log.error("unreadable configuration", error=str(exc), row=row.version)
-                continue
+        routes = configuration.routes_in(changes)
+        if routes is not None:
             self._core.put_routes(routes)
             self._server.limits = routes.limits
 
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -3,7 +3,6 @@
 from contextlib import ExitStack
 
 import gevent
-import structlog
 
 from toucanspool.groups.rank_calls import AskReceiver
 from toucanspool.groups.rank_keeper import RankKeeper
@@ -23,8 +22,6 @@
 
 MBIT = 1e6
 
-_log = structlog.get_logger()
-
 
 class RankRole:
     """Guard one rank, and stand for the coordinator of its group.
@@ -109,13 +106,7 @@
         return decode_listing(row) if row else None
 
     def _take_routes(self, changes: Changes) -> None:
-        for row in changes.rows:
-            if row.key != configuration.KEY:
-                continue
-            try:
-                self._routes = configuration.decode_configuration(row.value)
-            except configuration.BadConfiguration as exc:
-                _log.error("unreadable configuration", error=str(exc), row=row.version)
+        self._routes = configuration.routes_in(changes) or self._routes
 
     def _all_ranks(self, changes: Changes) -> None:
         self._member.replace(list(changes.rows))
