Take the cancelled request's name from the runners, not from a log that lags

Cause: test_a_team_can_not_cancel_the_request_of_another took the newest name in the entry's log. Lines are written in batches each 0.1 s, so a name of an earlier, ended request could be the newest: 404 for its own team. Ruled out: the request ending first (60 tokens, the stream is read after the cancel).

--- a/tests/processes/test_input.py
+++ b/tests/processes/test_input.py
@@ -85,9 +85,10 @@
 
 def test_a_team_can_not_cancel_the_request_of_another(module_caller):
     caller = module_caller
+    before = _requests_seen(caller)
     going = caller.stream(0, GOOD["messages"], "members", 60)
     next(going)
-    name = _newest_request(caller)
+    (name,) = _requests_seen(caller) - before
     clerks = caller.system.keys.teams["clerks"]
     members = caller.system.keys.teams["members"]
     path = f"/v1/requests/{name}"
@@ -108,15 +109,12 @@
     assert answer["result"] == "It was answered."
 
 
-def _newest_request(caller) -> str:
-    names = [
+def _requests_seen(caller) -> set[str]:
+    return {
         item["request"]
         for runner in ("guide-1", "guide-2")
         for item in caller.seen(runner)["requests"]
-    ]
-    lines = caller.system.log("entry-1").splitlines()
-    order = [name for line in lines for name in names if f'"{name}"' in line]
-    return order[-1]
+    }
 
 
 def test_metrics_are_in_the_form_that_scrapers_read(module_caller):
