Limit the size of a request's head, and the time for all of it

Cause: the operator's limit on headers was decoded and not used; the library stops at 100 lines of 64 KB and answers 400. The time for a head was a limit for each read, so that one byte each few seconds held a connection. Neither was logged. Now 431 and 408, counted over the whole head, with a line 'request not read'. A connection that rests between requests has the idle time, as before.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -107,6 +107,7 @@
     *scripts: Script,
     routes: list[Route] | None = None,
     keys: dict[str, KeyHolder] | None = None,
+    limits: Limits | None = None,
 ) -> Iterator[Gateway]:
     """Run a gateway before one upstream for each script."""
     with ExitStack() as closing:
@@ -134,7 +135,7 @@
         core.put_routes(table)
         core.tick()
         frontend = Frontend(core.front, lambda: core.routes, rng, metrics)
-        server = CallerServer("127.0.0.1", 0, frontend, limits=Limits())
+        server = CallerServer("127.0.0.1", 0, frontend, limits=limits or Limits())
         server.start()
         closing.callback(server.stop, timeout=0)
         yield Gateway(core, server.server_port, behind)
--- /dev/null
+++ b/tests/gateway/test_caller_server.py
@@ -0,0 +1,87 @@
+"""Limits on what callers send before a call begins."""
+
+import gevent
+import pytest
+from structlog.testing import capture_logs
+
+from standins.raw_upstream import answering
+from tests.gateway.gateways import gateway, request
+from toucanspool.routing.routes import Limits
+
+SMALL = Limits(header_bytes=600, header_timeout_s=0.3, idle_timeout_s=0.6)
+
+
+def _answer(sock) -> bytes:
+    data = b""
+    while block := sock.recv(65536):
+        data += block
+    return data
+
+
+def test_a_head_within_the_limit_is_served():
+    with gateway(answering(), limits=SMALL) as gw:
+        status, _, body = gw.call(headers=f"X-Long: {'x' * 300}")
+    assert (status, body) == (200, b"answer")
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        pytest.param(f"X-Long: {'x' * 600}", id="one long header"),
+        pytest.param(
+            "\r\n".join(f"X-{n}: {'x' * 20}" for n in range(30)), id="many headers"
+        ),
+    ],
+)
+def test_a_head_over_the_limit_is_answered_431_and_not_run(headers):
+    with capture_logs() as lines, gateway(answering(), limits=SMALL) as gw:
+        status, head, _ = gw.call(headers=headers)
+        assert gw.upstreams[0].seen == []
+    assert status == 431
+    assert "Connection: close" in head
+    assert [x["status"] for x in lines if x["event"] == "request not read"] == [431]
+
+
+def test_more_headers_than_the_library_reads_are_answered_431():
+    headers = "\r\n".join(f"X-{n}: 1" for n in range(200))
+    with gateway(answering()) as gw:
+        assert gw.call(headers=headers)[0] == 431
+
+
+def test_a_head_that_trickles_is_answered_408_in_time():
+    with capture_logs() as lines, gateway(answering(), limits=SMALL) as gw:
+        sock = gw.connect()
+        with gevent.Timeout(2.0):
+            sock.sendall(b"GET /p/x HTTP/1.1\r\n")
+            for _ in range(4):
+                gevent.sleep(0.05)
+                sock.sendall(b"X-A: 1\r\n")
+            assert _answer(sock).startswith(b"HTTP/1.1 408 ")
+    assert [x["status"] for x in lines if x["event"] == "request not read"] == [408]
+
+
+def test_a_kept_connection_may_rest_longer_than_a_head_may_take():
+    with gateway(answering(), limits=SMALL) as gw:
+        sock = gw.connect()
+        asked = request("GET").replace(b"Connection: close", b"Connection: keep-alive")
+        for _ in range(2):
+            sock.sendall(asked)
+            with gevent.Timeout(2.0):
+                assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+            gevent.sleep(SMALL.header_timeout_s * 1.3)
+
+
+def test_an_idle_connection_is_closed_without_an_answer():
+    with gateway(answering(), limits=SMALL) as gw:
+        sock = gw.connect()
+        with gevent.Timeout(2.0):
+            assert _answer(sock) == b""
+
+
+def test_two_lengths_are_answered_400_and_logged():
+    with capture_logs() as lines, gateway(answering(), limits=SMALL) as gw:
+        status, _, _ = gw.call("POST", headers="Content-Length: 9", body=b"order")
+        assert gw.upstreams[0].seen == []
+    assert status == 400
+    (line,) = [x for x in lines if x["event"] == "request not read"]
+    assert "more than one length" in line["reason"]
