--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -22,13 +22,13 @@
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
+from toucanspool.groups.rank_arrays import pack_map
 from toucanspool.groups.rank_asker import (
     GroupChanged,
     RankAsker,
     is_armed_whole,
 )
 from toucanspool.groups.rank_engine import NONE
-from toucanspool.groups.rank_keeper import MAP_TYPE
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
     RankAnswer,
@@ -279,7 +279,7 @@
         return RankAsk(
             action=RankAction.PREPARE,
             version=version,
-            experts=experts.astype(MAP_TYPE).tobytes(),
+            experts=pack_map(experts),
             ranks=ranks,
             places=places,
         )
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -15,6 +15,7 @@
 from toucanspool.groups.copy_search import CopySearch
 from toucanspool.groups.demand import Demand
 from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_arrays import PICKS_TYPE, unpack_picks
 from toucanspool.groups.rank_asker import (
     GroupChanged,
     Link,
@@ -23,7 +24,6 @@
 )
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE
-from toucanspool.groups.rank_keeper import PICKS_TYPE
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
@@ -37,12 +37,12 @@
 # A rank copies one expert after the other; what takes longer meets another demand.
 COPY_TIME_S = 0.4
 LEAST_COPY_S = 0.02
-LEAST_GAIN = 0.02
+LEAST_GAIN = 0.01
 # Part of the link of the coordinator's instance that counts may take.
-COUNTS_LINK_PART = 0.25
+COUNTS_LINK_PART = 0.5
 # The least gain of skew that pays for copies, of a group whose engines are full and of
 # an idle one, whose callers feel skew less.
-LEAST_SKEW_GAIN = 0.04
+LEAST_SKEW_GAIN = 0.1
 LEAST_SKEW_GAIN_IDLE = 0.2
 # A copy may take this much longer than the link's rate says, and this long besides.
 COPY_SLACK = 2.0
@@ -248,9 +248,10 @@
         pause_s = bits / (COUNTS_LINK_PART * self._link_bits_per_s)
         self._counts_due_at = time.monotonic() + pause_s
         for answer in answers.values():
-            picks = np.frombuffer(answer.picks or b"", dtype=PICKS_TYPE)
-            if picks.size == total.size:
-                total += picks.reshape(total.shape)
+            unit = answer.picks_unit or 1.0
+            picks = unpack_picks(answer.picks or b"", unit, total.shape)
+            if picks is not None:
+                total += picks
         self._demand.count(total, time.monotonic())
 
 
--- a/toucanspool/groups/rank_asker.py
+++ b/toucanspool/groups/rank_asker.py
@@ -10,9 +10,9 @@
 
 from toucanspool.groups.copies import Copies
 from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_arrays import MAP_TYPE, unpack_map
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE
-from toucanspool.groups.rank_keeper import MAP_TYPE
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
@@ -235,8 +235,7 @@
             answer = self._links[rank].ask(ask)
             if answer.map_version != version or answer.rank != rank:
                 raise GroupChanged("the map has changed while it was read")
-            experts = np.frombuffer(answer.experts, dtype=MAP_TYPE)
-            lists[:, rank, :] = experts.reshape(engine.layer_sets, engine.places)
+            lists[:, rank, :] = unpack_map(answer.experts, engine.places)
         copies = Copies.from_lists(lists, engine.experts)
         for rank in set(range(size)) - answers.keys():
             # Each expert is held somewhere, so it holds what no other rank does.
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -2,10 +2,9 @@
 
 import time
 
-import numpy as np
 import structlog
 
-from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.rank_arrays import pack_lists, pack_picks, unpack_map
 from toucanspool.groups.rank_engine import (
     NONE,
     OrderLost,
@@ -13,7 +12,6 @@
     Picks,
     RankEngine,
     RankEngineError,
-    RankState,
 )
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
@@ -24,8 +22,6 @@
 
 READS = frozenset({RankAction.STATUS, RankAction.COUNTS, RankAction.LISTS})
 NO_TOKEN = -1
-MAP_TYPE = np.int16
-PICKS_TYPE = np.uint16
 
 _log = structlog.get_logger()
 
@@ -109,12 +105,12 @@
             if ask.action not in READS:
                 result, detail = self._order(ask)
             state = self._engine.state()
-            picks = b""
+            picks, picks_unit = b"", 1.0
             if ask.action == RankAction.COUNTS and self._counts:
-                picks = self._new_picks(state)
+                picks, picks_unit = self._new_picks()
             experts = b""
             if ask.action == RankAction.LISTS:
-                experts = _padded(self._engine.experts(), ask.places)
+                experts = pack_lists(self._engine.experts(), ask.places)
         except RankEngineError as exc:
             return self._refusal(ask, RankResult.LOST, repr(exc))
         self._newest = max(self._newest, state.map_version, state.prepared)
@@ -135,6 +131,7 @@
             running=state.running,
             waiting=state.waiting,
             picks=picks,
+            picks_unit=picks_unit,
             newest_version=self._newest,
             detail=detail,
             experts=experts,
@@ -154,7 +151,9 @@
         engine = self._engine
         if ask.action == RankAction.PREPARE:
             self._newest = max(self._newest, ask.version)
-            engine.prepare(ask.version, decode_map(ask), ask.epoch)
+            lists = unpack_map(ask.experts, ask.places)
+            lists = lists.reshape(-1, ask.ranks, ask.places)
+            engine.prepare(ask.version, lists, ask.epoch)
         elif ask.action == RankAction.HOLD:
             engine.hold(ask.step, ask.epoch)
         elif ask.action == RankAction.ARM:
@@ -168,45 +167,19 @@
         elif ask.action == RankAction.GO:
             engine.go(ask.step, ask.epoch)
 
-    def _new_picks(self, state: RankState) -> bytes:
+    def _new_picks(self) -> tuple[bytes, float]:
         picks = self._engine.picks()
         before = self._picks
         self._picks = picks
         if before is None or before.counts.shape != picks.counts.shape:
-            return b""
+            return b"", 1.0
         new = picks.counts - before.counts
         # Counts start anew where the rank has started again.
         if picks.epoch != before.epoch or new.min() < 0:
             new = picks.counts
-        # Shares matter, not counts: all are halved until the largest fits.
-        while new.max() > np.iinfo(PICKS_TYPE).max:
-            new //= 2
-        return new.astype(PICKS_TYPE).tobytes()
+        return pack_picks(new)
 
     def _refusal(self, ask: RankAsk, result: int, detail: str) -> RankAnswer:
         return RankAnswer(
             call=ask.call, result=result, token=self.token, rank=NONE, detail=detail
         )
-
-
-def _padded(lists: list[list[int]], places: int) -> bytes:
-    padded = np.full((len(lists), places), EMPTY, dtype=MAP_TYPE)
-    for row, experts in zip(padded, lists, strict=True):
-        row[: len(experts)] = experts
-    return padded.tobytes()
-
-
-def decode_map(ask: RankAsk) -> np.ndarray:
-    """Return the map that an ask carries.
-
-    Parameters
-    ----------
-    ask : RankAsk
-        A PREPARE.
-
-    Returns
-    -------
-    ndarray of int, shape (sets, ranks, places)
-    """
-    flat = np.frombuffer(ask.experts, dtype=MAP_TYPE)
-    return flat.reshape(-1, ask.ranks, ask.places)
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -2070,6 +2070,7 @@
      - detail
      - experts
      - pace
+     - picks_unit
 
     """
 
@@ -2094,10 +2095,11 @@
         'detail',
         'experts',
         'pace',
+        'picks_unit',
     )
 
 
-    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None, pace=None,):
+    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None, pace=None, picks_unit=None,):
         self.call = call
         self.result = result
         self.token = token
@@ -2118,6 +2120,7 @@
         self.detail = detail
         self.experts = experts
         self.pace = pace
+        self.picks_unit = picks_unit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2228,6 +2231,11 @@
                     self.pace = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.DOUBLE:
+                    self.picks_unit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2318,6 +2326,10 @@
             oprot.writeFieldBegin('pace', TType.DOUBLE, 20)
             oprot.writeDouble(self.pace)
             oprot.writeFieldEnd()
+        if self.picks_unit is not None:
+            oprot.writeFieldBegin('picks_unit', TType.DOUBLE, 21)
+            oprot.writeDouble(self.picks_unit)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2757,6 +2769,7 @@
     (18, TType.STRING, 'detail', 'UTF8', None, ),  # 18
     (19, TType.STRING, 'experts', 'BINARY', None, ),  # 19
     (20, TType.DOUBLE, 'pace', None, None, ),  # 20
+    (21, TType.DOUBLE, 'picks_unit', None, None, ),  # 21
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -82,7 +82,7 @@
 enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
 
 // A coordinator asks the agent of one rank; experts holds them by set, rank and
-// place as 16-bit numbers, -1 for an empty place.
+// place as 16-bit numbers, -1 for an empty place, compressed by zlib.
 struct RankAsk {
   1: i64 call, 2: string group, 3: i64 token, 4: RankAction action, 5: i64 version,
   6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places
@@ -90,14 +90,14 @@
 
 // What the rank is at, after the action; a version or step of -1 stands for none.
 // experts holds the experts of its map by set and place, as in RankAsk. picks holds how
-// often the rank chose each expert since the last answer, by set and expert as 16-bit
-// numbers.
+// often the rank chose each expert since the last answer, by set and expert as 8-bit
+// numbers, one of which stands for picks_unit picks.
 struct RankAnswer {
   1: i64 call, 2: RankResult result, 3: i64 token, 4: string group, 5: i64 epoch,
   6: i32 rank, 7: i32 size, 8: bool open, 9: i64 step, 10: i64 map_version,
   11: i64 prepared, 12: i64 armed, 13: i64 held, 14: i32 running, 15: i32 waiting,
   16: binary picks, 17: i64 newest_version, 18: string detail, 19: binary experts,
-  20: double pace
+  20: double pace, 21: double picks_unit
 }
 
 // Exactly one field is set.
