List the ranks to coordinators only, and let feeds wait long on watched connections

The other feeds waited up to 22 s on a connection that may go silent for good.

Change: an agent reads the ranks as it stands for coordinator, and follows them while it is one; it asks for the engines' model each 5 s at most. Feeds wait 20 s, and probe their connection: silence is found out in 2 s. Tests: test_rank_member, test_feed, test_store (options of the connection).

--- a/tests/groups/test_rank_member.py
+++ b/tests/groups/test_rank_member.py
@@ -11,7 +11,30 @@
 from toucanspool.routing.upstreams import Listing
 
 
-def member(table: MemoryTable | None = None) -> RankMember:
+class RanksSeen:
+    """Record what a member asks of its list of ranks."""
+
+    def __init__(self, *, known: bool = True) -> None:
+        self.known = known
+        self.asked: list[str] = []
+
+    def step(self) -> bool:
+        """Note the call."""
+        self.asked.append("step")
+        return self.known
+
+    def start(self) -> None:
+        """Note the call."""
+        self.asked.append("start")
+
+    def stop(self) -> None:
+        """Note the call."""
+        self.asked.append("stop")
+
+
+def member(
+    table: MemoryTable | None = None, ranks: RanksSeen | None = None
+) -> RankMember:
     group = PassGroup(3, random.Random(1))
     engine = group.engine(0)
     listing = Listing(name="u0", service="s", host="10.0.0.1", port=80)
@@ -26,6 +49,7 @@
         table=table or MemoryTable(),
         engine_model=lambda: None,
         link_bits_per_s=1e9,
+        ranks=lambda member: ranks or RanksSeen(),
     )
 
 
@@ -65,6 +89,40 @@
     assert hosts(one) == {1: "back"}
 
 
+def test_a_member_asks_for_the_ranks_once_it_stands():
+    ranks = RanksSeen()
+    one = member(ranks=ranks)
+    one.watch()
+    one._act()
+    assert ranks.asked == []
+    one._keeper.heard_at -= 60.0
+    one._act()
+    assert ranks.asked == ["step", "start"]
+
+
+def test_a_member_that_can_not_read_the_ranks_does_not_stand():
+    table = MemoryTable()
+    ranks = RanksSeen(known=False)
+    one = member(table, ranks)
+    one.watch()
+    one._keeper.heard_at -= 60.0
+    one._act()
+    assert ranks.asked == ["step", "stop"]
+    assert one._coordinator is None
+
+
+def test_a_replaced_coordinator_asks_for_the_ranks_no_more():
+    ranks = RanksSeen()
+    one = member(ranks=ranks)
+    one.watch()
+    one._keeper.heard_at -= 60.0
+    one._act()
+    one._keeper.restore(99)
+    one._act()
+    assert one._coordinator is None
+    assert ranks.asked[-1] == "stop"
+
+
 def test_nothing_is_listed_while_the_table_is_down():
     table = MemoryTable()
     table.faults.down = True
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,17 @@
 """The row store's client, against a store on loopback."""
 
 from collections.abc import Iterator
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+)
 
 import pytest
+from gevent import socket
 from gevent.server import StreamServer
 
 from standins.row_store import RowStore as Standin
@@ -14,6 +23,7 @@
     TableUncertain,
     Write,
 )
+from toucanspool.gateway.exchange import Exchange, Silent
 from toucanspool.platform.store import RowStore, table_of
 from toucanspool.recovery.feed import HistoryGone
 
@@ -122,3 +132,27 @@
         client.changes("op", 1, 0.0)
     server.stop()
     assert len(seen) == 1
+
+
+def test_a_feed_asks_its_connection_for_signs_of_life(standin, monkeypatch):
+    opened = []
+    connect = socket.create_connection
+
+    def noting(*args, **kwargs):
+        opened.append(connect(*args, **kwargs))
+        return opened[-1]
+
+    monkeypatch.setattr(socket, "create_connection", noting)
+    options = {}
+
+    def receiving(self, until):
+        options["alive"] = opened[-1].getsockopt(SOL_SOCKET, SO_KEEPALIVE)
+        for name in (TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT):
+            options[name] = opened[-1].getsockopt(IPPROTO_TCP, name)
+        raise Silent("enough was seen")
+
+    monkeypatch.setattr(Exchange, "head", receiving)
+    with pytest.raises(TableUnavailable):
+        RowStore("127.0.0.1", standin.port, feed_wait_s=20.0).changes("t", 0, 20.0)
+    # Found out within two seconds: one of silence, one without an answer.
+    assert options == {"alive": 1, TCP_KEEPIDLE: 1, TCP_KEEPINTVL: 1, TCP_KEEPCNT: 1}
--- a/tests/recovery/test_feed.py
+++ b/tests/recovery/test_feed.py
@@ -62,3 +62,14 @@
     feed, _, parts = follow(at(3), TableUnavailable("down"), at(8))
     assert feed.asked == [None, 3, 3]
     assert parts == [at(8)]
+
+
+def test_a_stopped_follower_reads_the_whole_table_again():
+    feed = ScriptedFeed(at(1), at(2))
+    follower = FeedFollower(
+        feed, "t", lambda _: None, lambda _: None, wait_s=1.0, rng=random.Random(1)
+    )
+    follower.step()
+    follower.stop()
+    follower.step()
+    assert feed.asked == [None, None]
--- a/toucanspool/gateway/exchange.py
+++ b/toucanspool/gateway/exchange.py
@@ -35,6 +35,10 @@
         Port.
     method : str
         HTTP method.
+    probe_s : int, default=0
+        Ask the other side's kernel for a sign of life after this much silence, and
+        give the connection up when none comes for as long again, in seconds; 0 for
+        never.
 
     Attributes
     ----------
@@ -44,9 +48,10 @@
         Whether a byte of the request may have reached the upstream.
     """
 
-    __slots__ = ("_conn", "_method", "parser", "sent")
+    __slots__ = ("_conn", "_method", "_probe_s", "parser", "sent")
 
-    def __init__(self, host: str, port: int, method: str) -> None:
+    def __init__(self, host: str, port: int, method: str, *, probe_s: int = 0) -> None:
+        self._probe_s = probe_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
         self.parser = ReplyParser(method)
@@ -81,6 +86,8 @@
         for name, value in headers:
             conn.putheader(name, value)
         conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._probe_s:
+            _probe(conn.sock, self._probe_s)
         self.sent = True
         try:
             conn.endheaders(body or None)
@@ -173,3 +180,10 @@
         except OSError as exc:
             raise BrokenReply(str(exc)) from exc
         self.parser.take(data)
+
+
+def _probe(sock: socket.socket, probe_s: int) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 import gevent
 import structlog
@@ -30,6 +31,22 @@
 _log = structlog.get_logger()
 
 
+class Ranks(Protocol):
+    """Tell a member of the rank agents listed, for as long as it has to know."""
+
+    def step(self) -> bool:
+        """Tell all that are listed now, and return whether that was possible."""
+        ...
+
+    def start(self) -> None:
+        """Begin to tell of changes."""
+        ...
+
+    def stop(self) -> None:
+        """Stop telling."""
+        ...
+
+
 class _OwnLink:
     """Ask the agent in this process."""
 
@@ -69,6 +86,9 @@
         Returns the `EngineModel`, or None while it is not known.
     link_bits_per_s : float
         What this instance's link carries.
+    ranks : callable
+        Takes this member and returns its `Ranks`, which are asked only while it
+        stands for coordinator or is one.
     """
 
     __slots__ = (
@@ -86,6 +106,7 @@
         "_name",
         "_own",
         "_port",
+        "_ranks",
         "_started_ms",
         "_stopping",
         "_table",
@@ -104,7 +125,9 @@
         table: Table,
         engine_model: Callable[[], EngineModel | None],
         link_bits_per_s: float,
+        ranks: Callable[["RankMember"], Ranks],
     ) -> None:
+        self._ranks = ranks(self)
         self._name = name
         self._host = host
         self._port = port
@@ -182,6 +205,7 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self._ranks.stop()
         for link in self._links.values():
             link.close()
 
@@ -218,11 +242,16 @@
         return silent_s > TAKEOVER_S + RANK_DELAY_S * own.rank
 
     def _stand(self, own: RankRecord) -> None:
-        won = elect(self._table, _duty(own.group), self._name, above=self._keeper.token)
+        won = None
+        if self._ranks.step():
+            duty = _duty(own.group)
+            won = elect(self._table, duty, self._name, above=self._keeper.token)
         if won is None:
             # Another stands too, or the table is away: wait for a coordinator again.
+            self._ranks.stop()
             self._keeper.heard_at = time.monotonic()
             return
+        self._ranks.start()
         before = self._listed.get(won.before)
         self._coordinator = MapCoordinator(
             own.group,
@@ -241,6 +270,7 @@
         except Replaced as exc:
             _log.info("coordinator replaced", group=self._own.group, reason=str(exc))
             self._coordinator = None
+            self._ranks.stop()
 
     def _group_links(self, own: RankRecord) -> Mapping[int, Link]:
         links: dict[int, Link] = {own.rank: _OwnLink(self._keeper)}
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -97,7 +97,6 @@
             self._all_upstreams,
             self._changed_upstreams,
             rng=rng,
-            wait_s=store.list_interval_s,
             pause_s=store.list_interval_s,
         )
         for prefix, on_snapshot, on_changes in (
@@ -179,7 +178,6 @@
         on_changes: Take,
         *,
         rng: random.Random,
-        wait_s: float | None = None,
         pause_s: float = 0.0,
     ) -> None:
         follower = FeedFollower(
@@ -187,7 +185,7 @@
             table,
             on_snapshot,
             on_changes,
-            wait_s=wait_s or self._cfg.gateway.store.feed_wait_s,
+            wait_s=self._cfg.gateway.store.feed_wait_s,
             pause_s=pause_s,
             rng=rng,
         )
--- a/toucanspool/platform/json_calls.py
+++ b/toucanspool/platform/json_calls.py
@@ -27,11 +27,16 @@
         Port.
     timeout_s : float
         The longest wait for an answer, in seconds.
+    probe_s : int, default=0
+        As of `Exchange`.
     """
 
-    __slots__ = ("_host", "_port", "_timeout_s")
+    __slots__ = ("_host", "_port", "_probe_s", "_timeout_s")
 
-    def __init__(self, host: str, port: int, *, timeout_s: float) -> None:
+    def __init__(
+        self, host: str, port: int, *, timeout_s: float, probe_s: int = 0
+    ) -> None:
+        self._probe_s = probe_s
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
@@ -97,7 +102,7 @@
         if data:
             headers.append(("Content-Type", JSON))
             headers.append(("Content-Length", str(len(data))))
-        exchange = Exchange(self._host, self._port, method)
+        exchange = Exchange(self._host, self._port, method, probe_s=self._probe_s)
         until = time.monotonic() + self._timeout_s
         try:
             exchange.send(target, headers, data)
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -20,6 +20,8 @@
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.listener import Listener
 
+# The engines' model, all that is read of the configuration, hardly ever changes.
+ROUTES_PAUSE_S = 5.0
 MBIT = 1e6
 
 
@@ -59,6 +61,15 @@
             table=store,
             engine_model=self._engine_model,
             link_bits_per_s=cfg.link_mbit_per_s * MBIT,
+            ranks=lambda member: FeedFollower(
+                store,
+                table_of(PREFIX),
+                lambda changes: member.replace(list(changes.rows)),
+                lambda changes: _change_ranks(member, changes),
+                wait_s=cfg.store.feed_wait_s,
+                pause_s=OWN_PAUSE_S,
+                rng=rng,
+            ),
         )
         self._closing.callback(self._member.close)
         listener = Listener(
@@ -66,21 +77,17 @@
         )
         listener.start()
         self._closing.callback(listener.stop)
-        for table, on_snapshot, on_changes, pause_s in (
-            (configuration.TABLE, self._take_routes, self._take_routes, 0.0),
-            (table_of(PREFIX), self._all_ranks, self._changed_ranks, OWN_PAUSE_S),
-        ):
-            follower = FeedFollower(
-                store,
-                table,
-                on_snapshot,
-                on_changes,
-                wait_s=cfg.store.feed_wait_s,
-                pause_s=pause_s,
-                rng=rng,
-            )
-            follower.start()
-            self._closing.callback(follower.stop)
+        routes = FeedFollower(
+            store,
+            configuration.TABLE,
+            self._take_routes,
+            self._take_routes,
+            wait_s=cfg.store.feed_wait_s,
+            pause_s=ROUTES_PAUSE_S,
+            rng=rng,
+        )
+        routes.start()
+        self._closing.callback(routes.stop)
         ticker = Ticker("rank watch", WATCH_S, self._member.watch, rng=rng)
         ticker.start()
         self._closing.callback(ticker.stop)
@@ -108,14 +115,12 @@
     def _take_routes(self, changes: Changes) -> None:
         self._routes = configuration.routes_in(changes) or self._routes
 
-    def _all_ranks(self, changes: Changes) -> None:
-        self._member.replace(list(changes.rows))
 
-    def _changed_ranks(self, changes: Changes) -> None:
-        for row in changes.rows:
-            self._member.put(row)
-        for key in changes.gone:
-            self._member.drop(key)
+def _change_ranks(member: RankMember, changes: Changes) -> None:
+    for row in changes.rows:
+        member.put(row)
+    for key in changes.gone:
+        member.drop(key)
 
 
 def _connect(address: str) -> PlatformEngine:
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -28,6 +28,9 @@
 PAGE_ROWS = 500
 # A feed's answer may come this much after its wait is over.
 FEED_SLACK_S = 2.0
+# A feed waits for long, and its connection may go silent for good: found out in two
+# seconds, within the time that the platform gives to get in touch again.
+FEED_PROBE_S = 1
 
 OK, CONFLICT, GONE, THROTTLED, UNAVAILABLE = 200, 412, 410, 429, 503
 
@@ -49,7 +52,12 @@
 
     def __init__(self, host: str, port: int, *, feed_wait_s: float) -> None:
         self._calls = JsonCalls(host, port, timeout_s=CALL_TIMEOUT_S)
-        self._feeds = JsonCalls(host, port, timeout_s=feed_wait_s + FEED_SLACK_S)
+        self._feeds = JsonCalls(
+            host,
+            port,
+            timeout_s=feed_wait_s + FEED_SLACK_S,
+            probe_s=FEED_PROBE_S,
+        )
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the own rows present among `keys`; see `Table`."""
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -151,12 +151,15 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._greenlet = gevent.spawn(self._run)
+        if self._greenlet is None:
+            self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop following."""
+        """Stop following; the next start reads the table whole."""
         if self._greenlet is not None:
             self._greenlet.kill()
+            self._greenlet = None
+        self._version = None
 
     def step(self) -> bool:
         """Read once.
