Count on while copies are made, and make fewer at a time

Cause: no counts were read during a switch, so that those after it mixed 0.5 s of before and after a shift. On groups with quick copies a plan made five a rank, and the one that gains most waited for the one that gains least.

--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -10,7 +10,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from tests.limits.test_pace import ENGINE
-from toucanspool.groups import armed_switch
+from toucanspool.groups import armed_switch, map_coordinator
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import AskLost
 from toucanspool.groups.rank_engine import NONE
@@ -38,10 +38,12 @@
     def __init__(self, keeper: RankKeeper) -> None:
         self._keeper = keeper
         self.away = False
+        self.asked: list[int] = []
 
     def ask(self, ask: RankAsk) -> RankAnswer:
         """Return the keeper's answer."""
         gevent.sleep(0)
+        self.asked.append(ask.action)
         if self.away:
             raise AskLost("away")
         return self._keeper.answer(ask)
@@ -94,11 +96,11 @@
 
 
 @contextmanager
-def busy(world: World) -> Iterator[None]:
+def busy(world: World, *, pass_s: float = 0.001) -> Iterator[None]:
     def tick() -> None:
         while True:
             world.group.tick()
-            gevent.sleep(0.001)
+            gevent.sleep(pass_s)
 
     task = gevent.spawn(tick)
     try:
@@ -120,6 +122,21 @@
         assert world.holders(HOT) >= 3
 
 
+def test_counts_are_read_while_copies_are_made(monkeypatch):
+    monkeypatch.setattr(map_coordinator, "COUNT_INTERVAL_S", 0.002)
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    with busy(world, pass_s=0.02):
+        for _ in range(4):
+            coordinator.step(world.links)
+            world.demand(HOT)
+            gevent.sleep(0.05)
+        assert world.holders(HOT) > 1
+    asked = world.links[1].asked
+    switch = asked[asked.index(RankAction.PREPARE) : asked.index(RankAction.GO)]
+    assert RankAction.COUNTS in switch
+
+
 def test_even_demand_moves_nothing():
     world = World()
     coordinator = world.coordinator(1, 0)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -1,8 +1,10 @@
 """The coordinator of one lock-step group: it follows demand with the expert map."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 
+import gevent
 import numpy as np
 import structlog
 
@@ -20,6 +22,7 @@
     GroupChanged,
     Link,
     RankAsker,
+    Replaced,
     is_armed_whole,
 )
 from toucanspool.groups.rank_calls import AskLost
@@ -34,8 +37,9 @@
 SETTLE_S = 0.6
 # The other ranks are armed once, and then the own one.
 CLEAN_ROUNDS = 2
-# A rank copies one expert after the other; what takes longer meets another demand.
-COPY_TIME_S = 0.4
+# A rank copies one expert after the other; what takes longer meets another demand, and
+# the copies that gain most wait for those that gain little.
+COPY_TIME_S = 0.2
 LEAST_COPY_S = 0.02
 LEAST_GAIN = 0.01
 # Part of the link of the coordinator's instance that counts may take.
@@ -44,6 +48,8 @@
 # an idle one, whose callers feel skew less.
 LEAST_SKEW_GAIN = 0.1
 LEAST_SKEW_GAIN_IDLE = 0.2
+# Counts are read this often while copies are made, in seconds.
+COUNT_INTERVAL_S = 0.2
 # A copy may take this much longer than the link's rate says, and this long besides.
 COPY_SLACK = 2.0
 COPY_SLACK_S = 1.0
@@ -167,10 +173,11 @@
             switch.resolve(answers, self._copies.lists())
             self._version = NONE
         elif self._whole(answers) and all(a.open for a in answers.values()):
-            self._follow(switch, answers, engine)
+            self._follow(asker, switch, answers, engine)
 
     def _follow(
         self,
+        asker: RankAsker,
         switch: ArmedSwitch,
         answers: Mapping[int, RankAnswer],
         engine: EngineModel,
@@ -204,7 +211,8 @@
         )
         copy_s = COPY_SLACK * per_rank * engine.expert_s + COPY_SLACK_S
         try:
-            end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
+            with self._counting(asker, engine):
+                end = switch.run(new, planned.lists(), self._copies.lists(), copy_s)
         finally:
             self._settled_at = time.monotonic() + SETTLE_S
         self._look_ahead(switch.arm_rounds)
@@ -242,6 +250,27 @@
         others_armed = all(answer.armed != NONE for answer in answers.values())
         return held and missing == {self._rank_before} and not others_armed
 
+    @contextmanager
+    def _counting(self, asker: RankAsker, engine: EngineModel) -> Iterator[None]:
+        """Go on counting meanwhile, so that the next plan meets the newest demand."""
+        task = gevent.spawn(self._keep_counting, asker, engine)
+        try:
+            yield
+        finally:
+            task.kill()
+
+    def _keep_counting(self, asker: RankAsker, engine: EngineModel) -> None:
+        while True:
+            pause_s = self._counts_due_at - time.monotonic()
+            gevent.sleep(max(COUNT_INTERVAL_S, pause_s))
+            try:
+                answers = asker.statuses(counts=True)
+            except Replaced:
+                # The switch under way meets the same answer and ends.
+                return
+            if answers:
+                self._count(answers, engine)
+
     def _count(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
         total = np.zeros((engine.layer_sets, engine.experts))
         bits = 8 * PICKS_TYPE().itemsize * total.size * len(answers)
