Read versions and own rows together where they come in quick succession

Change: gateways wait 0.5 s between reads of the configuration (it is to be in force after 2 s) and 2 s between those of entries and ranks; agents 10 s. Ruled out: one table for all own rows, which woke every reader before.

--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -31,6 +31,9 @@
 PROBE_INTERVAL_S = 1.0
 REPORT_INTERVAL_S = 1.0
 LIST_RETRY_S = 0.5
+# Versions that come in quick succession are read together, well within the time that
+# the platform gives to apply one.
+ROUTES_PAUSE_S = 0.5
 # Callers keep an answer up to three times as long as told.
 KEEP_FACTOR = 3.0
 # Left for the last answers before the process is killed.
@@ -91,7 +94,13 @@
             rng=rng,
             metrics=self._metrics,
         )
-        self._follow(configuration.TABLE, self._routes, self._routes, rng=rng)
+        self._follow(
+            configuration.TABLE,
+            self._routes,
+            self._routes,
+            rng=rng,
+            pause_s=ROUTES_PAUSE_S,
+        )
         self._follow(
             runners.TABLE,
             self._all_upstreams,
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -13,7 +13,7 @@
 from toucanspool.platform import configuration, runners
 from toucanspool.platform.engine import PlatformEngine
 from toucanspool.platform.runners import decode_listing
-from toucanspool.platform.store import OWN_PAUSE_S, RowStore, table_of
+from toucanspool.platform.store import RowStore, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
 from toucanspool.routing.upstreams import Listing
@@ -21,7 +21,9 @@
 from toucanspool.wire.listener import Listener
 
 # The engines' model, all that is read of the configuration, hardly ever changes.
-ROUTES_PAUSE_S = 5.0
+ROUTES_PAUSE_S = 10.0
+# A coordinator finds a rank agent that came back within this time.
+RANKS_PAUSE_S = 0.5
 MBIT = 1e6
 
 
@@ -67,7 +69,7 @@
                 lambda changes: member.replace(list(changes.rows)),
                 lambda changes: _change_ranks(member, changes),
                 wait_s=cfg.store.feed_wait_s,
-                pause_s=OWN_PAUSE_S,
+                pause_s=RANKS_PAUSE_S,
                 rng=rng,
             ),
         )
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -22,7 +22,8 @@
 # by the others.
 OWN_TABLES = "toucanspool-"
 # Many processes list themselves at once at the start: their rows are read together.
-OWN_PAUSE_S = 0.5
+# Gateways that leave answer for longer, and ranks' paces change slowly.
+OWN_PAUSE_S = 2.0
 CALL_TIMEOUT_S = 1.5
 MS_PER_S = 1000
 PAGE_ROWS = 500
