Plan no more copies in a set than a rank's engine takes at once

Cause: found by reading. Engines refuse a map with more than 'spare' new experts in a set, and a plan knew only a limit for all sets together. Test: test_a_rank_takes_no_more_copies_in_a_set_than_its_engine_does.

--- a/tests/groups/test_copies.py
+++ b/tests/groups/test_copies.py
@@ -36,13 +36,16 @@
 
 def test_even_demand_is_left_alone():
     even = np.full((SETS, EXPERTS), 1.0 / EXPERTS)
-    assert CopySearch(dealt(), even, SAME).run(per_rank=1, least_gain=0.02) == []
+    assert (
+        CopySearch(dealt(), even, SAME).run(per_rank=1, per_set=4, least_gain=0.02)
+        == []
+    )
 
 
 @pytest.mark.parametrize("seed", range(8))
 def test_one_copy_a_rank_lowers_the_skew_by_a_third(seed):
     copies, wanted = dealt(), demand(seed)
-    found = CopySearch(copies, wanted, SAME).run(per_rank=1, least_gain=0.02)
+    found = CopySearch(copies, wanted, SAME).run(per_rank=1, per_set=4, least_gain=0.02)
     assert copies.after(found).skew(wanted, SAME) < copies.skew(wanted, SAME) * 2 / 3
     taken = [copy.rank for copy in found if copy.expert != EMPTY]
     assert max(np.bincount(taken)) <= 1
@@ -53,7 +56,9 @@
     copies = dealt()
     for turn in range(6):
         wanted = demand(100 * seed + turn)
-        found = CopySearch(copies, wanted, SAME).run(per_rank=2, least_gain=0.02)
+        found = CopySearch(copies, wanted, SAME).run(
+            per_rank=2, per_set=4, least_gain=0.02
+        )
         copies = copies.after(found)
         assert copies.held.any(axis=1).all()
         assert (copies.held.sum(axis=2) <= PLACES).all()
@@ -62,7 +67,9 @@
 def test_a_few_rounds_come_near_the_even_load():
     copies, wanted = dealt(), demand(3)
     for _ in range(5):
-        found = CopySearch(copies, wanted, SAME).run(per_rank=1, least_gain=0.01)
+        found = CopySearch(copies, wanted, SAME).run(
+            per_rank=1, per_set=4, least_gain=0.01
+        )
         copies = copies.after(found)
     assert copies.skew(wanted, SAME) < 1.25
 
@@ -73,7 +80,20 @@
     paces = SAME.copy()
     paces[2] = 6.0
     for _ in range(6):
-        found = CopySearch(copies, wanted, paces).run(per_rank=1, least_gain=0.02)
+        found = CopySearch(copies, wanted, paces).run(
+            per_rank=1, per_set=4, least_gain=0.02
+        )
         copies = copies.after(found)
     assert copies.loads(wanted)[:, 2].max() < 0.3
     assert copies.skew(wanted, paces) < 2.0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_rank_takes_no_more_copies_in_a_set_than_its_engine_does(seed):
+    copies, wanted = dealt(), demand(seed)
+    found = CopySearch(copies, wanted, SAME).run(
+        per_rank=9, per_set=1, least_gain=0.001
+    )
+    taken = [(c.layer_set, c.rank) for c in found if c.expert != EMPTY]
+    assert taken
+    assert len(taken) == len(set(taken))
--- a/toucanspool/groups/copy_search.py
+++ b/toucanspool/groups/copy_search.py
@@ -34,6 +34,7 @@
         "_demand",
         "_held",
         "_left",
+        "_left_in_set",
         "_loads",
         "_paces",
     )
@@ -45,15 +46,18 @@
         self._demand = demand * copies.held.shape[1]
         self._counts = self._held.sum(axis=1)
         self._loads = copies.loads(demand)
-        self._left: np.ndarray
+        self._left: IntArray
+        self._left_in_set: IntArray
 
-    def run(self, *, per_rank: int, least_gain: float) -> list[Copy]:
+    def run(self, *, per_rank: int, per_set: int, least_gain: float) -> list[Copy]:
         """Return the copies to make.
 
         Parameters
         ----------
         per_rank : int
             Copies that a rank takes at most, in all sets together.
+        per_set : int
+            Copies that a rank takes at most in a set.
         least_gain : float
             The least that a copy must take off a set's smooth maximum.
 
@@ -63,6 +67,7 @@
         """
         sets, ranks, _ = self._held.shape
         self._left = np.full(ranks, per_rank)
+        self._left_in_set = np.full((sets, ranks), per_set)
         found: list[Copy] = []
         best = [self._best(layer_set) for layer_set in range(sets)]
         while True:
@@ -70,7 +75,7 @@
             gain, copy = best[layer_set]
             if copy is None or gain < least_gain:
                 return found
-            if copy.expert != EMPTY and self._left[copy.rank] <= 0:
+            if copy.expert != EMPTY and not self._may_take(layer_set)[copy.rank]:
                 best[layer_set] = self._best(layer_set)
                 continue
             self._apply(copy)
@@ -88,7 +93,7 @@
         hottest = np.argsort(np.where(held[top], each, -1.0))[::-1][:HOTTEST]
         before = _smooth_max((loads * paces)[None, :])[0]
         best_gain, best = self._best_drop(layer_set, top, before)
-        ranks, dropped = self._places_for_copies(held, counts)
+        ranks, dropped = self._places_for_copies(layer_set)
         for expert in hottest:
             fits = ~held[ranks, expert]
             if not held[top, expert] or not fits.any():
@@ -113,24 +118,25 @@
                 )
         return best_gain, best
 
-    def _places_for_copies(
-        self, held: np.ndarray, counts: IntArray
-    ) -> tuple[IntArray, IntArray]:
+    def _may_take(self, layer_set: int) -> np.ndarray:
+        """Return which ranks may take a copy in a set, as a mask."""
+        return (self._left > 0) & (self._left_in_set[layer_set] > 0)
+
+    def _places_for_copies(self, layer_set: int) -> tuple[IntArray, IntArray]:
         """Return ranks that may take a copy, each with what it would give up.
 
         Parameters
         ----------
-        held : ndarray of bool, shape (ranks, experts)
-            The copies of a set.
-        counts : ndarray of int, shape (experts,)
-            Copies of each expert.
+        layer_set : int
+            The set.
 
         Returns
         -------
         ranks, dropped : ndarray of int, shape (n,)
             Pairs; `EMPTY` where a rank has an empty place.
         """
-        may_take = self._left > 0
+        held, counts = self._held[layer_set], self._counts[layer_set]
+        may_take = self._may_take(layer_set)
         full = held.sum(axis=1) >= self._copies.places
         roomy = np.flatnonzero(may_take & ~full)
         spare = held & (counts > 1) & (may_take & full)[:, None]
@@ -165,6 +171,7 @@
         if copy.expert != EMPTY:
             self._held[s, copy.rank, copy.expert] = True
             self._left[copy.rank] -= 1
+            self._left_in_set[s, copy.rank] -= 1
         if copy.dropped != EMPTY:
             self._held[s, copy.rank, copy.dropped] = False
         self._counts[s] = self._held[s].sum(axis=0)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -189,7 +189,7 @@
         paces = np.array([answers[rank].pace for rank in sorted(answers)])
         per_rank = max(1, round(COPY_TIME_S / max(engine.expert_s, LEAST_COPY_S)))
         copies = CopySearch(self._copies, demand, paces).run(
-            per_rank=per_rank, least_gain=LEAST_GAIN
+            per_rank=per_rank, per_set=max(1, engine.spare), least_gain=LEAST_GAIN
         )
         planned = self._copies.after(copies)
         before = self._copies.skew(demand, paces)
