Let the soak tell its own stalls from time that an entry held a call

The faults of such a run have gaps of 6 s where none is over 1 s: the soak's process, in which callers, upstreams and store run, stood still. The time for which it stood still within a call is taken off; the bound is as before, and stalls before or after a call excuse nothing. A run on a calm machine is checked as it was. The short run's least number of answers still fails on a machine as busy as that.

Also: the stand-ins and the soak name headers by the adapter's constants, so that no header of the platform is spelled outside of the adapter, tests and docs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,7 +23,8 @@
         print(
             f"seed {seed}: {oracle.answers} answers, {oracle.refusals} refusals, "
             f"{len(world.faults)} faults, {world.group.step} passes, "
-            f"{len(oracle.broken)} broken"
+            f"{len(oracle.broken)} broken, "
+            f"stood still {sum(seconds for _, seconds in oracle.stalls):.1f} s"
         )
         for broken in oracle.broken[:5]:
             print(f"  {broken.promise}: {broken.call} {broken.detail}")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from soak.oracle import Oracle
+from toucanspool.platform import headers as names
 
 HOST = "soak.example"
 KEY = "key-1"
@@ -75,7 +76,7 @@
         self._sock.sendall(
             f"POST {prefix}x HTTP/1.1\r\nHost: {HOST}\r\n"
             f"Content-Length: {len(body)}\r\n"
-            f"Toucanspool-Attempt-Id: {call}\r\nToucanspool-Deadline-Ms: 4000\r\n"
+            f"{names.ATTEMPT_ID}: {call}\r\n{names.DEADLINE_MS}: 4000\r\n"
             f"Authorization: Bearer {KEY}\r\n\r\n".encode()
             + body
         )
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -10,6 +10,7 @@
 from soak.oracle import PIECES, Oracle
 from standins.raw_upstream import RawUpstream, Seen, reply
 from standins.row_store import RowStorePages
+from toucanspool.platform import headers as names
 
 PIECE_S = 0.04
 
@@ -64,17 +65,17 @@
         self.list(pages)
 
     def _serve(self, sock: socket.socket, seen: Seen) -> None:
-        if seen.header("toucanspool-expect-instance") != self.name:
+        if seen.header(names.EXPECT_INSTANCE) != self.name:
             sock.sendall(reply(seen, b"", status="421 Other", signed=False))
             return
         fault = self._rng.random() < self.fail_share
         kind = self._rng.choice(("full", "early", "late", "cut", "garbage", "hang"))
         if fault and kind == "full":
-            headers = "Toucanspool-Not-Executed: 1"
+            headers = f"{names.NOT_EXECUTED}: 1"
             options = {"status": "503 Full", "headers": headers, "signed": False}
             sock.sendall(reply(seen, b"", **options))
             return
-        call = seen.header("toucanspool-attempt-id")
+        call = seen.header(names.ATTEMPT_ID)
         leaving_s = time.monotonic() - self.leaving_at if self.leaving_at else 0.0
         self._oracle.ran(call, self.name, leaving_s=leaving_s)
         if fault and kind == "early":
@@ -94,7 +95,7 @@
     def _stream(self, sock: socket.socket, seen: Seen, call: str, *, cut: bool) -> None:
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Toucanspool-Attempt-Id: {call}\r\nToucanspool-Server-Signature: s\r\n"
+            f"{names.ATTEMPT_ID}: {call}\r\n{names.SIGNATURE}: s\r\n"
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         sock.sendall(head.encode())
--- a/soak/world.py
+++ b/soak/world.py
@@ -27,6 +27,9 @@
 GATEWAYS, RANKS, UPSTREAMS, CALLERS = 3, 3, 4, 6
 SETS, EXPERTS, PLACES = 2, 12, 6
 TICK_S = 0.02
+WATCH_S = 0.05
+# A busy loop is late by a few hundredths; more is a lack of processor time.
+STALL_S = 0.2
 GRACE_S = 4.0
 TTL_S = 0.3
 KINDS = {"/book/": "non_idempotent", "/read/": "idempotent", "/stream/": "streaming"}
@@ -168,6 +171,7 @@
         self._started_at = time.monotonic()
         until = self._started_at + seconds
         tasks = [gevent.spawn(self._tick)]
+        watch = gevent.spawn(self._watch)
         for number in range(CALLERS):
             rng = random.Random(self.rng.random())
             caller = SoakCaller(f"c{number}", self._addresses, self.oracle, rng)
@@ -180,6 +184,7 @@
         if isinstance(tasks[0].exception, MixedMaps):
             self.oracle.maps(str(tasks[0].exception))
         tasks[0].kill()
+        watch.kill()
 
     def configure(self) -> None:
         """Write a new configuration."""
@@ -260,6 +265,15 @@
             self.group.tick(busy=self.rng.random() < 0.9)
             gevent.sleep(TICK_S)
 
+    def _watch(self) -> None:
+        """Take note of times for which this process stood still."""
+        while True:
+            before = time.monotonic()
+            gevent.sleep(WATCH_S)
+            late_s = time.monotonic() - before - WATCH_S
+            if late_s > STALL_S:
+                self.oracle.stalls.append((time.monotonic(), late_s))
+
     def _harm(self) -> None:
         name = self.rng.choice(sorted(HARMS))
         self.faults.append(f"{time.monotonic() - self._started_at:.1f} {name}")
--- a/standins/engine_pages.py
+++ b/standins/engine_pages.py
@@ -8,6 +8,7 @@
 from standins.pass_group import PassGroup
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.rank_engine import NONE, OrderLost, OrderRefused
+from toucanspool.platform.engine import INSTANCE_ID
 from toucanspool.wire.http_server import HttpServer
 
 
@@ -47,7 +48,7 @@
             status = self._order(orjson.loads(environ["wsgi.input"].read()))
         data = b"" if body is None else orjson.dumps(body)
         headers = [("Content-Type", "application/json")]
-        headers.append(("Toucanspool-Instance-Id", self._name))
+        headers.append((INSTANCE_ID.title(), self._name))
         headers.append(("Content-Length", str(len(data))))
         start_response(f"{status} X", headers)
         return [data]
--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -7,6 +7,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from toucanspool.platform import headers as names
+
 READ_BYTES = 65536
 
 
@@ -84,9 +86,9 @@
 ) -> bytes:
     """Return the bytes of a whole reply to a request."""
     lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
-    lines.append(f"Toucanspool-Attempt-Id: {seen.header('toucanspool-attempt-id')}")
+    lines.append(f"{names.ATTEMPT_ID.title()}: {seen.header(names.ATTEMPT_ID)}")
     if signed:
-        lines.append("Toucanspool-Server-Signature: s.1")
+        lines.append(f"{names.SIGNATURE.title()}: s.1")
     if headers:
         lines.append(headers)
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
@@ -110,8 +112,8 @@
         first = int(seen.header("last-event-id") or 0)
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Toucanspool-Attempt-Id: {seen.header('toucanspool-attempt-id')}\r\n"
-            "Toucanspool-Server-Signature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            f"{names.ATTEMPT_ID.title()}: {seen.header(names.ATTEMPT_ID)}\r\n"
+            f"{names.SIGNATURE.title()}: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
         sock.sendall(head.encode())
         for event in events[first:]:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -79,3 +79,19 @@
     oracle.paused_at = 1.5
     oracle.held("d", 1.0, 3.0, 1.0)
     assert len(oracle.broken) == 1
+
+
+def test_time_for_which_the_soak_stood_still_is_not_the_entrys():
+    oracle = Oracle()
+    oracle.stalls.append((2.5, 1.2))
+    oracle.held("c", 1.0, 3.0, 1.0)
+    assert told(oracle) == []
+    oracle.held("d", 1.0, 4.0, 1.0)
+    assert told(oracle) == ["held no longer than its route's time"]
+
+
+def test_a_stall_before_or_after_a_call_excuses_nothing():
+    oracle = Oracle()
+    oracle.stalls += [(0.9, 0.5), (5.0, 1.0)]
+    oracle.held("c", 1.0, 3.0, 1.0)
+    assert told(oracle) == ["held no longer than its route's time"]
