--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the first run.")
 RUNS = flags.DEFINE_integer("runs", 1, "Runs, each with the next seed.")
 SECONDS = flags.DEFINE_float("seconds", 15.0, "Length of a run.")
+OFF = flags.DEFINE_string("off", "", "The promise whose mechanism is switched off.")
 PART = flags.DEFINE_integer("part", 0, "Part of the ports, 0 to 7.")
 
 
@@ -16,7 +17,7 @@
     """Run seeds one after another and print what was broken."""
     bad = 0
     for seed in range(SEED.value, SEED.value + RUNS.value):
-        with World(seed, part=PART.value) as world:
+        with World(seed, part=PART.value, off=OFF.value) as world:
             world.run(SECONDS.value)
         oracle = world.oracle
         bad += bool(oracle.broken)
--- a/soak/world.py
+++ b/soak/world.py
@@ -62,9 +62,15 @@
         Where settings and log are.
     store_port : int
         The store's port.
+    off : str
+        The promise whose mechanism is switched off; empty for none.
     """
 
-    def __init__(self, settings: dict, folder: Path, store_port: int) -> None:
+    def __init__(
+        self, settings: dict, folder: Path, store_port: int, *, off: str
+    ) -> None:
+        program = ["soak.switched_off", f"--off={off}"]
+        self._program = program if off else ["toucanspool.daemon"]
         self.name = settings["instance"]
         self.link = Proxy(store_port)
         section = settings[settings["role"]]
@@ -82,7 +88,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "toucanspool.daemon",
+                    *self._program,
                     f"--settings={self._path}",
                 ],
                 stdout=out,
@@ -115,6 +121,8 @@
         Seed of all choices.
     part : int, default=0
         Part of the ports, for worlds that run at the same time.
+    off : str, default=""
+        The promise whose mechanism is switched off, of `soak.switched_off`.
 
     Attributes
     ----------
@@ -124,7 +132,8 @@
         What was done, with the second at which it was.
     """
 
-    def __init__(self, seed: int, *, part: int = 0) -> None:
+    def __init__(self, seed: int, *, part: int = 0, off: str = "") -> None:
+        self._off = off
         self.rng = random.Random(seed)
         self.oracle = Oracle()
         self.faults: list[str] = []
@@ -223,7 +232,7 @@
             "retries": {"ratio": 0.2, "window_s": 10.0, "extra": 40.0},
         }
         cfg = self._settings(f"gateway-{number}", "gateway", section, port=1)
-        process = Process(cfg, folder, self.store.port)
+        process = Process(cfg, folder, self.store.port, off=self._off)
         process.callers = callers
         self._closing.enter_context(process.link)
         return process
@@ -239,7 +248,7 @@
         section = {"engine": engine, "service": "ranks"}
         port = self._ports.next()
         cfg = self._settings(name, "rank_agent", section, port=port)
-        process = Process(cfg, folder, self.store.port)
+        process = Process(cfg, folder, self.store.port, off=self._off)
         self._closing.enter_context(process.link)
         return process
 
