Probe entries in turn, and tell each other which are lost

Eight of 33 others were drawn at random each second, so one in seven entries had not drawn it twice within 7 s. Now entries are probed in turn, and the answer to a probe tells whom the other lost; an entry that is told so probes it at once, and drops it on its own finding only. Ruled out: probing all again (grows with the square), dropping on hearsay (one entry that is cut off would take out the rest). Test: test_an_entry_that_is_off_is_soon_named_by_nobody, 6 to 370 entries.

--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from toucanspool.backing.table import Row
 from toucanspool.membership.entries import (
     MISSES_TO_DROP,
@@ -88,6 +90,8 @@
     rng = random.Random(1)
     asked = [entries.to_probe(8, rng) for _ in range(20)]
     assert {len(probed) for probed in asked} == {9}
+    in_turn = [{entry.name for entry in probed} for probed in asked[:6]]
+    assert len(set().union(*in_turn)) == 38
     assert all("e7" in {entry.name for entry in probed} for probed in asked)
     assert len({entry.name for probed in asked for entry in probed}) == 38
 
@@ -96,3 +100,51 @@
     entries = Entries(OWN)
     entries.replace([row("e2"), row("e3")])
     assert len(entries.to_probe(8, random.Random(1))) == 2
+
+
+class Fleet:
+    """Let entries probe each other, one second after the other.
+
+    Attributes
+    ----------
+    entries : list of Entries
+        What each knows.
+    """
+
+    def __init__(self, count: int) -> None:
+        rows = [row(f"e{n:03}") for n in range(count)]
+        self._rng = random.Random(1)
+        self.entries = []
+        for n in range(count):
+            one = Entries(EntryRecord(f"e{n:03}", "a:1", "p"))
+            one.replace(rows)
+            self.entries.append(one)
+
+    def second(self, off: int) -> None:
+        """Let all but the one that is off probe."""
+        for n, one in enumerate(self.entries):
+            for entry in one.to_probe(8, self._rng) if n != off else ():
+                other = int(entry.name[1:])
+                told = self.entries[other].lost if other != off else []
+                one.probed(entry.name, ready=other != off, lost=told)
+
+
+# The platform gives 5 s (small sites) and 7 s (large ones) in all; a probe takes 0.8 s.
+@pytest.mark.parametrize(("count", "seconds"), [(6, 2), (34, 5), (43, 5), (370, 6)])
+def test_an_entry_that_is_off_is_soon_named_by_nobody(count, seconds):
+    fleet = Fleet(count)
+    for _ in range(seconds):
+        fleet.second(off=3)
+    assert all(
+        "e003" not in names(one) for n, one in enumerate(fleet.entries) if n != 3
+    )
+
+
+def test_an_entry_that_others_lost_is_probed_before_it_is_dropped():
+    entries = Entries(OWN)
+    entries.replace([row("e2"), row("e3")])
+    entries.probed("e2", ready=True, lost=["e3", "unknown"])
+    assert names(entries) == ["e1", "e2", "e3"]
+    assert "e3" in {entry.name for entry in entries.to_probe(0, random.Random(1))}
+    entries.probed("e3", ready=True)
+    assert entries.to_probe(0, random.Random(1)) == []
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -67,13 +67,14 @@
         This entry.
     """
 
-    __slots__ = ("_carried", "_listed", "_misses", "_own", "leaving")
+    __slots__ = ("_carried", "_due", "_listed", "_misses", "_own", "leaving")
 
     def __init__(self, own: EntryRecord) -> None:
         self._own = own
         self._listed: dict[str, EntryRecord] = {own.name: own}
         self._misses: dict[str, int] = {}
         self._carried: dict[str, Mapping[str, float]] = {}
+        self._due: list[str] = []
         self.leaving = False
 
     @property
@@ -82,7 +83,7 @@
         listed = sorted(self._listed.values(), key=lambda entry: entry.name)
         if self.leaving:
             listed = [entry for entry in listed if entry != self._own] or listed
-        live = [e for e in listed if self._misses.get(e.name, 0) < MISSES_TO_DROP]
+        live = [e for e in listed if self._missed(e) < MISSES_TO_DROP]
         return live or listed
 
     @property
@@ -98,23 +99,35 @@
         """Return the other entries that are listed."""
         return [entry for entry in self._listed.values() if entry != self._own]
 
+    @property
+    def lost(self) -> list[str]:
+        """Return the names of entries that missed too many probes."""
+        return [e.name for e in self.peers if self._missed(e) >= MISSES_TO_DROP]
+
     def to_probe(self, most: int, rng: random.Random) -> list[EntryRecord]:
-        """Return the other entries to probe now: suspects, and some drawn at random.
+        """Return the other entries to probe now: suspects, and some in turn.
 
         Parameters
         ----------
         most : int
-            How many are drawn at most.
+            How many are taken in turn at most.
         rng : random.Random
-            Draws them.
+            Draws their order.
 
         Returns
         -------
         list of EntryRecord
         """
-        suspects = [entry for entry in self.peers if self._misses.get(entry.name)]
-        others = [entry for entry in self.peers if not self._misses.get(entry.name)]
-        return suspects + rng.sample(others, min(most, len(others)))
+        suspects = [entry for entry in self.peers if self._missed(entry)]
+        others = {e.name: e for e in self.peers if not self._missed(e)}
+        in_turn: dict[str, EntryRecord] = {}
+        while len(in_turn) < min(most, len(others)):
+            if not self._due:
+                self._due = rng.sample(sorted(others), len(others))
+            name = self._due.pop()
+            if name in others:
+                in_turn[name] = others[name]
+        return suspects + list(in_turn.values())
 
     def carried(self, service: str) -> list[float]:
         """Return how much others that live said they carry for a service.
@@ -173,7 +186,12 @@
             _log.info("entry left", entry=name)
 
     def probed(
-        self, name: str, *, ready: bool, carried: Mapping[str, float] | None = None
+        self,
+        name: str,
+        *,
+        ready: bool,
+        carried: Mapping[str, float] | None = None,
+        lost: Iterable[str] = (),
     ) -> None:
         """Take note of a probe.
 
@@ -185,11 +203,20 @@
             Whether it answered that it is ready.
         carried : mapping of str to float, optional
             What it said that it carries, by service.
+        lost : iterable of str, optional
+            The entries that it lost; this entry probes them at once.
         """
         self._carried[name] = carried or {}
+        for other in lost:
+            if other in self._listed and not self._misses.get(other):
+                self._misses[other] = 1
+                _log.info("entry suspected", entry=other, told_by=name)
         before = self._misses.get(name, 0)
         self._misses[name] = 0 if ready else before + 1
         if ready and before >= MISSES_TO_DROP:
             _log.info("entry back", entry=name, missed_probes=before)
         elif self._misses[name] == MISSES_TO_DROP:
             _log.warning("entry lost", entry=name, missed_probes=MISSES_TO_DROP)
+
+    def _missed(self, entry: EntryRecord) -> int:
+        return self._misses.get(entry.name, 0)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
+from typing import Any
 
 import gevent
 import structlog
@@ -126,7 +127,7 @@
             cfg.callers.host, cfg.callers.port, frontend, limits=Limits()
         )
         self._serve(self._server)
-        readiness = pages.readiness_page(lambda: self.ready, self._core.carried)
+        readiness = pages.readiness_page(lambda: self.ready, self._to_peers)
         self._page(cfg.readiness, readiness)
         addresses = pages.directory_page(
             self._addresses, lambda: self._cfg.gateway.address_ttl_s
@@ -209,6 +210,9 @@
         server.start()
         self._closing.callback(server.stop, timeout=0)
 
+    def _to_peers(self) -> dict[str, Any]:
+        return {"carried": self._core.carried(), "lost": self._entries.lost}
+
     def _addresses(self) -> list[str]:
         live = self._entries.live
         if not self.ready:
--- a/toucanspool/platform/pages.py
+++ b/toucanspool/platform/pages.py
@@ -19,7 +19,7 @@
 
 
 def readiness_page(
-    ready: Callable[[], bool], carried: Callable[[], Mapping[str, float]]
+    ready: Callable[[], bool], to_peers: Callable[[], Mapping[str, Any]]
 ) -> Page:
     """Return the page that says whether this entry takes calls.
 
@@ -27,8 +27,8 @@
     ----------
     ready : callable
         Returns whether it does.
-    carried : callable
-        Returns what it carries, by service; told to other entries.
+    to_peers : callable
+        Returns what other entries are told.
 
     Returns
     -------
@@ -41,7 +41,7 @@
             return _answer(start_response, UNAVAILABLE, b"")
         if environ["PATH_INFO"] != PEERS_PATH:
             return _answer(start_response, OK, b"")
-        return _answer(start_response, OK, orjson.dumps(dict(carried())), JSON)
+        return _answer(start_response, OK, orjson.dumps(to_peers()), JSON)
 
     return page
 
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -15,8 +15,8 @@
 from toucanspool.retries.ejection import Result
 
 TIMEOUT_S = 0.8
-# Entries probed at a time, besides those that missed their last probe: with many
-# entries, each is still probed as often by some of them.
+# Entries probed at a time, besides suspects: with many entries, each is still probed as
+# often by some of them, who tell the others.
 MOST_ENTRIES = 8
 OK, NO_ANSWER = 200, 0
 
@@ -53,8 +53,13 @@
     def _probe_entry(self, entry: EntryRecord) -> None:
         host, _, port = entry.probe.rpartition(":")
         status, told = _ask(host, int(port), PEERS_PATH)
-        carried = told if isinstance(told, dict) else {}
-        self._entries.probed(entry.name, ready=status == OK, carried=carried)
+        told = told if isinstance(told, dict) else {}
+        self._entries.probed(
+            entry.name,
+            ready=status == OK,
+            carried=told.get("carried"),
+            lost=told.get("lost") or (),
+        )
 
     def _probe_upstream(self, name: str) -> None:
         upstream = self._core.upstreams.find(name)
