Refuse a map that can't be read, and hear no word of oneself as lost

Found by reading. A PREPARE whose bytes are no map ended the task that answers it, and the coordinator waited for an answer. An entry that others had lost took its own name for a suspect, which did nothing.

--- /dev/null
+++ b/tests/groups/test_rank_keeper.py
@@ -0,0 +1,26 @@
+"""The last check before a rank's engine."""
+
+import random
+
+from standins.pass_group import GROUP, PassGroup
+from toucanspool.groups.rank_keeper import RankKeeper
+from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk, RankResult
+
+
+def test_a_map_that_can_not_be_read_is_refused():
+    group = PassGroup(3, random.Random(1))
+    keeper = RankKeeper(group.engine(0))
+    keeper.restore(0)
+    ask = RankAsk(
+        action=RankAction.PREPARE,
+        group=GROUP,
+        token=1,
+        epoch=group.epoch,
+        version=1,
+        experts=b"no map",
+        ranks=3,
+        places=4,
+    )
+    answer = keeper.answer(ask)
+    assert answer.result == RankResult.REFUSED
+    assert group.rows[0].copying is None
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -143,7 +143,7 @@
 def test_an_entry_that_others_lost_is_probed_before_it_is_dropped():
     entries = Entries(OWN)
     entries.replace([row("e2"), row("e3")])
-    entries.probed("e2", ready=True, lost=["e3", "unknown"])
+    entries.probed("e2", ready=True, lost=["e3", "e1", "unknown"])
     assert names(entries) == ["e1", "e2", "e3"]
     assert "e3" in {entry.name for entry in entries.to_probe(0, random.Random(1))}
     entries.probed("e3", ready=True)
--- a/toucanspool/groups/rank_keeper.py
+++ b/toucanspool/groups/rank_keeper.py
@@ -141,7 +141,8 @@
     def _order(self, ask: RankAsk) -> tuple[int, str]:
         try:
             self._send(ask)
-        except OrderRefused as exc:
+        except (OrderRefused, ValueError) as exc:
+            # A map that can't be read is refused like one that engines do not take.
             return RankResult.REFUSED, str(exc)
         except OrderLost as exc:
             return RankResult.LOST, str(exc)
--- a/toucanspool/limits/spare_room.py
+++ b/toucanspool/limits/spare_room.py
@@ -1,8 +1,8 @@
 """Room that other entries leave unused, for an entry with more callers for a moment.
 
 An equal part of the room for each entry refuses callers by chance: of 34 entries with
-room for 10 streams each and 8 callers on average, one in seven is full at any time.
-All entries together hardly ever are. Each tells the others how much it carries.
+room for 10 streams each and 8 callers on average, one caller in nine meets a full one.
+All entries together hardly ever are full. Each tells the others how much it carries.
 """
 
 import math
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -208,7 +208,8 @@
         """
         self._carried[name] = carried or {}
         for other in lost:
-            if other in self._listed and not self._misses.get(other):
+            known = other in self._listed and other != self._own.name
+            if known and not self._misses.get(other):
                 self._misses[other] = 1
                 _log.info("entry suspected", entry=other, told_by=name)
         before = self._misses.get(name, 0)
