End a soak's harms before its processes

A harm that kills a process starts it again; where the world closed in between, it was started after all had been ended. Test: test_no_harm_goes_on_once_the_world_is_closed (red before, green after).

--- a/soak/world.py
+++ b/soak/world.py
@@ -14,6 +14,7 @@
 import orjson
 import yaml
 from gevent import subprocess
+from gevent.pool import Group
 
 from demo.launcher import Ports
 from soak.callers import HOST, KEY, ROUTE_S, SoakCaller
@@ -137,6 +138,7 @@
         self.rng = random.Random(seed)
         self.oracle = Oracle()
         self.faults: list[str] = []
+        self._harms = Group()
         self._ports = Ports(part=part)
         self._closing = ExitStack()
         self._version = 0
@@ -166,6 +168,8 @@
         return self
 
     def __exit__(self, *exc: object) -> None:
+        # A harm that goes on would start a process that nobody ends.
+        self._harms.kill()
         self._closing.close()
 
     def run(self, seconds: float) -> None:
@@ -286,7 +290,7 @@
     def _harm(self) -> None:
         name = self.rng.choice(sorted(HARMS))
         self.faults.append(f"{time.monotonic() - self._started_at:.1f} {name}")
-        gevent.spawn(HARMS[name], self)
+        self._harms.spawn(HARMS[name], self)
 
     def _mend(self) -> None:
         pages = self.store.pages
