Hold a service's gate, pace and spare room in one object

The gateway's core kept three tables by service that were always read and written together, and the two fading means of limits worked out the same weight. limits.stream_room holds the three, limits._fading the weight. No change of behaviour.

--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -9,11 +9,9 @@
 from toucanspool.gateway.front import Front
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
-from toucanspool.limits.admission import Admission
-from toucanspool.limits.gate import Gate, wake
+from toucanspool.limits.gate import Gate
 from toucanspool.limits.pace import Pace
-from toucanspool.limits.shed import RetryAfter
-from toucanspool.limits.spare_room import SpareRoom
+from toucanspool.limits.stream_room import StreamRoom
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.shared_budget import SharedBudget
@@ -23,10 +21,6 @@
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
-MAX_WAIT_S = 0.25
-RETURN_LEAST_S = 0.6
-RETURN_SPREAD_S = 1.2
-
 _log = structlog.get_logger()
 
 
@@ -61,12 +55,10 @@
     __slots__ = (
         "_budget",
         "_entries",
-        "_gates",
         "_metrics",
-        "_paces",
         "_placing",
         "_rng",
-        "_spare",
+        "_rooms",
         "ejector",
         "front",
         "routes",
@@ -86,9 +78,7 @@
         self._entries = entries
         self._rng = rng
         self._metrics = metrics
-        self._gates: dict[str, Gate] = {}
-        self._paces: dict[str, Pace] = {}
-        self._spare: dict[str, SpareRoom] = {}
+        self._rooms: dict[str, StreamRoom] = {}
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamList()
         self.ejector = Ejector(rng)
@@ -98,7 +88,7 @@
         )
         relay = Relay(self._placing, self.ejector, self._budget, dialect)
         streams = StreamRelay(relay, dialect, self._paused)
-        self.front = Front(relay, streams, self._gates.get)
+        self.front = Front(relay, streams, self._gate_of)
 
     def set_retries(self, retries: RetryBudget) -> None:
         """Put new bounds of repeats in force.
@@ -148,56 +138,39 @@
         entries = len(self._entries.live)
         self._budget.entries = entries
         self._placing.start_at(self._entries.position)
-        for name, pace in self._paces.items():
+        for name, room in self._rooms.items():
             engine = self.routes.service(name).engine
             ready = len(self.upstreams.ready(name))
             if engine is None or not ready:
                 continue
-            admission = self._gates[name].admission
-            spare, others = self._spare[name], self._entries.carried(name)
-            spare.look(admission.running, now)
-            part = pace.adapt(engine, ready, entries, spare.mean(others), now)
-            admission.resize(spare.limit(part, others), now)
-            self._metrics.limit.labels(name).set(admission.capacity)
-            self._metrics.running.labels(name).set(admission.running)
+            room.adapt(engine, ready, entries, self._entries.carried(name), now)
+            self._metrics.limit.labels(name).set(room.capacity)
+            self._metrics.running.labels(name).set(room.running)
 
     def limits(self) -> dict[str, dict[str, float]]:
         """Return the limits in force with what they were adapted to, for the log."""
         return {
-            name: {
-                "limit": round(self._gates[name].admission.capacity, 1),
-                "part": round(pace.limit, 1),
-                "mean": round(self._spare[name].mean(self._entries.carried(name)), 1),
-                "running": self._gates[name].admission.running,
-                "pause_ms": round(pace.mean_s * 1000),
-            }
-            for name, pace in self._paces.items()
+            name: room.told(self._entries.carried(name))
+            for name, room in self._rooms.items()
         }
 
     def carried(self) -> dict[str, float]:
         """Return how many streams this entry carried of late, by service."""
-        return {name: round(spare.carried, 2) for name, spare in self._spare.items()}
+        return {name: round(room.carried, 2) for name, room in self._rooms.items()}
+
+    def _gate_of(self, service: str) -> Gate | None:
+        room = self._rooms.get(service)
+        return room.gate if room else None
 
     def _limit(self, service: str, route: Route) -> None:
-        pace = self._paces.get(service)
-        if pace is not None:
-            pace.pause_s, pace.answer_s = route.pause_s, route.timeout_s
-            return
-        self._paces[service] = Pace(route.pause_s, route.timeout_s)
-        self._spare[service] = SpareRoom()
-        returns = RetryAfter(
-            self._rng, least_s=RETURN_LEAST_S, spread_s=RETURN_SPREAD_S
-        )
-        admission = Admission(
-            1.0,
-            self._rng,
-            max_wait_s=MAX_WAIT_S,
-            on_settled=wake,
-            retry_after=returns,
-        )
-        self._gates[service] = Gate(admission)
+        room = self._rooms.get(service)
+        if room is None:
+            pace = Pace(route.pause_s, route.timeout_s)
+            self._rooms[service] = StreamRoom(self._rng, pace)
+        else:
+            room.pace.pause_s, room.pace.answer_s = route.pause_s, route.timeout_s
 
     def _paused(self, service: str, seconds: float) -> None:
-        pace = self._paces.get(service)
-        if pace is not None:
-            pace.paused(seconds)
+        room = self._rooms.get(service)
+        if room is not None:
+            room.pace.paused(seconds)
--- a/toucanspool/limits/pace.py
+++ b/toucanspool/limits/pace.py
@@ -4,8 +4,7 @@
 pauses of its own streams how long passes take.
 """
 
-import math
-
+from toucanspool.limits._fading import gain
 from toucanspool.routing.routes import EngineModel
 
 # Part of the pause allowed that passes may take: the rest is for their spread.
@@ -114,9 +113,9 @@
 
     def _look(self, carried: float, now: float) -> None:
         """Bring what was seen since the last look into the means."""
-        gain = 1.0 - math.exp(-(now - self._at) / MEMORY_S)
+        weight = gain(now - self._at, MEMORY_S)
         self._at = now
-        self._carried += gain * (carried - self._carried)
+        self._carried += weight * (carried - self._carried)
         if not self._count:
             return
         seen_s = self._sum_s / self._count
@@ -124,7 +123,7 @@
         # The geometric mean forgets a pause ten times too long as soon as one ten
         # times too short.
         before_s = self._mean_s or seen_s
-        self._mean_s = before_s * (seen_s / before_s) ** gain
+        self._mean_s = before_s * (seen_s / before_s) ** weight
 
     def _per_upstream(self, engine: EngineModel) -> float:
         """Return the requests that an upstream may have at once."""
--- a/toucanspool/limits/spare_room.py
+++ b/toucanspool/limits/spare_room.py
@@ -5,9 +5,10 @@
 All entries together hardly ever are full. Each tells the others how much it carries.
 """
 
-import math
 from collections.abc import Sequence
 
+from toucanspool.limits._fading import gain
+
 # How many times the mean unused room an entry may carry beyond its part: with more, all
 # overrun while full, as some places are always between two callers.
 LENT = 1.5
@@ -41,9 +42,8 @@
         now : float
             Seconds on the monotonic clock.
         """
-        gain = 1.0 - math.exp(-(now - self._at) / MEMORY_S)
+        self.carried += gain(now - self._at, MEMORY_S) * (running - self.carried)
         self._at = now
-        self.carried += gain * (running - self.carried)
 
     def mean(self, others: Sequence[float]) -> float:
         """Return what an entry carries on average.
