Read records of gateways and rank agents from rows in one place, and drop unread state

EntryRecord and RankRecord decoded their rows with the same guard and log line; both call backing.json_row. FeedFollower kept a time that nothing read. The list of runners keeps its own: it logs another key and meets rows of other writers.

--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -3,14 +3,12 @@
 from dataclasses import dataclass
 
 import orjson
-import structlog
 
+from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 
 PREFIX = "rank/"
 
-_log = structlog.get_logger()
-
 
 @dataclass(slots=True, frozen=True)
 class RankRecord:
@@ -62,8 +60,6 @@
     -------
     RankRecord or None
     """
-    try:
-        return RankRecord(**orjson.loads(row.value))
-    except (ValueError, TypeError) as exc:
-        _log.warning("unreadable rank record", key=row.key, error=repr(exc))
-        return None
+    return read_json(
+        row, lambda data: RankRecord(**data), unreadable="unreadable rank record"
+    )
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -7,6 +7,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 
 PREFIX = "entry/"
@@ -50,12 +51,11 @@
     -------
     EntryRecord or None
     """
-    try:
-        data = orjson.loads(row.value)
-        return EntryRecord(data["name"], data["address"], data["probe"])
-    except (ValueError, KeyError, TypeError) as exc:
-        _log.warning("unreadable entry", key=row.key, error=repr(exc))
-        return None
+    return read_json(
+        row,
+        lambda data: EntryRecord(data["name"], data["address"], data["probe"]),
+        unreadable="unreadable entry",
+    )
 
 
 class Entries:
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -1,7 +1,6 @@
 """Following a table's changes, with gaps noticed and mended."""
 
 import random
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -105,11 +104,6 @@
         Time between calls, for tables that change all the time, in seconds.
     rng : random.Random
         Spreads retries.
-
-    Attributes
-    ----------
-    fresh_at : float
-        When the store last answered, in seconds on the monotonic clock; 0 before.
     """
 
     __slots__ = (
@@ -123,7 +117,6 @@
         "_table",
         "_version",
         "_wait_s",
-        "fresh_at",
     )
 
     def __init__(
@@ -147,7 +140,6 @@
         self._version: int | None = None
         self._reachable = True
         self._greenlet: gevent.Greenlet | None = None
-        self.fresh_at = 0.0
 
     def start(self) -> None:
         """Begin to follow."""
@@ -184,7 +176,6 @@
             self._lost(exc)
             return False
         self._version = found.version
-        self.fresh_at = time.monotonic()
         if not self._reachable:
             self._reachable = True
             _log.info("store regained", table=self._table, version=found.version)
