Decode of the engines' model only what decisions use

Memory, context, pairs, pieces of prompts, the experts' share of the work and the number of connections were decoded at each configuration and read by nothing.

--- a/tests/limits/test_pace.py
+++ b/tests/limits/test_pace.py
@@ -7,13 +7,9 @@
 
 ENGINE = EngineModel(
     slots=6,
-    memory_tokens=140_000,
     step_s=0.00455,
     per_request_s=0.00181,
-    context_s_per_token=0.0,
     read_tokens_per_s=61_400.0,
-    pair_s=0.0,
-    chunk_tokens=512,
     steps_per_pass=4,
     usual_prompt_tokens=835.0,
     usual_answer_tokens=97.0,
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -114,7 +114,6 @@
     return Service(
         name=service["name"],
         health_path=service.get("healthPath") or "/",
-        max_connections=int(service.get("maxConnections") or 0),
         engine=_engine(engine) if engine else None,
     )
 
@@ -125,13 +124,9 @@
     size = engine.get("expertMb") or 0.0
     return EngineModel(
         slots=int(engine["slots"]),
-        memory_tokens=int(engine.get("kvCapacityTokens") or 0),
         step_s=engine["step_ms"] / MS_PER_S,
         per_request_s=engine.get("per_seq_ms", 0.0) / MS_PER_S,
-        context_s_per_token=engine.get("context_per_k", 0.0) / MS_PER_S / 1000.0,
         read_tokens_per_s=engine.get("read_per_s") or 1.0,
-        pair_s=engine.get("pairs_per_m", 0.0) / MS_PER_S / 1e6,
-        chunk_tokens=int(engine.get("chunk") or 1),
         steps_per_pass=int(engine.get("stride") or 1),
         usual_prompt_tokens=usual.get("prompt") or 0.0,
         usual_answer_tokens=usual.get("answer") or 0.0,
@@ -139,7 +134,6 @@
         experts=int(engine.get("experts") or 0),
         places=int(engine.get("placements") or 0),
         spare=int(engine.get("spare") or 0),
-        expert_share=engine.get("expertShare") or 0.0,
         expert_s=size * MB_IN_BITS / (rate * MBIT) if rate else 0.0,
     )
 
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -92,18 +92,10 @@
     ----------
     slots : int
         Requests that an engine writes for at once.
-    memory_tokens : int
-        Tokens that it holds.
     step_s, per_request_s : float
         A step takes the first and the second for each request that is written for.
-    context_s_per_token : float
-        Added to a step for each token of context.
     read_tokens_per_s : float
         Rate of reading prompts.
-    pair_s : float
-        Added to reading for each pair of a token and an earlier one.
-    chunk_tokens : int
-        The most prompt tokens read in a step.
     steps_per_pass : int
         Steps in a pass with writers.
     usual_prompt_tokens, usual_answer_tokens : float
@@ -116,20 +108,14 @@
         Experts that a rank holds in a set.
     spare : int
         New experts that a rank takes in a set at once.
-    expert_share : float
-        Part of the work for a token that its experts do.
     expert_s : float
         Time to copy an expert, in seconds.
     """
 
     slots: int
-    memory_tokens: int
     step_s: float
     per_request_s: float
-    context_s_per_token: float
     read_tokens_per_s: float
-    pair_s: float
-    chunk_tokens: int
     steps_per_pass: int
     usual_prompt_tokens: float
     usual_answer_tokens: float
@@ -137,7 +123,6 @@
     experts: int = 0
     places: int = 0
     spare: int = 0
-    expert_share: float = 0.0
     expert_s: float = 0.0
 
 
@@ -151,15 +136,12 @@
         Its name.
     health_path : str
         Path of its health page.
-    max_connections : int
-        Connections that an upstream takes from all callers.
     engine : EngineModel or None
         Its engines; None for a plain service.
     """
 
     name: str
     health_path: str = "/"
-    max_connections: int = 0
     engine: EngineModel | None = None
 
 
