--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -5,9 +5,9 @@
 
 import gevent
 import structlog
-import xxhash
 from gevent.lock import Semaphore
 
+from toucanspool.agent._call_hash import call_hash
 from toucanspool.agent.gate import CallRefused, Gate
 from toucanspool.agent.upstream_client import (
     Reply,
@@ -159,7 +159,7 @@
                 opened.team,
                 opened.idempotency_key,
                 f"{opened.request_id}/{opened.attempt}",
-                _call_hash(self._scope, opened),
+                call_hash(self._scope, opened),
                 deadline=self._deadline.at,
             )
         except ClaimRefused as exc:
@@ -291,11 +291,3 @@
     return CallRefused(
         Outcome.UNKNOWN, Refusal.DEADLINE, "The upstream's reply did not come in time."
     )
-
-
-def _call_hash(scope: str, opened: Open) -> str:
-    digest = xxhash.xxh3_128()
-    for part in (scope, opened.method, opened.path):
-        digest.update(part.encode() + b"\0")
-    digest.update(opened.body)
-    return digest.hexdigest()
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
-import orjson
 import structlog
 
 from toucanspool.config.service import ConfigService
@@ -31,7 +30,7 @@
 from toucanspool.retries.budget import RetryBudget
 from toucanspool.retries.verdict import Verdict, may_retry
 from toucanspool.settings.settings import Entry
-from toucanspool.wire.events import DONE, is_event_stream
+from toucanspool.wire.events import DONE
 from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
 MAX_REROUTES = 4
@@ -186,7 +185,7 @@
         while True:
             try:
                 self._attempt(req, progress, req.body)
-                if _is_stream(progress):
+                if progress.is_stream:
                     return None
                 body = progress.attempt.whole()
                 self._router.succeeded(progress.target)
@@ -250,7 +249,7 @@
                     yield from self._pieces(progress)
                     break
                 except AttemptFailed as exc:
-                    if _is_done(progress):
+                    if progress.is_done:
                         break
                     last = self._go_on(req, progress, exc)
                     if last is not None:
@@ -259,7 +258,7 @@
             result = "It was answered."
         except Problem as exc:
             result = exc.detail
-            yield _error_event(progress.told(exc), req.request_id)
+            yield progress.told(exc).event(req.request_id)
         finally:
             self._decisions.end(req.request_id, req.team.name, result)
 
@@ -281,7 +280,7 @@
                 if finished:
                     return DONE
                 self._attempt(req, progress, continue_body(req.body, text, tokens))
-                if not _is_stream(progress):
+                if not progress.is_stream:
                     raise CannotContinue("the answer is no stream")
                 return None
             except AttemptFailed as again:
@@ -295,15 +294,3 @@
                     f"The stream broke and can't go on: {cause}.",
                     outcome=Outcome.UNKNOWN,
                 ) from exc
-
-
-def _is_stream(progress: Progress) -> bool:
-    return is_event_stream(progress.attempt.head.headers.get("content-type", ""))
-
-
-def _is_done(progress: Progress) -> bool:
-    return bool(progress.relayed) and progress.relayed[-1].endswith(DONE)
-
-
-def _error_event(problem: Problem, request_id: str) -> bytes:
-    return b"event: error\ndata: " + orjson.dumps(problem.body(request_id)) + b"\n\n"
--- a/toucanspool/entry/problems.py
+++ b/toucanspool/entry/problems.py
@@ -67,6 +67,20 @@
             "request_id": request_id,
         }
 
+    def event(self, request_id: str) -> bytes:
+        """Return the problem as the last event of a stream.
+
+        Parameters
+        ----------
+        request_id : str
+            The request's id.
+
+        Returns
+        -------
+        bytes
+        """
+        return b"event: error\ndata: " + orjson.dumps(self.body(request_id)) + b"\n\n"
+
     def write(self, resp: falcon.Response, request_id: str) -> None:
         """Put the problem into a response.
 
--- a/toucanspool/entry/progress.py
+++ b/toucanspool/entry/progress.py
@@ -3,6 +3,7 @@
 from toucanspool.entry.attempt import Attempt
 from toucanspool.entry.directory import Target
 from toucanspool.entry.problems import Problem
+from toucanspool.wire.events import DONE, is_event_stream
 from toucanspool.wire.gen.messages.ttypes import Outcome
 
 
@@ -46,6 +47,16 @@
         self.attempt: Attempt | None = None
         self.target: Target | None = None
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the answer under way is a stream."""
+        return is_event_stream(self.attempt.head.headers.get("content-type", ""))
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the caller has got a stream's last event."""
+        return bool(self.relayed) and self.relayed[-1].endswith(DONE)
+
     def close(self) -> None:
         """Give up the attempt under way; harmless when repeated."""
         if self.attempt is not None:
