--- a/soak/world.py
+++ b/soak/world.py
@@ -2,24 +2,22 @@
 
 import random
 import signal
-import sys
 import tempfile
 import time
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager, suppress
+from contextlib import ExitStack
 from pathlib import Path
 
 import gevent
 import numpy as np
 import orjson
-import yaml
-from gevent import subprocess
 from gevent.pool import Group
 
 from demo.launcher import Ports
 from soak.callers import HOST, KEY, ROUTE_S, SoakCaller
+from soak.harms import HARMS
 from soak.oracle import Oracle
-from soak.proxy import Link, Proxy
+from soak.process import GRACE_S, Process
+from soak.proxy import Link
 from soak.upstreams import SoakUpstream
 from standins.engine_pages import EnginePages, serve_engine
 from standins.pass_group import MixedMaps, PassGroup
@@ -31,7 +29,6 @@
 WATCH_S = 0.05
 # A busy loop is late by a few hundredths; more is a lack of processor time.
 STALL_S = 0.2
-GRACE_S = 4.0
 TTL_S = 0.3
 KINDS = {"/book/": "non_idempotent", "/read/": "idempotent", "/stream/": "streaming"}
 ENGINE = {
@@ -52,67 +49,6 @@
 }
 
 
-class Process:
-    """Hold one process of the system and its link to the store.
-
-    Parameters
-    ----------
-    settings : dict
-        Its settings, with a place for the store's address.
-    folder : Path
-        Where settings and log are.
-    store_port : int
-        The store's port.
-    off : str
-        The promise whose mechanism is switched off; empty for none.
-    """
-
-    def __init__(
-        self, settings: dict, folder: Path, store_port: int, *, off: str
-    ) -> None:
-        program = ["soak.switched_off", f"--off={off}"]
-        self._program = program if off else ["toucanspool.daemon"]
-        self.name = settings["instance"]
-        self.link = Proxy(store_port)
-        section = settings[settings["role"]]
-        address = f"127.0.0.1:{self.link.port}"
-        section["store"] = {"address": address, "drain_ms": 600}
-        self.log = folder / f"{self.name}.log"
-        self._path = folder / f"{self.name}.yaml"
-        self._path.write_text(yaml.safe_dump(settings))
-        self._child: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start it."""
-        with self.log.open("ab") as out:
-            self._child = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    *self._program,
-                    f"--settings={self._path}",
-                ],
-                stdout=out,
-                stderr=out,
-            )
-
-    def signal(self, number: int) -> None:
-        """Send a signal if it runs."""
-        if self._child is not None and self._child.poll() is None:
-            self._child.send_signal(number)
-
-    def wait(self, timeout_s: float) -> None:
-        """Wait for its end, and end it where it takes longer."""
-        if self._child is None:
-            return
-        self.signal(signal.SIGCONT)
-        with suppress(subprocess.TimeoutExpired):
-            self._child.wait(timeout=timeout_s)
-        if self._child.poll() is None:
-            self._child.kill()
-            self._child.wait()
-
-
 class World:
     """Run the system and harm it; a context manager.
 
@@ -309,107 +245,3 @@
         """Return the number of an upstream's next start."""
         self._restarts += 1
         return self._restarts
-
-
-def _kill(world: World) -> None:
-    process = world.any_process()
-    process.signal(signal.SIGKILL)
-    process.wait(1.0)
-    process.start()
-
-
-def _term(world: World) -> None:
-    process = world.any_process()
-    process.signal(signal.SIGTERM)
-    process.wait(GRACE_S + 2.0)
-    process.start()
-
-
-def _pause(world: World) -> None:
-    process = world.any_process()
-    world.oracle.paused += 1
-    process.signal(signal.SIGSTOP)
-    gevent.sleep(world.rng.uniform(0.2, 3.0))
-    process.signal(signal.SIGCONT)
-    world.oracle.paused -= 1
-    world.oracle.paused_at = time.monotonic()
-
-
-@contextmanager
-def _apart(world: World) -> Iterator[None]:
-    world.oracle.apart += 1
-    yield
-    world.oracle.apart -= 1
-    world.oracle.apart_at = time.monotonic()
-
-
-def _hang_up(world: World) -> None:
-    world.any_process().signal(signal.SIGHUP)
-
-
-def _bad_link(world: World) -> None:
-    link = world.any_process().link
-    with _apart(world):
-        link.link = world.rng.choice([kind for kind in Link if kind is not Link.GOOD])
-        gevent.sleep(world.rng.uniform(0.5, 3.0))
-        link.link = Link.GOOD
-        link.reset()
-
-
-def _store_down(world: World) -> None:
-    with _apart(world):
-        world.store.pages.status = world.rng.choice((503, 429))
-        gevent.sleep(world.rng.uniform(0.5, 2.0))
-        world.store.pages.status = 0
-
-
-def _store_loses(world: World) -> None:
-    world.store.pages.lose_answers = world.rng.randrange(1, 4)
-
-
-def _store_forgets(world: World) -> None:
-    with _apart(world):
-        world.store.pages.history_from = world.store.pages.version
-
-
-def _upstream_fails(world: World) -> None:
-    upstream = world.rng.choice(world.upstreams)
-    upstream.fail_share = world.rng.uniform(0.2, 1.0)
-    gevent.sleep(world.rng.uniform(0.5, 3.0))
-    upstream.fail_share = 0.0
-
-
-def _upstream_leaves(world: World) -> None:
-    upstream = world.rng.choice(world.upstreams)
-    if upstream.leaving_at is None and world.store.pages.status == 0:
-        upstream.drain(world.store.pages)
-        gevent.sleep(4.0)
-        upstream.restart(world.store.pages, world.next_restart())
-
-
-def _orders_late(world: World) -> None:
-    world.group.late_share = world.rng.uniform(0.1, 0.5)
-    gevent.sleep(world.rng.uniform(1.0, 4.0))
-    world.group.late_share = 0.0
-
-
-def _change(world: World) -> None:
-    for _ in range(world.rng.randrange(1, 6)):
-        world.configure()
-        gevent.sleep(world.rng.uniform(0.0, 0.2))
-
-
-HARMS = {
-    "kill": _kill,
-    "term": _term,
-    "pause": _pause,
-    "hang up": _hang_up,
-    "bad link to the store": _bad_link,
-    "store down": _store_down,
-    "store loses answers": _store_loses,
-    "store forgets": _store_forgets,
-    "upstream fails": _upstream_fails,
-    "upstream leaves": _upstream_leaves,
-    "orders late": _orders_late,
-    "changes": _change,
-}
