Trust the store only within its era, and heed upstreams that leave or want a pause

Cause: the users' platform has new rules. The store may come back from a copy some seconds old and issue versions again; upstreams that leave say so in all their answers; an upstream that turns a call away may say for how long it wants none from this machine. Nothing of that was read.

Change: versions of the row store contain its era, so that checks, feeds and fencing tokens of different eras never meet as equals. A waiting feed ends as soon as any answer names a new era. Entries and ranks write their records again when they are missing from a restored copy. Upstreams that a list misses right after an outage or a lapse stay in use for the two seconds in which the platform lists them again; one that has left or drains does not come back by an old record. Server-Leaving takes an upstream out of use for good, Retry-After for its time; callers are told when the first upstream is available.

Result: tests of each, none of which the code before could pass.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -31,12 +31,15 @@
         Number of commits that took effect.
     reads : int
         Number of successful reads.
+    era : int
+        Era of the rows; see `toucanspool.backing.table.Table`.
     """
 
     def __init__(self, *, faults: Faults | None = None) -> None:
         self.faults = faults or Faults()
         self.commits = 0
         self.reads = 0
+        self.era = 0
         self._rows: dict[str, Row] = {}
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -12,6 +12,7 @@
 import gevent
 import orjson
 
+from toucanspool.platform.store_era import ERA_HEADER
 from toucanspool.wire.http_server import HttpServer
 
 MS_PER_S = 1000
@@ -34,6 +35,8 @@
         Oldest version that the feed can start from; older ones get 410.
     calls : list of str
         Paths of the calls received.
+    era : int
+        Era that every response names; 0 for none.
     """
 
     def __init__(self) -> None:
@@ -41,6 +44,7 @@
         self.lose_answers = 0
         self.history_from = 0
         self.calls: list[str] = []
+        self.era = 0
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[tuple[int, str, str, bytes | None]] = []
@@ -66,6 +70,18 @@
         found = self._rows.get((table, key))
         return found[0] if found else None
 
+    def lapse(self, version: int) -> None:
+        """Come back from the copy at a version; later transactions are lost."""
+        self.era += 1
+        self._version = version
+        self._history = [entry for entry in self._history if entry[0] <= version]
+        self._rows = {}
+        for at, table, key, value in self._history:
+            if value is None:
+                self._rows.pop((table, key), None)
+            else:
+                self._rows[table, key] = (value, at)
+
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> list[bytes]:
@@ -110,7 +126,7 @@
 
     def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
-        if after < self.history_from:
+        if not self.history_from <= after <= self._version:
             return 410, {}
         deadline = time.monotonic() + int(query["waitMs"]) / MS_PER_S
         while True:
@@ -145,10 +161,13 @@
         self, start_response: StartResponse, status: int, body: dict[str, Any]
     ) -> list[bytes]:
         data = orjson.dumps(body)
-        start_response(
-            f"{status} X",
-            [("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
-        )
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        if self.era:
+            headers.append((ERA_HEADER.title(), str(self.era)))
+        start_response(f"{status} X", headers)
         return [data]
 
 
--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -19,7 +19,7 @@
     Route,
     RouteTable,
 )
-from toucanspool.routing.upstreams import Listing
+from toucanspool.routing.upstream import Listing
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
@@ -135,7 +135,7 @@
             Listing(name=f"u{n}", service="desk", host="127.0.0.1", port=upstream.port)
             for n, upstream in enumerate(raw_upstreams)
         ]
-        core.upstreams.replace(listings, 1)
+        core.upstreams.replace(listings, 1, now=0.0)
         core.upstreams_changed()
         table = RouteTable(
             version=1,
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -255,3 +255,37 @@
         status, head, _ = gw.call()
     assert status == 503
     assert "Connection: close" in head
+
+
+def test_an_upstream_that_says_it_is_leaving_gets_no_further_call():
+    leaving = answering(b"last", headers="Server-Leaving: 1")
+    with gateway(leaving, answering(b"other")) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        assert gw.call()[2] == b"last"
+        assert {gw.call()[2] for _ in range(5)} == {b"other"}
+
+
+def pausing(seconds: str):
+    def script(sock, seen):
+        headers = f"Toucanspool-Not-Executed: 1\r\nRetry-After: {seconds}"
+        sock.sendall(reply(seen, b"", status="503 Full", headers=headers, signed=False))
+
+    return script
+
+
+def test_an_upstream_that_asks_for_a_pause_gets_no_call_until_it_is_over():
+    with gateway(pausing("30"), answering(b"other")) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        assert {gw.call()[2] for _ in range(6)} == {b"other"}
+        assert len(gw.upstreams[0].seen) == 1
+
+
+def test_a_call_is_told_when_the_first_upstream_takes_calls_again():
+    with gateway(pausing("30"), pausing("1.5"), routes=AT_MOST_ONCE_ROUTES) as gw:
+        gw.call("POST", body=b"book")
+        status, head, body = gw.call("POST", body=b"book")
+        seen = request_count(gw.upstreams)
+    assert status == 503
+    assert b'"not_run"' in body
+    assert "Retry-After: 1." in head
+    assert seen == 2
--- a/tests/groups/test_rank_member.py
+++ b/tests/groups/test_rank_member.py
@@ -4,11 +4,11 @@
 
 from standins.memory import MemoryTable
 from standins.pass_group import GROUP, PassGroup
-from toucanspool.backing.table import Row
+from toucanspool.backing.table import Row, Write
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.rank_member import RankMember
 from toucanspool.groups.rank_record import PREFIX, RankRecord
-from toucanspool.routing.upstreams import Listing
+from toucanspool.routing.upstream import Listing
 
 
 class FakeRankFeed:
@@ -132,3 +132,15 @@
     table.faults.down = False
     member.watch()
     assert member._record is not None
+
+
+def test_a_rank_is_listed_again_after_the_table_came_back_from_an_older_copy():
+    table = MemoryTable()
+    member = make_member(table)
+    member.watch()
+    table.commit([], [Write(PREFIX + "r0", None)])
+    member.watch()
+    assert not table.get([PREFIX + "r0"])
+    table.era += 1
+    member.watch()
+    assert table.get([PREFIX + "r0"])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
     TCP_KEEPINTVL,
 )
 
+import gevent
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
@@ -25,7 +26,7 @@
 )
 from toucanspool.gateway.exchange import Exchange, Silent
 from toucanspool.platform.store import RowStoreClient, table_of
-from toucanspool.recovery.feed import HistoryGone
+from toucanspool.recovery.feed import HistoryGone, StoreLapsed
 
 
 @pytest.fixture()
@@ -159,3 +160,60 @@
     # A dead connection is found within two seconds: after one idle second, and one
     # second without a reply to the probe.
     assert options == {"alive": 1, TCP_KEEPIDLE: 1, TCP_KEEPINTVL: 1, TCP_KEEPCNT: 1}
+
+
+def test_versions_of_a_later_era_are_higher_though_the_store_issues_them_again(
+    store, standin
+):
+    standin.pages.era = 1
+    store.commit([], [Write("k", b"first")])
+    before = store.get(["k"])["k"].version
+    standin.pages.lapse(0)
+    store.commit([], [Write("k", b"second")])
+    assert store.get(["k"])["k"].version > before
+    assert store.era == 2
+
+
+def test_a_feed_from_a_version_of_an_earlier_era_reports_the_lapse(store, standin):
+    standin.pages.era = 1
+    standin.pages.put("servers", "a", b"1")
+    version = store.snapshot("servers").version
+    standin.pages.lapse(0)
+    standin.pages.put("servers", "b", b"1")
+    with pytest.raises(StoreLapsed):
+        store.changes("servers", version, 0.0)
+
+
+def test_a_waiting_feed_ends_when_another_response_names_a_new_era(store, standin):
+    standin.pages.era = 1
+    version = store.snapshot("servers").version
+    waiting = gevent.spawn(store.changes, "servers", version, 30.0)
+    gevent.sleep(0.05)
+    standin.pages.lapse(0)
+    store.snapshot("op")
+    waiting.join(timeout=1.0)
+    assert isinstance(waiting.exception, StoreLapsed)
+
+
+def test_a_check_of_an_earlier_era_is_a_conflict_though_the_versions_are_equal(
+    store, standin
+):
+    standin.pages.era = 1
+    store.commit([], [Write("k", b"mine")])
+    row = store.get(["k"])["k"]
+    standin.pages.lapse(0)
+    standin.pages.put(table_of("k"), "k", b"of another writer")
+    store.get(["other"])
+    with pytest.raises(TableConflict):
+        store.commit([Check("k", row.version)], [Write("k", b"again")])
+    assert store.get(["k"])["k"].value == b"of another writer"
+
+
+def test_a_commit_that_meets_a_new_era_is_uncertain(store, standin):
+    standin.pages.era = 1
+    store.commit([], [Write("k", b"mine")])
+    row = store.get(["k"])["k"]
+    standin.pages.lapse(0)
+    standin.pages.put(table_of("k"), "k", b"of another writer")
+    with pytest.raises(TableUncertain):
+        store.commit([Check("k", row.version)], [Write("k", b"again")])
--- a/tests/recovery/test_election.py
+++ b/tests/recovery/test_election.py
@@ -48,3 +48,23 @@
             return super().commit(checks, writes)
 
     assert elect(Racing(), "d", "a", above=0) is None
+
+
+def test_a_token_whose_commit_was_lost_is_not_issued_again():
+    table = MemoryTable()
+    table.era = 1
+    elect(table, "d", "a", above=0)
+    lost = elect(table, "d", "b", above=0)
+    restored = MemoryTable()
+    restored.era = 2
+    elected = elect(restored, "d", "c", above=0)
+    assert elected.token > lost.token
+
+
+def test_holders_of_an_earlier_era_are_not_sure_after_a_restart():
+    table = MemoryTable()
+    table.era = 1
+    holder = elect(table, "d", "a", above=0)
+    assert current_token(table, "d") == holder.token
+    table.era = 2
+    assert current_token(table, "d") > holder.token
--- a/tests/recovery/test_feed.py
+++ b/tests/recovery/test_feed.py
@@ -3,7 +3,12 @@
 import random
 
 from toucanspool.backing.table import Row, TableUnavailable
-from toucanspool.recovery.feed import Changes, FeedFollower, HistoryGone
+from toucanspool.recovery.feed import (
+    Changes,
+    FeedFollower,
+    HistoryGone,
+    StoreLapsed,
+)
 
 
 class ScriptedFeed:
@@ -75,3 +80,35 @@
     follower.stop()
     follower.step()
     assert feed.requested == [None, None]
+
+
+def follow_events(*results: Changes | Exception) -> list[str]:
+    """Return the order of the calls that a follower makes."""
+    events: list[str] = []
+    follower = FeedFollower(
+        ScriptedFeed(*results),
+        "t",
+        lambda _: events.append("snapshot"),
+        lambda _: events.append("changes"),
+        wait_s=1.0,
+        rng=random.Random(1),
+        on_regained=lambda: events.append("regained"),
+    )
+    for _ in results:
+        follower.step()
+    return events
+
+
+def test_a_lapse_is_told_before_the_whole_table_that_follows_it():
+    events = follow_events(changes_at(3), StoreLapsed("lapsed"), changes_at(2))
+    assert events == ["snapshot", "regained", "snapshot"]
+
+
+def test_the_end_of_an_outage_is_told_before_the_changes_that_follow_it():
+    events = follow_events(changes_at(3), TableUnavailable("down"), changes_at(8))
+    assert events == ["snapshot", "regained", "changes"]
+
+
+def test_dropped_history_alone_is_no_outage():
+    events = follow_events(changes_at(3), HistoryGone("gone"), changes_at(8))
+    assert events == ["snapshot", "snapshot"]
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -5,7 +5,8 @@
 
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.routing.balancer import LeastLoadBalancer
-from toucanspool.routing.upstreams import Listing, UpstreamList
+from toucanspool.routing.upstream import Listing
+from toucanspool.routing.upstreams import UpstreamList
 
 
 def listing(name: str, **more: object) -> Listing:
@@ -18,7 +19,7 @@
 
     def __init__(self, *listings: Listing) -> None:
         self.upstreams = UpstreamList()
-        self.upstreams.replace(listings, 1)
+        self.upstreams.replace(listings, 1, now=0.0)
         self.ejector = Ejector(random.Random(1))
         self.ejector.update([u.name for u in self.upstreams], 0.0)
         self.balancer = LeastLoadBalancer(
@@ -103,11 +104,11 @@
 def test_a_restarted_upstream_begins_without_load():
     harness = Harness(listing("u0", started_ms=1))
     harness.upstreams.find("u0").in_flight = 3
-    harness.upstreams.change({"u0": listing("u0", started_ms=2)}, 2)
+    harness.upstreams.change({"u0": listing("u0", started_ms=2)}, 2, now=0.0)
     assert harness.upstreams.find("u0").in_flight == 0
 
 
 def test_an_upstream_that_is_gone_is_not_chosen():
     harness = Harness(listing("u0"))
-    harness.upstreams.change({"u0": None}, 2)
+    harness.upstreams.change({"u0": None}, 2, now=0.0)
     assert harness.choose() is None
--- a/toucanspool/backing/http_table.py
+++ b/toucanspool/backing/http_table.py
@@ -36,6 +36,9 @@
 
     __slots__ = ("_client",)
 
+    # This table never loses a commit that it has acknowledged.
+    era = 0
+
     def __init__(self, host: str, port: int, *, timeout_s: float = 2.0) -> None:
         self._client = JsonClient(host, port, timeout_s=timeout_s)
 
--- a/toucanspool/backing/table.py
+++ b/toucanspool/backing/table.py
@@ -92,7 +92,17 @@
 
 
 class Table(Protocol):
-    """Read rows and commit transactions."""
+    """Read rows and commit transactions.
+
+    Attributes
+    ----------
+    era : int
+        Rises each time the table comes back from an older copy of itself, without
+        the last commits that it had acknowledged. Versions count only within one
+        era.
+    """
+
+    era: int
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the existing rows among `keys` as one consistent snapshot.
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -7,10 +7,11 @@
 from toucanspool.gateway.dialect import Dialect, ReplyHead
 from toucanspool.gateway.exchange import Exchange, Silent
 from toucanspool.gateway.reply_parser import BrokenReply
-from toucanspool.routing.upstreams import Upstream
+from toucanspool.routing.upstream import Upstream
 
 MS_PER_S = 1000.0
 SUCCESS_STATUSES = range(200, 300)
+UNAVAILABLE_STATUS = 503
 
 
 class TurnedAway(Exception):
@@ -100,7 +101,7 @@
         self._exchange.read_head(until)
         parser = self._exchange.parser
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
-        self._report_load()
+        self._update_upstream()
         if self.reply_head.not_run:
             raise TurnedAway(parser.status, self.reply_head.retry_after_s)
         if self.reply_head.call_id and self.reply_head.call_id != call.id:
@@ -121,10 +122,15 @@
         self._exchange.close()
         self._upstream.in_flight -= 1
 
-    def _report_load(self) -> None:
-        head = self.reply_head
+    def _update_upstream(self) -> None:
+        head, now = self.reply_head, time.monotonic()
         if head.running is not None and head.waiting is not None:
-            self._upstream.report_load(head.running, head.waiting, time.monotonic())
+            self._upstream.report_load(head.running, head.waiting, now)
+        if head.leaving:
+            self._upstream.leave()
+        turned_away = head.not_run or self.status == UNAVAILABLE_STATUS
+        if turned_away and head.retry_after_s > 0.0:
+            self._upstream.pause(now, head.retry_after_s)
 
 
 Failure = BrokenReply | Silent
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -133,22 +133,25 @@
 
     def upstreams_changed(self) -> None:
         """Update the ejector after a change of the upstream list."""
+        now = time.monotonic()
         pools = {u.name: u.listing.service for u in self.upstreams}
-        self.ejector.update(pools, time.monotonic(), pools=pools)
+        self.ejector.update(pools, now, pools=pools)
 
     def tick(self) -> None:
         """Adapt limits, retry budget and tie offset to recent load and live entries."""
         now = time.monotonic()
+        if self.upstreams.expire(now):
+            self.upstreams_changed()
         entries = len(self._entries.live)
         self._budget.entries = entries
         self._balancer.set_tie_offset(self._entries.position)
         for name, stream_limit in self._stream_limits.items():
             engine = self.routes.service(name).engine
-            ready = len(self.upstreams.ready(name))
-            if engine is None or not ready:
+            available = len(self.upstreams.available(name, now))
+            if engine is None or not available:
                 continue
             stream_limit.adapt(
-                engine, ready, entries, self._entries.peer_streams(name), now
+                engine, available, entries, self._entries.peer_streams(name), now
             )
             self._metrics.stream_limit.labels(name).set(stream_limit.capacity)
             self._metrics.streams.labels(name).set(stream_limit.running)
--- a/toucanspool/gateway/dialect.py
+++ b/toucanspool/gateway/dialect.py
@@ -21,6 +21,8 @@
         Whether the upstream states that it did not run the call.
     retry_after_s : float
         Delay requested before a retry, in seconds; 0 if missing.
+    leaving : bool
+        Whether the upstream is leaving and wants no new requests.
     running, waiting : int or None
         Running and queued requests of the upstream; None if missing.
     headers : sequence of (str, str)
@@ -31,6 +33,7 @@
     signed: bool
     not_run: bool
     retry_after_s: float = 0.0
+    leaving: bool = False
     running: int | None = None
     waiting: int | None = None
     headers: Sequence[Header] = ()
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -14,7 +14,7 @@
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import CallKind
-from toucanspool.routing.upstreams import Upstream
+from toucanspool.routing.upstream import Upstream
 
 SERVER_ERROR_STATUSES = range(500, 600)
 MAX_SENDS = 3
@@ -163,10 +163,11 @@
             call.service, progress.tried, now, prefer_local=prefer_local
         )
         if upstream is None:
+            available_s = self._balancer.next_available_s(call.service, now)
             raise Refused(
                 RefusalCause.NO_UPSTREAM,
                 may_have_run=progress.runs > 0,
-                retry_after_s=MIN_RETRY_AFTER_S,
+                retry_after_s=max(MIN_RETRY_AFTER_S, available_s),
             )
         _log.info(
             "call routed",
@@ -243,9 +244,11 @@
         cause = RefusalCause.TURNED_AWAY if turned_away else RefusalCause.BROKEN
         if unreachable:
             cause = RefusalCause.UNREACHABLE
-        retry_s = max(MIN_RETRY_AFTER_S, getattr(exc, "retry_after_s", 0.0))
+        available_s = self._balancer.next_available_s(call.service, time.monotonic())
         raise Refused(
-            cause, may_have_run=progress.runs > 0, retry_after_s=retry_s
+            cause,
+            may_have_run=progress.runs > 0,
+            retry_after_s=max(MIN_RETRY_AFTER_S, available_s),
         ) from exc
 
     def record_success(self, upstream: Upstream) -> None:
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -14,7 +14,7 @@
 from toucanspool.gateway.exchange import Silent, Unreachable
 from toucanspool.gateway.relay import CallProgress, Relay
 from toucanspool.gateway.reply_parser import BrokenReply
-from toucanspool.routing.upstreams import Upstream
+from toucanspool.routing.upstream import Upstream
 
 # Callers abandon a stream after 2 s without an event. An upstream that stays silent is
 # abandoned a little earlier, so that another one can resume the stream.
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -138,6 +138,21 @@
         return self._conn
 
 
+class LocalLink:
+    """Send requests to the engine beside this process; implements `RankLink`."""
+
+    __slots__ = ("_fenced_engine",)
+
+    def __init__(self, fenced_engine: FencedEngine) -> None:
+        self._fenced_engine = fenced_engine
+
+    def send(self, request: RankAsk) -> RankAnswer:
+        """Execute a request; see `RankLink`."""
+        return self._fenced_engine.answer(request)
+
+    send_to_engine = send
+
+
 class RequestReceiver:
     """Answer the requests on one connection; implements `Receiver`.
 
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -11,13 +11,12 @@
 from toucanspool.groups.fenced_engine import NO_TOKEN, FencedEngine
 from toucanspool.groups.group_client import RankLink, Replaced
 from toucanspool.groups.map_coordinator import MapCoordinator
-from toucanspool.groups.rank_calls import RankClient
+from toucanspool.groups.rank_calls import LocalLink, RankClient
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
 from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.election import current_token, elect
 from toucanspool.routing.routes import EngineModel
-from toucanspool.routing.upstreams import Listing
-from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
+from toucanspool.routing.upstream import Listing
 
 COORDINATION_INTERVAL_S = 0.2
 WATCH_INTERVAL_S = 0.5
@@ -47,20 +46,6 @@
         ...
 
 
-class _LocalLink:
-    """Send requests to the engine beside this process; implements `RankLink`."""
-
-    __slots__ = ("_fenced_engine",)
-
-    def __init__(self, fenced_engine: FencedEngine) -> None:
-        self._fenced_engine = fenced_engine
-
-    def send(self, request: RankAsk) -> RankAnswer:
-        return self._fenced_engine.answer(request)
-
-    send_to_engine = send
-
-
 class RankMember:
     """Keep a rank registered, and act as its group's coordinator while elected.
 
@@ -104,6 +89,7 @@
         "_listing",
         "_name",
         "_record",
+        "_record_era",
         "_port",
         "_rank_feed",
         "_started_ms",
@@ -140,6 +126,7 @@
         self._engine_model = engine_model
         self._link_bits_per_s = link_bits_per_s
         self._record: RankRecord | None = None
+        self._record_era = 0
         self._rank_records: dict[str, RankRecord] = {}
         self._links: dict[tuple[str, int, str], RankClient] = {}
         self._coordinator: MapCoordinator | None = None
@@ -159,7 +146,9 @@
             if self._listing is None:
                 return
             own = self._build_record(state, self._listing)
-            if own == self._record:
+            # A table that came back from an older copy may lack this rank's record.
+            era = self._table.era
+            if own == self._record and era == self._record_era:
                 return
             self._fenced_engine.restore(current_token(self._table, _duty(own.group)))
             self._table.commit([], [Write(PREFIX + self._name, own.encode())])
@@ -172,7 +161,7 @@
             rank=own.rank,
             epoch=state.epoch,
         )
-        self._record = own
+        self._record, self._record_era = own, era
 
     def run(self) -> None:
         """Coordinate the group, or wait for an election, until `stop` is called."""
@@ -277,7 +266,7 @@
             self._rank_feed.stop()
 
     def _group_links(self, own: RankRecord) -> Mapping[int, RankLink]:
-        links: dict[int, RankLink] = {own.rank: _LocalLink(self._fenced_engine)}
+        links: dict[int, RankLink] = {own.rank: LocalLink(self._fenced_engine)}
         used = {}
         for record in reversed(self._rank_records.values()):
             if record.group != own.group or record.rank in links:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -9,7 +9,6 @@
 import gevent
 import structlog
 
-from toucanspool.backing.table import TableError, Write
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
@@ -21,6 +20,7 @@
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
 from toucanspool.platform.probes import Prober
+from toucanspool.platform.registration import Registration
 from toucanspool.platform.store import OWN_ROWS_PAUSE_S, RowStoreClient, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import RequestLimits
@@ -31,7 +31,6 @@
 LIMITS_INTERVAL_S = 0.1
 PROBE_INTERVAL_S = 1.0
 LOAD_LOG_INTERVAL_S = 1.0
-REGISTER_RETRY_S = 0.5
 # Versions in quick succession are read together, well within the time that the
 # platform allows for applying one.
 ROUTES_PAUSE_S = 0.5
@@ -62,6 +61,7 @@
         "_metrics",
         "_own_record",
         "_ranks",
+        "_registration",
         "_server",
         "_store",
         "_upstreams_known",
@@ -89,6 +89,7 @@
         self._store = RowStoreClient(
             store.address.host, store.address.port, feed_wait_s=store.feed_wait_s
         )
+        self._registration = Registration(self._store, self._own_record)
         self._core = GatewayCore(
             self._entries,
             PlatformDialect(),
@@ -110,6 +111,7 @@
             self._update_upstreams,
             rng=rng,
             pause_s=store.list_interval_s,
+            on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
         for prefix, on_snapshot, on_changes in (
             (ENTRY_PREFIX, self._replace_entries, self._update_entries),
@@ -145,8 +147,8 @@
             ticker = Ticker(name, interval_s, func, rng=rng)
             ticker.start()
             self._closing.callback(ticker.stop)
-        registration = gevent.spawn(self._register)
-        self._closing.callback(registration.kill)
+        self._registration.start()
+        self._closing.callback(self._registration.stop)
 
     def reload(self, cfg: Settings) -> None:
         """Apply new settings; changed addresses need a restart."""
@@ -158,7 +160,7 @@
         started = time.monotonic()
         end = started + self._cfg.drain.grace_s - SHUTDOWN_RESERVE_S
         self._entries.leaving = True
-        gevent.spawn(self._deregister)
+        gevent.spawn(self._registration.withdraw)
         # Callers with cached addresses still send requests.
         linger_s = min(
             ADDRESS_TTL_FACTOR * self._cfg.gateway.address_ttl_s,
@@ -192,6 +194,7 @@
         *,
         rng: random.Random,
         pause_s: float = 0.0,
+        on_regained: Callable[[], None] = lambda: None,
     ) -> None:
         follower = FeedFollower(
             self._store,
@@ -201,6 +204,7 @@
             wait_s=self._cfg.gateway.store.feed_wait_s,
             pause_s=pause_s,
             rng=rng,
+            on_regained=on_regained,
         )
         follower.start()
         self._closing.callback(follower.stop)
@@ -230,18 +234,19 @@
     def _replace_upstreams(self, changes: Changes) -> None:
         decoded = [listings.decode_listing(row) for row in changes.rows]
         valid = [listing for listing in decoded if listing is not None]
-        self._core.upstreams.replace(valid, changes.version)
+        self._core.upstreams.replace(valid, changes.version, now=time.monotonic())
         self._core.upstreams_changed()
         self._upstreams_known = True
 
     def _update_upstreams(self, changes: Changes) -> None:
         changed = {row.key: listings.decode_listing(row) for row in changes.rows}
         changed.update(dict.fromkeys(changes.deleted))
-        self._core.upstreams.change(changed, changes.version)
+        self._core.upstreams.change(changed, changes.version, now=time.monotonic())
         self._core.upstreams_changed()
 
     def _replace_entries(self, changes: Changes) -> None:
         self._entries.replace(changes.rows)
+        self._registration.check(changes.rows)
 
     def _update_entries(self, changes: Changes) -> None:
         for row in changes.rows:
@@ -262,22 +267,6 @@
         slowdowns = {record.upstream: record.pace for record in self._ranks.values()}
         self._core.upstreams.set_slowdowns(slowdowns)
 
-    def _register(self) -> None:
-        write = Write(ENTRY_PREFIX + self._own_record.name, self._own_record.encode())
-        while not self._try_write(write):
-            gevent.sleep(REGISTER_RETRY_S)
-
-    def _deregister(self) -> None:
-        self._try_write(Write(ENTRY_PREFIX + self._own_record.name, None))
-
-    def _try_write(self, write: Write) -> bool:
-        try:
-            self._store.commit([], [write])
-        except TableError as exc:
-            _log.warning("entry record not written", error=repr(exc))
-            return False
-        return True
-
     def _log_load(self) -> None:
         _log.info(
             "load",
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -9,6 +9,7 @@
 DEADLINE_MS = "toucanspool-deadline-ms"
 EXPECT_INSTANCE = "toucanspool-expect-instance"
 LAST_EVENT_ID = "last-event-id"
+LEAVING = "server-leaving"
 NOT_EXECUTED = "toucanspool-not-executed"
 PRIORITY = "toucanspool-request-priority"
 # "RUNNING,WAITING,SLOTS" of the upstream.
@@ -74,6 +75,7 @@
             signed=SIGNATURE in values,
             not_run=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
             retry_after_s=parse_number(values.get("retry-after", ""), 0.0),
+            leaving=values.get(LEAVING) == "1",
             running=running,
             waiting=waiting,
             headers=[(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP],
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -6,7 +6,7 @@
 import structlog
 
 from toucanspool.backing.table import Row
-from toucanspool.routing.upstreams import Listing
+from toucanspool.routing.upstream import Listing
 
 TABLE = "servers"
 READY = "ready"
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -65,6 +65,9 @@
         upstream = self._core.upstreams.find(name)
         if upstream is None or self._core.routes is None:
             return
+        if upstream.paused_until > time.monotonic():
+            # Health checks are requests too.
+            return
         listing = upstream.listing
         path = self._core.routes.service(listing.service).health_path
         status, _ = _send_probe(listing.host, listing.port, path)
@@ -75,7 +78,8 @@
 
 def _send_probe(host: str, port: int, path: str) -> tuple[int, Any]:
     try:
-        return UnpooledClient(host, port, timeout_s=TIMEOUT_S).call("GET", path)
+        response = UnpooledClient(host, port, timeout_s=TIMEOUT_S).call("GET", path)
     except (CallRefused, CallLost) as exc:
         _log.debug("probe failed", host=host, port=port, error=repr(exc))
         return NO_RESPONSE, None
+    return response.status, response.body
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -16,7 +16,7 @@
 from toucanspool.platform.store import RowStoreClient, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
-from toucanspool.routing.upstreams import Listing
+from toucanspool.routing.upstream import Listing
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.listener import Listener
 
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -5,18 +5,22 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import gevent
+
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.backing.table import (
     Check,
     Row,
     TableConflict,
+    TableError,
     TableThrottled,
     TableUnavailable,
     TableUncertain,
     Write,
 )
-from toucanspool.platform.unpooled_client import UnpooledClient
-from toucanspool.recovery.feed import Changes, HistoryGone
+from toucanspool.platform.store_era import ERA_HEADER, StoreEra
+from toucanspool.platform.unpooled_client import JsonResponse, UnpooledClient
+from toucanspool.recovery.feed import Changes, HistoryGone, StoreLapsed
 
 # Each kind of toucanspool's own rows has its own table, so that changes of one kind
 # don't wake the readers of others.
@@ -50,9 +54,10 @@
         Maximum wait of a feed for changes, in seconds.
     """
 
-    __slots__ = ("_client", "_feed_client")
+    __slots__ = ("_client", "_era", "_feed_client")
 
     def __init__(self, host: str, port: int, *, feed_wait_s: float) -> None:
+        self._era = StoreEra()
         self._client = UnpooledClient(host, port, timeout_s=CALL_TIMEOUT_S)
         self._feed_client = UnpooledClient(
             host,
@@ -61,6 +66,11 @@
             keepalive_s=FEED_KEEPALIVE_S,
         )
 
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store; see `Table`."""
+        return self._era.number
+
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the existing own rows among `keys`; see `Table`."""
         found = {}
@@ -99,9 +109,15 @@
 
     def commit(self, checks: Sequence[Check], writes: Sequence[Write]) -> int:
         """Write own rows in one transaction if all checks hold; see `Table`."""
+        era = self.era
+        try:
+            versions = [self._era.decode_version(check.version) for check in checks]
+        except StoreLapsed as exc:
+            raise TableConflict([check.key for check in checks]) from exc
         body = {
             "expectedRevision": [
-                {**_encode_key(check.key), "ver": check.version} for check in checks
+                {**_encode_key(check.key), "ver": version}
+                for check, version in zip(checks, versions, strict=True)
             ],
             "puts": [
                 {
@@ -114,15 +130,20 @@
             "remove": [_encode_key(w.key) for w in writes if w.value is None],
         }
         try:
-            status, response = self._client.call("POST", "/rows-tx", body)
+            response = self._client.call("POST", "/rows-tx", body)
         except CallRefused as exc:
             raise TableUnavailable(str(exc)) from exc
         except CallLost as exc:
             raise TableUncertain(str(exc)) from exc
-        if status == CONFLICT:
+        response_era = self._observe_era(response)
+        if response.status == CONFLICT:
             raise TableConflict([check.key for check in checks])
-        _raise_unless_ok(status)
-        return int(response["ver"])
+        _raise_unless_ok(response.status)
+        if (checks and response_era != era) or response_era < self.era:
+            # Either the checks compared versions of another era, or the store may have
+            # lost the commit since.
+            raise TableUncertain("the store came back from an older copy meanwhile")
+        return self._era.encode_version(int(response.body["ver"]))
 
     def snapshot(self, table: str) -> Changes:
         """Return all rows of a table; see `Feed`."""
@@ -131,8 +152,12 @@
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version; see `Feed`."""
-        query = {"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)}
-        response = self._read(self._feed_client, "/rows-feed", query)
+        query = {
+            "table": table,
+            "after": self._era.decode_version(after),
+            "waitMs": int(wait_s * MS_PER_S),
+        }
+        response = self._wait_for_changes(query)
         rows, deleted = {}, {}
         for row in response["rows"]:
             if row.get("tombstone"):
@@ -140,8 +165,31 @@
                 deleted[row["key"]] = None
             else:
                 deleted.pop(row["key"], None)
-                rows[row["key"]] = _decode_row(row)
-        return Changes(list(rows.values()), list(deleted), int(response["ver"]))
+                rows[row["key"]] = self._decode_row(row)
+        version = self._era.encode_version(int(response["ver"]))
+        return Changes(list(rows.values()), list(deleted), version)
+
+    def _wait_for_changes(self, query: Mapping[str, Any]) -> Any:
+        """Call the feed; stop waiting as soon as another response names a new era."""
+        era, ended = self.era, self._era.ended
+        call = gevent.spawn(self._read_or_error, self._feed_client, "/rows-feed", query)
+        try:
+            gevent.wait([call, ended], count=1)
+        finally:
+            call.kill()
+        if ended.is_set():
+            raise StoreLapsed(f"the store came back from an older copy in era {era}")
+        if isinstance(call.value, TableError):
+            raise call.value
+        return call.value
+
+    def _read_or_error(
+        self, client: UnpooledClient, path: str, query: Mapping[str, Any]
+    ) -> Any:
+        try:
+            return self._read(client, path, query)
+        except TableError as exc:
+            return exc
 
     def _read_range(self, table: str, query: dict[str, str]) -> tuple[list[Row], int]:
         rows: list[Row] = []
@@ -150,21 +198,35 @@
         version = None
         while True:
             response = self._read(self._client, "/rows-get", params)
-            rows += [_decode_row(row) for row in response["rows"]]
+            rows += [self._decode_row(row) for row in response["rows"]]
             # Later pages may contain newer rows. Following changes from the first
             # page's version repeats some of these and misses none.
-            version = int(response["ver"]) if version is None else version
+            if version is None:
+                era = self.era
+                version = self._era.encode_version(int(response["ver"]))
+            if self.era != era:
+                raise TableUnavailable("the store came back from an older copy")
             if not response.get("hasMore"):
                 return rows, version
             params["from"] = rows[-1].key + "\0"
 
     def _read(self, client: UnpooledClient, path: str, query: Mapping[str, Any]) -> Any:
         try:
-            status, response = client.call("GET", f"{path}?{urlencode(query)}")
+            response = client.call("GET", f"{path}?{urlencode(query)}")
         except (CallRefused, CallLost) as exc:
             raise TableUnavailable(str(exc)) from exc
-        _raise_unless_ok(status)
-        return response
+        era = self._observe_era(response)
+        _raise_unless_ok(response.status)
+        if era < self.era:
+            raise TableUnavailable(f"the response is of era {era}, before {self.era}")
+        return response.body
+
+    def _observe_era(self, response: JsonResponse) -> int:
+        return self._era.observe(response.headers.get(ERA_HEADER, ""))
+
+    def _decode_row(self, row: Mapping[str, Any]) -> Row:
+        version = self._era.encode_version(int(row["ver"]))
+        return Row(row["key"], base64.b64decode(row["value"]), version)
 
 
 def table_of(key: str) -> str:
@@ -194,7 +256,3 @@
 
 def _encode_key(key: str) -> dict[str, str]:
     return {"table": table_of(key), "part": "", "key": key}
-
-
-def _decode_row(row: Mapping[str, Any]) -> Row:
-    return Row(row["key"], base64.b64decode(row["value"]), int(row["ver"]))
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -1,6 +1,8 @@
 """HTTP client for JSON that sends each request once, on a connection of its own."""
 
 import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -13,6 +15,25 @@
 JSON = "application/json"
 
 
+@dataclass(slots=True, frozen=True)
+class JsonResponse:
+    """Hold a complete response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : mapping of str to str
+        Headers by lower-case name.
+    body : Any
+        Decoded JSON; None if the body is empty or of another content type.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: Any
+
+
 class UnpooledClient:
     """Send JSON requests to one address without a connection pool.
 
@@ -41,8 +62,8 @@
         self._port = port
         self._timeout_s = timeout_s
 
-    def call(self, method: str, target: str, body: Any = None) -> tuple[int, Any]:
-        """Send a request and return status and decoded body of the response.
+    def call(self, method: str, target: str, body: Any = None) -> JsonResponse:
+        """Send a request and return the response.
 
         Parameters
         ----------
@@ -55,10 +76,7 @@
 
         Returns
         -------
-        status : int
-            HTTP status.
-        body : Any
-            Decoded JSON; None if the body is empty or of another content type.
+        JsonResponse
 
         Raises
         ------
@@ -70,9 +88,10 @@
         parser, data = self._exchange(method, target, body)
         is_json = parser.header("content-type").startswith(JSON)
         try:
-            return parser.status, orjson.loads(data) if is_json and data else None
+            decoded = orjson.loads(data) if is_json and data else None
         except orjson.JSONDecodeError as exc:
             raise CallLost(f"the response body is invalid JSON: {exc}") from exc
+        return JsonResponse(parser.status, _by_lower_name(parser.headers), decoded)
 
     def head(self, target: str) -> dict[str, str]:
         """Send a GET and return the response headers by lower-case name.
@@ -92,7 +111,7 @@
             As in `call`.
         """
         parser, _ = self._exchange("GET", target, None)
-        return {name.lower(): value for name, value in parser.headers}
+        return _by_lower_name(parser.headers)
 
     def _exchange(
         self, method: str, target: str, body: Any
@@ -116,3 +135,7 @@
             raise CallLost(repr(exc)) from exc
         finally:
             exchange.close()
+
+
+def _by_lower_name(headers: Sequence[Header]) -> dict[str, str]:
+    return {name.lower(): value for name, value in headers}
--- a/toucanspool/recovery/election.py
+++ b/toucanspool/recovery/election.py
@@ -15,12 +15,19 @@
 )
 
 DUTY_PREFIX = "duty/"
+# Each era of the table has its own range of tokens, above those of earlier eras. So a
+# token that was issued by a commit that the table has lost is never issued again.
+TOKENS_PER_ERA = 1 << 20
 
 _log = structlog.get_logger()
 
 
 def current_token(table: Table, duty: str) -> int:
-    """Return the token of a duty's holder; 0 before the first election.
+    """Return the lowest token of which a duty's holder may be sure.
+
+    This is the token of the last election. If the table has lost commits since, that
+    election may not be the last one, and only holders that are elected in the new era
+    are sure.
 
     Parameters
     ----------
@@ -39,7 +46,8 @@
         The table did not answer.
     """
     key = DUTY_PREFIX + duty
-    return _read_election(table.get([key]).get(key)).token
+    last = _read_election(table.get([key]).get(key))
+    return max(last.token, table.era * TOKENS_PER_ERA)
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,7 +92,7 @@
     try:
         row = table.get([key]).get(key)
         last = _read_election(row)
-        token = max(last.token, above) + 1
+        token = max(last.token, above, table.era * TOKENS_PER_ERA) + 1
         value = orjson.dumps({"holder": holder, "token": token})
         check = Check(key, row.version if row else 0)
         table.commit([check], [Write(key, value)])
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -20,6 +20,13 @@
     """Report that the store no longer keeps the changes after a version."""
 
 
+class StoreLapsed(HistoryGone):
+    """Report that the store came back from an older copy of itself.
+
+    Rows may be missing or outdated until their writers have written them again.
+    """
+
+
 @dataclass(slots=True, frozen=True)
 class Changes:
     """Hold changed rows and the version that a reader has after applying them.
@@ -105,12 +112,16 @@
         all the time.
     rng : random.Random
         Source of the retry jitter.
+    on_regained : callable, optional
+        Called when the store is back after an outage or from an older copy of itself,
+        before the first rows that it returns are passed on.
     """
 
     __slots__ = (
         "_feed",
         "_greenlet",
         "_on_changes",
+        "_on_regained",
         "_on_snapshot",
         "_pause_s",
         "_reachable",
@@ -130,8 +141,10 @@
         wait_s: float,
         pause_s: float = 0.0,
         rng: random.Random,
+        on_regained: Callable[[], None] = lambda: None,
     ) -> None:
         self._feed = feed
+        self._on_regained = on_regained
         self._table = table
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
@@ -165,10 +178,16 @@
         try:
             if self._version is None:
                 changes = self._feed.snapshot(self._table)
+                self._mark_reachable(changes)
                 self._on_snapshot(changes)
             else:
                 changes = self._feed.changes(self._table, self._version, self._wait_s)
+                self._mark_reachable(changes)
                 self._on_changes(changes)
+        except StoreLapsed as exc:
+            self._mark_unreachable(exc)
+            self._version = None
+            return False
         except HistoryGone:
             _log.warning("history gone", table=self._table, after=self._version)
             self._version = None
@@ -177,9 +196,6 @@
             self._mark_unreachable(exc)
             return False
         self._version = changes.version
-        if not self._reachable:
-            self._reachable = True
-            _log.info("store regained", table=self._table, version=changes.version)
         return True
 
     def _run(self) -> None:
@@ -189,6 +205,12 @@
             else:
                 gevent.sleep(MEAN_RETRY_S * self._rng.uniform(0.5, 1.5))
 
+    def _mark_reachable(self, changes: Changes) -> None:
+        if not self._reachable:
+            self._reachable = True
+            self._on_regained()
+            _log.info("store regained", table=self._table, version=changes.version)
+
     def _mark_unreachable(self, exc: TableError) -> None:
         if self._reachable:
             self._reachable = False
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -4,7 +4,8 @@
 from collections.abc import Collection
 
 from toucanspool.retries.ejection import Ejector
-from toucanspool.routing.upstreams import Upstream, UpstreamList
+from toucanspool.routing.upstream import Upstream
+from toucanspool.routing.upstreams import UpstreamList
 
 # Extra load, in requests, counted for an upstream in another failure domain.
 CROSS_DOMAIN_LOAD = 0.25
@@ -59,6 +60,24 @@
         """
         self._tie_offset = offset
 
+    def next_available_s(self, service: str, now: float) -> float:
+        """Return the time until a ready upstream wants requests again, in seconds.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        float
+            0 if an upstream wants requests now, or none is ready.
+        """
+        waits = [u.paused_until - now for u in self._upstreams.ready(service)]
+        return max(0.0, min(waits, default=0.0))
+
     def choose(
         self, service: str, tried: Collection[str], now: float, *, prefer_local: bool
     ) -> Upstream | None:
@@ -79,8 +98,8 @@
         -------
         Upstream or None
         """
-        ready = self._upstreams.ready(service)
-        untried = [upstream for upstream in ready if upstream.name not in tried]
+        available = self._upstreams.available(service, now)
+        untried = [upstream for upstream in available if upstream.name not in tried]
         usable = [
             (self._ejector.weight(upstream.name, now), position, upstream)
             for position, upstream in enumerate(untried)
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -1,125 +1,50 @@
-"""The upstreams known to one entry and their load."""
+"""The list of upstreams that is known to one entry."""
 
 import math
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
 
 import structlog
 
-# Time constant by which a reported load decays.
-REPORT_DECAY_S = 1.0
+from toucanspool.routing.upstream import Listing, Upstream
+
+# Upstreams that a list misses right after an outage of its store are kept for this
+# long. The platform promises that live ones are listed again within that time.
+RELIST_GRACE_S = 2.0
+# A store that came back from an older copy may list upstreams that had left. It drops
+# them after three missed heartbeats, within this time.
+STALE_LISTING_S = 5.0
+# Upstreams that are gone are remembered for this long, in case they are listed again.
+MEMORY_S = 60.0
 
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
-class Listing:
-    """Hold one record of the upstream list.
-
-    Parameters
-    ----------
-    name : str
-        Name of the upstream instance.
-    service : str
-        Name of the service that it runs.
-    host : str
-        IP address.
-    port : int
-        TCP port.
-    failure_domain : str
-        Failure domain that it runs in.
-    ready : bool
-        Whether it accepts new requests; False while it drains.
-    slots : int
-        Requests that it runs concurrently.
-    started_ms : int
-        Start time by its own clock, in Unix milliseconds; 0 if unknown. A change
-        means that the upstream has restarted.
-    """
+class UpstreamList:
+    """Hold the upstreams of all services by name.
 
-    name: str
-    service: str
-    host: str
-    port: int
-    failure_domain: str = ""
-    ready: bool = True
-    slots: int = 1
-    started_ms: int = 0
-
-    @property
-    def address(self) -> str:
-        """Return the address as ``HOST:PORT``."""
-        return f"{self.host}:{self.port}"
-
-
-class Upstream:
-    """Track the load of one upstream.
-
-    Parameters
-    ----------
-    listing : Listing
-        Record of the upstream list.
-
-    Attributes
-    ----------
-    listing : Listing
-        Latest record of the upstream list.
-    in_flight : int
-        Unfinished calls of this entry.
+    The list comes from a store that may lose entries while it is away, or come back
+    from an older copy. So entries that are missing right after an outage are kept for
+    a grace period, and an upstream that has left returns only once it is listed again
+    after that.
     """
 
-    __slots__ = ("_other_requests", "_reported_at", "in_flight", "listing")
-
-    def __init__(self, listing: Listing) -> None:
-        self.listing = listing
-        self.in_flight = 0
-        self._other_requests = 0.0
-        self._reported_at = -math.inf
-
-    @property
-    def name(self) -> str:
-        """Return the upstream's name."""
-        return self.listing.name
-
-    def report_load(self, running: int, waiting: int, now: float) -> None:
-        """Update the load from a reply's headers.
-
-        Parameters
-        ----------
-        running, waiting : int
-            Requests of all entries.
-        now : float
-            Seconds on the monotonic clock.
-        """
-        self._other_requests = float(max(0, running + waiting - self.in_flight))
-        self._reported_at = now
-
-    def load(self, now: float) -> float:
-        """Return the estimated number of requests at the upstream.
-
-        The reported requests of other entries decay with the report's age.
-
-        Parameters
-        ----------
-        now : float
-            Seconds on the monotonic clock.
-
-        Returns
-        -------
-        float
-        """
-        age_s = now - self._reported_at
-        return self.in_flight + self._other_requests * math.exp(-age_s / REPORT_DECAY_S)
-
-
-class UpstreamList:
-    """Hold the upstreams of all services by name."""
-
-    __slots__ = ("_by_name", "_slowdowns", "version")
+    __slots__ = (
+        "_by_name",
+        "_departed",
+        "_grace_until",
+        "_missing",
+        "_slowdowns",
+        "_stale",
+        "version",
+    )
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
         self._slowdowns: dict[str, float] = {}
+        self._grace_until = -math.inf
+        self._missing: set[str] = set()
+        self._departed: dict[tuple[str, int], tuple[float, Upstream]] = {}
+        self._stale: dict[str, tuple[float, Listing]] = {}
         self.version = 0
 
     def __len__(self) -> int:
@@ -151,7 +76,17 @@
         """Return the factor by which requests on an upstream take longer."""
         return self._slowdowns.get(upstream.name, 1.0)
 
-    def replace(self, listings: Iterable[Listing], version: int) -> None:
+    def store_regained(self, now: float) -> None:
+        """Keep missing upstreams for a grace period, since the store was away.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        self._grace_until = now + RELIST_GRACE_S
+
+    def replace(self, listings: Iterable[Listing], version: int, *, now: float) -> None:
         """Replace the list.
 
         Parameters
@@ -160,15 +95,23 @@
             All upstreams.
         version : int
             Version of the list.
+        now : float
+            Seconds on the monotonic clock.
         """
         by_name = {listing.name: listing for listing in listings}
         for name in self._by_name.keys() - by_name.keys():
-            self._remove(name, version)
+            self._remove(name, version, now)
         for listing in by_name.values():
-            self._put(listing, version)
+            departed = (listing.name, listing.started_ms) in self._departed
+            if departed and now < self._grace_until:
+                self._stale[listing.name] = now + STALE_LISTING_S, listing
+            else:
+                self._put(listing, version)
         self.version = version
 
-    def change(self, changes: Mapping[str, Listing | None], version: int) -> None:
+    def change(
+        self, changes: Mapping[str, Listing | None], version: int, *, now: float
+    ) -> None:
         """Apply changes of the list.
 
         Parameters
@@ -177,16 +120,42 @@
             Records by name; None removes an upstream.
         version : int
             Version of the list.
+        now : float
+            Seconds on the monotonic clock.
         """
         for name, listing in changes.items():
+            self._stale.pop(name, None)
             if listing is None:
-                self._remove(name, version)
+                self._remove(name, version, now)
             else:
                 self._put(listing, version)
         self.version = version
 
+    def expire(self, now: float) -> bool:
+        """End grace periods that are over; return whether the list has changed.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        bool
+        """
+        missing = sorted(self._missing) if now >= self._grace_until else []
+        for name in missing:
+            self._remove(name, self.version, now)
+        relisted = [n for n, (until, _) in self._stale.items() if now >= until]
+        for name in relisted:
+            self._put(self._stale.pop(name)[1], self.version)
+        for incarnation, (gone_at, _) in list(self._departed.items()):
+            if now >= gone_at + MEMORY_S:
+                del self._departed[incarnation]
+        return bool(missing or relisted)
+
     def ready(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that accept requests, sorted by name.
+        """Return the upstreams of a service that are not leaving, sorted by name.
 
         Parameters
         ----------
@@ -200,33 +169,61 @@
         upstreams = [
             upstream
             for upstream in self._by_name.values()
-            if upstream.listing.service == service and upstream.listing.ready
+            if upstream.listing.service == service and not upstream.leaving
         ]
         upstreams.sort(key=lambda upstream: upstream.name)
         return upstreams
 
+    def available(self, service: str, now: float) -> list[Upstream]:
+        """Return the ready upstreams of a service that want requests now.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        list of Upstream
+        """
+        return [u for u in self.ready(service) if u.paused_until <= now]
+
     def _put(self, listing: Listing, version: int) -> None:
+        self._missing.discard(listing.name)
         known = self._by_name.get(listing.name)
         if known is None or known.listing.started_ms != listing.started_ms:
-            self._by_name[listing.name] = Upstream(listing)
-            _log.info(
-                "upstream listed",
-                upstream=listing.name,
-                service=listing.service,
-                address=listing.address,
-                ready=listing.ready,
-                version=version,
-            )
+            self._add(listing, version)
             return
-        if known.listing.ready != listing.ready:
-            _log.info(
-                "upstream changed",
-                upstream=listing.name,
-                ready=listing.ready,
-                version=version,
-            )
+        if not listing.ready and not known.leaving:
+            known.leaving = True
+            _log.info("upstream draining", upstream=listing.name, version=version)
         known.listing = listing
 
-    def _remove(self, name: str, version: int) -> None:
-        if self._by_name.pop(name, None) is not None:
-            _log.info("upstream gone", upstream=name, version=version)
+    def _add(self, listing: Listing, version: int) -> None:
+        _, upstream = self._departed.pop(
+            (listing.name, listing.started_ms), (0.0, Upstream(listing))
+        )
+        upstream.listing = listing
+        upstream.leaving = upstream.leaving or not listing.ready
+        self._by_name[listing.name] = upstream
+        _log.info(
+            "upstream listed",
+            upstream=listing.name,
+            service=listing.service,
+            address=listing.address,
+            ready=not upstream.leaving,
+            version=version,
+        )
+
+    def _remove(self, name: str, version: int, now: float) -> None:
+        if name not in self._by_name:
+            return
+        if now < self._grace_until:
+            self._missing.add(name)
+            return
+        self._missing.discard(name)
+        upstream = self._by_name.pop(name)
+        self._departed[upstream.incarnation] = now, upstream
+        _log.info("upstream gone", upstream=name, version=version)
