Read the counts of a large group in turn, and give bulk messages time to arrive

The counts of 64 ranks (12 sets of 256 experts, 196 KB) take 0.5 s over a coordinator's link of 3 Mbit/s, and a rank agent's answer was awaited for 0.3 s.

Ruled out: the time to plan (0.12 s for 64 ranks, 12 sets, 256 experts).

Change: each read asks as many ranks for counts as half of the link carries in 0.2 s, in turn; the timeout of counts and maps grows with the bytes sent at once. A shift of demand must exceed twice what successive counts move on average, since counts of a few ranks vary more.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -36,7 +36,7 @@
         self._engine = engine
         self._crash_point = crash_point
 
-    def send(self, request: RankAsk) -> RankAnswer:
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
         """Return the engine's answer, or raise `CoordinatorCrashed`."""
         self._crash_point.count()
         gevent.sleep(0)
--- a/tests/groups/test_demand.py
+++ b/tests/groups/test_demand.py
@@ -67,3 +67,27 @@
     mixed = usual * rng.uniform(0.7, 1.3, usual.shape)
     demand.add(mixed, 1.0)
     assert not np.allclose(demand.shares, mixed / mixed.sum(), atol=1e-4)
+
+
+def test_counts_of_a_few_ranks_at_a_time_are_no_shift_though_they_vary():
+    rng = np.random.default_rng(1)
+    demand = Demand()
+    usual = rng.uniform(500.0, 1500.0, (1, 64))
+    for tick in range(30):
+        demand.add(usual * rng.lognormal(0.0, 0.4, usual.shape), tick * 0.2)
+    error = np.abs(demand.shares - usual / usual.sum()).sum() / 2.0
+    assert error < 0.1
+
+
+def test_a_shift_shows_within_half_a_second_though_counts_vary():
+    rng = np.random.default_rng(1)
+    demand = Demand()
+    usual = rng.uniform(500.0, 1500.0, (1, 64))
+    for tick in range(20):
+        demand.add(usual * rng.lognormal(0.0, 0.3, usual.shape), tick * 0.2)
+    shifted = np.roll(usual, 7)
+    shifted[0, 3] += 40000.0
+    for tick in range(20, 23):
+        demand.add(shifted * rng.lognormal(0.0, 0.3, usual.shape), tick * 0.2)
+    error = np.abs(demand.shares - shifted / shifted.sum()).sum() / 2.0
+    assert error < 0.15
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -10,7 +10,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from tests.limits.test_adaptive_limit import ENGINE
-from toucanspool.groups import armed_switch, map_coordinator
+from toucanspool.groups import armed_switch, count_reader
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import NoAnswer
@@ -40,7 +40,7 @@
         self.unreachable = False
         self.actions: list[int] = []
 
-    def send(self, request: RankAsk) -> RankAnswer:
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
         """Return the engine's answer, or raise `NoAnswer`."""
         gevent.sleep(0)
         self.actions.append(request.action)
@@ -125,7 +125,7 @@
 
 
 def test_counts_are_read_while_copies_are_made(monkeypatch):
-    monkeypatch.setattr(map_coordinator, "COUNT_INTERVAL_S", 0.002)
+    monkeypatch.setattr(count_reader, "INTERVAL_S", 0.002)
     # The switch must take longer than the interval between two reads of counts.
     monkeypatch.setattr(armed_switch, "POLL_INTERVAL_S", 0.02)
     world = World()
@@ -226,7 +226,7 @@
         coordinator.run_once(world.links)
     current = send_now(RankAsk(action=RankAction.STATUS, group=GROUP, token=1, epoch=1))
 
-    def send_outdated(request: RankAsk) -> RankAnswer:
+    def send_outdated(request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
         answer = send_now(request)
         if request.action in (RankAction.STATUS, RankAction.COUNTS):
             answer.armed, answer.map_version = UNSET, current.map_version
--- a/toucanspool/groups/demand.py
+++ b/toucanspool/groups/demand.py
@@ -10,6 +10,11 @@
 # Fraction of a set's demand that must have moved to other experts before the older
 # counts are discarded. It exceeds what the mix of requests moves.
 SHIFT_FRACTION = 0.2
+# A shift must also move this multiple of what successive counts move on average, which
+# is much where counts come from a few ranks at a time.
+SHIFT_FACTOR = 2.0
+# Weight of the newest counts in that average.
+VARIATION_WEIGHT = 0.2
 # With fewer counts in a set, chance alone moves about a tenth of them.
 MIN_SHIFT_COUNTS = 2000.0
 # With fewer counts the estimate is too noisy to plan by.
@@ -30,7 +35,13 @@
         Fraction of a set's demand that must have moved to discard its sum, 0 to 1.
     """
 
-    __slots__ = ("_half_life_s", "_shift_fraction", "_sum", "_updated_at")
+    __slots__ = (
+        "_half_life_s",
+        "_shift_fraction",
+        "_sum",
+        "_updated_at",
+        "_variation",
+    )
 
     def __init__(
         self,
@@ -42,6 +53,7 @@
         self._shift_fraction = shift_fraction
         self._sum: FloatArray | None = None
         self._updated_at = 0.0
+        self._variation: FloatArray | None = None
 
     @property
     def ready(self) -> bool:
@@ -72,6 +84,7 @@
         """
         if self._sum is None or self._sum.shape != counts.shape:
             self._sum = np.zeros(counts.shape)
+            self._variation = np.zeros(counts.shape[0])
         else:
             self._sum *= 0.5 ** ((now - self._updated_at) / self._half_life_s)
             self._sum[self._shifted(self._sum, counts)] = 0.0
@@ -80,9 +93,15 @@
 
     def _shifted(self, before: FloatArray, counts: FloatArray) -> np.ndarray:
         """Return the mask of sets whose demand has shifted, of shape (sets,)."""
+        assert self._variation is not None
         distance = np.abs(_normalized(before) - _normalized(counts)).sum(axis=1) / 2.0
         enough = counts.sum(axis=1) >= MIN_SHIFT_COUNTS
-        return enough & (distance > self._shift_fraction)
+        enough &= before.sum(axis=1) > 0.0
+        threshold = np.maximum(self._shift_fraction, SHIFT_FACTOR * self._variation)
+        shifted = enough & (distance > threshold)
+        usual = enough & ~shifted
+        self._variation[usual] += VARIATION_WEIGHT * (distance - self._variation)[usual]
+        return shifted
 
 
 def _normalized(counts: FloatArray) -> FloatArray:
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -1,8 +1,8 @@
 """Requests of a coordinator to all ranks of its group, with its fencing token."""
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Collection, Iterable, Mapping
 from copy import copy
-from typing import Protocol
 
 import gevent
 import numpy as np
@@ -11,7 +11,7 @@
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.rank_arrays import MAP_DTYPE, unpack_map
-from toucanspool.groups.rank_calls import NoAnswer
+from toucanspool.groups.rank_calls import NoAnswer, RankLink
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import (
@@ -22,22 +22,12 @@
 )
 
 INITIAL_MAP_VERSION = 0
+# Share of the coordinator's link for one set of messages, since several overlap.
+LINK_SHARE = 0.5
 
 _log = structlog.get_logger()
 
 
-class RankLink(Protocol):
-    """Send requests to one rank."""
-
-    def send(self, request: RankAsk) -> RankAnswer:
-        """Send a request to the rank's agent; raise `NoAnswer` if it gets none."""
-        ...
-
-    def send_to_engine(self, request: RankAsk) -> RankAnswer:
-        """Send a request directly to the rank's engine, or raise `NoAnswer`."""
-        ...
-
-
 class Replaced(Exception):
     """Report that another coordinator has been elected."""
 
@@ -78,22 +68,36 @@
         Fencing token from the coordinator's election.
     links : mapping of int to RankLink
         Links to the group's ranks, by rank.
+    link_bits_per_s : float, default=inf
+        Bandwidth of the coordinator's network link.
     """
 
-    __slots__ = ("_links", "group", "token")
+    __slots__ = ("_link_bits_per_s", "_links", "group", "token")
 
-    def __init__(self, group: str, token: int, links: Mapping[int, RankLink]) -> None:
+    def __init__(
+        self,
+        group: str,
+        token: int,
+        links: Mapping[int, RankLink],
+        *,
+        link_bits_per_s: float = math.inf,
+    ) -> None:
         self.group = group
         self.token = token
         self._links = links
+        self._link_bits_per_s = link_bits_per_s
 
-    def fetch_statuses(self, *, counts: bool = False) -> dict[int, RankAnswer]:
+    def fetch_statuses(
+        self, *, counted: Collection[int] = (), count_bytes: int = 0
+    ) -> dict[int, RankAnswer]:
         """Return the status of each rank that can be reached.
 
         Parameters
         ----------
-        counts : bool, default=False
-            Whether the answers include expert counts.
+        counted : collection of int, optional
+            Ranks whose answers include expert counts.
+        count_bytes : int, default=0
+            Size of the counts of one rank.
 
         Returns
         -------
@@ -104,9 +108,14 @@
         Replaced
             Another coordinator has been elected.
         """
-        action = RankAction.COUNTS if counts else RankAction.STATUS
+        transfer_s = self._transfer_s(count_bytes * len(counted))
         tasks = {
-            rank: gevent.spawn(self._fetch_status, link, action)
+            rank: gevent.spawn(
+                self._fetch_status,
+                link,
+                RankAction.COUNTS if rank in counted else RankAction.STATUS,
+                transfer_s,
+            )
             for rank, link in self._links.items()
         }
         gevent.joinall(list(tasks.values()))
@@ -121,7 +130,13 @@
         return answers
 
     def send(
-        self, rank: int, request: RankAsk, epoch: int, *, bypass_agent: bool = False
+        self,
+        rank: int,
+        request: RankAsk,
+        epoch: int,
+        *,
+        bypass_agent: bool = False,
+        transfer_s: float = 0.0,
     ) -> RankAnswer:
         """Send a request to one rank and return the answer.
 
@@ -135,6 +150,8 @@
             The group's epoch. The engine refuses orders of another epoch.
         bypass_agent : bool, default=False
             Whether the request goes directly to the rank's engine.
+        transfer_s : float, default=0.0
+            Time that the network needs for requests sent at the same time, in seconds.
 
         Returns
         -------
@@ -151,7 +168,10 @@
         """
         request.group, request.token, request.epoch = self.group, self.token, epoch
         link = self._links[rank]
-        answer = link.send_to_engine(request) if bypass_agent else link.send(request)
+        if bypass_agent:
+            answer = link.send_to_engine(request)
+        else:
+            answer = link.send(request, transfer_s=transfer_s)
         self._check_token(answer)
         if answer.rank == UNSET:
             raise NoAnswer(answer.detail)
@@ -183,9 +203,13 @@
         Replaced, GroupChanged
             As for `send`.
         """
+        targets = list(ranks)
+        transfer_s = self._transfer_s(len(request.experts or b"") * len(targets))
         tasks = {
-            rank: gevent.spawn(self._send_or_error, rank, copy(request), epoch)
-            for rank in ranks
+            rank: gevent.spawn(
+                self._send_or_error, rank, copy(request), epoch, transfer_s
+            )
+            for rank in targets
         }
         gevent.joinall(list(tasks.values()))
         answers = {}
@@ -246,21 +270,26 @@
             copies.held[:, rank, :] = ~copies.held.any(axis=1)
         return copies
 
-    def _fetch_status(self, link: RankLink, action: int) -> RankAnswer | None:
+    def _transfer_s(self, n_bytes: int) -> float:
+        return 8.0 * n_bytes / (LINK_SHARE * self._link_bits_per_s)
+
+    def _fetch_status(
+        self, link: RankLink, action: int, transfer_s: float
+    ) -> RankAnswer | None:
         request = RankAsk(
             action=action, group=self.group, token=self.token, epoch=UNSET
         )
         try:
-            return link.send(request)
+            return link.send(request, transfer_s=transfer_s)
         except NoAnswer as exc:
             _log.info("rank agent did not answer", group=self.group, error=str(exc))
             return None
 
     def _send_or_error(
-        self, rank: int, request: RankAsk, epoch: int
+        self, rank: int, request: RankAsk, epoch: int, transfer_s: float
     ) -> RankAnswer | Replaced | GroupChanged | None:
         try:
-            return self.send(rank, request, epoch)
+            return self.send(rank, request, epoch, transfer_s=transfer_s)
         except NoAnswer:
             return None
         except (Replaced, GroupChanged) as exc:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -1,26 +1,22 @@
 """Coordinator of one lock-step group; adapts the expert map to demand."""
 
 import time
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping
 
-import gevent
 import numpy as np
 import structlog
 
 from toucanspool.groups.armed_switch import PASSES_AHEAD, ArmedSwitch, SwitchEnd
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.copy_search import CopySearch
-from toucanspool.groups.demand import Demand
+from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.group_client import (
     GroupChanged,
     GroupClient,
     RankLink,
-    Replaced,
     is_fully_armed,
 )
-from toucanspool.groups.rank_arrays import COUNT_DTYPE, unpack_counts
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -38,14 +34,10 @@
 COPY_BUDGET_S = 0.2
 MIN_COPY_S = 0.02
 MIN_COPY_GAIN = 0.01
-# Share of the bandwidth of the coordinator's instance that expert counts may use.
-COUNTS_LINK_SHARE = 0.5
 # The smallest decrease of skew that is worth the copies, for a group whose engines are
 # full and for an idle one, in which skew affects callers less.
 MIN_SKEW_GAIN = 0.1
 IDLE_MIN_SKEW_GAIN = 0.2
-# Interval between reads of expert counts during a switch.
-COUNT_INTERVAL_S = 0.2
 # Timeout of copies: the time expected at the rate of the link times a factor, plus a
 # margin.
 COPY_TIMEOUT_FACTOR = 2.0
@@ -76,8 +68,7 @@
     __slots__ = (
         "_passes_ahead",
         "_copies",
-        "_counts_due_at",
-        "_demand",
+        "_counts",
         "_engine",
         "_group",
         "_link_bits_per_s",
@@ -100,14 +91,13 @@
     ) -> None:
         self._previous_rank = previous_rank
         self._link_bits_per_s = link_bits_per_s
-        self._counts_due_at = 0.0
         self._passes_ahead = PASSES_AHEAD
         self._states_current_at = 0.0
         self._group = group
         self._token = token
         self._own_rank = own_rank
         self._engine = engine
-        self._demand = Demand()
+        self._counts = CountReader(link_bits_per_s)
         self._version = UNSET
         self._copies: ExpertCopies | None = None
 
@@ -125,13 +115,15 @@
             Another coordinator has been elected.
         """
         engine = self._engine()
-        counts = engine is not None and time.monotonic() >= self._counts_due_at
-        client = GroupClient(self._group, self._token, links)
-        answers = client.fetch_statuses(counts=counts)
-        if engine is None or not answers:
+        client = GroupClient(
+            self._group, self._token, links, link_bits_per_s=self._link_bits_per_s
+        )
+        if engine is None:
+            client.fetch_statuses()
+            return
+        answers = self._counts.fetch(client, links, engine)
+        if not answers:
             return
-        if counts:
-            self._count(answers, engine)
         if not self._can_act(answers):
             return
         first = next(iter(answers.values()))
@@ -184,9 +176,9 @@
         engine: EngineModel,
     ) -> None:
         assert self._copies is not None
-        if not self._demand.ready:
+        if not self._counts.demand.ready:
             return
-        demand = self._demand.shares
+        demand = self._counts.demand.shares
         slowdowns = np.array([answers[rank].pace for rank in sorted(answers)])
         per_rank = max(1, round(COPY_BUDGET_S / max(engine.expert_copy_s, MIN_COPY_S)))
         copies = CopySearch(self._copies, demand, slowdowns).run(
@@ -217,7 +209,7 @@
             + COPY_TIMEOUT_MARGIN_S
         )
         try:
-            with self._counting(client, engine):
+            with self._counts.background(client, answers, engine):
                 outcome = switch.run(
                     version, planned.lists(), self._copies.lists(), timeout_s
                 )
@@ -258,39 +250,6 @@
         others_armed = all(answer.armed != UNSET for answer in answers.values())
         return held and missing == {self._previous_rank} and not others_armed
 
-    @contextmanager
-    def _counting(self, client: GroupClient, engine: EngineModel) -> Iterator[None]:
-        """Read counts in the background, so that the next plan uses current demand."""
-        task = gevent.spawn(self._count_demand, client, engine)
-        try:
-            yield
-        finally:
-            task.kill()
-
-    def _count_demand(self, client: GroupClient, engine: EngineModel) -> None:
-        while True:
-            pause_s = self._counts_due_at - time.monotonic()
-            gevent.sleep(max(COUNT_INTERVAL_S, pause_s))
-            try:
-                answers = client.fetch_statuses(counts=True)
-            except Replaced:
-                # The switch in progress gets the same answer and ends as well.
-                return
-            if answers:
-                self._count(answers, engine)
-
-    def _count(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
-        total = np.zeros((engine.layer_sets, engine.experts))
-        bits = 8 * COUNT_DTYPE().itemsize * total.size * len(answers)
-        pause_s = bits / (COUNTS_LINK_SHARE * self._link_bits_per_s)
-        self._counts_due_at = time.monotonic() + pause_s
-        for answer in answers.values():
-            unit = answer.picks_unit or 1.0
-            counts = unpack_counts(answer.picks or b"", unit, total.shape)
-            if counts is not None:
-                total += counts
-        self._demand.add(total, time.monotonic())
-
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
     running = sum(answer.running + answer.waiting for answer in answers.values())
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 import structlog
@@ -29,6 +30,21 @@
     """Report a request without an answer; it may be carried out, now or later."""
 
 
+class RankLink(Protocol):
+    """Send requests to one rank."""
+
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
+        """Send a request to the rank's agent; raise `NoAnswer` if it gets none.
+
+        The agent gets `transfer_s` seconds more to answer than usual.
+        """
+        ...
+
+    def send_to_engine(self, request: RankAsk) -> RankAnswer:
+        """Send a request directly to the rank's engine, or raise `NoAnswer`."""
+        ...
+
+
 class RankClient:
     """Send requests to the agent of one rank; implements `RankLink` and `Receiver`.
 
@@ -63,13 +79,16 @@
         self._calls = itertools.count(1)
         self._pending: dict[int, AsyncResult] = {}
 
-    def send(self, request: RankAsk) -> RankAnswer:
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
         """Send a request, directly to the engine if the agent does not answer.
 
         Parameters
         ----------
         request : RankAsk
             The request; its call number is set here.
+        transfer_s : float, default=0.0
+            Time that the network needs for the request, the answer and those of other
+            ranks at the same time, in seconds.
 
         Returns
         -------
@@ -83,7 +102,7 @@
         if time.monotonic() < self._bypass_until:
             return self.send_to_engine(request)
         try:
-            return self._send_to_agent(request, ANSWER_TIMEOUT_S)
+            return self._send_to_agent(request, ANSWER_TIMEOUT_S + transfer_s)
         except NoAnswer as exc:
             _log.info("rank agent did not answer", host=self._host, error=str(exc))
             self._bypass_until = time.monotonic() + AGENT_RETRY_S
@@ -146,7 +165,7 @@
     def __init__(self, fenced_engine: FencedEngine) -> None:
         self._fenced_engine = fenced_engine
 
-    def send(self, request: RankAsk) -> RankAnswer:
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
         """Execute a request; see `RankLink`."""
         return self._fenced_engine.answer(request)
 
