Call the store less: rank agents follow nothing until they coordinate

Change: a rank agent reads the configuration once and follows it only as coordinator; name and address come from its engine and its settings. Feeds wait for 30 s, the platform's longest. A gateway registers if its record is missing from the first list of records, so that a restart does not wake the readers of all records; a late deletion by an earlier process is undone.

--- a/tests/groups/test_rank_member.py
+++ b/tests/groups/test_rank_member.py
@@ -8,7 +8,6 @@
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.rank_member import RankMember
 from toucanspool.groups.rank_record import PREFIX, RankRecord
-from toucanspool.routing.upstream import Listing
 
 
 class FakeRankFeed:
@@ -37,13 +36,13 @@
 ) -> RankMember:
     group = PassGroup(3, random.Random(1))
     engine = group.engine(0)
-    listing = Listing(name="u0", service="s", host="10.0.0.1", port=80)
     return RankMember(
         "r0",
         "127.0.0.1",
         1,
         engine=engine,
-        find_listing=lambda: listing,
+        engine_address="10.0.0.1:80",
+        find_upstream=lambda: "u0",
         connect=lambda address: engine,
         fenced_engine=FencedEngine(engine),
         table=table or MemoryTable(),
@@ -72,7 +71,7 @@
     return {rank: link._host for rank, link in links.items() if rank}
 
 
-def test_a_rank_is_listed_once_its_engine_is():
+def test_a_rank_is_listed_once_the_name_of_its_engine_is_known():
     table = MemoryTable()
     member = make_member(table)
     member.watch()
--- a/tests/platform/test_registration.py
+++ b/tests/platform/test_registration.py
@@ -13,7 +13,7 @@
 def registered() -> tuple[MemoryTable, Registration]:
     table = MemoryTable()
     registration = Registration(table, EntryRecord("e1", "10.0.0.1:1", "10.0.0.1:2"))
-    registration.start()
+    registration.check([])
     gevent.sleep(0.01)
     return table, registration
 
@@ -45,3 +45,11 @@
     registration.check(table.scan(ENTRY_PREFIX))
     gevent.sleep(0.01)
     assert not table.get([KEY])
+
+
+def test_a_late_deletion_by_an_earlier_process_is_undone():
+    table, registration = registered()
+    table.commit([], [Write(KEY, None)])
+    registration.check_deleted([KEY])
+    gevent.sleep(0.01)
+    assert table.get([KEY])
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -16,7 +16,6 @@
 from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.election import current_token, elect
 from toucanspool.routing.routes import EngineModel
-from toucanspool.routing.upstream import Listing
 
 COORDINATION_INTERVAL_S = 0.2
 WATCH_INTERVAL_S = 0.5
@@ -59,8 +58,10 @@
         Port on which this rank agent accepts requests.
     engine : RankEngine
         The engine of this rank.
-    find_listing : callable
-        Returns the `Listing` of the engine, or None while it is not listed.
+    engine_address : str
+        Address of the engine, as ``HOST:PORT``.
+    find_upstream : callable
+        Returns the name of the engine as an upstream, or None while it is not known.
     connect : callable
         Takes the address of another rank's engine and returns a `RankEngine`.
     fenced_engine : FencedEngine
@@ -80,13 +81,13 @@
         "_coordinator",
         "_engine",
         "_engine_model",
-        "_find_listing",
+        "_engine_address",
+        "_find_upstream",
         "_host",
         "_fenced_engine",
         "_link_bits_per_s",
         "_links",
         "_rank_records",
-        "_listing",
         "_name",
         "_record",
         "_record_era",
@@ -95,6 +96,7 @@
         "_started_ms",
         "_stopping",
         "_table",
+        "_upstream",
     )
 
     def __init__(
@@ -104,7 +106,8 @@
         port: int,
         *,
         engine: RankEngine,
-        find_listing: Callable[[], Listing | None],
+        engine_address: str,
+        find_upstream: Callable[[], str | None],
         connect: Callable[[str], RankEngine],
         fenced_engine: FencedEngine,
         table: Table,
@@ -117,8 +120,9 @@
         self._host = host
         self._port = port
         self._engine = engine
-        self._find_listing = find_listing
-        self._listing: Listing | None = None
+        self._engine_address = engine_address
+        self._find_upstream = find_upstream
+        self._upstream: str | None = None
         self._started_ms = 0
         self._connect = connect
         self._fenced_engine = fenced_engine
@@ -140,12 +144,12 @@
             _log.info("engine did not answer", error=repr(exc))
             return
         try:
-            if self._listing is None or state.started_ms != self._started_ms:
-                self._listing = self._find_listing()
+            if self._upstream is None or state.started_ms != self._started_ms:
+                self._upstream = self._find_upstream()
                 self._started_ms = state.started_ms
-            if self._listing is None:
+            if self._upstream is None:
                 return
-            own = self._build_record(state, self._listing)
+            own = self._build_record(state, self._upstream)
             # A table that came back from an older copy may lack this rank's record.
             era = self._table.era
             if own == self._record and era == self._record_era:
@@ -214,7 +218,7 @@
         fenced_engine.restore(NO_TOKEN)
         return fenced_engine
 
-    def _build_record(self, state: RankState, listing: Listing) -> RankRecord:
+    def _build_record(self, state: RankState, upstream: str) -> RankRecord:
         before = self._record.pace if self._record else 1.0
         slowdown = before
         if abs(state.pace - before) > MIN_SLOWDOWN_CHANGE * before:
@@ -225,8 +229,8 @@
             port=self._port,
             group=state.group,
             rank=state.rank,
-            upstream=listing.name,
-            engine=listing.address,
+            upstream=upstream,
+            engine=self._engine_address,
             pace=slowdown,
         )
 
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -147,7 +147,6 @@
             ticker = Ticker(name, interval_s, func, rng=rng)
             ticker.start()
             self._closing.callback(ticker.stop)
-        self._registration.start()
         self._closing.callback(self._registration.stop)
 
     def reload(self, cfg: Settings) -> None:
@@ -253,6 +252,7 @@
             self._entries.put(row)
         for key in changes.deleted:
             self._entries.drop(key)
+        self._registration.check_deleted(changes.deleted)
 
     def _replace_ranks(self, changes: Changes) -> None:
         self._ranks.clear()
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -1,6 +1,7 @@
 """The rank agent role: controls the engine on its machine without network cost."""
 
 from contextlib import ExitStack
+from functools import partial
 
 import gevent
 
@@ -10,13 +11,11 @@
 from toucanspool.groups.rank_record import PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.platform import configuration, listings
+from toucanspool.platform import configuration
 from toucanspool.platform.engine import PlatformEngine
-from toucanspool.platform.listings import decode_listing
 from toucanspool.platform.store import RowStoreClient, table_of
 from toucanspool.recovery.feed import Changes, FeedFollower
 from toucanspool.routing.routes import EngineModel, RouteTable
-from toucanspool.routing.upstream import Listing
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.listener import Listener
 
@@ -51,6 +50,7 @@
         store = RowStoreClient(
             address.host, address.port, feed_wait_s=cfg.store.feed_wait_s
         )
+        follow = partial(FeedFollower, store, wait_s=cfg.store.feed_wait_s, rng=rng)
         engine = PlatformEngine(cfg.engine.host, cfg.engine.port)
         self._closing.callback(engine.close)
         fenced_engine = FencedEngine(engine)
@@ -59,20 +59,26 @@
             self._cfg.host,
             self._cfg.port,
             engine=engine,
-            find_listing=lambda: self._find_listing(store, engine),
+            engine_address=f"{cfg.engine.host}:{cfg.engine.port}",
+            find_upstream=lambda: self._find_upstream(store, engine),
             connect=_connect,
             fenced_engine=fenced_engine,
             table=store,
             engine_model=self._engine_model,
             link_bits_per_s=cfg.link_mbit_per_s * BITS_PER_MBIT,
-            rank_feed=lambda member: FeedFollower(
-                store,
-                table_of(PREFIX),
-                lambda changes: member.replace(list(changes.rows)),
-                lambda changes: _update_ranks(member, changes),
-                wait_s=cfg.store.feed_wait_s,
-                pause_s=RANKS_PAUSE_S,
-                rng=rng,
+            rank_feed=lambda member: _CoordinatorFeeds(
+                follow(
+                    table_of(PREFIX),
+                    lambda changes: member.replace(list(changes.rows)),
+                    lambda changes: _update_ranks(member, changes),
+                    pause_s=RANKS_PAUSE_S,
+                ),
+                follow(
+                    configuration.TABLE,
+                    self._set_routes,
+                    self._set_routes,
+                    pause_s=ROUTES_PAUSE_S,
+                ),
             ),
         )
         self._closing.callback(self._member.close)
@@ -83,17 +89,6 @@
         )
         listener.start()
         self._closing.callback(listener.stop)
-        routes = FeedFollower(
-            store,
-            configuration.TABLE,
-            self._set_routes,
-            self._set_routes,
-            wait_s=cfg.store.feed_wait_s,
-            pause_s=ROUTES_PAUSE_S,
-            rng=rng,
-        )
-        routes.start()
-        self._closing.callback(routes.stop)
         ticker = Ticker("rank watch", WATCH_INTERVAL_S, self._member.watch, rng=rng)
         ticker.start()
         self._closing.callback(ticker.stop)
@@ -111,19 +106,50 @@
             return None
         return self._routes.service(self._cfg.rank_agent.service).engine
 
-    def _find_listing(
+    def _find_upstream(
         self, store: RowStoreClient, engine: PlatformEngine
-    ) -> Listing | None:
+    ) -> str | None:
+        if self._routes is None:
+            self._set_routes(store.snapshot(configuration.TABLE))
         if self._routes is None:
             return None
         service = self._routes.service(self._cfg.rank_agent.service)
-        row = store.row(listings.TABLE, engine.name(service.health_path))
-        return decode_listing(row) if row else None
+        return engine.name(service.health_path)
 
     def _set_routes(self, changes: Changes) -> None:
         self._routes = configuration.find_routes(changes) or self._routes
 
 
+class _CoordinatorFeeds:
+    """Follow what only a coordinator needs; implements `RankFeed`.
+
+    Parameters
+    ----------
+    ranks, routes : FeedFollower
+        Followers of the rank records and of the configuration.
+    """
+
+    __slots__ = ("_ranks", "_routes")
+
+    def __init__(self, ranks: FeedFollower, routes: FeedFollower) -> None:
+        self._ranks = ranks
+        self._routes = routes
+
+    def step(self) -> bool:
+        """Fetch all rank records once; see `RankFeed`."""
+        return self._ranks.step()
+
+    def start(self) -> None:
+        """Start to follow changes; see `RankFeed`."""
+        self._ranks.start()
+        self._routes.start()
+
+    def stop(self) -> None:
+        """Stop following changes; see `RankFeed`."""
+        self._ranks.stop()
+        self._routes.stop()
+
+
 def _update_ranks(member: RankMember, changes: Changes) -> None:
     for row in changes.rows:
         member.put(row)
--- a/toucanspool/platform/registration.py
+++ b/toucanspool/platform/registration.py
@@ -33,30 +33,41 @@
         self._task: gevent.Greenlet | None = None
         self._withdrawn = False
 
-    def start(self) -> None:
-        """Write the record in the background, until it succeeds."""
-        self._task = gevent.spawn(self._write_until_done)
-
     def stop(self) -> None:
         """Stop writing the record."""
         if self._task is not None:
             self._task.kill()
 
     def check(self, rows: Iterable[Row]) -> None:
-        """Write the record again if a complete list of records lacks it.
+        """Write the record in the background if a complete list of records lacks it.
 
-        This happens when the store comes back from an older copy of itself.
+        This is so at the start, and when the store has come back from an older copy of
+        itself. A restarted entry keeps its record, so that its restart is no news for
+        the readers of all records.
 
         Parameters
         ----------
         rows : iterable of Row
             All rows of entries.
         """
-        if self._withdrawn or self._task is None or not self._task.ready():
+        if self._withdrawn or (self._task is not None and not self._task.ready()):
             return
-        if self._key not in {row.key for row in rows}:
-            _log.info("entry record missing; writing it again", key=self._key)
-            self.start()
+        values = {row.key: row.value for row in rows}
+        if values.get(self._key) != self._record.encode():
+            self._task = gevent.spawn(self._write_until_done)
+
+    def check_deleted(self, keys: Iterable[str]) -> None:
+        """Write the record again if it is among deleted ones.
+
+        A deletion by an earlier process of this entry may be carried out late.
+
+        Parameters
+        ----------
+        keys : iterable of str
+            Keys of deleted rows.
+        """
+        if self._key in keys:
+            self.check([])
 
     def withdraw(self) -> None:
         """Delete the record; a failure is logged."""
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -149,7 +149,7 @@
     """
 
     address: Address
-    feed_wait_s: Seconds = 20.0
+    feed_wait_s: Seconds = 30.0
     drain_ms: Annotated[float, Field(gt=0)] = 2000.0
 
     @property
