Leave load reports of other entries out once they are two seconds old

Cause: an entry probes eight others a second. With 99 entries most reports of running streams were up to 12 s old, so the limit that follows them lagged behind any burst, and room that others had lost long ago was borrowed.

Change: only reports of the last two seconds count; with many entries they are a sample of all. In a test with 99 entries a burst at all of them shows within three seconds; with all reports it did not.

--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -34,16 +34,16 @@
     entries = Entries(OWN)
     entries.replace([row("e2")])
     for _ in range(MISSED_PROBE_THRESHOLD):
-        entries.record_probe("e2", ready=False)
+        entries.record_probe("e2", ready=False, now=0.0)
     assert names(entries) == ["e1"]
-    entries.record_probe("e2", ready=True)
+    entries.record_probe("e2", ready=True, now=0.0)
     assert names(entries) == ["e1", "e2"]
 
 
 def test_one_missed_probe_is_not_enough():
     entries = Entries(OWN)
     entries.replace([row("e2")])
-    entries.record_probe("e2", ready=False)
+    entries.record_probe("e2", ready=False, now=0.0)
     assert names(entries) == ["e1", "e2"]
 
 
@@ -78,17 +78,17 @@
 def test_others_that_live_say_what_they_carry():
     entries = Entries(OWN)
     entries.replace([row("e2"), row("e3")])
-    entries.record_probe("e2", ready=True, streams={"s": 4.0})
-    entries.record_probe("e3", ready=True, streams={"s": 6.0, "t": 1.0})
-    assert sorted(entries.peer_streams("s")) == [4.0, 6.0]
+    entries.record_probe("e2", ready=True, now=0.0, streams={"s": 4.0})
+    entries.record_probe("e3", ready=True, now=0.0, streams={"s": 6.0, "t": 1.0})
+    assert sorted(entries.peer_streams("s", 0.0)) == [4.0, 6.0]
     entries.drop(ENTRY_PREFIX + "e3")
-    assert entries.peer_streams("t") == []
+    assert entries.peer_streams("t", 0.0) == []
 
 
 def test_many_entries_are_probed_in_turn_and_suspects_always():
     entries = Entries(OWN)
     entries.replace([row(f"e{n}") for n in range(2, 40)])
-    entries.record_probe("e7", ready=False)
+    entries.record_probe("e7", ready=False, now=0.0)
     rng = random.Random(1)
     rounds = [entries.probe_targets(8, rng) for _ in range(20)]
     assert {len(probed) for probed in rounds} == {9}
@@ -128,7 +128,7 @@
             for entry in prober.probe_targets(8, self._rng) if n != off else ():
                 other = int(entry.name[1:])
                 lost = self.entries[other].lost if other != off else []
-                prober.record_probe(entry.name, ready=other != off, lost=lost)
+                prober.record_probe(entry.name, ready=other != off, now=0.0, lost=lost)
 
 
 # The platform allows 5 s on small sites and 7 s on large ones; a probe takes 0.8 s.
@@ -145,8 +145,24 @@
 def test_an_entry_that_others_lost_is_probed_before_it_is_dropped():
     entries = Entries(OWN)
     entries.replace([row("e2"), row("e3")])
-    entries.record_probe("e2", ready=True, lost=["e3", "e1", "unknown"])
+    entries.record_probe("e2", ready=True, now=0.0, lost=["e3", "e1", "unknown"])
     assert names(entries) == ["e1", "e2", "e3"]
     assert "e3" in {entry.name for entry in entries.probe_targets(0, random.Random(1))}
-    entries.record_probe("e3", ready=True)
+    entries.record_probe("e3", ready=True, now=0.0)
     assert entries.probe_targets(0, random.Random(1)) == []
+
+
+def test_a_burst_at_all_of_many_entries_shows_within_three_seconds():
+    rng = random.Random(1)
+    entries = Entries(OWN)
+    entries.replace([row(f"e{number}") for number in range(2, 100)])
+    for second in range(30):
+        streams = 2.0 if second < 27 else 6.0
+        for peer in entries.probe_targets(8, rng):
+            report = {"s": streams}
+            entries.record_probe(
+                peer.name, ready=True, now=float(second), streams=report
+            )
+    reported = entries.peer_streams("s", 29.0)
+    assert len(reported) >= 8
+    assert sum(reported) / len(reported) > 5.0
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -150,16 +150,16 @@
             available = len(self.upstreams.available(name, now))
             if engine is None or not available:
                 continue
-            stream_limit.adapt(
-                engine, available, entries, self._entries.peer_streams(name), now
-            )
+            others = self._entries.peer_streams(name, now)
+            stream_limit.adapt(engine, available, entries, others, now)
             self._metrics.stream_limit.labels(name).set(stream_limit.capacity)
             self._metrics.streams.labels(name).set(stream_limit.running)
 
     def limits(self) -> dict[str, dict[str, float]]:
         """Return the stream limits and their inputs by service, for the log."""
+        now = time.monotonic()
         return {
-            name: stream_limit.log_fields(self._entries.peer_streams(name))
+            name: stream_limit.log_fields(self._entries.peer_streams(name, now))
             for name, stream_limit in self._stream_limits.items()
         }
 
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -12,6 +12,9 @@
 
 ENTRY_PREFIX = "entry/"
 MISSED_PROBE_THRESHOLD = 2
+# Load changes within seconds. With many entries, most of the reports are older than
+# this, and the newer ones are a sample of all.
+MAX_REPORT_AGE_S = 2.0
 
 _log = structlog.get_logger()
 
@@ -80,7 +83,7 @@
         self._own = own
         self._listed: dict[str, EntryRecord] = {own.name: own}
         self._missed_probes: dict[str, int] = {}
-        self._peer_streams: dict[str, Mapping[str, float]] = {}
+        self._peer_streams: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._probe_queue: list[str] = []
         self.leaving = False
 
@@ -138,21 +141,27 @@
                 in_turn[name] = others[name]
         return suspects + list(in_turn.values())
 
-    def peer_streams(self, service: str) -> list[float]:
-        """Return the streams of a service that live peers reported in probes.
+    def peer_streams(self, service: str, now: float) -> list[float]:
+        """Return the streams of a service that live peers reported in recent probes.
 
         Parameters
         ----------
         service : str
             Name of the service.
+        now : float
+            Seconds on the monotonic clock.
 
         Returns
         -------
         list of float
             Average number of streams, for each peer that reported it.
         """
-        reports = [self._peer_streams.get(entry.name, {}) for entry in self.live]
-        return [streams[service] for streams in reports if service in streams]
+        streams = []
+        for entry in self.live:
+            reported_at, report = self._peer_streams.get(entry.name, (0.0, {}))
+            if service in report and now - reported_at <= MAX_REPORT_AGE_S:
+                streams.append(report[service])
+        return streams
 
     def replace(self, rows: Iterable[Row]) -> None:
         """Replace the listed entries.
@@ -200,6 +209,7 @@
         name: str,
         *,
         ready: bool,
+        now: float,
         streams: Mapping[str, float] | None = None,
         lost: Iterable[str] = (),
     ) -> None:
@@ -211,12 +221,14 @@
             Name of the probed entry.
         ready : bool
             Whether the entry answered that it is ready.
+        now : float
+            Seconds on the monotonic clock.
         streams : mapping of str to float, optional
             Average number of streams that the entry reported, by service.
         lost : iterable of str, optional
             Names of entries that the probed entry lost; this entry probes them next.
         """
-        self._peer_streams[name] = streams or {}
+        self._peer_streams[name] = now, streams or {}
         for other in lost:
             known = other in self._listed and other != self._own.name
             if known and not self._missed_probes.get(other):
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -57,6 +57,7 @@
         self._entries.record_probe(
             entry.name,
             ready=status == OK,
+            now=time.monotonic(),
             streams=peer_status.get("carried"),
             lost=peer_status.get("lost") or (),
         )
