Answer an order to copy once the copies are made, and poll large groups less often

Cause: while 64 ranks copy, the coordinator asked those that had not finished every 50 ms; at about 400 bytes with headers that is 4 Mbit/s, more than its link of 3 Mbit/s, beside the counts and the maps.

Change: a rank agent answers an order to copy once its engine has the copies, or after 0.25 s; polls of the rest are as far apart as half of the link needs for them.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -17,8 +17,8 @@
     GroupChanged,
     GroupClient,
     Replaced,
-    is_fully_armed,
 )
+from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET, OrderLost
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAnswer, RankAsk
--- a/tests/groups/test_fenced_engine.py
+++ b/tests/groups/test_fenced_engine.py
@@ -1,9 +1,15 @@
 """Execution of rank requests behind the check of fencing tokens."""
 
 import random
+import time
+
+import gevent
+import numpy as np
 
 from standins.pass_group import GROUP, PassGroup
 from toucanspool.groups.fenced_engine import FencedEngine
+from toucanspool.groups.rank_arrays import pack_map
+from toucanspool.groups.rank_calls import ANSWER_TIMEOUT_S
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk, RankResult
 
 
@@ -24,3 +30,36 @@
     answer = engine.answer(request)
     assert answer.result == RankResult.REFUSED
     assert group.rows[0].copying is None
+
+
+def prepare_request(group: PassGroup) -> RankAsk:
+    return RankAsk(
+        action=RankAction.PREPARE,
+        group=GROUP,
+        token=1,
+        epoch=group.epoch,
+        version=1,
+        experts=pack_map(np.zeros((1, 3, 2), dtype=int)),
+        ranks=3,
+        places=2,
+    )
+
+
+def test_the_answer_to_an_order_to_copy_comes_once_the_copies_are_made():
+    group = PassGroup(3, random.Random(1))
+    engine = FencedEngine(group.engine(0))
+    engine.restore(0)
+    copied = gevent.spawn_later(0.05, group.tick)
+    answer = engine.answer(prepare_request(group))
+    copied.join()
+    assert answer.prepared == 1
+
+
+def test_the_answer_to_an_order_to_copy_does_not_wait_longer_than_a_coordinator():
+    group = PassGroup(3, random.Random(1))
+    engine = FencedEngine(group.engine(0))
+    engine.restore(0)
+    started = time.monotonic()
+    answer = engine.answer(prepare_request(group))
+    assert answer.prepared != 1
+    assert time.monotonic() - started < ANSWER_TIMEOUT_S
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -27,8 +27,8 @@
 from toucanspool.groups.group_client import (
     GroupChanged,
     GroupClient,
-    is_fully_armed,
 )
+from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.rank_arrays import pack_map
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import (
@@ -38,16 +38,16 @@
     RankResult,
 )
 
-# Passes between the latest one and the held one: time to arm all ranks without
-# delaying the group.
+# Passes from the latest one to the held one: time to arm all ranks.
 PASSES_AHEAD = 2
 MAX_HOLD_ATTEMPTS = 3
 MAX_ARM_ATTEMPTS = 8
 MAX_PREPARE_ATTEMPTS = 3
 RETRY_INTERVAL_S = 0.05
 POLL_INTERVAL_S = 0.05
-# Each token has its own range of versions, so that two coordinators never give the same
-# version to different maps.
+# Size of a status request and its answer with the headers of the network.
+STATUS_BYTES = 400
+# Each token has its own range of versions, so that no two coordinators share one.
 VERSIONS_PER_TOKEN = 1 << 20
 
 _log = structlog.get_logger()
@@ -217,7 +217,8 @@
                 if answer.prepared == version:
                     waiting.discard(rank)
             if waiting:
-                gevent.sleep(POLL_INTERVAL_S)
+                polls_s = self._client.transfer_s(STATUS_BYTES * len(waiting))
+                gevent.sleep(max(POLL_INTERVAL_S, polls_s))
         return True
 
     def _choose_holder(self) -> int:
--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import structlog
 
 from toucanspool.groups.rank_arrays import pack_counts, pack_lists, unpack_map
@@ -12,6 +13,7 @@
     OrderRefused,
     RankEngine,
     RankEngineError,
+    RankState,
 )
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
@@ -22,6 +24,9 @@
 
 READ_ACTIONS = frozenset({RankAction.STATUS, RankAction.COUNTS, RankAction.LISTS})
 NO_TOKEN = -1
+# Answers wait for copies a little less long than a coordinator waits for answers.
+COPY_WAIT_S = 0.25
+COPY_POLL_S = 0.02
 
 _log = structlog.get_logger()
 
@@ -38,9 +43,9 @@
     ----------
     engine : RankEngine
         The engine.
-    counts : bool, default=True
-        Whether expert counts are read from the engine. Reading them from another
-        instance delays the group.
+    local : bool, default=True
+        Whether the engine is on this instance. Reading expert counts from another
+        instance delays the group, and the state of its engine is not current.
 
     Attributes
     ----------
@@ -51,8 +56,8 @@
     """
 
     __slots__ = (
-        "_reads_counts",
         "_engine",
+        "_local",
         "_newest_version",
         "_last_counts",
         "_token_known",
@@ -60,9 +65,9 @@
         "token",
     )
 
-    def __init__(self, engine: RankEngine, *, counts: bool = True) -> None:
+    def __init__(self, engine: RankEngine, *, local: bool = True) -> None:
         self._engine = engine
-        self._reads_counts = counts
+        self._local = local
         self._last_counts: ExpertCounts | None = None
         self._newest_version = UNSET
         self._token_known = False
@@ -109,8 +114,10 @@
             if request.action not in READ_ACTIONS:
                 result, detail = self._execute_order(request)
             state = self._engine.state()
+            if request.action == RankAction.PREPARE and result == RankResult.OK:
+                state = self._wait_for_copies(request.version, state)
             counts, picks_unit = b"", 1.0
-            if request.action == RankAction.COUNTS and self._reads_counts:
+            if request.action == RankAction.COUNTS and self._local:
                 counts, picks_unit = self._counts_since_last()
             experts = b""
             if request.action == RankAction.LISTS:
@@ -177,6 +184,17 @@
         elif request.action == RankAction.GO:
             engine.go(request.step, request.epoch)
 
+    def _wait_for_copies(self, version: int, state: RankState) -> RankState:
+        """Wait for the experts of a map, and return the last state.
+
+        The coordinator of a large group would otherwise ask many ranks in vain.
+        """
+        deadline = time.monotonic() + COPY_WAIT_S
+        while self._local and state.prepared != version and time.monotonic() < deadline:
+            gevent.sleep(COPY_POLL_S)
+            state = self._engine.state()
+        return state
+
     def _counts_since_last(self) -> tuple[bytes, float]:
         current = self._engine.expert_counts()
         previous = self._last_counts
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -36,27 +36,6 @@
     """Report that the group was formed again, or that a rank is unreachable."""
 
 
-def is_fully_armed(answers: Mapping[int, RankAnswer]) -> bool:
-    """Return whether every rank is armed with one version or already runs on it.
-
-    Parameters
-    ----------
-    answers : mapping of int to RankAnswer
-        The latest answer of each rank.
-
-    Returns
-    -------
-    bool
-    """
-    armed = {answer.armed for answer in answers.values()} - {UNSET}
-    if len(armed) != 1:
-        return False
-    # A rank that already runs on the map has begun the pass. Ranks begin a pass
-    # together, so all of them have switched.
-    (version,) = armed
-    return all(version in (a.armed, a.map_version) for a in answers.values())
-
-
 class GroupClient:
     """Send requests to the ranks of one group on behalf of its coordinator.
 
@@ -108,7 +87,7 @@
         Replaced
             Another coordinator has been elected.
         """
-        transfer_s = self._transfer_s(count_bytes * len(counted))
+        transfer_s = self.transfer_s(count_bytes * len(counted))
         tasks = {
             rank: gevent.spawn(
                 self._fetch_status,
@@ -204,7 +183,7 @@
             As for `send`.
         """
         targets = list(ranks)
-        transfer_s = self._transfer_s(len(request.experts or b"") * len(targets))
+        transfer_s = self.transfer_s(len(request.experts or b"") * len(targets))
         tasks = {
             rank: gevent.spawn(
                 self._send_or_error, rank, copy(request), epoch, transfer_s
@@ -270,7 +249,18 @@
             copies.held[:, rank, :] = ~copies.held.any(axis=1)
         return copies
 
-    def _transfer_s(self, n_bytes: int) -> float:
+    def transfer_s(self, n_bytes: int) -> float:
+        """Return the time that messages take on the coordinator's link, in seconds.
+
+        Parameters
+        ----------
+        n_bytes : int
+            Size of all messages.
+
+        Returns
+        -------
+        float
+        """
         return 8.0 * n_bytes / (LINK_SHARE * self._link_bits_per_s)
 
     def _fetch_status(
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -15,8 +15,8 @@
     GroupChanged,
     GroupClient,
     RankLink,
-    is_fully_armed,
 )
+from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -214,7 +214,7 @@
 
     def _direct_engine(self, record: RankRecord) -> FencedEngine:
         """Return a direct connection to an engine, for use while its agent is down."""
-        fenced_engine = FencedEngine(self._connect(record.engine), counts=False)
+        fenced_engine = FencedEngine(self._connect(record.engine), local=False)
         fenced_engine.restore(NO_TOKEN)
         return fenced_engine
 
