--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -3,13 +3,14 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from copy import copy
 
 import gevent
 import numpy as np
 import pytest
 
 from standins.pass_group import GROUP, PassGroup
-from toucanspool.groups import armed_switch
+from toucanspool.groups import armed_switch, map_preparation
 from toucanspool.groups.armed_switch import ArmedSwitch, SwitchEnd
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.fenced_engine import FencedEngine
@@ -19,12 +20,15 @@
     Replaced,
 )
 from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET, OrderLost
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAnswer, RankAsk
 
 NEW_MAP = np.array([[[0, 1], [2, 3], [1, 2]]], dtype=np.int16)
 INITIAL_MAP = np.array([[[0, 3], [1, EMPTY], [2, EMPTY]]], dtype=np.int16)
+NEW, INITIAL = VersionedMap(1, NEW_MAP), VersionedMap(0, INITIAL_MAP)
+LATER = VersionedMap(5 << 20, NEW_MAP)
 TICK_S = 0.001
 COPY_TIMEOUT_S = 1.0
 
@@ -69,7 +73,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(armed_switch, "POLL_INTERVAL_S", TICK_S)
+    monkeypatch.setattr(map_preparation, "POLL_INTERVAL_S", TICK_S)
     monkeypatch.setattr(armed_switch, "RETRY_INTERVAL_S", TICK_S)
 
 
@@ -140,20 +144,54 @@
     group = PassGroup(3, random.Random(1))
     with ticking(group):
         assert (
-            make_switch(make_engines(group)).run(
-                1, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S
-            )
+            make_switch(make_engines(group)).run(NEW, INITIAL, COPY_TIMEOUT_S)
             is SwitchEnd.DONE
         )
         gevent.sleep(0.05)
     assert {row.map for row in group.rows} == {(1, NEW_MAP.tobytes())}
 
 
+def test_a_second_switch_sends_only_what_changes():
+    group = PassGroup(3, random.Random(1))
+    engines = make_engines(group)
+    requests: list[RankAsk] = []
+    with ticking(group):
+        switch = make_switch(engines)
+        assert switch.run(NEW, INITIAL, COPY_TIMEOUT_S) is SwitchEnd.DONE
+        gevent.sleep(0.05)
+        second = VersionedMap(2, NEW_MAP[:, ::-1])
+        engine = engines[1]
+        answer = engine.answer
+        engines[1] = Recorder(answer, requests)  # type: ignore[call-overload]
+        switch = make_switch(engines)
+        assert switch.run(second, NEW, COPY_TIMEOUT_S) is SwitchEnd.DONE
+        gevent.sleep(0.05)
+    prepare = [r for r in requests if r.action == RankAction.PREPARE]
+    assert prepare
+    assert all(request.changes and not request.experts for request in prepare)
+    assert {row.map for row in group.rows} == {(2, second.experts.tobytes())}
+
+
+class Recorder:
+    """Record the requests to a fenced engine."""
+
+    def __init__(
+        self, answer: Callable[[RankAsk], RankAnswer], requests: list[RankAsk]
+    ) -> None:
+        self._answer = answer
+        self._requests = requests
+
+    def answer(self, request: RankAsk) -> RankAnswer:
+        """Record a request and return the engine's answer."""
+        self._requests.append(copy(request))
+        return self._answer(request)
+
+
 def test_lost_orders_do_not_stop_a_switch():
     group = PassGroup(3, random.Random(2), lost_share=0.3)
     with ticking(group):
         engines = make_engines(group)
-        end = make_switch(engines).run(1, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S)
+        end = make_switch(engines).run(NEW, INITIAL, COPY_TIMEOUT_S)
         resolve(group, engines, 1)
     assert end in (SwitchEnd.DONE, SwitchEnd.NOT_COPIED, SwitchEnd.NOT_HELD)
 
@@ -168,7 +206,7 @@
         engines[2].restore(0)
         group.order = _lose_orders_to(group, 9)  # type: ignore[method-assign]
         assert (
-            make_switch(engines).run(1, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S)
+            make_switch(engines).run(NEW, INITIAL, COPY_TIMEOUT_S)
             is SwitchEnd.NOT_ARMED
         )
         wait_for_pass(group)
@@ -191,7 +229,7 @@
     with ticking(group):
         statuses(engines, 5)
         with pytest.raises(Replaced):
-            make_switch(engines, 4).run(1, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S)
+            make_switch(engines, 4).run(NEW, INITIAL, COPY_TIMEOUT_S)
     assert {row.map[0] for row in group.rows} == {0}
 
 
@@ -199,7 +237,7 @@
     group = PassGroup(3, random.Random(5))
     engines = [FencedEngine(group.engine(rank)) for rank in range(3)]
     with ticking(group), pytest.raises((GroupChanged, NoAnswer)):
-        make_switch(engines).run(1, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S)
+        make_switch(engines).run(NEW, INITIAL, COPY_TIMEOUT_S)
     assert all(row.prepared is None for row in group.rows)
 
 
@@ -213,9 +251,8 @@
         # A late order of the first coordinator reaches one rank.
         group.execute(0, "prepare", (version, NEW_MAP.tobytes()))
         gevent.sleep(0.01)
-        second.run(
-            second.next_version(answers), NEW_MAP[:, ::-1], INITIAL_MAP, COPY_TIMEOUT_S
-        )
+        other = VersionedMap(second.next_version(answers), NEW_MAP[:, ::-1])
+        second.run(other, INITIAL, COPY_TIMEOUT_S)
         gevent.sleep(0.05)
     assert len({row.map for row in group.rows}) == 1
 
@@ -227,16 +264,15 @@
     with ticking(group):
         task = gevent.spawn(
             make_switch(engines, 1, CrashPoint(at)).run,
-            1,
-            NEW_MAP,
-            INITIAL_MAP,
+            NEW,
+            INITIAL,
             COPY_TIMEOUT_S,
         )
         task.join(timeout=2)
         task.kill()
         resolve(group, engines, 2)
         wait_for_pass(group)
-        end = make_switch(engines, 2).run(5 << 20, NEW_MAP, INITIAL_MAP, COPY_TIMEOUT_S)
+        end = make_switch(engines, 2).run(LATER, INITIAL, COPY_TIMEOUT_S)
         gevent.sleep(0.03)
     assert end is SwitchEnd.DONE
     assert {row.map[0] for row in group.rows} == {5 << 20}
@@ -251,17 +287,21 @@
     token = 1
     shuffling = np.random.default_rng(seed)
     idle_share = rng.choice((0.0, 0.5, 0.9))
+    current = VersionedMap(0, maps)
     with ticking(group, idle=lambda: rng.random() < idle_share) as task:
         for _ in range(4):
             crash_point = CrashPoint(rng.randrange(60) if rng.random() < 0.5 else None)
             switch = make_switch(engines, token, crash_point)
             new = switch.next_version(statuses(engines, token))
             shuffled = shuffling.permuted(maps, axis=1)
-            run = gevent.spawn(switch.run, new, shuffled, maps, 0.2)
+            planned = VersionedMap(new, shuffled)
+            run = gevent.spawn(switch.run, planned, current, 0.2)
             run.join(timeout=2)
             run.kill()
             assert isinstance(run.value, SwitchEnd | gevent.GreenletExit | None)
             assert isinstance(run.exception, SWITCH_ERRORS | None)
+            # Some agents know this map and take changes to it, others do not.
+            current = planned
             token += 1
             resolve(group, engines, token)
             assert task.exception is None
--- a/tests/groups/test_fenced_engine.py
+++ b/tests/groups/test_fenced_engine.py
@@ -8,6 +8,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from toucanspool.groups.fenced_engine import FencedEngine
+from toucanspool.groups.map_preparation import VersionedMap, prepare_request
 from toucanspool.groups.rank_arrays import pack_map
 from toucanspool.groups.rank_calls import ANSWER_TIMEOUT_S
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk, RankResult
@@ -32,7 +33,7 @@
     assert group.rows[0].copying is None
 
 
-def prepare_request(group: PassGroup) -> RankAsk:
+def first_request(group: PassGroup) -> RankAsk:
     return RankAsk(
         action=RankAction.PREPARE,
         group=GROUP,
@@ -50,7 +51,7 @@
     engine = FencedEngine(group.engine(0))
     engine.restore(0)
     copied = gevent.spawn_later(0.05, group.tick)
-    answer = engine.answer(prepare_request(group))
+    answer = engine.answer(first_request(group))
     copied.join()
     assert answer.prepared == 1
 
@@ -60,6 +61,17 @@
     engine = FencedEngine(group.engine(0))
     engine.restore(0)
     started = time.monotonic()
-    answer = engine.answer(prepare_request(group))
+    answer = engine.answer(first_request(group))
     assert answer.prepared != 1
     assert time.monotonic() - started < ANSWER_TIMEOUT_S
+
+
+def test_changes_of_a_map_that_is_not_known_are_refused():
+    group = PassGroup(3, random.Random(1))
+    engine = FencedEngine(group.engine(0))
+    engine.restore(0)
+    base = VersionedMap(5, np.zeros((1, 3, 2), dtype=int))
+    request = prepare_request(VersionedMap(6, np.ones((1, 3, 2), dtype=int)), base)
+    request.group, request.token, request.epoch = GROUP, 1, group.epoch
+    assert engine.answer(request).result == RankResult.REFUSED
+    assert group.rows[0].copying is None
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -10,7 +10,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from tests.limits.test_adaptive_limit import ENGINE
-from toucanspool.groups import armed_switch, count_reader
+from toucanspool.groups import armed_switch, count_reader, map_preparation
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import NoAnswer
@@ -53,7 +53,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(armed_switch, "POLL_INTERVAL_S", 0.001)
+    monkeypatch.setattr(map_preparation, "POLL_INTERVAL_S", 0.001)
     monkeypatch.setattr(armed_switch, "RETRY_INTERVAL_S", 0.001)
 
 
@@ -127,7 +127,7 @@
 def test_counts_are_read_while_copies_are_made(monkeypatch):
     monkeypatch.setattr(count_reader, "INTERVAL_S", 0.002)
     # The switch must take longer than the interval between two reads of counts.
-    monkeypatch.setattr(armed_switch, "POLL_INTERVAL_S", 0.02)
+    monkeypatch.setattr(map_preparation, "POLL_INTERVAL_S", 0.02)
     world = World()
     coordinator = world.coordinator(1, 0)
     with busy(world, pass_s=0.02):
--- a/tests/limits/test_spare_capacity.py
+++ b/tests/limits/test_spare_capacity.py
@@ -24,7 +24,15 @@
         other's load, and from the start.
     """
 
-    def __init__(self, mean: float, *, borrow: bool, seed: int = 1) -> None:
+    def __init__(
+        self,
+        mean: float | np.ndarray,
+        *,
+        borrow: bool,
+        seed: int = 1,
+        reports: int = ENTRIES - 1,
+    ) -> None:
+        means = np.broadcast_to(mean, ENTRIES)
         rng = np.random.default_rng(seed)
         entries = [SpareCapacity() for _ in range(ENTRIES)]
         running = np.zeros(ENTRIES, dtype=int)
@@ -37,9 +45,11 @@
             for index, entry in enumerate(entries):
                 entry.observe(int(running[index]), now)
                 others = reported[:index] + reported[index + 1 :]
+                if reports < len(others):
+                    others = list(rng.choice(others, reports, replace=False))
                 limit = entry.limit(EQUAL_LIMIT, others) if borrow else EQUAL_LIMIT
                 arrivals = int(
-                    rng.poisson(mean * UPDATE_INTERVAL_S / STREAM_DURATION_S)
+                    rng.poisson(means[index] * UPDATE_INTERVAL_S / STREAM_DURATION_S)
                 )
                 admitted = max(0, min(arrivals, int(limit) - int(running[index])))
                 running[index] += admitted
@@ -65,6 +75,24 @@
     assert simulation.peak_from_start <= MAX_LIMIT_FACTOR * ENTRIES * EQUAL_LIMIT
 
 
+def uneven(mean: float) -> np.ndarray:
+    """Return the mean load of each entry if a third of them has no callers."""
+    weights = np.arange(ENTRIES) % 3 / 1.0
+    return mean * weights / weights.mean()
+
+
+@pytest.mark.parametrize("reports", [ENTRIES - 1, 16])
+def test_callers_of_few_entries_are_not_refused_while_others_are_idle(reports):
+    simulation = Simulation(uneven(7.0), borrow=True, reports=reports)
+    assert simulation.refused < 0.02
+
+
+@pytest.mark.parametrize("mean", [8.0, 10.6, 14.0, 30.0])
+def test_uneven_entries_together_exceed_their_total_limit_only_slightly(mean):
+    simulation = Simulation(uneven(mean), borrow=True)
+    assert simulation.peak <= 1.1 * ENTRIES * EQUAL_LIMIT
+
+
 def test_no_capacity_is_borrowed_when_all_entries_are_full():
     entry = SpareCapacity()
     for tick in range(100):
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -152,6 +152,9 @@
                 continue
             others = self._entries.peer_streams(name, now)
             stream_limit.adapt(engine, available, entries, others, now)
+            if others:
+                usual_load = sum(others) / len(others) * (entries - 1) / available
+                self.upstreams.set_usual_load(name, usual_load)
             self._metrics.stream_limit.labels(name).set(stream_limit.capacity)
             self._metrics.streams.labels(name).set(stream_limit.running)
 
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -176,7 +176,7 @@
             team=call.team,
             service=call.service,
             upstream=upstream.name,
-            load=round(upstream.load(now), 2),
+            load=round(self._balancer.load(upstream, now), 2),
             attempt=progress.sends + 1,
             left_ms=call.deadline.left_ms(now),
             routes_version=call.routes_version,
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -16,7 +16,6 @@
 aborted by preparing the map in use under a newer version, which copies nothing.
 """
 
-import time
 from collections.abc import Iterable, Mapping
 from enum import Enum
 
@@ -25,11 +24,14 @@
 
 from toucanspool.groups.expert_map import IntArray
 from toucanspool.groups.group_client import (
-    GroupChanged,
     GroupClient,
 )
 from toucanspool.groups.group_state import is_fully_armed
-from toucanspool.groups.rank_arrays import pack_map
+from toucanspool.groups.map_preparation import (
+    MapPreparation,
+    VersionedMap,
+    prepare_request,
+)
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
@@ -42,11 +44,7 @@
 PASSES_AHEAD = 2
 MAX_HOLD_ATTEMPTS = 3
 MAX_ARM_ATTEMPTS = 8
-MAX_PREPARE_ATTEMPTS = 3
 RETRY_INTERVAL_S = 0.05
-POLL_INTERVAL_S = 0.05
-# Size of a status request and its answer with the headers of the network.
-STATUS_BYTES = 400
 # Each token has its own range of versions, so that no two coordinators share one.
 VERSIONS_PER_TOKEN = 1 << 20
 
@@ -126,16 +124,15 @@
         return max(newest + 1, self._client.token * VERSIONS_PER_TOKEN)
 
     def run(
-        self, version: int, experts: IntArray, current: IntArray, copy_timeout_s: float
+        self, new: VersionedMap, current: VersionedMap, copy_timeout_s: float
     ) -> SwitchEnd:
         """Switch the group to a map.
 
         Parameters
         ----------
-        version : int
-            Version of the new map, higher than any that a rank has seen.
-        experts, current : ndarray of int, shape (layer_sets, ranks, slots)
-            The new map, and the map in use.
+        new, current : VersionedMap
+            The new map, whose version is higher than any that a rank has seen, and the
+            map in use.
         copy_timeout_s : float
             The longest time for all ranks to copy their experts, in seconds.
 
@@ -150,19 +147,26 @@
         GroupChanged
             The group was formed again, or a rank was unreachable before the hold.
         """
-        if not self._prepare(version, experts, copy_timeout_s):
+        preparation = MapPreparation(
+            self._client,
+            self._epoch,
+            new,
+            current,
+            on_held=lambda rank, step: self._release(step, rank),
+        )
+        if not preparation.run(self._ranks, copy_timeout_s):
             return SwitchEnd.NOT_COPIED
         holder = self._choose_holder()
         step = self._hold(holder)
         if step == UNSET:
             return SwitchEnd.NOT_HELD
         others = self._ranks - {self._own_rank}
-        if self._arm(others, version, step) and self._arm(
-            {self._own_rank}, version, step
+        if self._arm(others, new.version, step) and self._arm(
+            {self._own_rank}, new.version, step
         ):
             self._release(step, holder)
             return SwitchEnd.DONE
-        self._roll_back(version + 1, current)
+        self._roll_back(new.version + 1, current.experts)
         self._release(step, holder)
         return SwitchEnd.NOT_ARMED
 
@@ -191,36 +195,6 @@
             token=self._client.token,
         )
 
-    def _prepare(self, version: int, experts: IntArray, copy_timeout_s: float) -> bool:
-        deadline = time.monotonic() + copy_timeout_s
-        waiting = set(self._ranks)
-        attempts = dict.fromkeys(waiting, 0)
-        prepare = self._prepare_request(version, experts)
-        while waiting:
-            if time.monotonic() > deadline:
-                return False
-            due = [rank for rank in waiting if attempts[rank] < MAX_PREPARE_ATTEMPTS]
-            for rank in due:
-                attempts[rank] += 1
-            status = RankAsk(action=RankAction.STATUS)
-            answers = self._send_all(due or waiting, prepare if due else status)
-            if None in answers.values():
-                raise GroupChanged("a rank is unreachable")
-            for rank, answer in answers.items():
-                if answer is None:
-                    continue
-                if answer.result in (RankResult.OK, RankResult.REFUSED):
-                    attempts[rank] = MAX_PREPARE_ATTEMPTS
-                if answer.held != UNSET:
-                    # A late order to hold: this switch has not held a pass yet.
-                    self._release(answer.held, rank)
-                if answer.prepared == version:
-                    waiting.discard(rank)
-            if waiting:
-                polls_s = self._client.transfer_s(STATUS_BYTES * len(waiting))
-                gevent.sleep(max(POLL_INTERVAL_S, polls_s))
-        return True
-
     def _choose_holder(self) -> int:
         """Return the rank that holds the pass: the one after the coordinator's."""
         ranks = sorted(self._ranks)
@@ -262,7 +236,7 @@
     def _roll_back(self, version: int, current: IntArray) -> None:
         """Disarm all ranks, so that no late order arms them; a held pass stays held."""
         waiting = set(self._ranks)
-        prepare = self._prepare_request(version, current)
+        prepare = prepare_request(VersionedMap(version, current))
         while waiting:
             answers = self._send_all(waiting, prepare)
             for rank, answer in answers.items():
@@ -284,16 +258,6 @@
                 return
             gevent.sleep(RETRY_INTERVAL_S)
 
-    def _prepare_request(self, version: int, experts: IntArray) -> RankAsk:
-        _, ranks, expert_slots = experts.shape
-        return RankAsk(
-            action=RankAction.PREPARE,
-            version=version,
-            experts=pack_map(experts),
-            ranks=ranks,
-            places=expert_slots,
-        )
-
     def _send_all(
         self, ranks: Iterable[int], request: RankAsk
     ) -> dict[int, RankAnswer | None]:
--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -5,7 +5,13 @@
 import gevent
 import structlog
 
-from toucanspool.groups.rank_arrays import pack_counts, pack_lists, unpack_map
+from toucanspool.groups.expert_map import IntArray
+from toucanspool.groups.rank_arrays import (
+    apply_changes,
+    pack_counts,
+    pack_lists,
+    unpack_map,
+)
 from toucanspool.groups.rank_engine import (
     UNSET,
     ExpertCounts,
@@ -27,6 +33,8 @@
 # Answers wait for copies a little less long than a coordinator waits for answers.
 COPY_WAIT_S = 0.25
 COPY_POLL_S = 0.02
+# The map in use, a newer one, and those of switches that were rolled back.
+MAPS_KEPT = 4
 
 _log = structlog.get_logger()
 
@@ -60,6 +68,7 @@
         "_local",
         "_newest_version",
         "_last_counts",
+        "_maps",
         "_token_known",
         "last_request_at",
         "token",
@@ -69,6 +78,7 @@
         self._engine = engine
         self._local = local
         self._last_counts: ExpertCounts | None = None
+        self._maps: dict[int, IntArray] = {}
         self._newest_version = UNSET
         self._token_known = False
         self.token = NO_TOKEN
@@ -165,9 +175,8 @@
     def _send_order(self, request: RankAsk) -> None:
         engine = self._engine
         if request.action == RankAction.PREPARE:
+            lists = self._read_map(request)
             self._newest_version = max(self._newest_version, request.version)
-            lists = unpack_map(request.experts, request.places)
-            lists = lists.reshape(-1, request.ranks, request.places)
             engine.prepare(request.version, lists, request.epoch)
         elif request.action == RankAction.HOLD:
             engine.hold(request.step, request.epoch)
@@ -195,6 +204,20 @@
             state = self._engine.state()
         return state
 
+    def _read_map(self, request: RankAsk) -> IntArray:
+        """Return the map of a request, and keep it as the base of later requests."""
+        if request.base is None:
+            lists = unpack_map(request.experts, request.places)
+            lists = lists.reshape(-1, request.ranks, request.places)
+        elif request.base in self._maps:
+            lists = apply_changes(self._maps[request.base], request.changes)
+        else:
+            raise ValueError(f"the map of version {request.base} is not known")
+        self._maps[request.version] = lists
+        for version in sorted(self._maps)[:-MAPS_KEPT]:
+            del self._maps[version]
+        return lists
+
     def _counts_since_last(self) -> tuple[bytes, float]:
         current = self._engine.expert_counts()
         previous = self._last_counts
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -183,7 +183,8 @@
             As for `send`.
         """
         targets = list(ranks)
-        transfer_s = self.transfer_s(len(request.experts or b"") * len(targets))
+        size = len(request.experts or b"") + len(request.changes or b"")
+        transfer_s = self.transfer_s(size * len(targets))
         tasks = {
             rank: gevent.spawn(
                 self._send_or_error, rank, copy(request), epoch, transfer_s
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -17,6 +17,7 @@
     RankLink,
 )
 from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -211,7 +212,9 @@
         try:
             with self._counts.background(client, answers, engine):
                 outcome = switch.run(
-                    version, planned.lists(), self._copies.lists(), timeout_s
+                    VersionedMap(version, planned.lists()),
+                    VersionedMap(self._version, self._copies.lists()),
+                    timeout_s,
                 )
         finally:
             self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
--- /dev/null
+++ b/toucanspool/groups/map_preparation.py
@@ -0,0 +1,184 @@
+"""Distribution of a new expert map to the ranks of a group, which copy its experts."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+
+from toucanspool.groups.expert_map import IntArray
+from toucanspool.groups.group_client import GroupChanged, GroupClient
+from toucanspool.groups.rank_arrays import pack_changes, pack_map
+from toucanspool.groups.rank_engine import UNSET
+from toucanspool.wire.gen.messages.ttypes import (
+    RankAction,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
+
+MAX_ATTEMPTS = 3
+POLL_INTERVAL_S = 0.05
+# Size of a status request and its answer with the headers of the network.
+STATUS_BYTES = 400
+# Engines start with this map, of which their agents have not been told.
+INITIAL_VERSION = 0
+
+
+@dataclass(slots=True, frozen=True)
+class VersionedMap:
+    """Pair a map with its version.
+
+    Parameters
+    ----------
+    version : int
+        Version of the map.
+    experts : ndarray of int, shape (layer_sets, ranks, slots)
+        The expert in each slot; `EMPTY` for an empty slot.
+    """
+
+    version: int
+    experts: IntArray
+
+
+def prepare_request(new: VersionedMap, base: VersionedMap | None = None) -> RankAsk:
+    """Return the request to copy the experts of a map.
+
+    Parameters
+    ----------
+    new : VersionedMap
+        The map.
+    base : VersionedMap, optional
+        Another map that the rank's agent has been told. The request then holds only
+        what differs, since whole maps for all ranks take long on a slow link.
+
+    Returns
+    -------
+    RankAsk
+    """
+    _, ranks, slots = new.experts.shape
+    request = RankAsk(
+        action=RankAction.PREPARE, version=new.version, ranks=ranks, places=slots
+    )
+    if base is None:
+        request.experts = pack_map(new.experts)
+    else:
+        request.base = base.version
+        request.changes = pack_changes(base.experts, new.experts)
+    return request
+
+
+class MapPreparation:
+    """Have all ranks of a group copy the experts of one map.
+
+    Parameters
+    ----------
+    client : GroupClient
+        Sends the requests.
+    epoch : int
+        The group's epoch.
+    new, current : VersionedMap
+        The map to copy, and the map in use.
+    on_held : callable
+        Called with a rank and the pass that it holds by a late order.
+    """
+
+    __slots__ = (
+        "_attempts",
+        "_changes",
+        "_client",
+        "_epoch",
+        "_on_held",
+        "_version",
+        "_waiting",
+        "_whole",
+        "_without_base",
+    )
+
+    def __init__(
+        self,
+        client: GroupClient,
+        epoch: int,
+        new: VersionedMap,
+        current: VersionedMap,
+        *,
+        on_held: Callable[[int, int], None],
+    ) -> None:
+        self._client = client
+        self._epoch = epoch
+        self._version = new.version
+        self._on_held = on_held
+        self._whole = prepare_request(new)
+        self._changes = None
+        if current.version != INITIAL_VERSION:
+            self._changes = prepare_request(new, current)
+        self._waiting: set[int] = set()
+        self._without_base: set[int] = set()
+        self._attempts: dict[int, int] = {}
+
+    def run(self, ranks: Iterable[int], timeout_s: float) -> bool:
+        """Return whether all ranks have copied the experts in time.
+
+        Parameters
+        ----------
+        ranks : iterable of int
+            All ranks of the group.
+        timeout_s : float
+            The longest time for all ranks, in seconds.
+
+        Returns
+        -------
+        bool
+
+        Raises
+        ------
+        Replaced
+            Another coordinator has been elected.
+        GroupChanged
+            The group was formed again, or a rank is unreachable.
+        """
+        deadline = time.monotonic() + timeout_s
+        self._waiting = set(ranks)
+        self._attempts = dict.fromkeys(self._waiting, 0)
+        if self._changes is None:
+            self._without_base = set(self._waiting)
+        while self._waiting:
+            if time.monotonic() > deadline:
+                return False
+            for rank, answer in self._send_round().items():
+                if answer is None:
+                    raise GroupChanged("a rank is unreachable")
+                self._handle(rank, answer)
+            if self._waiting:
+                polls_s = self._client.transfer_s(STATUS_BYTES * len(self._waiting))
+                gevent.sleep(max(POLL_INTERVAL_S, polls_s))
+        return True
+
+    def _send_round(self) -> dict[int, RankAnswer | None]:
+        due = {r for r in self._waiting if self._attempts[r] < MAX_ATTEMPTS}
+        if not due:
+            status = RankAsk(action=RankAction.STATUS)
+            return self._client.send_all(self._waiting, status, self._epoch)
+        for rank in due:
+            self._attempts[rank] += 1
+        whole = due & self._without_base
+        answers = {}
+        if due - whole:
+            answers = self._client.send_all(due - whole, self._changes, self._epoch)
+        if whole:
+            answers |= self._client.send_all(whole, self._whole, self._epoch)
+        return answers
+
+    def _handle(self, rank: int, answer: RankAnswer) -> None:
+        accepted = answer.result == RankResult.OK
+        refused = answer.result in (RankResult.REFUSED, RankResult.NOT_READY)
+        if refused and rank not in self._without_base:
+            self._without_base.add(rank)
+            self._attempts[rank] = 0
+        elif accepted or answer.result == RankResult.REFUSED:
+            self._attempts[rank] = MAX_ATTEMPTS
+        if answer.held != UNSET:
+            # A late order to hold: this switch has not held a pass yet.
+            self._on_held(rank, answer.held)
+        if answer.prepared == self._version:
+            self._waiting.discard(rank)
--- a/toucanspool/groups/rank_arrays.py
+++ b/toucanspool/groups/rank_arrays.py
@@ -7,6 +7,7 @@
 from toucanspool.groups.expert_map import EMPTY, FloatArray, IntArray
 
 MAP_DTYPE = np.int16
+CHECKSUM_BYTES = 4
 COUNT_DTYPE = np.uint8
 MAX_COUNT = np.iinfo(COUNT_DTYPE).max
 
@@ -54,6 +55,71 @@
         raise ValueError(str(exc)) from exc
 
 
+def pack_changes(before: IntArray, after: IntArray) -> bytes:
+    """Encode what differs between two maps.
+
+    Parameters
+    ----------
+    before, after : ndarray of int, shape (layer_sets, ranks, slots)
+        The expert in each slot; `EMPTY` for an empty slot.
+
+    Returns
+    -------
+    bytes
+    """
+    changes = [
+        (layer_set, rank, expert)
+        for layer_set, rank in np.argwhere((before != after).any(axis=2))
+        for expert in set(before[layer_set, rank]) ^ set(after[layer_set, rank])
+        if expert != EMPTY
+    ]
+    checksum = zlib.crc32(after.astype(MAP_DTYPE).tobytes())
+    return zlib.compress(
+        checksum.to_bytes(CHECKSUM_BYTES)
+        + np.array(sorted(changes), dtype=MAP_DTYPE).tobytes()
+    )
+
+
+def apply_changes(before: IntArray, data: bytes) -> IntArray:
+    """Return the map that differs from another one by encoded changes.
+
+    Parameters
+    ----------
+    before : ndarray of int, shape (layer_sets, ranks, slots)
+        The other map.
+    data : bytes
+        Bytes from `pack_changes`.
+
+    Returns
+    -------
+    ndarray of int, shape (layer_sets, ranks, slots)
+
+    Raises
+    ------
+    ValueError
+        The changes were made for another map.
+    """
+    try:
+        decoded = zlib.decompress(data)
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from exc
+    after = before.astype(MAP_DTYPE)
+    slots = before.shape[2]
+    changes = np.frombuffer(decoded[CHECKSUM_BYTES:], dtype=MAP_DTYPE).reshape(-1, 3)
+    rows: dict[tuple[int, int], set[int]] = {}
+    for layer_set, rank, expert in changes.tolist():
+        if not (layer_set < after.shape[0] and rank < after.shape[1]):
+            raise ValueError("the changes are for a larger map")
+        before_row = set(after[layer_set, rank].tolist()) - {EMPTY}
+        rows[layer_set, rank] = rows.get((layer_set, rank), before_row) ^ {expert}
+    for index, experts in rows.items():
+        row = sorted(experts) + [EMPTY] * (slots - len(experts))
+        after[index] = row[:slots]
+    if zlib.crc32(after.tobytes()) != int.from_bytes(decoded[:CHECKSUM_BYTES]):
+        raise ValueError("the changes were made for another map")
+    return after
+
+
 def pack_lists(lists: list[list[int]], slots: int) -> bytes:
     """Encode the experts of one rank.
 
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -60,6 +60,10 @@
         """
         self._tie_offset = offset
 
+    def load(self, upstream: Upstream, now: float) -> float:
+        """Return the estimated number of requests at an upstream."""
+        return self._upstreams.load(upstream, now)
+
     def next_available_s(self, service: str, now: float) -> float:
         """Return the time until a ready upstream wants requests again, in seconds.
 
@@ -112,7 +116,7 @@
 
         def cost(option: tuple[float, int, Upstream]) -> tuple[float, int]:
             weight, position, upstream = option
-            load = upstream.load(now)
+            load = self._upstreams.load(upstream, now)
             if prefer_local and upstream.listing.failure_domain != self._failure_domain:
                 load += CROSS_DOMAIN_LOAD
             penalty = self._upstreams.slowdown(upstream) / max(weight, MIN_WEIGHT)
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -130,19 +130,24 @@
         self._other_requests = float(max(0, running + waiting - self.in_flight))
         self._reported_at = now
 
-    def load(self, now: float) -> float:
+    def load(self, now: float, usual_load: float = 0.0) -> float:
         """Return the estimated number of requests at the upstream.
 
-        The reported requests of other entries decay with the report's age.
+        With the report's age, the reported requests of other entries count less and
+        the usual load more.
 
         Parameters
         ----------
         now : float
             Seconds on the monotonic clock.
+        usual_load : float, default=0.0
+            Mean number of requests of other entries at an upstream.
 
         Returns
         -------
         float
         """
         age_s = now - self._reported_at
-        return self.in_flight + self._other_requests * math.exp(-age_s / REPORT_DECAY_S)
+        weight = math.exp(-age_s / REPORT_DECAY_S)
+        others = weight * self._other_requests + (1.0 - weight) * usual_load
+        return self.in_flight + others
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -35,12 +35,14 @@
         "_missing",
         "_slowdowns",
         "_stale",
+        "_usual_loads",
         "version",
     )
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
         self._slowdowns: dict[str, float] = {}
+        self._usual_loads: dict[str, float] = {}
         self._grace_until = -math.inf
         self._missing: set[str] = set()
         self._departed: dict[tuple[str, int], tuple[float, Upstream]] = {}
@@ -76,6 +78,23 @@
         """Return the factor by which requests on an upstream take longer."""
         return self._slowdowns.get(upstream.name, 1.0)
 
+    def set_usual_load(self, service: str, load: float) -> None:
+        """Set the mean number of requests of other entries at a service's upstreams.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        load : float
+            Requests per upstream.
+        """
+        self._usual_loads[service] = load
+
+    def load(self, upstream: Upstream, now: float) -> float:
+        """Return the estimated number of requests at an upstream; see `Upstream`."""
+        usual_load = self._usual_loads.get(upstream.listing.service, 0.0)
+        return upstream.load(now, usual_load)
+
     def store_regained(self, now: float) -> None:
         """Keep missing upstreams for a grace period, since the store was away.
 
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -1884,6 +1884,8 @@
      - experts
      - ranks
      - places
+     - base
+     - changes
 
     """
 
@@ -1898,10 +1900,12 @@
         'experts',
         'ranks',
         'places',
+        'base',
+        'changes',
     )
 
 
-    def __init__(self, call=None, group=None, token=None, action=None, version=None, step=None, epoch=None, experts=None, ranks=None, places=None,):
+    def __init__(self, call=None, group=None, token=None, action=None, version=None, step=None, epoch=None, experts=None, ranks=None, places=None, base=None, changes=None,):
         self.call = call
         self.group = group
         self.token = token
@@ -1912,6 +1916,8 @@
         self.experts = experts
         self.ranks = ranks
         self.places = places
+        self.base = base
+        self.changes = changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1972,6 +1978,16 @@
                     self.places = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.changes = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2022,6 +2038,14 @@
             oprot.writeFieldBegin('places', TType.I32, 10)
             oprot.writeI32(self.places)
             oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 11)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.STRING, 12)
+            oprot.writeBinary(self.changes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2745,6 +2769,8 @@
     (8, TType.STRING, 'experts', 'BINARY', None, ),  # 8
     (9, TType.I32, 'ranks', None, None, ),  # 9
     (10, TType.I32, 'places', None, None, ),  # 10
+    (11, TType.I64, 'base', None, None, ),  # 11
+    (12, TType.STRING, 'changes', 'BINARY', None, ),  # 12
 )
 all_structs.append(RankAnswer)
 RankAnswer.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -82,10 +82,12 @@
 enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
 
 // A coordinator asks the agent of one rank; experts holds them by set, rank and
-// place as 16-bit numbers, -1 for an empty place, compressed by zlib.
+// place as 16-bit numbers, -1 for an empty place, compressed by zlib. With a base, changes
+// holds what differs from the map of that version, and experts is empty.
 struct RankAsk {
   1: i64 call, 2: string group, 3: i64 token, 4: RankAction action, 5: i64 version,
-  6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places
+  6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places,
+  11: optional i64 base, 12: optional binary changes
 }
 
 // What the rank is at, after the action; a version or step of -1 stands for none.
