--- a/tests/routing/test_placing_load.py
+++ b/tests/routing/test_placing_load.py
@@ -1,8 +1,8 @@
 """Placement of calls by many entries, played without a network.
 
-Guards against calls that wait at full upstreams while others have free slots. Each entry
-sees only its own calls and the loads in the replies to them, and callers keep to a few
-entries.
+Guards against calls that wait at full upstreams while others have free slots. Each
+entry sees only its own calls and the loads in the replies to them, and callers keep to
+a few entries.
 """
 
 import heapq
