--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -21,14 +21,11 @@
     ----------
     status : int
         HTTP status of the rejection.
-    retry_after_s : float
-        Delay requested before a retry, in seconds; 0 if none.
     """
 
-    def __init__(self, status: int, retry_after_s: float) -> None:
+    def __init__(self, status: int) -> None:
         super().__init__(f"the upstream answered {status} and did not run the call")
         self.status = status
-        self.retry_after_s = retry_after_s
 
 
 class Attempt:
@@ -103,7 +100,7 @@
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
         self._update_upstream()
         if self.reply_head.not_run:
-            raise TurnedAway(parser.status, self.reply_head.retry_after_s)
+            raise TurnedAway(parser.status)
         if self.reply_head.call_id and self.reply_head.call_id != call.id:
             raise BrokenReply("the reply belongs to another call")
         if parser.status in SUCCESS_STATUSES and not self.reply_head.signed:
