--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -23,9 +23,7 @@
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
-from toucanspool.groups.group_client import (
-    GroupClient,
-)
+from toucanspool.groups.group_client import GroupClient
 from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.map_preparation import (
     MapPreparation,
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -11,11 +11,7 @@
 from toucanspool.groups.copy_search import CopySearch
 from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.expert_map import EMPTY
-from toucanspool.groups.group_client import (
-    GroupChanged,
-    GroupClient,
-    RankLink,
-)
+from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
 from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.rank_calls import NoAnswer
