Log and export how long ago the store answered, by table

The load line and the metrics now hold the time since the last answer for each table that is followed. The tables that a gateway follows move to a class of their own.

--- a/tests/recovery/test_feed.py
+++ b/tests/recovery/test_feed.py
@@ -112,3 +112,16 @@
 def test_dropped_history_alone_is_no_outage():
     events = follow_events(changes_at(3), HistoryGone("gone"), changes_at(8))
     assert events == ["snapshot", "snapshot"]
+
+
+def test_the_time_of_the_last_answer_is_kept_through_an_outage():
+    feed = ScriptedFeed(changes_at(3), TableUnavailable("down"))
+    follower = FeedFollower(
+        feed, "t", lambda _: None, lambda _: None, wait_s=1.0, rng=random.Random(1)
+    )
+    assert follower.answered_at is None
+    follower.step()
+    answered_at = follower.answered_at
+    follower.step()
+    assert answered_at is not None
+    assert follower.answered_at == answered_at
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -1,8 +1,6 @@
 """The gateway role: serves callers and pages, and follows the platform's store."""
 
-import random
 import time
-from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Any
 
@@ -22,7 +20,8 @@
 from toucanspool.platform.probes import Prober
 from toucanspool.platform.registration import Registration
 from toucanspool.platform.store import OWN_ROWS_PAUSE_S, RowStoreClient, table_of
-from toucanspool.recovery.feed import Changes, FeedFollower
+from toucanspool.platform.subscriptions import Subscriptions
+from toucanspool.recovery.feed import Changes
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.settings.settings import Address, Settings
 from toucanspool.telemetry.call_metrics import CallMetrics
@@ -39,8 +38,6 @@
 # Time left to finish responses before the process is killed.
 SHUTDOWN_RESERVE_S = 0.6
 
-ChangeHandler = Callable[[Changes], None]
-
 _log = structlog.get_logger()
 
 
@@ -64,6 +61,7 @@
         "_registration",
         "_server",
         "_store",
+        "_subscriptions",
         "_upstreams_known",
     )
 
@@ -98,18 +96,20 @@
             rng=rng,
             metrics=self._metrics,
         )
-        self._follow_table(
+        self._subscriptions = Subscriptions(
+            self._store, wait_s=store.feed_wait_s, rng=rng
+        )
+        self._closing.callback(self._subscriptions.stop)
+        self._subscriptions.follow(
             configuration.TABLE,
             self._set_routes,
             self._set_routes,
-            rng=rng,
             pause_s=ROUTES_PAUSE_S,
         )
-        self._follow_table(
+        self._subscriptions.follow(
             listings.TABLE,
             self._replace_upstreams,
             self._update_upstreams,
-            rng=rng,
             pause_s=store.list_interval_s,
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
@@ -117,12 +117,8 @@
             (ENTRY_PREFIX, self._replace_entries, self._update_entries),
             (RANK_PREFIX, self._replace_ranks, self._update_ranks),
         ):
-            self._follow_table(
-                table_of(prefix),
-                on_snapshot,
-                on_changes,
-                rng=rng,
-                pause_s=OWN_ROWS_PAUSE_S,
+            self._subscriptions.follow(
+                table_of(prefix), on_snapshot, on_changes, pause_s=OWN_ROWS_PAUSE_S
             )
         frontend = Frontend(
             self._core.dispatcher, lambda: self._core.routes, rng, self._metrics
@@ -185,29 +181,6 @@
             and not self._entries.leaving
         )
 
-    def _follow_table(
-        self,
-        table: str,
-        on_snapshot: ChangeHandler,
-        on_changes: ChangeHandler,
-        *,
-        rng: random.Random,
-        pause_s: float = 0.0,
-        on_regained: Callable[[], None] = lambda: None,
-    ) -> None:
-        follower = FeedFollower(
-            self._store,
-            table,
-            on_snapshot,
-            on_changes,
-            wait_s=self._cfg.gateway.store.feed_wait_s,
-            pause_s=pause_s,
-            rng=rng,
-            on_regained=on_regained,
-        )
-        follower.start()
-        self._closing.callback(follower.stop)
-
     def _serve_page(self, address: Address, page: pages.Page) -> None:
         self._start_server(HttpServer(address.host, address.port, page))
 
@@ -268,6 +241,9 @@
         self._core.upstreams.set_slowdowns(slowdowns)
 
     def _log_load(self) -> None:
+        ages = self._subscriptions.ages()
+        for table, age_s in ages.items():
+            self._metrics.store_age.labels(table).set(age_s)
         _log.info(
             "load",
             running=self._core.dispatcher.running,
@@ -275,6 +251,7 @@
             entries=len(self._entries.live),
             upstreams=len(self._core.upstreams),
             ejected=sorted(self._core.ejector.ejected),
+            store_ages_s={table: round(age_s, 1) for table, age_s in ages.items()},
         )
 
 
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -1,6 +1,7 @@
 """Followers of a table's change feed, which reload the table after a gap."""
 
 import random
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -115,6 +116,11 @@
     on_regained : callable, optional
         Called when the store is back after an outage or from an older copy of itself,
         before the first rows that it returns are passed on.
+
+    Attributes
+    ----------
+    answered_at : float or None
+        When the store last answered, in seconds on the monotonic clock.
     """
 
     __slots__ = (
@@ -129,6 +135,7 @@
         "_table",
         "_version",
         "_wait_s",
+        "answered_at",
     )
 
     def __init__(
@@ -154,6 +161,7 @@
         self._version: int | None = None
         self._reachable = True
         self._greenlet: gevent.Greenlet | None = None
+        self.answered_at: float | None = None
 
     def start(self) -> None:
         """Start following."""
@@ -206,6 +214,7 @@
                 gevent.sleep(MEAN_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     def _mark_reachable(self, changes: Changes) -> None:
+        self.answered_at = time.monotonic()
         if not self._reachable:
             self._reachable = True
             self._on_regained()
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -16,6 +16,8 @@
         Largest number of streams admitted at once, by service.
     routes_version : Gauge
         Version of the routes in force.
+    store_age : Gauge
+        Seconds since the store's last answer, by table.
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         "_refusals",
         "_registry",
         "routes_version",
+        "store_age",
         "stream_limit",
         "streams",
     )
@@ -57,6 +60,12 @@
         self.routes_version = Gauge(
             "toucanspool_routes_version", "Routes in force.", registry=registry
         )
+        self.store_age = Gauge(
+            "toucanspool_store_age_seconds",
+            "Time since the store's last answer.",
+            ["table"],
+            registry=registry,
+        )
 
     def record_first_event(self, seconds: float) -> None:
         """Record the time from the request to the first event of a stream."""
