Add failing tests of a store that falls silent on open connections

The stand-in of the store can now accept calls and answer none, with the calls under way lost or answered at the end of the silence.

--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -37,6 +37,8 @@
         Paths of the calls received.
     era : int
         Era that every response names; 0 for none.
+    answers_late : bool
+        Whether calls that a silence met are answered once it has ended.
     """
 
     def __init__(self) -> None:
@@ -45,10 +47,27 @@
         self.history_from = 0
         self.calls: list[str] = []
         self.era = 0
+        self.answers_late = False
+        self._silences = 0
+        self._silent = False
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[tuple[int, str, str, bytes | None]] = []
 
+    @property
+    def silent(self) -> bool:
+        """Whether calls get no answer, on connections that stay open.
+
+        Calls that are under way then get none after the silence either, unless
+        `answers_late`.
+        """
+        return self._silent
+
+    @silent.setter
+    def silent(self, silent: bool) -> None:
+        self._silences += silent and not self._silent
+        self._silent = silent
+
     @property
     def version(self) -> int:
         """Return the latest version."""
@@ -88,6 +107,9 @@
         """Handle a request."""
         path = environ["PATH_INFO"]
         self.calls.append(path)
+        silences = self._silences
+        if self._silent:
+            self._outlast_silence()
         if self.status:
             return self._answer(start_response, self.status, {})
         query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
@@ -102,6 +124,8 @@
             status, body = self._feed(query)
         else:
             status, body = 404, {}
+        if self._silences != silences:
+            self._outlast_silence()
         return self._answer(start_response, status, body)
 
     def _commit(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -137,10 +161,14 @@
                 for v, t, k, value in self._history
                 if v > after and t == query["table"]
             ]
-            if rows or time.monotonic() >= deadline:
+            if (rows and not self._silent) or time.monotonic() >= deadline:
                 return 200, {"rows": rows, "ver": self._version}
             gevent.sleep(POLL_S)
 
+    def _outlast_silence(self) -> None:
+        while self._silent or not self.answers_late:
+            gevent.sleep(POLL_S)
+
     def _set(self, table: str, key: str, value: bytes | None) -> None:
         self._history.append((self._version, table, key, value))
         if value is None:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -20,6 +20,8 @@
 from tests.processes.conftest import PART
 
 START_TIMEOUT_S = 15.0
+# A process knows what the store has within this time of its return.
+CONTACT_S = 3.0
 ROUTES = [
     {**ROUTE, "hostname": HOST, "backends": [{"service": "s", "weight": 1}]},
     {
@@ -206,6 +208,39 @@
                 gevent.sleep(0.1)
 
 
+def test_a_configuration_after_a_silent_outage_of_the_store_is_in_force_in_time(
+    tmp_path,
+):
+    with gateway(tmp_path, answering()) as one:
+        gevent.sleep(1.0)
+        one.store.pages.silent = True
+        gevent.sleep(1.0)
+        one.store.pages.silent = False
+        one.configure(5, routes=[])
+        with gevent.Timeout(CONTACT_S):
+            while one.send(request("GET"))[0] != 404:
+                gevent.sleep(0.02)
+
+
+@pytest.mark.parametrize("answers_late", [False, True])
+def test_upstreams_whose_leases_ran_out_in_a_silent_outage_stay_in_use(
+    tmp_path, answers_late
+):
+    with gateway(tmp_path, answering()) as one:
+        one.store.pages.answers_late = answers_late
+        gevent.sleep(1.0)
+        listing = one.store.pages.row("servers", "u0")
+        one.store.pages.silent = True
+        gevent.sleep(4.0)
+        one.store.pages.drop("servers", "u0")
+        one.store.pages.silent = False
+        # Upstreams register again within two seconds of the store's return.
+        gevent.sleep(1.5)
+        one.store.pages.put("servers", "u0", listing)
+        gevent.sleep(1.5)
+        assert not one.lines("upstream gone")
+
+
 def test_a_draining_upstream_gets_nothing_new(tmp_path):
     with gateway(tmp_path, answering(b"0"), answering(b"1")) as one:
         fields = orjson.loads(one.store.pages.row("servers", "u0"))
