Notice a silent connection to the store in time to put its changes in force

Callers saw: after a silence of the store, changes that the operator had been told were in force were not, for half a minute and at all gateways: 404 for added routes, 401 for added keys, the old upstream for moved routes; upstreams that had left stayed in use.

Cause: a follower of a table waits for the next change in one call. It let that call last for 32 s, and trusted TCP keepalives to find a dead connection; but a host whose store is silent, or that has lost the answer, still acknowledges probes. The class: what a process believes hangs on one connection that may be silent without being dead.

Evidence: the store's count of calls shows one unanswered call of each gateway at 5.5 s and the next at 38 s.

Change: a call waits at most the time within which a process must know what the store has, less a second to notice the silence and read again; the head of the answer must come half a second after the wait. The first retry is immediate, and calls don't wait during an outage, so its end is noticed at once, and the grace for upstreams whose leases ran out begins with it. It holds for all tables and both roles. Large answers keep their time: only the head is due so soon.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -37,7 +37,7 @@
 
 @pytest.fixture()
 def store(standin: RowStoreStandin) -> RowStoreClient:
-    return RowStoreClient("127.0.0.1", standin.port, feed_wait_s=1.0)
+    return RowStoreClient("127.0.0.1", standin.port)
 
 
 def test_a_commit_is_read_back(store):
@@ -112,7 +112,7 @@
 
 
 def test_a_closed_store_is_unavailable():
-    client = RowStoreClient("127.0.0.1", 1, feed_wait_s=1.0)
+    client = RowStoreClient("127.0.0.1", 1)
     with pytest.raises(TableUnavailable):
         client.get(["k"])
     with pytest.raises(TableUnavailable):
@@ -128,7 +128,7 @@
 
     server = StreamServer(("127.0.0.1", 0), reset)
     server.start()
-    client = RowStoreClient("127.0.0.1", server.server_port, feed_wait_s=1.0)
+    client = RowStoreClient("127.0.0.1", server.server_port)
     with pytest.raises(TableUnavailable):
         client.changes("op", 1, 0.0)
     server.stop()
@@ -154,9 +154,7 @@
 
     monkeypatch.setattr(Exchange, "read_head", read_options)
     with pytest.raises(TableUnavailable):
-        RowStoreClient("127.0.0.1", standin.port, feed_wait_s=20.0).changes(
-            "t", 0, 20.0
-        )
+        RowStoreClient("127.0.0.1", standin.port).changes("t", 0, 20.0)
     # A dead connection is found within two seconds: after one idle second, and one
     # second without a reply to the probe.
     assert options == {"alive": 1, TCP_KEEPIDLE: 1, TCP_KEEPINTVL: 1, TCP_KEEPCNT: 1}
@@ -217,3 +215,10 @@
     standin.pages.put(table_of("k"), "k", b"of another writer")
     with pytest.raises(TableUncertain):
         store.commit([Check("k", row.version)], [Write("k", b"again")])
+
+
+def test_a_feed_on_a_silent_connection_fails_soon_after_its_wait(store, standin):
+    version = store.snapshot("op").version
+    standin.pages.silent = True
+    with gevent.Timeout(1.0), pytest.raises(TableUnavailable):
+        store.changes("op", version, 0.2)
--- a/tests/recovery/test_feed.py
+++ b/tests/recovery/test_feed.py
@@ -2,6 +2,9 @@
 
 import random
 
+import gevent
+from gevent.event import Event
+
 from toucanspool.backing.table import Row, TableUnavailable
 from toucanspool.recovery.feed import (
     Changes,
@@ -125,3 +128,44 @@
     follower.step()
     assert answered_at is not None
     assert follower.answered_at == answered_at
+
+
+class WaitingFeed(ScriptedFeed):
+    """Record how long each call may wait."""
+
+    def __init__(self, *results: Changes | Exception) -> None:
+        super().__init__(*results)
+        self.waits_s: list[float] = []
+
+    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return the next result."""
+        self.waits_s.append(wait_s)
+        return super().changes(table, after, wait_s)
+
+
+def test_a_call_in_an_outage_does_not_wait_for_changes():
+    feed = WaitingFeed(
+        changes_at(3), changes_at(4), TableUnavailable("down"), changes_at(4)
+    )
+    follower = FeedFollower(
+        feed, "t", lambda _: None, lambda _: None, wait_s=1.0, rng=random.Random(1)
+    )
+    for _ in range(4):
+        follower.step()
+    assert feed.waits_s == [1.0, 1.0, 0.0]
+
+
+def test_the_first_retry_after_an_answer_is_immediate():
+    feed = WaitingFeed(changes_at(3), TableUnavailable("lost"), changes_at(5))
+    updated = Event()
+    follower = FeedFollower(
+        feed,
+        "t",
+        lambda _: None,
+        lambda _: updated.set() or gevent.sleep(1.0),
+        wait_s=1.0,
+        rng=random.Random(1),
+    )
+    follower.start()
+    assert updated.wait(timeout=0.2)
+    follower.stop()
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -3,7 +3,12 @@
 import pytest
 import yaml
 
-from toucanspool.settings.settings import SettingsError, load_settings
+from toucanspool.settings.settings import (
+    FEED_RECOVERY_S,
+    RowStore,
+    SettingsError,
+    load_settings,
+)
 
 ADDRESS = {"host": "127.0.0.1", "port": 1}
 ENTRY = {
@@ -83,3 +88,8 @@
 def test_a_missing_file_is_told(tmp_path):
     with pytest.raises(SettingsError, match="can't be read"):
         load_settings(str(tmp_path / "none.yaml"))
+
+
+def test_a_feed_waits_no_longer_than_lets_it_recover_in_time():
+    store = RowStore(address=ADDRESS, contact_ms=3000)
+    assert store.feed_wait_s + FEED_RECOVERY_S == 3.0
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -84,9 +84,7 @@
         cfg = self._cfg.gateway
         rng = kernel.find("rng").named("gateway")
         store = cfg.store
-        self._store = RowStoreClient(
-            store.address.host, store.address.port, feed_wait_s=store.feed_wait_s
-        )
+        self._store = RowStoreClient(store.address.host, store.address.port)
         self._registration = Registration(self._store, self._own_record)
         self._core = GatewayCore(
             self._entries,
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -44,9 +44,7 @@
         cfg = self._cfg.rank_agent
         rng = kernel.find("rng").named("rank")
         address = cfg.store.address
-        store = RowStoreClient(
-            address.host, address.port, feed_wait_s=cfg.store.feed_wait_s
-        )
+        store = RowStoreClient(address.host, address.port)
         engine = PlatformEngine(cfg.engine.host, cfg.engine.port)
         self._closing.callback(engine.close)
         fenced_engine = FencedEngine(engine)
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -31,11 +31,10 @@
 CALL_TIMEOUT_S = 1.5
 MS_PER_S = 1000
 ROWS_PER_PAGE = 500
-# A feed's response may arrive this long after its requested wait has ended.
-FEED_TIMEOUT_MARGIN_S = 2.0
-# Idle time before a TCP keepalive probe. A feed waits for a long time, and its
-# connection may fail silently; this is detected within two seconds, within the time
-# that the platform allows for reconnecting.
+# A feed without a response this long after its requested wait has ended is silent: its
+# connection has failed, or the store is away, though TCP may still be acknowledged.
+FEED_SILENCE_S = 0.5
+# Idle time before a TCP keepalive probe, by which a feed finds a dead host.
 FEED_KEEPALIVE_S = 1
 
 OK, CONFLICT, GONE, THROTTLED, UNAVAILABLE = 200, 412, 410, 429, 503
@@ -50,19 +49,18 @@
         IP address.
     port : int
         TCP port.
-    feed_wait_s : float
-        Maximum wait of a feed for changes, in seconds.
     """
 
     __slots__ = ("_client", "_era", "_feed_client")
 
-    def __init__(self, host: str, port: int, *, feed_wait_s: float) -> None:
+    def __init__(self, host: str, port: int) -> None:
         self._era = StoreEra()
         self._client = UnpooledClient(host, port, timeout_s=CALL_TIMEOUT_S)
         self._feed_client = UnpooledClient(
             host,
             port,
-            timeout_s=feed_wait_s + FEED_TIMEOUT_MARGIN_S,
+            timeout_s=CALL_TIMEOUT_S,
+            head_timeout_s=FEED_SILENCE_S,
             keepalive_s=FEED_KEEPALIVE_S,
         )
 
@@ -157,7 +155,7 @@
             "after": self._era.decode_version(after),
             "waitMs": int(wait_s * MS_PER_S),
         }
-        response = self._wait_for_changes(query)
+        response = self._wait_for_changes(query, wait_s)
         rows, deleted = {}, {}
         for row in response["rows"]:
             if row.get("tombstone"):
@@ -169,10 +167,10 @@
         version = self._era.encode_version(int(response["ver"]))
         return Changes(list(rows.values()), list(deleted), version)
 
-    def _wait_for_changes(self, query: Mapping[str, Any]) -> Any:
+    def _wait_for_changes(self, query: Mapping[str, Any], wait_s: float) -> Any:
         """Call the feed; stop waiting as soon as another response names a new era."""
         era, ended = self.era, self._era.ended
-        call = gevent.spawn(self._read_or_error, self._feed_client, "/rows-feed", query)
+        call = gevent.spawn(self._read_feed, query, wait_s)
         try:
             gevent.wait([call, ended], count=1)
         finally:
@@ -183,11 +181,10 @@
             raise call.value
         return call.value
 
-    def _read_or_error(
-        self, client: UnpooledClient, path: str, query: Mapping[str, Any]
-    ) -> Any:
+    def _read_feed(self, query: Mapping[str, Any], wait_s: float) -> Any:
+        """Return the response, or the error, which ends a greenlet without a log."""
         try:
-            return self._read(client, path, query)
+            return self._read(self._feed_client, "/rows-feed", query, wait_s=wait_s)
         except TableError as exc:
             return exc
 
@@ -210,9 +207,17 @@
                 return rows, version
             params["from"] = rows[-1].key + "\0"
 
-    def _read(self, client: UnpooledClient, path: str, query: Mapping[str, Any]) -> Any:
+    def _read(
+        self,
+        client: UnpooledClient,
+        path: str,
+        query: Mapping[str, Any],
+        *,
+        wait_s: float = 0.0,
+    ) -> Any:
+        target = f"{path}?{urlencode(query)}"
         try:
-            response = client.call("GET", f"{path}?{urlencode(query)}")
+            response = client.call("GET", target, wait_s=wait_s)
         except (CallRefused, CallLost) as exc:
             raise TableUnavailable(str(exc)) from exc
         era = self._observe_era(response)
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -48,21 +48,33 @@
         TCP port.
     timeout_s : float
         Time limit of a request, in seconds.
+    head_timeout_s : float, optional
+        Shorter time limit until the response's head is complete, in seconds. It tells
+        a silent server from one that sends a large response.
     keepalive_s : int, default=0
         Idle time before a TCP keepalive probe as in `Exchange`, in seconds.
     """
 
-    __slots__ = ("_host", "_port", "_keepalive_s", "_timeout_s")
+    __slots__ = ("_head_timeout_s", "_host", "_keepalive_s", "_port", "_timeout_s")
 
     def __init__(
-        self, host: str, port: int, *, timeout_s: float, keepalive_s: int = 0
+        self,
+        host: str,
+        port: int,
+        *,
+        timeout_s: float,
+        head_timeout_s: float | None = None,
+        keepalive_s: int = 0,
     ) -> None:
         self._keepalive_s = keepalive_s
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
+        self._head_timeout_s = timeout_s if head_timeout_s is None else head_timeout_s
 
-    def call(self, method: str, target: str, body: Any = None) -> JsonResponse:
+    def call(
+        self, method: str, target: str, body: Any = None, *, wait_s: float = 0.0
+    ) -> JsonResponse:
         """Send a request and return the response.
 
         Parameters
@@ -73,6 +85,9 @@
             Path with query.
         body : Any, optional
             Sent as JSON.
+        wait_s : float, default=0
+            Time that the server may wait before it responds, in seconds; added to the
+            time limits.
 
         Returns
         -------
@@ -85,7 +100,7 @@
         CallLost
             No complete and valid response was received.
         """
-        parser, data = self._exchange(method, target, body)
+        parser, data = self._exchange(method, target, body, wait_s)
         is_json = parser.header("content-type").startswith(JSON)
         try:
             decoded = orjson.loads(data) if is_json and data else None
@@ -110,11 +125,11 @@
         CallRefused, CallLost
             As in `call`.
         """
-        parser, _ = self._exchange("GET", target, None)
+        parser, _ = self._exchange("GET", target, None, 0.0)
         return _by_lower_name(parser.headers)
 
     def _exchange(
-        self, method: str, target: str, body: Any
+        self, method: str, target: str, body: Any, wait_s: float
     ) -> tuple[ReplyParser, bytes]:
         data = b"" if body is None else orjson.dumps(body)
         headers: list[Header] = [("Host", self._host), ("Connection", "close")]
@@ -124,11 +139,11 @@
         exchange = Exchange(
             self._host, self._port, method, keepalive_s=self._keepalive_s
         )
-        deadline = time.monotonic() + self._timeout_s
+        start = time.monotonic() + wait_s
         try:
             exchange.send(target, headers, data)
-            exchange.read_head(deadline)
-            return exchange.parser, exchange.read_body(deadline)
+            exchange.read_head(start + self._head_timeout_s)
+            return exchange.parser, exchange.read_body(start + self._timeout_s)
         except Unreachable as exc:
             raise CallRefused(str(exc)) from exc
         except (Silent, BrokenReply) as exc:
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -11,7 +11,7 @@
 
 from toucanspool.backing.table import Row, TableError
 
-# Mean retry delay while the store is unreachable or has dropped its history.
+# Mean retry delay while the store is unreachable.
 MEAN_RETRY_S = 0.6
 
 _log = structlog.get_logger()
@@ -107,7 +107,8 @@
     on_snapshot, on_changes : callable
         Take `Changes` with all rows, or with the changed ones.
     wait_s : float
-        Longest time that one call waits for a change, in seconds.
+        Longest time that one call waits for a change, in seconds. Calls don't wait
+        during an outage, so that its end is noticed at once.
     pause_s : float, default=0
         Time between calls, in seconds. Batches the changes of a table that changes
         all the time.
@@ -189,7 +190,8 @@
                 self._mark_reachable(changes)
                 self._on_snapshot(changes)
             else:
-                changes = self._feed.changes(self._table, self._version, self._wait_s)
+                wait_s = self._wait_s if self._reachable else 0.0
+                changes = self._feed.changes(self._table, self._version, wait_s)
                 self._mark_reachable(changes)
                 self._on_changes(changes)
         except StoreLapsed as exc:
@@ -208,9 +210,12 @@
 
     def _run(self) -> None:
         while True:
+            before = self._version, self._reachable
             if self.step():
                 gevent.sleep(self._pause_s)
-            else:
+            elif before == (self._version, self._reachable):
+                # The first retry is immediate: it may be just one connection that
+                # failed, or the history.
                 gevent.sleep(MEAN_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     def _mark_reachable(self, changes: Changes) -> None:
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -10,6 +10,11 @@
 # Roles that use a table, an object store and an instance list (section `platform`).
 PLATFORM_ROLES = ("entry", "agent")
 
+MS_PER_S = 1000.0
+# Time to notice that a feed is silent, and to read the changes on a new connection.
+FEED_RECOVERY_S = 1.0
+MIN_FEED_WAIT_S = 0.5
+
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0, le=3600)]
 Text = Annotated[str, Field(min_length=1, max_length=128)]
@@ -145,13 +150,24 @@
 class RowStore(Model):
     """Locate the row store with the lists of upstreams, routes and entries.
 
-    An upstream that leaves must get no new work after ``drain_ms``.
+    A process must know what the store has ``contact_ms`` after its return from an
+    outage, and after its own connections failed. An upstream that leaves must get no
+    new work after ``drain_ms``.
     """
 
     address: Address
-    feed_wait_s: Seconds = 30.0
+    contact_ms: Annotated[float, Field(gt=0)] = 3000.0
     drain_ms: Annotated[float, Field(gt=0)] = 2000.0
 
+    @property
+    def feed_wait_s(self) -> float:
+        """Return the longest time that a feed may wait for changes, in seconds.
+
+        A connection that fails silently is detected at the end of the wait. What is
+        left of ``contact_ms`` suffices to notice that and to read the changes.
+        """
+        return max(MIN_FEED_WAIT_S, self.contact_ms / MS_PER_S - FEED_RECOVERY_S)
+
     @property
     def list_interval_s(self) -> float:
         """Return the interval between reads of the list, in seconds.
@@ -159,7 +175,7 @@
         It is half of ``drain_ms``, so that an upstream that leaves gets no new work
         after that time.
         """
-        return self.drain_ms / 2000.0
+        return self.drain_ms / MS_PER_S / 2.0
 
 
 class RetryBudget(Model):
