Log and count upstreams that crash while they answer, with the prompts they answered

The logs could not tell requests that crash the engine which answers them from engines that crash by themselves: no line named the parts of a prompt, nor that an upstream had ended rather than one of its connections.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -3,8 +3,10 @@
 from tests.gateway.gateways import route
 from toucanspool.gateway.call import Call
 from toucanspool.platform.headers import (
+    PREFIX_HASH,
     PlatformDialect,
     forwarded_headers,
+    parse_shared_prompt,
     parse_token_counts,
 )
 from toucanspool.retries.deadline import Deadline
@@ -105,3 +107,11 @@
     hinted = {"toucanspool-token-count": "9,80", "toucanspool-length-hint": "30"}
     assert parse_token_counts(hinted) == (9, 30)
     assert parse_token_counts({"toucanspool-token-count": "x"}) == (0, 0)
+
+
+def test_the_last_part_of_a_prompt_is_not_shared():
+    parsed = parse_shared_prompt(
+        {PREFIX_HASH: "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}
+    )
+    assert parsed == ("5c1e07a2", "91bd3f06")
+    assert parse_shared_prompt({}) == ()
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -42,6 +42,8 @@
         Announced token counts of a generation; 0 for other calls.
     last_event_id : str
         Id of the event after which to resume a stream; empty for a new stream.
+    prompt : tuple of str
+        Ids of the parts of the prompt that other calls may share, in order.
     """
 
     id: str
@@ -59,6 +61,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
+    prompt: tuple[str, ...] = ()
 
 
 class RefusalCause(Enum):
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -6,6 +6,7 @@
 import structlog
 
 from toucanspool.gateway.call_dispatcher import CallDispatcher
+from toucanspool.gateway.crash_watch import CrashWatch
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
@@ -90,7 +91,8 @@
         self._budget = SharedBudget(
             ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
         )
-        relay = Relay(self._balancer, self.ejector, self._budget, dialect)
+        crash_watch = CrashWatch(metrics.record_crash)
+        relay = Relay(self._balancer, self.ejector, self._budget, dialect, crash_watch)
         streams = StreamRelay(relay, dialect, self._record_gap)
         self.dispatcher = CallDispatcher(relay, streams, self._find_gate)
 
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -7,6 +7,7 @@
 
 from toucanspool.gateway.attempt import Attempt, TurnedAway
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
+from toucanspool.gateway.crash_watch import CrashWatch
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.exchange import Silent, Unreachable
 from toucanspool.gateway.reply_parser import BrokenReply
@@ -64,9 +65,11 @@
         Retry budget.
     dialect : Dialect
         Translates headers.
+    crash_watch : CrashWatch
+        Told of replies that break off.
     """
 
-    __slots__ = ("_balancer", "_budget", "_dialect", "_ejector")
+    __slots__ = ("_balancer", "_budget", "_crash_watch", "_dialect", "_ejector")
 
     def __init__(
         self,
@@ -74,7 +77,9 @@
         ejector: Ejector,
         budget: SharedBudget,
         dialect: Dialect,
+        crash_watch: CrashWatch,
     ) -> None:
+        self._crash_watch = crash_watch
         self._balancer = balancer
         self._ejector = ejector
         self._budget = budget
@@ -222,6 +227,8 @@
         if not turned_away:
             result = AttemptResult.UNREACHABLE if unreachable else AttemptResult.FAILED
             self._ejector.record(upstream.name, result, time.monotonic())
+        if isinstance(exc, BrokenReply):
+            self._crash_watch.record_break(upstream, call.prompt)
         _log.info(
             "attempt failed",
             request_id=call.id,
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -152,6 +152,7 @@
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
             last_event_id=request_headers.get(platform_headers.LAST_EVENT_ID, ""),
+            prompt=platform_headers.parse_shared_prompt(request_headers),
         )
 
     def _refuse(
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -11,6 +11,8 @@
 LAST_EVENT_ID = "last-event-id"
 LEAVING = "server-leaving"
 NOT_EXECUTED = "toucanspool-not-executed"
+# "ID:TOKENS,..." of the parts of a prompt; the last part is the request's own.
+PREFIX_HASH = "toucanspool-prefix-hash"
 PRIORITY = "toucanspool-request-priority"
 # "RUNNING,WAITING,SLOTS" of the upstream.
 SERVER_LOAD = "toucanspool-server-load"
@@ -122,6 +124,23 @@
     return int(parse_number(prompt, 0.0)), int(answer)
 
 
+def parse_shared_prompt(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Parse the parts of a prompt that other requests may share.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Headers by lower-case name.
+
+    Returns
+    -------
+    tuple of str
+        Ids of the parts, in order.
+    """
+    parts = headers.get(PREFIX_HASH, "").split(",")
+    return tuple(part.partition(":")[0].strip() for part in parts[:-1])
+
+
 def parse_number(text: str, default: float) -> float:
     """Parse a non-negative number; return a default if the text is none."""
     try:
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -23,6 +23,7 @@
     __slots__ = (
         "_answer_time",
         "_answers",
+        "_crashes",
         "_first_byte_time",
         "_refusals",
         "_registry",
@@ -48,6 +49,11 @@
         self._refusals = Counter(
             "toucanspool_refusals", "Refusals by cause.", ["cause"], registry=registry
         )
+        self._crashes = Counter(
+            "toucanspool_upstream_crashes",
+            "Crashes of upstreams that broke replies off.",
+            registry=registry,
+        )
         self.streams = Gauge(
             "toucanspool_streams", "Streams admitted.", ["service"], registry=registry
         )
@@ -80,6 +86,10 @@
         """Count a refused call by its cause."""
         self._refusals.labels(cause).inc()
 
+    def record_crash(self, _: object) -> None:
+        """Count a crash of an upstream that broke replies off."""
+        self._crashes.inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
