--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent import socket
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from toucanspool.platform import headers as names
@@ -55,16 +56,28 @@
     closed_early: int = 0
     port: int = 0
     _server: StreamServer | None = None
+    _connections: Pool = field(default_factory=Pool)
 
     def __enter__(self) -> "RawUpstream":
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.port = self._server.server_port
+        self.restart()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self._server.stop(timeout=0)
 
+    def restart(self) -> None:
+        """Listen, on the same port as before if there was one."""
+        self._server = StreamServer(
+            ("127.0.0.1", self.port), self._serve, spawn=self._connections
+        )
+        self._server.start()
+        self.port = self._server.server_port
+
+    def crash(self) -> None:
+        """Refuse connections and close all open ones."""
+        self._server.stop(timeout=0)
+        self._connections.kill(block=False)
+
     def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
         data = b""
         while b"\r\n\r\n" not in data:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -40,13 +40,16 @@
 class GatewayProcess:
     """Run a gateway process with its settings, upstreams and log."""
 
-    def __init__(self, store: RowStore, folder: Path, *scripts: Script) -> None:
+    def __init__(
+        self, store: RowStore, folder: Path, *scripts: Script, instance: str = "e1"
+    ) -> None:
         ports = PortAllocator(part=PART)
         self.store = store
         self.callers, self.readiness, self.directory, self.metrics = (
             ports.next() for _ in range(4)
         )
         self.log = folder / "log"
+        self._instance = instance
         self._settings = folder / "gateway.yaml"
         self._cleanup = ExitStack()
         for number, script in enumerate(scripts):
@@ -66,7 +69,7 @@
         """Write the settings file with changes to its gateway section."""
         cfg = {
             "role": "gateway",
-            "instance": "e1",
+            "instance": self._instance,
             "failure_domain": "one",
             "host": "127.0.0.1",
             "port": 1,
@@ -93,6 +96,11 @@
 
     def start(self) -> None:
         """Start the process and wait until it is ready."""
+        self.spawn()
+        self.wait_until_ready()
+
+    def spawn(self) -> None:
+        """Start the process."""
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
                 [
@@ -104,6 +112,9 @@
                 stdout=out,
                 stderr=out,
             )
+
+    def wait_until_ready(self) -> None:
+        """Wait until the process is ready."""
         with gevent.Timeout(START_TIMEOUT_S):
             while self.get(self.readiness, "/readyz")[0] != 200:
                 gevent.sleep(0.05)
