Block the part of prompts that crashes upstreams, at all gateways

Each crash took a lock-step group down for four seconds, in which nine of ten streams were refused.

Cause: each failure was judged alone. A gateway sent the broken call to the next engine and took the next one of its kind as if nothing had been; no gateway knew of the crashes that others saw. The class: repeated harm by one kind of input, visible only across calls, upstreams and gateways.

Change: every shared part of the prompts of calls that a crash broke off is suspect; a stream that lasts half a second, or ends complete, clears its parts. A part that is suspect in three crashes is refused with 503 and the time of its block, before it waits for room. Gateways write what they saw to a row of their own in the table that they follow anyway, so all come to the same result and know it after a restart.

--- a/tests/processes/test_crashing_prompts.py
+++ b/tests/processes/test_crashing_prompts.py
@@ -9,9 +9,11 @@
 from gevent import socket
 from gevent.pool import Pool
 
+from demo.launcher import PortAllocator
 from standins.crashing_engine import CrashingEngine
 from standins.row_store import RowStore
 from tests.gateway.gateways import HOST
+from tests.processes.conftest import PART
 from tests.processes.test_gateway import CONTACT_S, GatewayProcess
 
 GATEWAYS = 6
@@ -110,10 +112,12 @@
             for number in range(ENGINES)
         ]
         gateways = []
+        # One allocator, since processes that have just started don't listen yet.
+        ports = PortAllocator(part=PART)
         for number in range(GATEWAYS):
             folder = tmp_path / str(number)
             folder.mkdir()
-            process = GatewayProcess(store, folder, instance=f"g{number}")
+            process = GatewayProcess(store, folder, instance=f"g{number}", ports=ports)
             closing.callback(process.close)
             process.spawn()
             gateways.append(process)
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -41,9 +41,14 @@
     """Run a gateway process with its settings, upstreams and log."""
 
     def __init__(
-        self, store: RowStore, folder: Path, *scripts: Script, instance: str = "e1"
+        self,
+        store: RowStore,
+        folder: Path,
+        *scripts: Script,
+        instance: str = "e1",
+        ports: PortAllocator | None = None,
     ) -> None:
-        ports = PortAllocator(part=PART)
+        ports = ports or PortAllocator(part=PART)
         self.store = store
         self.callers, self.readiness, self.directory, self.metrics = (
             ports.next() for _ in range(4)
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -62,6 +62,11 @@
         """Return the HTTP status; 0 until the reply's head is complete."""
         return self._exchange.parser.status
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the reply says where it ends; see `ReplyParser`."""
+        return self._exchange.parser.framed
+
     @property
     def sent(self) -> bool:
         """Return whether the upstream may have received the call."""
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -79,6 +79,7 @@
     DEADLINE = "The time for the call is over."
     MAYBE_RUN = "The call may have run, and its answer was lost."
     BROKEN = "The upstream's answer was broken off."
+    QUARANTINED = "A part of the prompt has crashed several upstreams."
     BAD_REQUEST = "The request is malformed."
     BODY_TOO_LARGE = "The body is too large."
     BODY_TOO_SLOW = "The body came too slowly."
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -75,6 +75,7 @@
         """
         if self.draining:
             raise Refused(RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S)
+        self._relay.guard.check(call)
         self.running += 1
         closing.callback(self._finish_call)
         self._admit(call, closing)
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -2,12 +2,14 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import structlog
 
 from toucanspool.gateway.call_dispatcher import CallDispatcher
-from toucanspool.gateway.crash_watch import CrashWatch
+from toucanspool.gateway.crash_watch import Crash, CrashWatch
 from toucanspool.gateway.dialect import Dialect
+from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
@@ -15,6 +17,7 @@
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
+from toucanspool.retries.quarantine import PromptQuarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import Route, RouteTable
@@ -42,6 +45,8 @@
         Random source.
     metrics : CallMetrics
         Gauges of versions and limits.
+    on_crash : callable, optional
+        Called with each crash of an upstream; it must record it in `quarantine`.
 
     Attributes
     ----------
@@ -51,6 +56,8 @@
         Known upstreams.
     ejector : Ejector
         Health of the upstreams.
+    quarantine : PromptQuarantine
+        Prompts that crash upstreams.
     dispatcher : CallDispatcher
         Admits calls and forwards them.
     """
@@ -60,10 +67,12 @@
         "_budget",
         "_entries",
         "_metrics",
+        "_on_crash",
         "_rng",
         "_stream_limits",
         "dispatcher",
         "ejector",
+        "quarantine",
         "routes",
         "upstreams",
     )
@@ -77,7 +86,9 @@
         failure_domain: str,
         rng: random.Random,
         metrics: CallMetrics,
+        on_crash: Callable[[Crash], None] | None = None,
     ) -> None:
+        self._on_crash = on_crash or self._record_crash
         self._entries = entries
         self._rng = rng
         self._metrics = metrics
@@ -91,8 +102,14 @@
         self._budget = SharedBudget(
             ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
         )
-        crash_watch = CrashWatch(metrics.record_crash)
-        relay = Relay(self._balancer, self.ejector, self._budget, dialect, crash_watch)
+        self.quarantine = PromptQuarantine()
+        relay = Relay(
+            self._balancer,
+            self.ejector,
+            self._budget,
+            dialect,
+            PromptGuard(self.quarantine, CrashWatch(self._count_crash)),
+        )
         streams = StreamRelay(relay, dialect, self._record_gap)
         self.dispatcher = CallDispatcher(relay, streams, self._find_gate)
 
@@ -142,6 +159,7 @@
     def tick(self) -> None:
         """Adapt limits, retry budget and tie offset to recent load and live entries."""
         now = time.monotonic()
+        self.quarantine.expire(now)
         if self.upstreams.expire(now):
             self.upstreams_changed()
         entries = len(self._entries.live)
@@ -175,6 +193,14 @@
             for name, stream_limit in self._stream_limits.items()
         }
 
+    def _count_crash(self, crash: Crash) -> None:
+        self._metrics.record_crash()
+        self._on_crash(crash)
+
+    def _record_crash(self, crash: Crash) -> None:
+        incarnation = crash.upstream, crash.started_ms
+        self.quarantine.record_crash(incarnation, crash.prompts, time.monotonic())
+
     def _find_gate(self, service: str) -> Gate | None:
         stream_limit = self._stream_limits.get(service)
         return stream_limit.gate if stream_limit else None
--- /dev/null
+++ b/toucanspool/gateway/prompt_guard.py
@@ -0,0 +1,96 @@
+"""Protection of upstreams from calls whose prompts crash them."""
+
+import time
+
+from toucanspool.gateway.call import Call, RefusalCause, Refused
+from toucanspool.gateway.crash_watch import CrashWatch
+from toucanspool.gateway.progress import CallProgress
+from toucanspool.retries.quarantine import PromptQuarantine
+from toucanspool.routing.upstream import Upstream
+
+# Prompts that crash an upstream do so when it begins to write the answer.
+SOUND_AFTER_S = 0.5
+
+
+class PromptGuard:
+    """Refuse calls with quarantined prompts, and collect evidence on all prompts.
+
+    Parameters
+    ----------
+    quarantine : PromptQuarantine
+        Prompts that crash upstreams.
+    crash_watch : CrashWatch
+        Told of replies that break off.
+    """
+
+    __slots__ = ("_crash_watch", "_quarantine")
+
+    def __init__(self, quarantine: PromptQuarantine, crash_watch: CrashWatch) -> None:
+        self._quarantine = quarantine
+        self._crash_watch = crash_watch
+
+    def check(self, call: Call, *, may_have_run: bool = False) -> None:
+        """Raise unless the call's prompt may be sent to upstreams.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        may_have_run : bool, default=False
+            Whether an earlier attempt may have run.
+
+        Raises
+        ------
+        Refused
+            A part of the prompt crashes upstreams.
+        """
+        blocked_s = self._quarantine.remaining_s(call.prompt, time.monotonic())
+        if blocked_s:
+            raise Refused(
+                RefusalCause.QUARANTINED,
+                may_have_run=may_have_run,
+                retry_after_s=blocked_s,
+            )
+
+    def record_call(self, call: Call) -> None:
+        """Record a new call."""
+        self._quarantine.record_call(call.prompt)
+
+    def record_answer(
+        self, call: Call, progress: CallProgress, *, complete: bool = False
+    ) -> None:
+        """Record that a part of the answer has arrived.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        progress : CallProgress
+            Its attempts so far.
+        complete : bool, default=False
+            Whether the answer is known to be complete.
+        """
+        now = time.monotonic()
+        if progress.began_at is None:
+            progress.began_at = now
+        lasted = now - progress.began_at >= SOUND_AFTER_S
+        if not progress.sound and (complete or lasted):
+            progress.sound = True
+            self._quarantine.record_sound(call.prompt, now)
+
+    def record_break(
+        self, call: Call, progress: CallProgress, upstream: Upstream
+    ) -> None:
+        """Record that the answer of an attempt broke off.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        progress : CallProgress
+            Its attempts so far.
+        upstream : Upstream
+            Upstream of the attempt.
+        """
+        if not progress.sound:
+            self._crash_watch.record_break(upstream, call.prompt)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -7,9 +7,10 @@
 
 from toucanspool.gateway.attempt import Attempt, TurnedAway
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
-from toucanspool.gateway.crash_watch import CrashWatch
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.exchange import Silent, Unreachable
+from toucanspool.gateway.progress import CallProgress
+from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.gateway.reply_parser import BrokenReply
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.retries.shared_budget import SharedBudget
@@ -28,30 +29,6 @@
 _log = structlog.get_logger()
 
 
-class CallProgress:
-    """Track the attempts of one call.
-
-    Attributes
-    ----------
-    sends : int
-        Attempts that may have reached an upstream.
-    runs : int
-        Attempts that may have run.
-    connect_failures : int
-        Attempts that could not connect.
-    tried : set of str
-        Names of upstreams that have failed the call.
-    """
-
-    __slots__ = ("connect_failures", "runs", "sends", "tried")
-
-    def __init__(self) -> None:
-        self.sends = 0
-        self.runs = 0
-        self.connect_failures = 0
-        self.tried: set[str] = set()
-
-
 class Relay:
     """Forward calls to upstreams and retry failed attempts.
 
@@ -65,11 +42,11 @@
         Retry budget.
     dialect : Dialect
         Translates headers.
-    crash_watch : CrashWatch
-        Told of replies that break off.
+    guard : PromptGuard
+        Refuses prompts that crash upstreams.
     """
 
-    __slots__ = ("_balancer", "_budget", "_crash_watch", "_dialect", "_ejector")
+    __slots__ = ("_balancer", "_budget", "_dialect", "_ejector", "guard")
 
     def __init__(
         self,
@@ -77,13 +54,13 @@
         ejector: Ejector,
         budget: SharedBudget,
         dialect: Dialect,
-        crash_watch: CrashWatch,
+        guard: PromptGuard,
     ) -> None:
-        self._crash_watch = crash_watch
         self._balancer = balancer
         self._ejector = ejector
         self._budget = budget
         self._dialect = dialect
+        self.guard = guard
 
     def forward(self, call: Call) -> Reply:
         """Forward a call and return the complete reply.
@@ -118,6 +95,7 @@
                     )
                     continue
                 self._record_status(call, upstream, attempt.status)
+                self.guard.record_answer(call, progress, complete=True)
                 progress.runs += 1
                 progress.sends += 1
                 if attempt.status in SERVER_ERROR_STATUSES and call.route.retryable:
@@ -139,6 +117,7 @@
         CallProgress
         """
         self._budget.record_request(call.service, time.monotonic())
+        self.guard.record_call(call)
         return CallProgress()
 
     def choose(self, call: Call, progress: CallProgress) -> Upstream:
@@ -161,6 +140,8 @@
             No upstream is ready, or too little time is left.
         """
         now = time.monotonic()
+        progress.start_attempt()
+        self.guard.check(call, may_have_run=progress.runs > 0)
         if call.deadline.left_s(now) < MIN_REMAINING_S:
             raise Refused(RefusalCause.DEADLINE, may_have_run=progress.runs > 0)
         prefer_local = call.route.kind is not CallKind.STREAM
@@ -228,7 +209,7 @@
             result = AttemptResult.UNREACHABLE if unreachable else AttemptResult.FAILED
             self._ejector.record(upstream.name, result, time.monotonic())
         if isinstance(exc, BrokenReply):
-            self._crash_watch.record_break(upstream, call.prompt)
+            self.guard.record_break(call, progress, upstream)
         _log.info(
             "attempt failed",
             request_id=call.id,
--- a/toucanspool/gateway/reply_parser.py
+++ b/toucanspool/gateway/reply_parser.py
@@ -44,6 +44,15 @@
         """Return whether the head of a final reply is complete."""
         return self.status >= FIRST_FINAL_STATUS
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the reply has a length or chunks.
+
+        A reply without either ends with its connection, so that one that the upstream
+        breaks off may look complete.
+        """
+        return bool(self.header("content-length") or self.header("transfer-encoding"))
+
     def receive(self, data: bytes) -> None:
         """Parse bytes from the connection.
 
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -12,7 +12,8 @@
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.events import EventSplitter
 from toucanspool.gateway.exchange import Silent, Unreachable
-from toucanspool.gateway.relay import CallProgress, Relay
+from toucanspool.gateway.progress import CallProgress
+from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.reply_parser import BrokenReply
 from toucanspool.routing.upstream import Upstream
 
@@ -117,7 +118,7 @@
     ) -> Iterator[bytes]:
         while True:
             try:
-                yield from self._read_events(call, splitter, attempt)
+                yield from self._read_events(call, progress, splitter, attempt)
                 self._relay.record_success(upstream)
                 return
             except (Silent, BrokenReply) as exc:
@@ -148,7 +149,11 @@
                 )
 
     def _read_events(
-        self, call: Call, splitter: EventSplitter, attempt: Attempt
+        self,
+        call: Call,
+        progress: CallProgress,
+        splitter: EventSplitter,
+        attempt: Attempt,
     ) -> Iterator[bytes]:
         last_at = 0.0
         for data in attempt.iter_body(STREAM_IDLE_TIMEOUT_S, call.deadline.at):
@@ -159,7 +164,9 @@
             if last_at:
                 self._on_event_gap(call.service, now - last_at)
             last_at = now
+            self._relay.guard.record_answer(call, progress)
             yield events
+        self._relay.guard.record_answer(call, progress, complete=attempt.framed)
         if splitter.partial:
             yield splitter.partial
 
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -38,6 +38,7 @@
     RefusalCause.DEADLINE: 503,
     RefusalCause.MAYBE_RUN: 502,
     RefusalCause.BROKEN: 502,
+    RefusalCause.QUARANTINED: 503,
     RefusalCause.BAD_REQUEST: 400,
     RefusalCause.BODY_TOO_LARGE: 413,
     RefusalCause.BODY_TOO_SLOW: 408,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -9,6 +9,7 @@
 
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
+from toucanspool.gateway.crash_watch import Crash
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.kernel.kernel import Kernel
@@ -22,6 +23,7 @@
 from toucanspool.platform.store import OWN_ROWS_PAUSE_S, RowStoreClient, table_of
 from toucanspool.platform.subscriptions import Subscriptions
 from toucanspool.recovery.feed import Changes
+from toucanspool.retries.crash_exchange import CrashExchange
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.settings.settings import Address, Settings
 from toucanspool.telemetry.call_metrics import CallMetrics
@@ -54,6 +56,7 @@
         "_cfg",
         "_closing",
         "_core",
+        "_crash_exchange",
         "_entries",
         "_metrics",
         "_own_record",
@@ -93,7 +96,12 @@
             failure_domain=self._cfg.failure_domain,
             rng=rng,
             metrics=self._metrics,
+            on_crash=self._report_crash,
         )
+        self._crash_exchange = CrashExchange(
+            self._store, self._cfg.instance, self._core.quarantine
+        )
+        self._closing.callback(self._crash_exchange.stop)
         self._subscriptions = Subscriptions(
             self._store, wait_s=store.feed_wait_s, rng=rng
         )
@@ -214,13 +222,20 @@
         self._core.upstreams.change(changed, changes.version, now=time.monotonic())
         self._core.upstreams_changed()
 
+    def _report_crash(self, crash: Crash) -> None:
+        self._crash_exchange.report(crash.upstream, crash.started_ms, crash.prompts)
+
     def _replace_entries(self, changes: Changes) -> None:
-        self._entries.replace(changes.rows)
-        self._registration.check(changes.rows)
+        entries = [row for row in changes.rows if row.key.startswith(ENTRY_PREFIX)]
+        self._entries.replace(entries)
+        self._registration.check(entries)
+        self._crash_exchange.replace(changes.rows)
 
     def _update_entries(self, changes: Changes) -> None:
         for row in changes.rows:
-            self._entries.put(row)
+            if row.key.startswith(ENTRY_PREFIX):
+                self._entries.put(row)
+        self._crash_exchange.update(changes.rows)
         for key in changes.deleted:
             self._entries.drop(key)
         self._registration.check_deleted(changes.deleted)
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -25,6 +25,8 @@
 # Each kind of toucanspool's own rows has its own table, so that changes of one kind
 # don't wake the readers of others.
 TABLE_PREFIX = "toucanspool-"
+# Kinds of rows with the same readers share a table, so that one feed brings both.
+TABLE_BY_KIND = {"crash": "entry"}
 # Many processes register at once at startup, so their rows are read together. A delay
 # is harmless: leaving gateways respond for longer, and ranks' slowdowns change slowly.
 OWN_ROWS_PAUSE_S = 2.0
@@ -246,7 +248,8 @@
     -------
     str
     """
-    return TABLE_PREFIX + key.partition("/")[0]
+    kind = key.partition("/")[0]
+    return TABLE_PREFIX + TABLE_BY_KIND.get(kind, kind)
 
 
 def _raise_unless_ok(status: int) -> None:
--- /dev/null
+++ b/toucanspool/retries/crash_reports.py
@@ -0,0 +1,162 @@
+"""Crashes of upstreams that an entry reports to the others, and their encoding."""
+
+import time
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import orjson
+
+from toucanspool.backing.json_row import read_json
+from toucanspool.backing.table import Row
+from toucanspool.retries.quarantine import BLOCK_S, EVIDENCE_S, Prompt
+
+REPORT_PREFIX = "crash/"
+MAX_REPORTED_CRASHES = 32
+MAX_REPORTED_PROMPTS = 16
+
+
+@dataclass(slots=True, frozen=True)
+class CrashReport:
+    """Hold one crash as an entry saw it.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    started_ms : int
+        Start time of its incarnation; see `Listing`.
+    prompts : sequence of sequence of str
+        Prompts whose answers the crash may be due to.
+    at_s : float
+        Unix time of the crash, in seconds.
+    """
+
+    upstream: str
+    started_ms: int
+    prompts: tuple[Prompt, ...]
+    at_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class EntryReport:
+    """Hold what one entry reports.
+
+    Parameters
+    ----------
+    crashes : sequence of CrashReport
+        The latest crashes.
+    blocked : mapping of str to float
+        Unix times at which it blocked parts of prompts, in seconds.
+    sound : mapping of str to float
+        Unix times at which it last saw parts that it has cleared of a crash sound, in
+        seconds.
+    """
+
+    crashes: tuple[CrashReport, ...]
+    blocked: dict[str, float]
+    sound: dict[str, float]
+
+    def encode(self) -> bytes:
+        """Return the report as JSON."""
+        return orjson.dumps(self)
+
+
+class OwnReports:
+    """Collect what this entry reports.
+
+    Attributes
+    ----------
+    blocked : dict of str to float
+        Unix times at which this entry blocked parts of prompts, in seconds.
+    """
+
+    __slots__ = ("_crashes", "blocked")
+
+    def __init__(self) -> None:
+        self._crashes: deque[CrashReport] = deque(maxlen=MAX_REPORTED_CRASHES)
+        self.blocked: dict[str, float] = {}
+
+    def add(self, upstream: str, started_ms: int, prompts: Iterable[Prompt]) -> None:
+        """Add a crash that was seen now.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream.
+        started_ms : int
+            Start time of its incarnation.
+        prompts : iterable of tuple of str
+            Prompts whose answers the crash may be due to.
+        """
+        distinct = tuple(dict.fromkeys(prompts))[:MAX_REPORTED_PROMPTS]
+        self._crashes.append(CrashReport(upstream, started_ms, distinct, time.time()))
+
+    def restore(self, report: EntryReport) -> None:
+        """Continue the report of an earlier process of this entry.
+
+        Parameters
+        ----------
+        report : EntryReport
+            The earlier report.
+        """
+        known = list(self._crashes)
+        self._crashes.clear()
+        self._crashes.extend(c for c in report.crashes if c not in known)
+        self._crashes.extend(known)
+        self.blocked = {**report.blocked, **self.blocked}
+
+    def report(self, sound: dict[str, float]) -> EntryReport:
+        """Return the current report, without what no longer counts.
+
+        Parameters
+        ----------
+        sound : dict of str to float
+            As in `EntryReport`.
+
+        Returns
+        -------
+        EntryReport
+        """
+        crashes = tuple(c for c in self._crashes if age_s(c.at_s) < EVIDENCE_S)
+        blocked = {p: at for p, at in self.blocked.items() if age_s(at) < BLOCK_S}
+        return EntryReport(crashes, blocked, sound)
+
+
+def age_s(at_s: float) -> float:
+    """Return the seconds since a Unix time.
+
+    Entries' clocks differ by little against the time for which reports count.
+    """
+    return max(0.0, time.time() - at_s)
+
+
+def decode_report(row: Row) -> EntryReport | None:
+    """Return the report in a row, or None if it can't be read.
+
+    Parameters
+    ----------
+    row : Row
+        Row of an entry's report.
+
+    Returns
+    -------
+    EntryReport or None
+    """
+    return read_json(
+        row,
+        lambda data: EntryReport(
+            tuple(
+                CrashReport(
+                    crash["upstream"],
+                    int(crash["started_ms"]),
+                    tuple(tuple(map(str, prompt)) for prompt in crash["prompts"]),
+                    float(crash["at_s"]),
+                )
+                for crash in data["crashes"]
+            ),
+            {str(part): float(at_s) for part, at_s in data["blocked"].items()},
+            {str(part): float(at_s) for part, at_s in data["sound"].items()},
+        ),
+        error_event="unreadable crash report",
+    )
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -86,7 +86,7 @@
         """Count a refused call by its cause."""
         self._refusals.labels(cause).inc()
 
-    def record_crash(self, _: object) -> None:
+    def record_crash(self) -> None:
         """Count a crash of an upstream that broke replies off."""
         self._crashes.inc()
 
