--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -126,7 +126,12 @@
 
 
 def streaming(
-    events: list[bytes], *, gap_s: float = 0.0, cut: bool = False, partial: bytes = b""
+    events: list[bytes],
+    *,
+    gap_s: float = 0.0,
+    cut: bool = False,
+    partial: bytes = b"",
+    framed: bool = True,
 ) -> Script:
     """Return a script that streams events, one per chunk.
 
@@ -140,22 +145,28 @@
         Leave out the final chunk.
     partial : bytes, default=b""
         Part of an event to send after the others.
+    framed : bool, default=True
+        Whether the stream has chunks; it ends with its connection otherwise.
     """
 
+    def send(sock: socket.socket, data: bytes) -> None:
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data) if framed else data)
+
     def script(sock: socket.socket, request: ReceivedRequest) -> None:
         first = int(request.header("last-event-id") or 0)
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"{names.ATTEMPT_ID.title()}: {request.header(names.ATTEMPT_ID)}\r\n"
-            f"{names.SIGNATURE.title()}: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            f"{names.SIGNATURE.title()}: s.1\r\n"
         )
+        head += "Transfer-Encoding: chunked\r\n\r\n" if framed else "\r\n"
         sock.sendall(head.encode())
         for event in events[first:]:
             gevent.sleep(gap_s)
-            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            send(sock, event)
         if partial:
-            sock.sendall(b"%x\r\n%s\r\n" % (len(partial), partial))
-        if not cut:
+            send(sock, partial)
+        if framed and not cut:
             sock.sendall(b"0\r\n\r\n")
 
     return script
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -1,8 +1,11 @@
 """Streams are resumed without gaps, and broken streams don't look complete."""
 
 import time
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 import gevent
+import pytest
 
 from standins.raw_upstream import event, streaming
 from tests.gateway.gateways import gateway, route
@@ -66,6 +69,40 @@
         assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
 
 
+def test_a_stream_without_framing_ends_with_its_connection():
+    with gateway(streaming(EVENTS, framed=False), routes=STREAM) as gw:
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+@pytest.mark.parametrize(
+    ("events", "partial"), [(EVENTS[:2], b"id: 3\nda"), ([], b"id: 1"), ([], b"")]
+)
+def test_a_stream_without_framing_that_ends_inside_an_event_goes_on_elsewhere(
+    events, partial
+):
+    broken = streaming(events, partial=partial, framed=False)
+    with gateway(broken, streaming(EVENTS, framed=False), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+def test_a_stream_without_framing_that_is_reset_goes_on_elsewhere():
+    def reset(sock, seen):
+        streaming(EVENTS[:2], framed=False)(sock, seen)
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+
+    with gateway(reset, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+def test_a_stream_without_framing_that_can_not_go_on_does_not_look_complete():
+    broken = streaming(EVENTS[:2], partial=b"id: 3\nda", framed=False)
+    with gateway(broken, routes=UNRESUMABLE) as gw:
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:2]) + b"(cut)"
+
+
 def test_a_stream_that_can_not_go_on_does_not_look_complete():
     with gateway(streaming(EVENTS[:2], cut=True), routes=UNRESUMABLE) as gw:
         assert (
