Send orders to ranks on a new connection after one got no answer

Found while looking for the cause of the late configurations elsewhere: the product's own coordinator kept a connection on which an order had timed out, so that a connection that had gone silent failed every later order to its ranks. Reads from engines, requests to rank agents, probes and calls by the gateway open new connections already. The quarantine keeps 1,024 parts instead of 4,096, a quarter of a megabyte at most.

--- a/toucanspool/groups/rank_links.py
+++ b/toucanspool/groups/rank_links.py
@@ -84,7 +84,11 @@
         try:
             link.connect().send(Frame(order=order))
             return result.get(timeout=ORDER_TIMEOUT_S)
-        except (ConnectionLost, Timeout) as exc:
+        except ConnectionLost as exc:
+            raise RankUnreachable(rank) from exc
+        except Timeout as exc:
+            # The connection may be silent, so the next order opens a new one.
+            link.close()
             raise RankUnreachable(rank) from exc
         finally:
             if self._pending.get(key) is result:
--- a/toucanspool/retries/quarantine.py
+++ b/toucanspool/retries/quarantine.py
@@ -16,7 +16,7 @@
 # A part that was sound this shortly before a crash, or after it, has not caused it.
 SOUND_WINDOW_S = 5.0
 MAX_CRASHES = 256
-MAX_PARTS = 4096
+MAX_PARTS = 1024
 
 Incarnation = tuple[str, int]
 Prompt = tuple[str, ...]
