Let the soak silence and restore the store, and watch configurations

The soak missed the late configurations: its proxy reset every connection after it had swallowed bytes, the store could not be silent, and nothing asked which configuration was in force. Connections that lost bytes now stay silent, the store falls silent and comes back from older copies, faults come in overlapping series with calm spells between, and gateways are asked for the routes of old and new versions. The sizes are options, for runs with many processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,9 @@
 RUNS = flags.DEFINE_integer("runs", 1, "Runs, each with the next seed.")
 SECONDS = flags.DEFINE_float("seconds", 15.0, "Length of a run.")
 OFF = flags.DEFINE_string("off", "", "The promise whose mechanism is switched off.")
+GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=1)
+RANKS = flags.DEFINE_integer("ranks", 3, "Rank agents.", lower_bound=2)
+START_S = flags.DEFINE_float("start_s", 3.0, "Time that the processes have to start.")
 PART = flags.DEFINE_integer("part", 0, "Part of the ports, 0 to 7.")
 
 
@@ -17,7 +20,14 @@
     """Run the seeds one after another and print the violations of each."""
     failed_runs = 0
     for seed in range(SEED.value, SEED.value + RUNS.value):
-        with SoakSystem(seed, part=PART.value, off=OFF.value) as system:
+        with SoakSystem(
+            seed,
+            part=PART.value,
+            off=OFF.value,
+            gateways=GATEWAYS.value,
+            ranks=RANKS.value,
+            start_s=START_S.value,
+        ) as system:
             system.run(SECONDS.value)
         oracle = system.oracle
         failed_runs += bool(oracle.violations)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from soak.process import GRACE_S
+from soak.process import GRACE_S, Process
 from soak.proxy import LinkMode
 
 if TYPE_CHECKING:
@@ -47,19 +47,31 @@
     system.oracle.last_store_fault_at = time.monotonic()
 
 
+@contextmanager
+def _link_disturbed(system: "SoakSystem", process: Process) -> Iterator[None]:
+    system.oracle.link_faults += 1
+    process.link_faults += 1
+    yield
+    process.link_faults -= 1
+    system.oracle.link_faults -= 1
+    process.disturbed_at = system.oracle.last_link_fault_at = time.monotonic()
+
+
 def _reload_settings(system: "SoakSystem") -> None:
     system.random_process().signal(signal.SIGHUP)
 
 
 def _disturb_store_link(system: "SoakSystem") -> None:
-    proxy = system.random_process().proxy
-    with _store_disturbed(system):
+    process = system.random_process()
+    proxy = process.proxy
+    with _link_disturbed(system, process):
         proxy.mode = system.rng.choice(
             [mode for mode in LinkMode if mode is not LinkMode.GOOD]
         )
         gevent.sleep(system.rng.uniform(0.5, 3.0))
         proxy.mode = LinkMode.GOOD
-        proxy.reset()
+        if system.rng.random() < 0.5:
+            proxy.reset()
 
 
 def _fail_store(system: "SoakSystem") -> None:
@@ -69,6 +81,34 @@
         system.store.pages.status = 0
 
 
+def _silence_store(system: "SoakSystem") -> None:
+    pages = system.store.pages
+    with _store_disturbed(system):
+        pages.answers_late = system.rng.random() < 0.5
+        pages.silent = True
+        gevent.sleep(system.rng.uniform(0.5, 4.0))
+        pages.silent = False
+    # The operator has repeated a change until the store took it.
+    _change_configuration(system)
+
+
+def _restore_store(system: "SoakSystem") -> None:
+    """Bring the store back from a copy some seconds old."""
+    pages = system.store.pages
+    with _store_disturbed(system):
+        copied_at = pages.version
+        gevent.sleep(system.rng.uniform(0.5, 3.0))
+        _change_configuration(system)
+        pages.silent = True
+        gevent.sleep(system.rng.uniform(0.2, 1.0))
+        if copied_at <= pages.version:
+            pages.lapse(copied_at)
+        pages.silent = False
+        gevent.sleep(system.rng.uniform(0.0, 2.0))
+        # The operator and the upstreams write what they had written.
+        system.rewrite_store()
+
+
 def _lose_store_answers(system: "SoakSystem") -> None:
     system.store.pages.lose_answers = system.rng.randrange(1, 4)
 
@@ -112,6 +152,8 @@
     "hang up": _reload_settings,
     "bad link to the store": _disturb_store_link,
     "store down": _fail_store,
+    "store restored": _restore_store,
+    "store silent": _silence_store,
     "store loses answers": _lose_store_answers,
     "store forgets": _truncate_store_history,
     "upstream fails": _fail_upstream,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -40,7 +40,9 @@
     last_pause_at : float
         When the last pause ended, in seconds on the monotonic clock.
     store_faults, last_store_fault_at : int, float
-        Likewise for faults of the store and the links to it.
+        Likewise for faults of the store.
+    link_faults, last_link_fault_at : int, float
+        Likewise for faults of processes' links to the store.
     stalls : list of (float, float)
         End and duration of each stall of the soak's own process, in seconds on the
         monotonic clock. Callers, upstreams and the store all run in it.
@@ -56,6 +58,8 @@
     last_pause_at: float = 0.0
     store_faults: int = 0
     last_store_fault_at: float = 0.0
+    link_faults: int = 0
+    last_link_fault_at: float = 0.0
     stalls: list[tuple[float, float]] = field(default_factory=list)
 
     def record_run(self, call: str, upstream: str, *, draining_s: float) -> None:
@@ -74,11 +78,7 @@
         if call in self.refused_calls:
             self._report("not run is true", call, f"ran at {upstream} after a refusal")
         # A process that can't reach the store can't know which upstreams drain.
-        undisturbed_s = time.monotonic() - max(
-            self.last_store_fault_at, self.last_pause_at
-        )
-        undisturbed = not self.store_faults and not self.paused_processes
-        if undisturbed and min(draining_s, undisturbed_s) > DRAIN_DELAY_S:
+        if min(draining_s, self.undisturbed_s()) > DRAIN_DELAY_S:
             self._report("leaving", call, f"{upstream} leaves for {draining_s:.1f} s")
 
     def record_call(self, call: str, *, once: bool) -> None:
@@ -147,6 +147,30 @@
             detail = f"{ended - started:.1f} s, the soak stood still {stalled_s:.1f} s"
             self._report("held no longer than its route's time", call, detail)
 
+    def undisturbed_s(self) -> float:
+        """Return for how long store, links and processes were undisturbed."""
+        if self.link_faults or self.paused_processes:
+            return 0.0
+        last_fault_at = max(self.last_link_fault_at, self.last_pause_at)
+        return min(self.store_undisturbed_s(), time.monotonic() - last_fault_at)
+
+    def store_undisturbed_s(self) -> float:
+        """Return for how long the store was undisturbed.
+
+        Stalls of the soak's own process, in which the store runs, disturb it too.
+        """
+        if self.store_faults:
+            return 0.0
+        stalled_at = self.stalls[-1][0] if self.stalls else 0.0
+        return time.monotonic() - max(self.last_store_fault_at, stalled_at)
+
+    def record_config(
+        self, guarantee: str, gateway: str, version: int, late_s: float
+    ) -> None:
+        """Record that a gateway does not know a version that it should know."""
+        detail = f"{gateway} without version {version}, written {late_s:.1f} s before"
+        self._report(guarantee, "", detail)
+
     def record_mixed_maps(self, detail: str) -> None:
         """Record a pass that started on two maps."""
         self._report("one map in each pass", "", detail)
--- a/soak/process.py
+++ b/soak/process.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -27,6 +28,16 @@
         Loopback port of the store.
     switched_off : str
         The guarantee whose mechanism is switched off; empty for none.
+
+    Attributes
+    ----------
+    starts : int
+        Number of times that the process was started.
+    disturbed_at : float
+        Time of the last signal, or of the end of the last fault of its link to the
+        store, in seconds on the monotonic clock.
+    link_faults : int
+        Faults of that link now.
     """
 
     def __init__(
@@ -43,9 +54,21 @@
         self._path = folder / f"{self.name}.yaml"
         self._path.write_text(yaml.safe_dump(settings))
         self._child: subprocess.Popen | None = None
+        self._paused = False
+        self.disturbed_at = 0.0
+        self.link_faults = 0
+        self.starts = 0
+
+    def undisturbed_s(self) -> float:
+        """Return for how long the process and its link to the store were left alone."""
+        if self._paused or self.link_faults:
+            return 0.0
+        return time.monotonic() - self.disturbed_at
 
     def start(self) -> None:
         """Start the process, also after it has exited."""
+        self.starts += 1
+        self.disturbed_at = time.monotonic()
         with self.log.open("ab") as out:
             self._child = subprocess.Popen(
                 [
@@ -61,6 +84,9 @@
     def signal(self, number: int) -> None:
         """Send a signal if the process is running."""
         if self._child is not None and self._child.poll() is None:
+            self.disturbed_at = time.monotonic()
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self._paused = number == signal.SIGSTOP
             self._child.send_signal(number)
 
     def wait(self, timeout_s: float) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -77,13 +77,17 @@
     def _pump(
         self, source: socket.socket, sink: socket.socket, *, is_answer: bool
     ) -> None:
+        # A connection that has lost bytes delivers nothing further.
+        discards = False
         with suppress(OSError):
             while data := source.recv(BLOCK_BYTES):
                 if self.mode is LinkMode.SLOW:
                     gevent.sleep(SLOW_DELAY_S)
-                discarded = self.mode is LinkMode.SILENT
-                discarded |= self.mode is LinkMode.NO_ANSWERS and is_answer
-                if not discarded:
+                discards |= self.mode is LinkMode.SILENT
+                discards |= self.mode is LinkMode.NO_ANSWERS and is_answer
+                if not discards:
                     sink.sendall(data)
+        if discards:
+            return
         with suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -13,10 +13,12 @@
 from toucanspool import daemon  # patches the standard library first
 from toucanspool.gateway.attempt import Attempt
 from toucanspool.gateway.call import RefusalCause
+from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.exchange import Exchange
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.platform import configuration, frontend, listings
-from toucanspool.routing.routes import CallKind, Route
+from toucanspool.routing.routes import CallKind, Route, RouteTable
+from toucanspool.settings.settings import RowStore
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk
 
 OFF = flags.DEFINE_string("off", "", "The promise whose mechanism is switched off.")
@@ -85,6 +87,22 @@
     )
 
 
+def _wait_long_for_changes() -> None:
+    """Let a silent connection to the store go unnoticed for half a minute."""
+    RowStore.feed_wait_s = property(lambda self: 30.0)
+
+
+def _take_any_version() -> None:
+    """Put any configuration in force, also an older one."""
+    set_routes = GatewayCore.set_routes
+
+    def set_any(self: GatewayCore, routes: RouteTable) -> None:
+        self.routes = None
+        set_routes(self, routes)
+
+    GatewayCore.set_routes = set_any
+
+
 def _arm_without_hold() -> None:
     """Arm the ranks without holding a pass until all are armed."""
 
@@ -108,6 +126,8 @@
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
     "one map in each pass": _arm_without_hold,
+    "configuration in time": _wait_long_for_changes,
+    "a configuration never goes back": _take_any_version,
 }
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -14,6 +14,7 @@
 
 from demo.launcher import PortAllocator
 from soak.callers import HOST, KEY, ROUTE_TIMEOUT_S, SoakCaller
+from soak.config_watch import ConfigWatch, version_prefix
 from soak.faults import FAULTS
 from soak.oracle import Oracle
 from soak.process import GRACE_S, Process
@@ -23,7 +24,9 @@
 from standins.pass_group import MixedMaps, PassGroup
 from standins.row_store import RowStore
 
-GATEWAYS, RANKS, UPSTREAMS, CALLERS = 3, 3, 4, 6
+GATEWAYS, RANKS, UPSTREAMS = 3, 3, 4
+CALLERS_PER_GATEWAY = 2
+START_S = 3.0
 LAYER_SETS, EXPERTS, PLACES = 2, 12, 6
 TICK_S = 0.02
 STALL_CHECK_S = 0.05
@@ -31,6 +34,9 @@
 # the process got no processor time.
 STALL_S = 0.2
 ADDRESS_TTL_S = 0.3
+# Between series of faults there are calm spells, in which connected processes must have
+# caught up.
+CALM_S = 5.0
 ROUTE_TYPES = {
     "/book/": "non_idempotent",
     "/read/": "idempotent",
@@ -65,6 +71,10 @@
         Part of the ports, for systems that run at the same time.
     off : str, default=""
         The guarantee whose mechanism is switched off; see `soak.switched_off`.
+    gateways, ranks : int
+        Number of processes of each role. There are two callers for each gateway.
+    start_s : float, default=3
+        Time that the processes have to start, in seconds.
 
     Attributes
     ----------
@@ -74,7 +84,19 @@
         Time in seconds and name of each injected fault.
     """
 
-    def __init__(self, seed: int, *, part: int = 0, off: str = "") -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        part: int = 0,
+        off: str = "",
+        gateways: int = GATEWAYS,
+        ranks: int = RANKS,
+        start_s: float = START_S,
+    ) -> None:
+        self._gateway_count = gateways
+        self._rank_count = ranks
+        self._start_s = start_s
         self._off = off
         self.rng = random.Random(seed)
         self.oracle = Oracle()
@@ -83,13 +105,15 @@
         self._ports = PortAllocator(part=part)
         self._cleanup = ExitStack()
         self._version = 0
+        self._config = b""
+        self._rank_rows: dict[str, bytes] = {}
         self._upstream_numbers = 0
         self._started_at = 0.0
 
     def __enter__(self) -> "SoakSystem":
         folder = Path(self._cleanup.enter_context(tempfile.TemporaryDirectory()))
         self.store = self._cleanup.enter_context(RowStore())
-        self.group = PassGroup(RANKS, random.Random(self.rng.random()))
+        self.group = PassGroup(self._rank_count, random.Random(self.rng.random()))
         for row in self.group.rows:
             row.counts = np.ones((LAYER_SETS, EXPERTS), dtype=int)
         self.upstreams = []
@@ -99,9 +123,14 @@
             self._cleanup.enter_context(upstream.server)
             upstream.list(self.store.pages)
             self.upstreams.append(upstream)
+        self.gateways = []
+        rng = random.Random(self.rng.random())
+        self._config_watch = ConfigWatch(self.gateways, self.oracle, rng)
         self.configure()
-        self.gateways = [self._gateway(number, folder) for number in range(GATEWAYS)]
-        self.agents = [self._agent(rank, folder) for rank in range(RANKS)]
+        self.gateways += [
+            self._gateway(number, folder) for number in range(self._gateway_count)
+        ]
+        self.agents = [self._agent(rank, folder) for rank in range(self._rank_count)]
         for process in self.gateways + self.agents:
             self._cleanup.callback(process.wait, 0.1)
             self._cleanup.callback(process.signal, signal.SIGKILL)
@@ -121,48 +150,63 @@
         seconds : float
             Length of the run.
         """
-        gevent.sleep(3.0)
+        gevent.sleep(self._start_s)
         self._started_at = time.monotonic()
         until = self._started_at + seconds
         tasks = [gevent.spawn(self._tick)]
+        watch_task = gevent.spawn(self._config_watch.run)
         stall_task = gevent.spawn(self._record_stalls)
-        for number in range(CALLERS):
+        for number in range(CALLERS_PER_GATEWAY * self._gateway_count):
             rng = random.Random(self.rng.random())
             caller = SoakCaller(f"c{number}", self._addresses, self.oracle, rng)
             tasks.append(gevent.spawn(caller.run, until))
-        while time.monotonic() < until - 3.0:
-            gevent.sleep(self.rng.uniform(0.1, 1.0))
-            self._inject_fault()
+        while time.monotonic() < until - CALM_S:
+            for _ in range(self.rng.randrange(3, 9)):
+                gevent.sleep(self.rng.uniform(0.1, 1.0))
+                self._inject_fault()
+            gevent.sleep(CALM_S)
         self._clear_faults()
         gevent.joinall(tasks[1:], timeout=10.0)
         if isinstance(tasks[0].exception, MixedMaps):
             self.oracle.record_mixed_maps(str(tasks[0].exception))
         tasks[0].kill()
-        stall_task.kill()
+        gevent.killall([stall_task, watch_task])
 
     def configure(self) -> None:
         """Write a configuration of a newer version to the store."""
         self._version += self.rng.randrange(1, 4)
+        versions = [*self._config_watch.versions, self._version]
+        route_types = ROUTE_TYPES | {version_prefix(v): "idempotent" for v in versions}
         routes = [
             {
                 "name": prefix,
                 "hostname": HOST,
                 "prefix": prefix,
                 "routeType": route_type,
-                "timeoutMs": int(ROUTE_TIMEOUT_S[prefix] * 1000),
+                "timeoutMs": int(ROUTE_TIMEOUT_S.get(prefix, 1.0) * 1000),
                 "objectiveMs": 500,
                 "service": "desk",
                 "maxAttempts": 1 if prefix == "/book/" else 2,
                 "resumable": True,
                 "gapTargetMs": 120,
             }
-            for prefix, route_type in ROUTE_TYPES.items()
+            for prefix, route_type in route_types.items()
         ]
         services = [{"name": "desk"}, {"name": "ranks", "engine": ENGINE}]
         tenants = [{"name": "clerks", "apiKeys": [KEY]}]
         config = {"version": self._version, "routes": routes}
         config |= {"services": services, "tenants": tenants}
-        self.store.pages.put("op", "config", orjson.dumps(config))
+        self._config = orjson.dumps(config)
+        self.store.pages.put("op", "config", self._config)
+        self._config_watch.record_write(self._version)
+
+    def rewrite_store(self) -> None:
+        """Write again what a store from an older copy lacks."""
+        self.store.pages.put("op", "config", self._config)
+        for upstream in self.upstreams:
+            upstream.list(self.store.pages)
+        for name, value in self._rank_rows.items():
+            self.store.pages.put("servers", name, value)
 
     def _addresses(self) -> list[int]:
         return [gateway.callers for gateway in self.gateways]
@@ -189,7 +233,8 @@
         self._cleanup.callback(server.stop, timeout=0)
         engine = f"127.0.0.1:{server.server_port}"
         fields = {"service": "ranks", "address": engine, "state": "ready"}
-        self.store.pages.put("servers", name, orjson.dumps(fields))
+        self._rank_rows[name] = orjson.dumps(fields)
+        self.store.pages.put("servers", name, self._rank_rows[name])
         section = {"engine": engine, "service": "ranks"}
         port = self._ports.next()
         cfg = self._settings(name, "rank_agent", section, port=port)
@@ -235,7 +280,7 @@
 
     def _clear_faults(self) -> None:
         pages = self.store.pages
-        pages.status, pages.lose_answers = 0, 0
+        pages.status, pages.lose_answers, pages.silent = 0, 0, False
         self.group.delayed_share = self.group.lost_share = 0.0
         for upstream in self.upstreams:
             upstream.fail_share = 0.0
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -93,6 +93,7 @@
         """Come back from the copy at a version; later transactions are lost."""
         self.era += 1
         self._version = version
+        self.history_from = min(self.history_from, version)
         self._history = [entry for entry in self._history if entry[0] <= version]
         self._rows = {}
         for at, table, key, value in self._history:
