--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -11,6 +11,7 @@
 
 import gevent
 import orjson
+from gevent.event import Event
 
 from toucanspool.platform.store_era import ERA_HEADER
 from toucanspool.wire.http_server import HttpServer
@@ -167,8 +168,11 @@
             gevent.sleep(POLL_S)
 
     def _outlast_silence(self) -> None:
-        while self._silent or not self.answers_late:
+        while self._silent:
             gevent.sleep(POLL_S)
+        if not self.answers_late:
+            # Keeps the connection open until the server stops.
+            Event().wait()
 
     def _set(self, table: str, key: str, value: bytes | None) -> None:
         self._history.append((self._version, table, key, value))
