--- a/tests/retries/test_crash_exchange.py
+++ b/tests/retries/test_crash_exchange.py
@@ -8,7 +8,11 @@
 from toucanspool.backing.table import Write
 from toucanspool.retries.crash_exchange import CrashExchange
 from toucanspool.retries.crash_reports import REPORT_PREFIX
-from toucanspool.retries.quarantine import CRASHES_TO_BLOCK, PromptQuarantine
+from toucanspool.retries.quarantine import (
+    CRASHES_TO_BLOCK,
+    EVIDENCE_S,
+    PromptQuarantine,
+)
 
 FIRST, DEADLY = "first", "deadly"
 
@@ -78,6 +82,37 @@
     assert table.get([REPORT_PREFIX + "e0"])
 
 
+def test_reports_of_old_crashes_do_not_count(monkeypatch):
+    table = MemoryTable()
+    entry = Entry(table, "e0")
+    for number in range(CRASHES_TO_BLOCK - 1):
+        entry.crash(number)
+    later = time.time() + EVIDENCE_S
+    monkeypatch.setattr(time, "time", lambda: later)
+    other = Entry(table, "e1")
+    other.crash(CRASHES_TO_BLOCK)
+    assert not other.quarantine.blocked
+
+
+def test_a_part_that_was_unblocked_is_no_longer_reported():
+    table = MemoryTable()
+    entry = Entry(table, "e0")
+    for number in range(CRASHES_TO_BLOCK):
+        entry.crash(number)
+    entry.quarantine.record_sound((FIRST, DEADLY), time.monotonic())
+    entry.crash(CRASHES_TO_BLOCK)
+    assert not Entry(table, "e0").quarantine.blocked
+
+
+def test_a_report_of_long_prompts_fits_a_row():
+    table = MemoryTable()
+    entry = Entry(table, "e0")
+    for number in range(20):
+        entry.exchange.report(f"u{number}", 1, (("x" * 9000, f"s{number}"),))
+    gevent.sleep(0.01)
+    assert len(table.get([REPORT_PREFIX + "e0"])[REPORT_PREFIX + "e0"].value) < 65536
+
+
 def test_an_unreadable_report_is_ignored():
     table = MemoryTable()
     table.commit([], [Write(REPORT_PREFIX + "e9", b'{"crashes": 3}')])
--- a/toucanspool/gateway/crash_watch.py
+++ b/toucanspool/gateway/crash_watch.py
@@ -7,7 +7,7 @@
 import structlog
 from gevent import socket
 
-from toucanspool.routing.upstream import Upstream
+from toucanspool.routing.upstream import Listing, Upstream
 
 # The replies that a crash breaks end within milliseconds of each other.
 CHECK_DELAY_S = 0.1
@@ -71,19 +71,18 @@
         suspects = self._suspects.setdefault(upstream.incarnation, [])
         suspects.append(tuple(prompt))
         if len(suspects) == 1:
-            gevent.spawn_later(CHECK_DELAY_S, self._check, upstream)
+            gevent.spawn_later(CHECK_DELAY_S, self._check, upstream.listing)
 
-    def _check(self, upstream: Upstream) -> None:
-        listing = upstream.listing
-        prompts = tuple(self._suspects.pop(upstream.incarnation))
+    def _check(self, listing: Listing) -> None:
+        prompts = tuple(self._suspects.pop((listing.name, listing.started_ms)))
         if _refuses_connections(listing.host, listing.port):
             _log.warning(
                 "upstream crashed",
-                upstream=upstream.name,
+                upstream=listing.name,
                 service=listing.service,
                 prompts=prompts,
             )
-            self._on_crash(Crash(upstream.name, listing.started_ms, prompts))
+            self._on_crash(Crash(listing.name, listing.started_ms, prompts))
 
 
 def _refuses_connections(host: str, port: int) -> bool:
--- a/toucanspool/retries/crash_exchange.py
+++ b/toucanspool/retries/crash_exchange.py
@@ -13,7 +13,7 @@
     age_s,
     decode_report,
 )
-from toucanspool.retries.quarantine import Prompt, PromptQuarantine
+from toucanspool.retries.quarantine import EVIDENCE_S, Prompt, PromptQuarantine
 
 
 class CrashExchange:
@@ -125,6 +125,8 @@
     def _record_crashes(self, report: EntryReport) -> None:
         now = time.monotonic()
         for crash in report.crashes:
+            if age_s(crash.at_s) >= EVIDENCE_S:
+                continue
             incarnation = crash.upstream, crash.started_ms
             self._record(incarnation, crash.prompts, now - age_s(crash.at_s))
 
@@ -137,6 +139,7 @@
             self._write()
 
     def _write(self) -> None:
+        self._own.keep_blocked(self._quarantine.blocked)
         now, unix_now = time.monotonic(), time.time()
         sound = {
             p: unix_now - (now - at) for p, at in self._quarantine.cleared().items()
--- a/toucanspool/retries/crash_reports.py
+++ b/toucanspool/retries/crash_reports.py
@@ -2,8 +2,8 @@
 
 import time
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -14,6 +14,9 @@
 REPORT_PREFIX = "crash/"
 MAX_REPORTED_CRASHES = 32
 MAX_REPORTED_PROMPTS = 16
+MAX_REPORTED_SOUND = 128
+# Well below the size of a row; callers choose the length of parts.
+MAX_REPORT_BYTES = 32 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,6 +109,16 @@
         self._crashes.extend(known)
         self.blocked = {**report.blocked, **self.blocked}
 
+    def keep_blocked(self, parts: Container[str]) -> None:
+        """Drop the blocks of all other parts, which have been unblocked.
+
+        Parameters
+        ----------
+        parts : container of str
+            Parts that are blocked.
+        """
+        self.blocked = {p: at for p, at in self.blocked.items() if p in parts}
+
     def report(self, sound: dict[str, float]) -> EntryReport:
         """Return the current report, without what no longer counts.
 
@@ -120,7 +133,11 @@
         """
         crashes = tuple(c for c in self._crashes if age_s(c.at_s) < EVIDENCE_S)
         blocked = {p: at for p, at in self.blocked.items() if age_s(at) < BLOCK_S}
-        return EntryReport(crashes, blocked, sound)
+        latest = sorted(sound, key=sound.__getitem__)[-MAX_REPORTED_SOUND:]
+        report = EntryReport(crashes, blocked, {part: sound[part] for part in latest})
+        while report.crashes and len(report.encode()) > MAX_REPORT_BYTES:
+            report = replace(report, crashes=report.crashes[1:], sound={})
+        return report
 
 
 def age_s(at_s: float) -> float:
