Take a resumed stream without framing that ends at once for broken off

The check asked whether the call had sent any event, so that a second upstream that broke off before its first event let the stream look complete. The new test fails without this change. Parts of a prompt without an id are left out.

--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -86,6 +86,14 @@
         assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
 
 
+def test_a_resumed_stream_without_framing_that_ends_at_once_does_not_look_complete():
+    broken = streaming(EVENTS[:2], cut=True)
+    with gateway(broken, streaming([], framed=False), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:2]) + b"(cut)"
+
+
 def test_a_stream_without_framing_that_is_reset_goes_on_elsewhere():
     def reset(sock, seen):
         streaming(EVENTS[:2], framed=False)(sock, seen)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -166,7 +166,7 @@
             last_at = now
             self._relay.guard.record_answer(call, progress)
             yield events
-        if not attempt.framed and (splitter.partial or not splitter.count):
+        if not attempt.framed and (splitter.partial or not last_at):
             raise BrokenReply("the stream ended inside an event")
         self._relay.guard.record_answer(call, progress, complete=attempt.framed)
         if splitter.partial:
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -138,7 +138,8 @@
         Ids of the parts, in order.
     """
     parts = headers.get(PREFIX_HASH, "").split(",")
-    return tuple(part.partition(":")[0].strip() for part in parts[:-1])
+    ids = (part.partition(":")[0].strip() for part in parts[:-1])
+    return tuple(part_id for part_id in ids if part_id)
 
 
 def parse_number(text: str, default: float) -> float:
