Stop all processes of an interrupted soak

SIGTERM ended the soak at once and left its processes running, and SIGINT could end in a greenlet of a stand-in, after which the run went on. The test of SIGTERM fails without this change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,9 @@
 """Command line of the soak test: ``python -m soak --seed=1 --runs=3``."""
 
+import signal
 import sys
 
+import gevent
 from absl import app, flags
 
 from soak.system import SoakSystem
@@ -18,6 +20,10 @@
 
 def main(argv: list[str]) -> int:
     """Run the seeds one after another and print the violations of each."""
+    # An interrupted soak stops the processes that it has started.
+    current = gevent.getcurrent()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, current.throw, SystemExit(128 + number))
     failed_runs = 0
     for seed in range(SEED.value, SEED.value + RUNS.value):
         with SoakSystem(
