Log replies whose end only the closed connection tells

The log said nothing of it: an upstream that closed its connection and one that said where its answer ends were both 'answered'. Now 'reply ended by close' tells the first, with request, upstream and status. No logic is changed.

--- a/tests/gateway/test_reply_parser.py
+++ b/tests/gateway/test_reply_parser.py
@@ -54,3 +54,13 @@
     parser = ReplyParser("HEAD")
     parser.receive(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
     assert parser.complete
+
+
+@pytest.mark.parametrize(
+    ("head", "by_close"), [(b"X-A: 1\r\n", True), (b"Content-Length: 4\r\n", False)]
+)
+def test_only_a_reply_without_framing_is_ended_by_close(head, by_close):
+    parser = ReplyParser("GET")
+    parser.receive(b"HTTP/1.1 200 OK\r\n" + head + b"\r\nbody")
+    parser.receive(b"")
+    assert (parser.complete, parser.ended_by_close) == (True, by_close)
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Iterator
 
+import structlog
+
 from toucanspool.gateway.call import Call
 from toucanspool.gateway.dialect import Dialect, ReplyHead
 from toucanspool.gateway.exchange import Exchange, Silent
@@ -13,6 +15,8 @@
 SUCCESS_STATUSES = range(200, 300)
 UNAVAILABLE_STATUS = 503
 
+_log = structlog.get_logger()
+
 
 class TurnedAway(Exception):
     """Report that an upstream rejected the call without running it.
@@ -113,17 +117,29 @@
 
     def read_body(self, until: float) -> bytes:
         """Return the complete body; see `Exchange.read_body`."""
-        return self._exchange.read_body(until)
+        body = self._exchange.read_body(until)
+        self._log_end()
+        return body
 
     def iter_body(self, idle_timeout_s: float, until: float) -> Iterator[bytes]:
         """Yield the body in parts as it arrives; see `Exchange.iter_body`."""
-        return self._exchange.iter_body(idle_timeout_s, until)
+        yield from self._exchange.iter_body(idle_timeout_s, until)
+        self._log_end()
 
     def close(self) -> None:
         """Close the connection, at which the upstream stops its work."""
         self._exchange.close()
         self._upstream.in_flight -= 1
 
+    def _log_end(self) -> None:
+        if self._exchange.parser.ended_by_close:
+            _log.info(
+                "reply ended by close",
+                request_id=self._call.id,
+                upstream=self._upstream.name,
+                status=self.status,
+            )
+
     def _update_upstream(self) -> None:
         head, now = self.reply_head, time.monotonic()
         if head.running is not None and head.waiting is not None:
--- a/toucanspool/gateway/reply_parser.py
+++ b/toucanspool/gateway/reply_parser.py
@@ -27,6 +27,8 @@
         Headers of the reply.
     complete : bool
         Whether the reply has been received completely.
+    ended_by_close : bool
+        Whether only the end of the connection says that the reply is complete.
     """
 
     def __init__(self, method: str) -> None:
@@ -34,6 +36,7 @@
         self.status = 0
         self.headers: list[Header] = []
         self.complete = False
+        self.ended_by_close = False
         self._is_head_request = method == "HEAD"
         self._header_name = ""
         self._header_value: str | None = None
@@ -66,6 +69,7 @@
         BrokenReply
             The reply is invalid or truncated.
         """
+        was_complete = self.complete
         try:
             self.feed(data)
         except HTTPParseError as exc:
@@ -73,6 +77,8 @@
                 raise BrokenReply(str(exc)) from exc
         if not data and not self.complete:
             raise BrokenReply("the connection was closed before the reply's end")
+        if not data:
+            self.ended_by_close = not was_complete
 
     def take_body(self) -> bytes:
         """Return the part of the body received since the last call.
