Add failing tests of answers without framing whose upstream crashes

An upstream sends a part of its answer, with neither length nor chunks, and crashes: its connection closes and its port refuses. Callers get two of five events with the last chunk, or a body with a Content-Length of what had arrived. Six tests fail, and are listed: no crash may look like an end, and a caller gets no framing that the upstream did not give.

--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -47,6 +47,8 @@
         Requests received, in order.
     closed_early : int
         Number of responses whose connection broke before their end.
+    crashes : bool
+        Whether the upstream crashes at the end of its next response.
     port : int
         Loopback port that it listens on.
     """
@@ -54,6 +56,7 @@
     script: Script
     seen: list[ReceivedRequest] = field(default_factory=list)
     closed_early: int = 0
+    crashes: bool = False
     port: int = 0
     _server: StreamServer | None = None
     _connections: Pool = field(default_factory=Pool)
@@ -96,6 +99,8 @@
             self.script(sock, request)
         except OSError:
             self.closed_early += 1
+        if self.crashes:
+            self.crash()
 
 
 def reply(
@@ -105,9 +110,15 @@
     status: str = "200 OK",
     headers: str = "",
     signed: bool = True,
+    framed: bool = True,
 ) -> bytes:
-    """Return the bytes of a complete response to a request."""
-    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+    """Return the bytes of a complete response to a request.
+
+    A response without framing has no length; it ends with its connection.
+    """
+    lines = [f"HTTP/1.1 {status}"]
+    if framed:
+        lines.append(f"Content-Length: {len(body)}")
     lines.append(f"{names.ATTEMPT_ID.title()}: {request.header(names.ATTEMPT_ID)}")
     if signed:
         lines.append(f"{names.SIGNATURE.title()}: s.1")
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -205,6 +205,36 @@
         assert gw.call()[2] == b"to the end"
 
 
+def test_an_answer_without_a_length_is_asked_for_again_if_its_upstream_crashes():
+    with gateway(answering(b"par", framed=False), answering(b"whole")) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        gw.upstreams[0].crashes = True
+        status, _, body = gw.call()
+    assert (status, body) == (200, b"whole")
+
+
+def test_an_answer_without_a_length_whose_upstream_crashes_does_not_look_complete():
+    with gateway(answering(b"par", framed=False), routes=AT_MOST_ONCE_ROUTES) as gw:
+        gw.upstreams[0].crashes = True
+        status, _, body = gw.call("POST", body=b"book")
+    assert status == 502
+    assert b'"unknown"' in body
+
+
+def test_an_answer_gets_no_length_that_the_upstream_did_not_give():
+    with gateway(answering(framed=False)) as gw:
+        sock = gw.connect()
+        sock.sendall(
+            f"GET /p/x HTTP/1.1\r\nHost: {HOST}\r\n"
+            "Toucanspool-Attempt-Id: a1\r\n\r\n".encode()
+        )
+        data = sock.makefile("rb").read()
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert (head[:12], body) == (b"HTTP/1.1 200", b"answer")
+    assert b"Content-Length" not in head
+    assert b"Transfer-Encoding" not in head
+
+
 def test_the_upstreams_work_ends_as_the_caller_leaves():
     upstream_stopped = gevent.event.Event()
 
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -86,6 +86,29 @@
         assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
 
 
+def test_a_stream_without_framing_goes_on_elsewhere_if_its_upstream_crashes():
+    crashing = streaming(EVENTS[:2], framed=False)
+    with gateway(crashing, streaming(EVENTS, framed=False), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        gw.upstreams[0].crashes = True
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == ALL + b"(end)"
+
+
+def test_a_stream_without_framing_whose_upstream_crashes_does_not_look_complete():
+    with gateway(streaming(EVENTS[:2], framed=False), routes=UNRESUMABLE) as gw:
+        gw.upstreams[0].crashes = True
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:2]) + b"(cut)"
+
+
+def test_a_stream_gets_no_framing_that_the_upstream_did_not_give():
+    with gateway(streaming(EVENTS, framed=False), routes=STREAM) as gw:
+        _, head, body = gw.call("POST", body=b"ask")
+    assert "Transfer-Encoding" not in head
+    assert body == ALL
+
+
 def test_a_resumed_stream_without_framing_that_ends_at_once_does_not_look_complete():
     broken = streaming(EVENTS[:2], cut=True)
     with gateway(broken, streaming([], framed=False), routes=STREAM) as gw:
