Pass the missing framing of an answer on, and take no crash for its end

Callers saw: 200, the engine's signature and a short body, framed as complete.

Cause: an answer may have neither length nor chunks, and end with its connection. A crash closes the connection as well. The gateway took the close for the end and added the framing that was missing, the last chunk or a Content-Length of what had arrived: it turned 'I don't know whether this is all' into 'this is all'. The class: the end of a connection taken for the end of what it carries.

Evidence: with our scripted upstream, two of five events came with the last chunk, and 9 bytes of more with 'Content-Length: 9'.

Change, in two parts. A caller gets no framing that the upstream did not give: its answer ends with its connection too, which is reset unless the answer came to its end, also if the gateway is killed meanwhile. And an answer that a close ended counts as broken off if its upstream accepts no other connection right after that, so that it is asked for again where the route allows it. The second alone would not do: an upstream can break off one answer and live.

Weighed and left: asking another upstream for the rest of each such stream reads the prompt once more for every sound answer, and does not fit the retry budget; nothing in a last event says that it is the last; answers that end in the same instant are usual, as ranks share their passes.

The tests of streams without framing now read a body that ends with its connection, with a reset for a cut; they check the same bytes and the same end as before.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -25,6 +25,7 @@
 
 HOST = "desk.example"
 TIMEOUT_S = 5.0
+RESET = b"(reset)"
 
 
 def route(kind: CallKind = CallKind.IDEMPOTENT, **more: object) -> Route:
@@ -81,15 +82,20 @@
         return sock
 
     def call(self, method: str = "GET", **more: object) -> tuple[int, str, bytes]:
-        """Return status, head and body, read until the connection ends."""
-        sock = self.send(method, **more)
+        """Return status, head and body; `RESET` marks a connection that was reset."""
+        return self.exchange(request(method, **more))
+
+    def exchange(self, raw_request: bytes) -> tuple[int, str, bytes]:
+        """Send the bytes of a request, and return the same as `call`."""
+        sock = self.connect()
+        sock.sendall(raw_request)
         sock.settimeout(TIMEOUT_S)
         data = b""
         try:
             while block := sock.recv(65536):
                 data += block
         except OSError:
-            data += b"(reset)"
+            data += RESET
         head, _, body = data.partition(b"\r\n\r\n")
         text = head.decode("latin-1")
         return (int(text.split(" ")[1]) if text else 0), text, body
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from standins.raw_upstream import event, streaming
-from tests.gateway.gateways import gateway, route
+from tests.gateway.gateways import RESET, gateway, route
 from toucanspool.gateway import stream
 from toucanspool.routing.routes import CallKind
 
@@ -18,6 +18,18 @@
 UNRESUMABLE = [route(CallKind.STREAM, resumable=False, max_attempts=1)]
 
 
+def decode_body(head: str, body: bytes) -> bytes:
+    """Decode a body and mark whether it ends properly.
+
+    A body without chunks ends with its connection, unless that is reset.
+    """
+    if "transfer-encoding: chunked" in head.lower():
+        return decode_chunks(body)
+    if body.endswith(RESET):
+        return body.removesuffix(RESET) + b"(cut)"
+    return body + b"(end)"
+
+
 def decode_chunks(body: bytes) -> bytes:
     """Decode a chunked body and mark whether it ends properly."""
     decoded = b""
@@ -71,7 +83,7 @@
 
 def test_a_stream_without_framing_ends_with_its_connection():
     with gateway(streaming(EVENTS, framed=False), routes=STREAM) as gw:
-        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+        assert decode_body(*gw.call("POST", body=b"ask")[1:]) == ALL + b"(end)"
 
 
 @pytest.mark.parametrize(
@@ -83,7 +95,7 @@
     broken = streaming(events, partial=partial, framed=False)
     with gateway(broken, streaming(EVENTS, framed=False), routes=STREAM) as gw:
         gw.core._balancer.set_tie_offset(0.0)
-        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+        assert decode_body(*gw.call("POST", body=b"ask")[1:]) == ALL + b"(end)"
 
 
 def test_a_stream_without_framing_goes_on_elsewhere_if_its_upstream_crashes():
@@ -91,14 +103,14 @@
     with gateway(crashing, streaming(EVENTS, framed=False), routes=STREAM) as gw:
         gw.core._balancer.set_tie_offset(0.0)
         gw.upstreams[0].crashes = True
-        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+        body = decode_body(*gw.call("POST", body=b"ask")[1:])
     assert body == ALL + b"(end)"
 
 
 def test_a_stream_without_framing_whose_upstream_crashes_does_not_look_complete():
     with gateway(streaming(EVENTS[:2], framed=False), routes=UNRESUMABLE) as gw:
         gw.upstreams[0].crashes = True
-        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+        body = decode_body(*gw.call("POST", body=b"ask")[1:])
     assert body == b"".join(EVENTS[:2]) + b"(cut)"
 
 
@@ -124,13 +136,13 @@
 
     with gateway(reset, streaming(EVENTS), routes=STREAM) as gw:
         gw.core._balancer.set_tie_offset(0.0)
-        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+        assert decode_body(*gw.call("POST", body=b"ask")[1:]) == ALL + b"(end)"
 
 
 def test_a_stream_without_framing_that_can_not_go_on_does_not_look_complete():
     broken = streaming(EVENTS[:2], partial=b"id: 3\nda", framed=False)
     with gateway(broken, routes=UNRESUMABLE) as gw:
-        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+        body = decode_body(*gw.call("POST", body=b"ask")[1:])
     assert body == b"".join(EVENTS[:2]) + b"(cut)"
 
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -196,6 +196,19 @@
         assert one.process.wait(timeout=6) == 0
 
 
+def test_a_stream_without_framing_does_not_look_complete_if_the_gateway_is_killed(
+    tmp_path,
+):
+    events = [event(number) for number in range(1, 9)]
+    with gateway(tmp_path, streaming(events, gap_s=0.15, framed=False)) as one:
+        ask = request("POST", path="/p/x", body=b"ask")
+        stream = gevent.spawn(one.send, ask)
+        gevent.sleep(0.5)
+        one.process.kill()
+        with pytest.raises(ConnectionResetError):
+            stream.get(timeout=4)
+
+
 def test_a_configuration_is_in_force_soon_and_an_older_one_never_again(tmp_path):
     with gateway(tmp_path, answering()) as one:
         one.configure(5, routes=[])
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -127,8 +127,12 @@
         Headers to send to the caller.
     body : bytes or iterator of bytes
         Complete body, or parts of a stream as they arrive.
+    framed : bool, default=True
+        Whether the upstream said where the body ends. If not, the caller must not be
+        told either: the body ends with the connection.
     """
 
     status: int
     headers: list[Header]
     body: bytes | Iterator[bytes]
+    framed: bool = True
--- a/toucanspool/gateway/crash_watch.py
+++ b/toucanspool/gateway/crash_watch.py
@@ -5,8 +5,8 @@
 
 import gevent
 import structlog
-from gevent import socket
 
+from toucanspool.gateway.reachability import Reachability, check_reachability
 from toucanspool.routing.upstream import Listing, Upstream
 
 # The replies that a crash breaks end within milliseconds of each other.
@@ -75,7 +75,8 @@
 
     def _check(self, listing: Listing) -> None:
         prompts = tuple(self._suspects.pop((listing.name, listing.started_ms)))
-        if _refuses_connections(listing.host, listing.port):
+        reachability = check_reachability(listing.host, listing.port, CONNECT_TIMEOUT_S)
+        if reachability is Reachability.REFUSES:
             _log.warning(
                 "upstream crashed",
                 upstream=listing.name,
@@ -83,13 +84,3 @@
                 prompts=prompts,
             )
             self._on_crash(Crash(listing.name, listing.started_ms, prompts))
-
-
-def _refuses_connections(host: str, port: int) -> bool:
-    try:
-        socket.create_connection((host, port), timeout=CONNECT_TIMEOUT_S).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError as exc:
-        _log.debug("crash not confirmed", host=host, port=port, error=repr(exc))
-    return False
--- a/toucanspool/gateway/exchange.py
+++ b/toucanspool/gateway/exchange.py
@@ -7,9 +7,11 @@
 from gevent import socket
 
 from toucanspool.gateway.call import Header
+from toucanspool.gateway.reachability import Reachability, check_reachability
 from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
 
 CONNECT_TIMEOUT_S = 0.5
+END_CHECK_TIMEOUT_S = 0.5
 READ_BLOCK_BYTES = 16 * 1024
 
 
@@ -28,6 +30,10 @@
     mistaken for this one's, and no request is lost on an idle connection that the
     upstream closes at the same moment.
 
+    A reply without framing ends with its connection, which a crash of the upstream
+    closes as well. Such a reply counts as complete only if the upstream still accepts
+    connections.
+
     Parameters
     ----------
     host : str
@@ -135,6 +141,7 @@
         """
         while not self.parser.complete:
             self._receive(until)
+        self._check_end(until)
         return self.parser.take_body()
 
     def iter_body(self, idle_timeout_s: float, until: float) -> Iterator[bytes]:
@@ -162,6 +169,7 @@
             if data := self.parser.take_body():
                 yield data
             if self.parser.complete:
+                self._check_end(until)
                 return
             self._receive(min(until, time.monotonic() + idle_timeout_s))
 
@@ -183,6 +191,18 @@
             raise BrokenReply(str(exc)) from exc
         self.parser.receive(data)
 
+    def _check_end(self, until: float) -> None:
+        if not self.parser.ended_by_close:
+            return
+        conn = self._conn
+        timeout_s = min(END_CHECK_TIMEOUT_S, max(0.0, until - time.monotonic()))
+        reachability = check_reachability(conn.host, conn.port, timeout_s)
+        if reachability is not Reachability.ACCEPTS:
+            raise BrokenReply(
+                "the connection was closed without an end of the reply, and the "
+                f"reachability of the upstream is: {reachability.value}"
+            )
+
 
 def _enable_keepalive(sock: socket.socket, keepalive_s: int) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -102,7 +102,8 @@
                     progress.tried.add(upstream.name)
                     if self._may_retry(call, progress):
                         continue
-                return Reply(attempt.status, list(attempt.reply_head.headers), body)
+                headers = list(attempt.reply_head.headers)
+                return Reply(attempt.status, headers, body, framed=attempt.framed)
 
     def start_call(self, call: Call) -> CallProgress:
         """Count a new call for the retry budget and return its progress.
--- a/toucanspool/gateway/reply_parser.py
+++ b/toucanspool/gateway/reply_parser.py
@@ -5,6 +5,7 @@
 from toucanspool.gateway.call import Header
 
 FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = (204, 304)
 
 
 class BrokenReply(Exception):
@@ -49,12 +50,16 @@
 
     @property
     def framed(self) -> bool:
-        """Return whether the reply has a length or chunks.
+        """Return whether the reply says where it ends; valid once its head is complete.
 
-        A reply without either ends with its connection, so that one that the upstream
-        breaks off may look complete.
+        A reply without a length or chunks ends with its connection (RFC 9112, 6.3).
         """
-        return bool(self.header("content-length") or self.header("transfer-encoding"))
+        return (
+            self._is_head_request
+            or self.status in BODILESS_STATUSES
+            or bool(self.header("content-length"))
+            or self.header("transfer-encoding").lower().endswith("chunked")
+        )
 
     def receive(self, data: bytes) -> None:
         """Parse bytes from the connection.
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -78,12 +78,13 @@
         headers = list(attempt.reply_head.headers)
         if attempt.status not in SUCCESS_STATUSES:
             body = attempt.read_body(call.deadline.at)
-            return Reply(attempt.status, headers, body)
+            return Reply(attempt.status, headers, body, framed=attempt.framed)
         events = self._relay_events(
             call, progress, splitter, attempt_stack, attempt, upstream
         )
+        framed = attempt.framed
         first = next(events, b"")
-        return Reply(attempt.status, headers, _prepend(first, events))
+        return Reply(attempt.status, headers, _prepend(first, events), framed=framed)
 
     def _open_stream(
         self,
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -104,7 +104,7 @@
         except BaseException:
             closing.close()
             raise
-        return self._respond(call, reply, closing, timeout, start_response)
+        return self._respond(handler, call, reply, closing, timeout, start_response)
 
     def _serve_until_deadline(
         self, call: Call, closing: ExitStack, timeout: gevent.Timeout
@@ -194,6 +194,7 @@
 
     def _respond(
         self,
+        handler: CallerHandler,
         call: Call,
         reply: Reply,
         closing: ExitStack,
@@ -201,21 +202,26 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         headers = list(reply.headers)
-        if self._dispatcher.draining:
+        whole = isinstance(reply.body, bytes)
+        framed = reply.framed
+        if not framed:
+            handler.begin_unframed_reply()
+        if self._dispatcher.draining or not framed:
             headers.append(("Connection", "close"))
-        if isinstance(reply.body, bytes):
+        if whole:
             closing.close()
-            if call.method != "HEAD":
+            if framed and call.method != "HEAD":
                 headers.append(("Content-Length", str(len(reply.body))))
             start_response(_status_line(reply.status), headers)
             self._metrics.record_answer(
                 reply.status, time.monotonic() - call.arrived_at
             )
             self._log_end(call.id, "answered", call.arrived_at, status=reply.status)
-            return [reply.body]
+            return [reply.body] if framed else _send_unframed([reply.body], handler)
         start_response(_status_line(reply.status), headers)
         self._metrics.record_first_event(time.monotonic() - call.arrived_at)
-        return self._stream(call, reply, closing, timeout)
+        parts = self._stream(call, reply, closing, timeout)
+        return parts if framed else _send_unframed(parts, handler)
 
     def _stream(
         self, call: Call, reply: Reply, closing: ExitStack, timeout: gevent.Timeout
@@ -250,6 +256,11 @@
         )
 
 
+def _send_unframed(parts: Iterable[bytes], handler: CallerHandler) -> Iterator[bytes]:
+    yield from parts
+    handler.finish_unframed_reply()
+
+
 def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
     if int(environ.get("CONTENT_LENGTH") or 0) > max_bytes:
         raise Refused(RefusalCause.BODY_TOO_LARGE)
