Reset a broken stream of a caller that knows no chunks

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. One that broke off was closed like a whole one, and looked complete. It is now reset, like an answer without framing. The new test fails without this change; the second one checks that a whole stream is not reset.

--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from standins.raw_upstream import event, streaming
-from tests.gateway.gateways import RESET, gateway, route
+from tests.gateway.gateways import RESET, gateway, request, route
 from toucanspool.gateway import stream
 from toucanspool.routing.routes import CallKind
 
@@ -190,3 +190,15 @@
         gevent.sleep(0.2)
         assert gw.upstreams[0].closed_early == 1
         assert gw.core.dispatcher.running == 0
+
+
+def test_a_stream_that_breaks_off_is_reset_for_a_caller_without_chunks():
+    with gateway(streaming(EVENTS[:2], cut=True), routes=UNRESUMABLE) as gw:
+        ask = request("POST", body=b"ask").replace(b"HTTP/1.1", b"HTTP/1.0")
+        assert gw.exchange(ask)[2] == b"".join(EVENTS[:2]) + RESET
+
+
+def test_a_whole_stream_is_not_reset_for_a_caller_without_chunks():
+    with gateway(streaming(EVENTS), routes=STREAM) as gw:
+        ask = request("POST", body=b"ask").replace(b"HTTP/1.1", b"HTTP/1.0")
+        assert gw.exchange(ask)[2] == ALL
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -203,7 +203,8 @@
     ) -> Iterable[bytes]:
         headers = list(reply.headers)
         whole = isinstance(reply.body, bytes)
-        framed = reply.framed
+        # Callers of HTTP/1.0 don't know chunks.
+        framed = reply.framed and (whole or handler.request_version != "HTTP/1.0")
         if not framed:
             handler.begin_unframed_reply()
         if self._dispatcher.draining or not framed:
