Move the HTTP exchange with upstreams to the wire package

Agents shall read upstreams with the same code as gateways, and the store's client does already. No behaviour changes; wire/events.py keeps the events of the chat API, so the splitter of event streams is wire/event_splitter.py.

--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -14,11 +14,11 @@
 from toucanspool.gateway.attempt import Attempt
 from toucanspool.gateway.call import RefusalCause
 from toucanspool.gateway.core import GatewayCore
-from toucanspool.gateway.exchange import Exchange
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.platform import configuration, frontend, listings
 from toucanspool.routing.routes import CallKind, Route, RouteTable
 from toucanspool.settings.settings import RowStore
+from toucanspool.wire.exchange import Exchange
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk
 
 OFF = flags.DEFINE_string("off", "", "The promise whose mechanism is switched off.")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -24,9 +24,9 @@
     TableUncertain,
     Write,
 )
-from toucanspool.gateway.exchange import Exchange, Silent
 from toucanspool.platform.store import RowStoreClient, table_of
 from toucanspool.recovery.feed import HistoryGone, StoreLapsed
+from toucanspool.wire.exchange import Exchange, Silent
 
 
 @pytest.fixture()
--- a/tests/gateway/test_events.py
+++ b/tests/wire/test_event_splitter.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from toucanspool.gateway.events import EventSplitter
+from toucanspool.wire.event_splitter import EventSplitter
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
 
--- a/tests/gateway/test_reply_parser.py
+++ b/tests/wire/test_reply_parser.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
+from toucanspool.wire.reply_parser import BrokenReply, ReplyParser
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A: 1\r\n\r\nbody"
 
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -7,9 +7,9 @@
 
 from toucanspool.gateway.call import Call
 from toucanspool.gateway.dialect import Dialect, ReplyHead
-from toucanspool.gateway.exchange import Exchange, Silent
-from toucanspool.gateway.reply_parser import BrokenReply
 from toucanspool.routing.upstream import Upstream
+from toucanspool.wire.exchange import Exchange, Silent
+from toucanspool.wire.reply_parser import BrokenReply
 
 MS_PER_S = 1000.0
 SUCCESS_STATUSES = range(200, 300)
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -6,8 +6,7 @@
 
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route
-
-Header = tuple[str, str]
+from toucanspool.wire.reply_parser import Header
 
 
 @dataclass(slots=True, kw_only=True)
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -11,10 +11,10 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler
 
-from toucanspool.gateway.call import Header
 from toucanspool.gateway.caller import CallerLeft
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.wire.http_server import HttpServer
+from toucanspool.wire.reply_parser import Header
 
 HANDLER_KEY = "toucanspool.handler"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/toucanspool/gateway/crash_watch.py
+++ b/toucanspool/gateway/crash_watch.py
@@ -6,8 +6,8 @@
 import gevent
 import structlog
 
-from toucanspool.gateway.reachability import Reachability, check_reachability
 from toucanspool.routing.upstream import Listing, Upstream
+from toucanspool.wire.reachability import Reachability, check_reachability
 
 # The replies that a crash breaks end within milliseconds of each other.
 CHECK_DELAY_S = 0.1
--- a/toucanspool/gateway/dialect.py
+++ b/toucanspool/gateway/dialect.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from toucanspool.gateway.call import Call, Header
+from toucanspool.gateway.call import Call
+from toucanspool.wire.reply_parser import Header
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -8,15 +8,15 @@
 from toucanspool.gateway.attempt import Attempt, TurnedAway
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.dialect import Dialect
-from toucanspool.gateway.exchange import Silent, Unreachable
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.prompt_guard import PromptGuard
-from toucanspool.gateway.reply_parser import BrokenReply
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import Upstream
+from toucanspool.wire.exchange import Silent, Unreachable
+from toucanspool.wire.reply_parser import BrokenReply
 
 SERVER_ERROR_STATUSES = range(500, 600)
 MAX_SENDS = 3
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -10,12 +10,12 @@
 from toucanspool.gateway.call import Call, Refused, Reply
 from toucanspool.gateway.caller import ReplyCutOff
 from toucanspool.gateway.dialect import Dialect
-from toucanspool.gateway.events import EventSplitter
-from toucanspool.gateway.exchange import Silent, Unreachable
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay
-from toucanspool.gateway.reply_parser import BrokenReply
 from toucanspool.routing.upstream import Upstream
+from toucanspool.wire.event_splitter import EventSplitter
+from toucanspool.wire.exchange import Silent, Unreachable
+from toucanspool.wire.reply_parser import BrokenReply
 
 # Callers abandon a stream after 2 s without an event. An upstream that stays silent is
 # abandoned a little earlier, so that another one can resume the stream.
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -10,7 +10,7 @@
 import orjson
 import structlog
 
-from toucanspool.gateway.call import Call, Header, RefusalCause, Refused, Reply
+from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.call_dispatcher import CallDispatcher
 from toucanspool.gateway.caller import CallerLeft, CallerWatch, ReplyCutOff
 from toucanspool.gateway.caller_server import HANDLER_KEY, CallerHandler
@@ -18,6 +18,7 @@
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.telemetry.call_metrics import CallMetrics
+from toucanspool.wire.reply_parser import Header
 
 MS_PER_S = 1000.0
 BEARER = "bearer "
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Mapping, Sequence
 
-from toucanspool.gateway.call import Call, Header
+from toucanspool.gateway.call import Call
 from toucanspool.gateway.dialect import ReplyHead
+from toucanspool.wire.reply_parser import Header
 
 ATTEMPT_ID = "toucanspool-attempt-id"
 DEADLINE_MS = "toucanspool-deadline-ms"
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -8,9 +8,8 @@
 import orjson
 
 from toucanspool.backing.http_client import CallLost, CallRefused
-from toucanspool.gateway.call import Header
-from toucanspool.gateway.exchange import Exchange, Silent, Unreachable
-from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
+from toucanspool.wire.exchange import Exchange, Silent, Unreachable
+from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
 
 JSON = "application/json"
 
--- a/toucanspool/gateway/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -6,9 +6,8 @@
 
 from gevent import socket
 
-from toucanspool.gateway.call import Header
-from toucanspool.gateway.reachability import Reachability, check_reachability
-from toucanspool.gateway.reply_parser import BrokenReply, ReplyParser
+from toucanspool.wire.reachability import Reachability, check_reachability
+from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
 
 CONNECT_TIMEOUT_S = 0.5
 END_CHECK_TIMEOUT_S = 0.5
--- a/toucanspool/gateway/reply_parser.py
+++ b/toucanspool/wire/reply_parser.py
@@ -2,8 +2,7 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
-from toucanspool.gateway.call import Header
-
+Header = tuple[str, str]
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = (204, 304)
 
