Take no closed connection for the end of an answer on the way through agents

An agent reported an answer without framing as complete when its upstream crashed, and a stream that ended inside an event lost those bytes and was complete too; an entry passed a chat stream on as complete that had no end marker.

Agents now read upstreams with the exchange that gateways use, on a connection for each call, so that the same evidence counts. An entry takes a chat stream without 'data: [DONE]' at its end for broken off, and has it continued at another upstream.

Open: an answer of a plain service without framing whose upstream lives still gets framing from the entry.

--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -88,6 +88,29 @@
     assert b'"outcome":"unknown"' in data
 
 
+def ends_after(count: int):
+    """Return a script whose stream is reported complete without its last events."""
+
+    def script(message):
+        pieces = events(message.body)[:count]
+        return [STREAM_HEAD, *chunks(pieces), completed(pieces)]
+
+    return script
+
+
+@pytest.mark.parametrize("count", [0, 5, DEFAULT_TOKENS])
+def test_a_stream_that_ends_without_its_end_marker_goes_on(count):
+    dispatcher, _ = make_dispatcher(ends_after(count), streams)
+    assert classify(b"".join(dispatcher.dispatch(make_request()))) == "whole"
+
+
+def test_a_stream_that_ends_without_its_end_marker_does_not_look_complete():
+    dispatcher, _ = make_dispatcher(ends_after(5))
+    data = b"".join(dispatcher.dispatch(make_request()))
+    assert classify(data) == "cut"
+    assert b'"outcome":"unknown"' in data
+
+
 def test_two_answers_at_once_are_not_continued():
     dispatcher, _ = make_dispatcher(breaks_after(5), streams)
     data = b"".join(dispatcher.dispatch(make_request(body={"n": 2})))
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -73,9 +73,7 @@
         self._exit_stack = ExitStack()
         self._listener = Listener(cfg.host, cfg.port, lambda: self)
         self._upstream = UpstreamClient(
-            cfg.agent.address,
-            concurrency=cfg.agent.max_running + 1,
-            timeout_s=UPSTREAM_READ_TIMEOUT_S,
+            cfg.agent.address, timeout_s=UPSTREAM_READ_TIMEOUT_S
         )
         self._load_monitor = LoadMonitor(
             cfg.agent.upstream,
@@ -100,7 +98,6 @@
         self._config.on_change(self._on_config_change)
         self._on_config_change()
         with ExitStack() as cleanup:
-            cleanup.callback(self._upstream.close)
             self._listener.start()
             cleanup.callback(self._listener.stop)
             ticker = Ticker(
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -1,7 +1,7 @@
 """Processing of one call at the agent, from its check to its last message."""
 
 from collections.abc import Iterator
-from typing import Any
+from contextlib import closing
 
 import gevent
 import structlog
@@ -147,11 +147,8 @@
         if self.guarded:
             self._handle_guarded()
             return
-        reply = self._forward(self._upstream.send)
-        try:
+        with closing(self._forward()) as reply:
             self._relay(reply)
-        finally:
-            reply.close()
 
     def _handle_guarded(self) -> None:
         request = self._request
@@ -179,8 +176,10 @@
         try:
             # The first check may be out of date, as claiming the call can take long.
             self._gate.check(self._request)
-            with gevent.Timeout(REPLY_TIMEOUT_S, _late_reply()):
-                reply = self._forward(self._upstream.send_once)
+            with (
+                gevent.Timeout(REPLY_TIMEOUT_S, _late_reply()),
+                closing(self._forward()) as reply,
+            ):
                 body = self._read_body(reply)
         except CallFailed as exc:
             if exc.outcome == Outcome.NOT_RUN:
@@ -190,12 +189,14 @@
         self._claims.finish(claim, response)
         return response
 
-    def _forward(self, send: Any) -> Reply:
+    def _forward(self) -> Reply:
         request = self._request
         headers = {**request.headers, "x-request-id": request.request_id}
         self._forwarded = True
         try:
-            return send(request.method, request.path, headers, request.body)
+            return self._upstream.send(
+                request.method, request.path, headers, request.body
+            )
         except UpstreamUnreachable as exc:
             self._forwarded = False
             raise CallFailed(
@@ -215,7 +216,6 @@
         for piece in self._iter_body(reply):
             body += piece
             if len(body) > MAX_RECORDED_BYTES:
-                reply.close()
                 raise _incomplete_reply()
         return bytes(body)
 
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -1,17 +1,15 @@
 """HTTP client for the upstream that an agent runs beside."""
 
+import time
 from collections.abc import Iterator, Mapping
-from typing import Any
 
 import orjson
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
 
 from toucanspool.settings.settings import Address
-from toucanspool.wire.events import EVENT_END, is_event_stream
-
-CONNECT_TIMEOUT_S = 2.0
-READ_BLOCK_BYTES = 16 * 1024
+from toucanspool.wire.event_splitter import EventSplitter
+from toucanspool.wire.events import is_event_stream
+from toucanspool.wire.exchange import Exchange, Silent, Unreachable
+from toucanspool.wire.reply_parser import BrokenReply, Header
 
 
 class UpstreamUnreachable(Exception):
@@ -23,20 +21,23 @@
 
 
 class Reply:
-    """Hold an upstream's reply whose body has not been read yet.
+    """Hold an upstream's reply whose body has not been read yet; must be closed.
 
     Parameters
     ----------
-    resp : HTTPResponse
-        Response object of geventhttpclient.
+    exchange : Exchange
+        The exchange, after the reply's head.
+    timeout_s : float
+        Maximum wait for the next bytes, in seconds.
     """
 
-    __slots__ = ("_resp", "headers", "status")
+    __slots__ = ("_exchange", "_timeout_s", "headers", "status")
 
-    def __init__(self, resp: Any) -> None:
-        self._resp = resp
-        self.status = resp.status_code
-        self.headers = {"content-type": str(resp.get("content-type", ""))}
+    def __init__(self, exchange: Exchange, timeout_s: float) -> None:
+        self._exchange = exchange
+        self._timeout_s = timeout_s
+        self.status = exchange.parser.status
+        self.headers = {"content-type": exchange.parser.header("content-type")}
 
     @property
     def streamed(self) -> bool:
@@ -44,7 +45,7 @@
         return is_event_stream(self.headers["content-type"])
 
     def iter_body(self) -> Iterator[bytes]:
-        """Yield the body, by event if it is an event stream, otherwise in blocks.
+        """Yield the body as it arrives, in whole events if it is an event stream.
 
         Yields
         ------
@@ -55,45 +56,49 @@
         UpstreamBroken
             The connection failed or closed before the end of the body.
         """
+        parts = self._exchange.iter_body(self._timeout_s, float("inf"))
         try:
             if self.streamed:
-                yield from iter(lambda: self._resp.readline(EVENT_END), b"")
+                yield from self._iter_events(parts)
             else:
-                yield from iter(lambda: self._resp.read(READ_BLOCK_BYTES), b"")
-        except (OSError, HTTPParseError) as exc:
+                yield from parts
+        except (BrokenReply, Silent) as exc:
             raise UpstreamBroken(repr(exc)) from exc
-        if not self._resp.message_complete:
-            raise UpstreamBroken("the reply ended early")
 
     def close(self) -> None:
-        """Return the connection to the pool, or close it if the body is unread."""
-        self._resp.release()
+        """Close the connection; may be called repeatedly."""
+        self._exchange.close()
+
+    def _iter_events(self, parts: Iterator[bytes]) -> Iterator[bytes]:
+        splitter = EventSplitter()
+        for data in parts:
+            if events := splitter.feed(data):
+                yield events
+        if splitter.partial:
+            raise BrokenReply("the stream ended inside an event")
 
 
 class UpstreamClient:
-    """Send requests to one upstream.
+    """Send requests to one upstream, each once and on a connection of its own.
 
     Parameters
     ----------
     address : Address
         Address that the upstream listens on.
-    concurrency : int
-        Maximum number of pooled connections.
     timeout_s : float
         Maximum wait for the next bytes of a reply, in seconds.
     """
 
-    __slots__ = ("_address", "_pool", "_timeout_s")
+    __slots__ = ("_address", "_timeout_s")
 
-    def __init__(self, address: Address, *, concurrency: int, timeout_s: float) -> None:
+    def __init__(self, address: Address, *, timeout_s: float) -> None:
         self._address = address
         self._timeout_s = timeout_s
-        self._pool = self._client(concurrency)
 
     def send(
         self, method: str, path: str, headers: Mapping[str, str], body: bytes
     ) -> Reply:
-        """Send a request that the HTTP library may repeat, on a pooled connection.
+        """Send a request and read the head of the reply.
 
         Parameters
         ----------
@@ -113,40 +118,32 @@
         Raises
         ------
         UpstreamUnreachable
-            The connection was refused.
+            No connection could be opened.
         UpstreamBroken
             The connection failed or timed out before the reply's head arrived.
         """
-        return self._send(self._pool, method, path, headers, body)
-
-    def send_once(
-        self, method: str, path: str, headers: Mapping[str, str], body: bytes
-    ) -> Reply:
-        """Send a request that must not be repeated, on a new connection.
-
-        Parameters
-        ----------
-        method : str
-            HTTP method; must be one that the HTTP library never repeats by itself.
-        path : str
-            Path with query string.
-        headers : mapping of str to str
-            Header values by name.
-        body : bytes
-            Complete body.
-
-        Returns
-        -------
-        Reply
-
-        Raises
-        ------
-        UpstreamUnreachable
-            The connection was refused.
-        UpstreamBroken
-            The connection failed or timed out before the reply's head arrived.
-        """
-        return self._send(self._client(1), method, path, headers, body)
+        address = self._address
+        exchange = Exchange(address.host, address.port, method)
+        all_headers: list[Header] = [
+            ("Host", f"{address.host}:{address.port}"),
+            ("Connection", "close"),
+            ("Content-Length", str(len(body))),
+            *headers.items(),
+        ]
+        try:
+            exchange.send(path, all_headers, body)
+            exchange.read_head(time.monotonic() + self._timeout_s)
+        except Unreachable as exc:
+            exchange.close()
+            raise UpstreamUnreachable(str(exc)) from exc
+        except (BrokenReply, Silent) as exc:
+            exchange.close()
+            raise UpstreamBroken(repr(exc)) from exc
+        except BaseException:
+            # The call was cancelled, or its time is over.
+            exchange.close()
+            raise
+        return Reply(exchange, self._timeout_s)
 
     def load(self) -> dict[str, float]:
         """Read the load that the upstream reports.
@@ -161,36 +158,13 @@
         UpstreamUnreachable
             The connection was refused.
         UpstreamBroken
-            The connection failed or timed out before the reply was complete.
+            The connection failed or timed out before the reply was complete, or the
+            reply is not JSON.
         """
         reply = self.send("GET", "/load", {}, b"")
-        return orjson.loads(b"".join(reply.iter_body()))
-
-    def close(self) -> None:
-        """Close all connections."""
-        self._pool.close()
-
-    def _client(self, concurrency: int) -> HTTPClient:
-        return HTTPClient(
-            self._address.host,
-            self._address.port,
-            concurrency=concurrency,
-            block_size=READ_BLOCK_BYTES,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=self._timeout_s,
-        )
-
-    def _send(
-        self,
-        client: HTTPClient,
-        method: str,
-        path: str,
-        headers: Mapping[str, str],
-        body: bytes,
-    ) -> Reply:
         try:
-            return Reply(client.request(method, path, body=body, headers=dict(headers)))
-        except ConnectionRefusedError as exc:
-            raise UpstreamUnreachable(str(exc)) from exc
-        except (OSError, HTTPParseError) as exc:
+            return orjson.loads(b"".join(reply.iter_body()))
+        except orjson.JSONDecodeError as exc:
             raise UpstreamBroken(repr(exc)) from exc
+        finally:
+            reply.close()
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -249,7 +249,7 @@
         try:
             while True:
                 try:
-                    yield from self._relay_attempt(progress)
+                    yield from self._relay_attempt(req, progress)
                     break
                 except AttemptFailed as exc:
                     if progress.is_complete:
@@ -265,10 +265,11 @@
         finally:
             self._decision_log.record_result(req.request_id, req.team.name, result)
 
-    def _relay_attempt(self, progress: Progress) -> Iterator[bytes]:
+    def _relay_attempt(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
         for data in progress.attempt.iter_body():
             progress.relayed_chunks.append(data)
             yield data
+        progress.check_end(streamed=req.streamed)
         self._router.record_success(progress.target)
 
     def _resume_stream(
--- a/toucanspool/entry/progress.py
+++ b/toucanspool/entry/progress.py
@@ -1,10 +1,10 @@
 """The progress of one request through its attempts."""
 
-from toucanspool.entry.attempt import Attempt
+from toucanspool.entry.attempt import Attempt, AttemptFailed
 from toucanspool.entry.directory import Target
 from toucanspool.entry.problems import Problem
-from toucanspool.wire.events import DONE_EVENT, is_event_stream
-from toucanspool.wire.gen.messages.ttypes import Outcome
+from toucanspool.wire.events import ends_stream, is_event_stream
+from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
 
 class Progress:
@@ -55,9 +55,28 @@
     @property
     def is_complete(self) -> bool:
         """Return whether a stream's last event was sent to the caller."""
-        return bool(self.relayed_chunks) and self.relayed_chunks[-1].endswith(
-            DONE_EVENT
-        )
+        return bool(self.relayed_chunks) and ends_stream(self.relayed_chunks[-1])
+
+    def check_end(self, *, streamed: bool) -> None:
+        """Check that a stream of the chat API has ended with its end marker.
+
+        Parameters
+        ----------
+        streamed : bool
+            Whether the caller asked for such a stream.
+
+        Raises
+        ------
+        AttemptFailed
+            The marker is missing, so the upstream has broken the stream off.
+        """
+        if streamed and not self.is_complete:
+            raise AttemptFailed(
+                Outcome.UNKNOWN,
+                Refusal.BROKEN,
+                "The stream ended without its end marker.",
+                0.0,
+            )
 
     def close(self) -> None:
         """Close the current attempt; may be called repeatedly."""
--- a/toucanspool/wire/events.py
+++ b/toucanspool/wire/events.py
@@ -19,3 +19,18 @@
     bool
     """
     return content_type.startswith(EVENT_STREAM_TYPE)
+
+
+def ends_stream(data: bytes) -> bool:
+    """Return whether the last event is the end marker of a chat completion.
+
+    Parameters
+    ----------
+    data : bytes
+        Complete events.
+
+    Returns
+    -------
+    bool
+    """
+    return data.rstrip().endswith(b"[DONE]")
