Bound replies without end in size and time

Upstreams in trouble may send bytes that are no answer, without end, in a head or a body. A caller waited until its attempt's time was over, and the gateway held all that came: 566 and 585 MB more memory in one second for one call with a body, 113 MB with headers. One event without end was searched again from its start with each read.

Now, for gateways, agents, and the clients of the store and of engines alike: at most 64 KiB in a row that are no body (head, interim replies, chunk sizes, trailers), 16 interim replies, one second from the first byte of a head to its end, 8 MiB for a reply that is held whole (gateway.max_reply_bytes), 1 MiB for an event, and 1.7 s without a complete event, in place of without a byte. What exceeds a limit is closed at once and counts as a failure of the upstream: the call goes on elsewhere or gets 502, and the upstream is ejected. Other greenlets get a turn after each half MiB.

--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -186,3 +186,30 @@
 def event(number: int) -> bytes:
     """Return a numbered event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def without_end(
+    head: bytes, block: bytes = b"", *, pause_s: float = 0.0, limit_bytes: int
+) -> Script:
+    """Return a script that repeats a block until the connection is closed.
+
+    Parameters
+    ----------
+    head : bytes
+        Bytes to send first.
+    block : bytes, default=b""
+        Bytes to repeat.
+    pause_s : float, default=0.0
+        Pause before each block.
+    limit_bytes : int
+        Bytes after which the script gives up and raises `AssertionError`.
+    """
+
+    def script(sock: socket.socket, request: ReceivedRequest) -> None:
+        sock.sendall(head)
+        for _ in range(limit_bytes // len(block)):
+            gevent.sleep(pause_s)
+            sock.sendall(block)
+        raise AssertionError(f"{limit_bytes} bytes were read of a reply without end")
+
+    return script
--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -25,6 +25,7 @@
 
 HOST = "desk.example"
 TIMEOUT_S = 5.0
+MAX_REPLY_BYTES = 8 * 1024 * 1024
 RESET = b"(reset)"
 
 
@@ -136,6 +137,7 @@
             failure_domain="one",
             rng=rng,
             metrics=metrics,
+            max_reply_bytes=MAX_REPLY_BYTES,
         )
         listings = [
             Listing(name=f"u{n}", service="desk", host="127.0.0.1", port=upstream.port)
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -1,5 +1,6 @@
 """HTTP client for the upstream that an agent runs beside."""
 
+import math
 import time
 from collections.abc import Iterator, Mapping
 
@@ -56,12 +57,11 @@
         UpstreamBroken
             The connection failed or closed before the end of the body.
         """
-        parts = self._exchange.iter_body(self._timeout_s, float("inf"))
         try:
             if self.streamed:
-                yield from self._iter_events(parts)
+                yield from self._iter_events()
             else:
-                yield from parts
+                yield from self._exchange.iter_body(self._timeout_s, math.inf)
         except (BrokenReply, Silent) as exc:
             raise UpstreamBroken(repr(exc)) from exc
 
@@ -69,11 +69,9 @@
         """Close the connection; may be called repeatedly."""
         self._exchange.close()
 
-    def _iter_events(self, parts: Iterator[bytes]) -> Iterator[bytes]:
+    def _iter_events(self) -> Iterator[bytes]:
         splitter = EventSplitter()
-        for data in parts:
-            if events := splitter.feed(data):
-                yield events
+        yield from self._exchange.iter_events(splitter, self._timeout_s, math.inf)
         if splitter.partial:
             raise BrokenReply("the stream ended inside an event")
 
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -8,6 +8,7 @@
 from toucanspool.gateway.call import Call
 from toucanspool.gateway.dialect import Dialect, ReplyHead
 from toucanspool.routing.upstream import Upstream
+from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.exchange import Exchange, Silent
 from toucanspool.wire.reply_parser import BrokenReply
 
@@ -115,15 +116,17 @@
         if parser.status in SUCCESS_STATUSES and not self.reply_head.signed:
             raise BrokenReply("the reply has no server signature")
 
-    def read_body(self, until: float) -> bytes:
+    def read_body(self, until: float, max_bytes: int) -> bytes:
         """Return the complete body; see `Exchange.read_body`."""
-        body = self._exchange.read_body(until)
+        body = self._exchange.read_body(until, max_bytes)
         self._log_end()
         return body
 
-    def iter_body(self, idle_timeout_s: float, until: float) -> Iterator[bytes]:
-        """Yield the body in parts as it arrives; see `Exchange.iter_body`."""
-        yield from self._exchange.iter_body(idle_timeout_s, until)
+    def iter_events(
+        self, splitter: EventSplitter, idle_timeout_s: float, until: float
+    ) -> Iterator[bytes]:
+        """Yield a stream in complete events; see `Exchange.iter_events`."""
+        yield from self._exchange.iter_events(splitter, idle_timeout_s, until)
         self._log_end()
 
     def close(self) -> None:
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -45,6 +45,8 @@
         Random source.
     metrics : CallMetrics
         Gauges of versions and limits.
+    max_reply_bytes : int
+        Limit on the size of a reply that is not a stream.
     on_crash : callable, optional
         Called with each crash of an upstream; it must record it in `quarantine`.
 
@@ -86,6 +88,7 @@
         failure_domain: str,
         rng: random.Random,
         metrics: CallMetrics,
+        max_reply_bytes: int,
         on_crash: Callable[[Crash], None] | None = None,
     ) -> None:
         self._on_crash = on_crash or self._record_crash
@@ -109,6 +112,7 @@
             self._budget,
             dialect,
             PromptGuard(self.quarantine, CrashWatch(self._count_crash)),
+            max_reply_bytes,
         )
         streams = StreamRelay(relay, dialect, self._record_gap)
         self.dispatcher = CallDispatcher(relay, streams, self._find_gate)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -44,9 +44,18 @@
         Translates headers.
     guard : PromptGuard
         Refuses prompts that crash upstreams.
+    max_reply_bytes : int
+        Limit on the size of a reply that is not a stream.
     """
 
-    __slots__ = ("_balancer", "_budget", "_dialect", "_ejector", "guard")
+    __slots__ = (
+        "_balancer",
+        "_budget",
+        "_dialect",
+        "_ejector",
+        "guard",
+        "max_reply_bytes",
+    )
 
     def __init__(
         self,
@@ -55,7 +64,9 @@
         budget: SharedBudget,
         dialect: Dialect,
         guard: PromptGuard,
+        max_reply_bytes: int,
     ) -> None:
+        self.max_reply_bytes = max_reply_bytes
         self._balancer = balancer
         self._ejector = ejector
         self._budget = budget
@@ -88,7 +99,7 @@
                 until = self._attempt_end(call, progress)
                 try:
                     attempt.begin(until)
-                    body = attempt.read_body(until)
+                    body = attempt.read_body(until, self.max_reply_bytes)
                 except (Unreachable, TurnedAway, Silent, BrokenReply) as exc:
                     self.handle_failure(
                         call, progress, upstream, exc, sent=attempt.sent
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -77,7 +77,7 @@
         attempt, upstream = self._open_stream(call, progress, splitter, attempt_stack)
         headers = list(attempt.reply_head.headers)
         if attempt.status not in SUCCESS_STATUSES:
-            body = attempt.read_body(call.deadline.at)
+            body = attempt.read_body(call.deadline.at, self._relay.max_reply_bytes)
             return Reply(attempt.status, headers, body, framed=attempt.framed)
         events = self._relay_events(
             call, progress, splitter, attempt_stack, attempt, upstream
@@ -157,10 +157,9 @@
         attempt: Attempt,
     ) -> Iterator[bytes]:
         last_at = 0.0
-        for data in attempt.iter_body(STREAM_IDLE_TIMEOUT_S, call.deadline.at):
-            events = splitter.feed(data)
-            if not events:
-                continue
+        for events in attempt.iter_events(
+            splitter, STREAM_IDLE_TIMEOUT_S, call.deadline.at
+        ):
             now = time.monotonic()
             if last_at:
                 self._on_event_gap(call.service, now - last_at)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -96,6 +96,7 @@
             failure_domain=self._cfg.failure_domain,
             rng=rng,
             metrics=self._metrics,
+            max_reply_bytes=cfg.max_reply_bytes,
             on_crash=self._report_crash,
         )
         self._crash_exchange = CrashExchange(
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -12,6 +12,8 @@
 from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
 
 JSON = "application/json"
+# Larger than the store's largest answer, which has 1 MB of rows in base64.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,7 +144,9 @@
         try:
             exchange.send(target, headers, data)
             exchange.read_head(start + self._head_timeout_s)
-            return exchange.parser, exchange.read_body(start + self._timeout_s)
+            return exchange.parser, exchange.read_body(
+                start + self._timeout_s, MAX_BODY_BYTES
+            )
         except Unreachable as exc:
             raise CallRefused(str(exc)) from exc
         except (Silent, BrokenReply) as exc:
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -196,6 +196,8 @@
     store: RowStore
     retries: RetryBudget = RetryBudget()
     address_ttl_s: Seconds = 2.0
+    # Replies that are no streams are held in memory until they are complete.
+    max_reply_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 8 * 1024 * 1024
 
 
 class RankAgent(Model):
--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -2,7 +2,12 @@
 
 import re
 
+from toucanspool.wire.reply_parser import ExcessiveReply
+
+MAX_EVENT_BYTES = 1024 * 1024
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_END_BYTES = 4
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -22,12 +27,13 @@
         Number of events returned.
     """
 
-    __slots__ = ("_partial", "count", "last_id")
+    __slots__ = ("_partial", "_searched_bytes", "count", "last_id")
 
     def __init__(self, *, last_id: str = "") -> None:
         self.last_id = last_id
         self.count = 0
-        self._partial = b""
+        self._partial = bytearray()
+        self._searched_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete.
@@ -41,13 +47,23 @@
         -------
         bytes
             Empty if no event is complete.
+
+        Raises
+        ------
+        ExcessiveReply
+            An event is too large.
         """
-        data = self._partial + data
+        self._partial += data
         end = 0
-        for match in _EVENT_END.finditer(data):
+        for match in _EVENT_END.finditer(self._partial, self._searched_bytes):
             end = match.end()
             self.count += 1
-        events, self._partial = data[:end], data[end:]
+        events = bytes(self._partial[:end])
+        del self._partial[:end]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ExcessiveReply(f"an event has more than {MAX_EVENT_BYTES} bytes")
+        # The bytes of an event's end may arrive apart.
+        self._searched_bytes = max(0, len(self._partial) - _EVENT_END_BYTES + 1)
         ids = _EVENT_ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
@@ -55,9 +71,10 @@
 
     def drop_partial(self) -> None:
         """Discard an incomplete event after its stream has broken."""
-        self._partial = b""
+        self._partial.clear()
+        self._searched_bytes = 0
 
     @property
     def partial(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._partial
+        return bytes(self._partial)
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -4,14 +4,26 @@
 import time
 from collections.abc import Iterable, Iterator
 
+import gevent
 from gevent import socket
 
+from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.reachability import Reachability, check_reachability
-from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
+from toucanspool.wire.reply_parser import (
+    BrokenReply,
+    ExcessiveReply,
+    Header,
+    ReplyParser,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 END_CHECK_TIMEOUT_S = 0.5
+# Time from the first byte of a head to its end. Upstreams send a head at once; this
+# covers retransmissions.
+HEAD_TIMEOUT_S = 1.0
 READ_BLOCK_BYTES = 16 * 1024
+# Bytes after which other greenlets get a turn, even if more can be read.
+BURST_BYTES = 512 * 1024
 
 
 class Unreachable(Exception):
@@ -53,7 +65,14 @@
         Whether the upstream may have received a part of the request.
     """
 
-    __slots__ = ("_conn", "_keepalive_s", "_method", "parser", "sent")
+    __slots__ = (
+        "_burst_bytes",
+        "_conn",
+        "_keepalive_s",
+        "_method",
+        "parser",
+        "sent",
+    )
 
     def __init__(
         self, host: str, port: int, method: str, *, keepalive_s: int = 0
@@ -61,6 +80,7 @@
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
+        self._burst_bytes = 0
         self.parser = ReplyParser(method)
         self.sent = False
 
@@ -115,17 +135,35 @@
             The time limit has passed.
         BrokenReply
             The connection broke.
+        ExcessiveReply
+            The head has begun and does not end in time, or is too long.
         """
-        while not self.parser.head_complete:
-            self._receive(until)
-
-    def read_body(self, until: float) -> bytes:
+        parser = self.parser
+        head_until = None
+        while not parser.head_complete:
+            interim_replies = parser.interim_replies
+            try:
+                self._receive(until if head_until is None else min(until, head_until))
+            except Silent as exc:
+                if head_until is None or until <= head_until:
+                    raise
+                raise ExcessiveReply(
+                    f"the head did not end within {HEAD_TIMEOUT_S} s"
+                ) from exc
+            if parser.interim_replies > interim_replies:
+                head_until = None
+            elif head_until is None:
+                head_until = time.monotonic() + HEAD_TIMEOUT_S
+
+    def read_body(self, until: float, max_bytes: int) -> bytes:
         """Read the complete body.
 
         Parameters
         ----------
         until : float
             Time limit, in seconds on the monotonic clock.
+        max_bytes : int
+            Limit on its size.
 
         Returns
         -------
@@ -137,11 +175,16 @@
             The time limit has passed.
         BrokenReply
             The connection broke, or the body is incomplete.
+        ExcessiveReply
+            The body is larger than the limit.
         """
-        while not self.parser.complete:
+        parser = self.parser
+        while not parser.complete:
+            if max(parser.body_bytes, parser.content_length) > max_bytes:
+                raise ExcessiveReply(f"the body has more than {max_bytes} bytes")
             self._receive(until)
         self._check_end(until)
-        return self.parser.take_body()
+        return parser.take_body()
 
     def iter_body(self, idle_timeout_s: float, until: float) -> Iterator[bytes]:
         """Yield the body in parts as it arrives.
@@ -172,6 +215,49 @@
                 return
             self._receive(min(until, time.monotonic() + idle_timeout_s))
 
+    def iter_events(
+        self, splitter: EventSplitter, idle_timeout_s: float, until: float
+    ) -> Iterator[bytes]:
+        """Yield a stream in complete events.
+
+        The end of the last event may be missing; `splitter` then holds its part.
+
+        Parameters
+        ----------
+        splitter : EventSplitter
+            Splits the stream.
+        idle_timeout_s : float
+            Maximum time without a complete event, in seconds.
+        until : float
+            Time limit, in seconds on the monotonic clock.
+
+        Yields
+        ------
+        bytes
+            One event or more.
+
+        Raises
+        ------
+        Silent
+            A time limit has passed.
+        BrokenReply
+            The connection broke, or the stream is incomplete.
+        ExcessiveReply
+            An event is too large.
+        """
+        complete = False
+        while not complete:
+            events = b""
+            idle_until = min(until, time.monotonic() + idle_timeout_s)
+            while not events and not complete:
+                if not self.parser.complete and not self.parser.body_bytes:
+                    self._receive(idle_until)
+                complete = self.parser.complete
+                events = splitter.feed(self.parser.take_body())
+            if events:
+                yield events
+        self._check_end(until)
+
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
         self._conn.close()
@@ -188,6 +274,10 @@
             raise Silent(f"no data received for {remaining_s:.1f} s") from exc
         except OSError as exc:
             raise BrokenReply(str(exc)) from exc
+        self._burst_bytes += len(data)
+        if self._burst_bytes > BURST_BYTES:
+            self._burst_bytes = 0
+            gevent.sleep(0)
         self.parser.receive(data)
 
     def _check_end(self, until: float) -> None:
--- a/toucanspool/wire/reply_parser.py
+++ b/toucanspool/wire/reply_parser.py
@@ -4,6 +4,9 @@
 
 Header = tuple[str, str]
 FIRST_FINAL_STATUS = 200
+# Limit on bytes in a row that are no body: heads, chunk sizes and trailers.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_INTERIM_REPLIES = 16
 BODILESS_STATUSES = (204, 304)
 
 
@@ -11,6 +14,10 @@
     """Report an invalid or truncated reply."""
 
 
+class ExcessiveReply(BrokenReply):
+    """Report a reply that exceeds a limit on its size or duration."""
+
+
 class ReplyParser(HTTPResponseParser):
     """Parse the first final reply of a connection; later bytes are ignored.
 
@@ -29,6 +36,8 @@
         Whether the reply has been received completely.
     ended_by_close : bool
         Whether only the end of the connection says that the reply is complete.
+    interim_replies : int
+        Number of interim replies (1xx) received.
     """
 
     def __init__(self, method: str) -> None:
@@ -37,6 +46,8 @@
         self.headers: list[Header] = []
         self.complete = False
         self.ended_by_close = False
+        self.interim_replies = 0
+        self._head_bytes = 0
         self._is_head_request = method == "HEAD"
         self._header_name = ""
         self._header_value: str | None = None
@@ -60,6 +71,17 @@
             or self.header("transfer-encoding").lower().endswith("chunked")
         )
 
+    @property
+    def content_length(self) -> int:
+        """Return the length that the head announces; 0 if it announces none."""
+        length = self.header("content-length")
+        return int(length) if length.isdecimal() else 0
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of the body received since the last `take_body`."""
+        return len(self._body)
+
     def receive(self, data: bytes) -> None:
         """Parse bytes from the connection.
 
@@ -72,8 +94,11 @@
         ------
         BrokenReply
             The reply is invalid or truncated.
+        ExcessiveReply
+            The head or what comes between parts of the body is too long.
         """
         was_complete = self.complete
+        body_bytes = self.body_bytes
         try:
             self.feed(data)
         except HTTPParseError as exc:
@@ -83,6 +108,8 @@
             raise BrokenReply("the connection was closed before the reply's end")
         if not data:
             self.ended_by_close = not was_complete
+        if not self.complete:
+            self._check_limits(len(data) if self.body_bytes == body_bytes else 0)
 
     def take_body(self) -> bytes:
         """Return the part of the body received since the last call.
@@ -112,6 +139,13 @@
                 return value
         return ""
 
+    def _check_limits(self, head_bytes: int) -> None:
+        self._head_bytes = self._head_bytes + head_bytes if head_bytes else 0
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise ExcessiveReply(f"more than {MAX_HEAD_BYTES} bytes that are no body")
+        if self.interim_replies > MAX_INTERIM_REPLIES:
+            raise ExcessiveReply(f"more than {MAX_INTERIM_REPLIES} interim replies")
+
     def _on_status(self, text: str) -> None:
         """Ignore the reason phrase; called by `HTTPResponseParser`."""
 
@@ -140,6 +174,8 @@
     def _on_message_complete(self) -> None:
         if self.head_complete:
             self.complete = True
+        else:
+            self.interim_replies += 1
 
     def _store_header(self) -> None:
         if self._header_name and not self.complete:
