Bound the replies that pooled clients read

The clients of the table, objects, instances and engines, and the tool, keep connections. They read replies without end into memory, and a trickle of bytes renewed their time limit for ever.

--- /dev/null
+++ b/tests/backing/test_http_client.py
@@ -0,0 +1,58 @@
+"""The pooled JSON client bounds replies in size and time."""
+
+from contextlib import contextmanager
+
+import gevent
+import pytest
+
+from standins.raw_upstream import RawUpstream, answering, without_end
+from toucanspool.backing import bounded_client
+from toucanspool.backing.http_client import CallLost, JsonClient
+
+OK = b"HTTP/1.1 200 OK\r\n"
+BLOCK = b"x" * 65536
+LIMIT_BYTES = 4 * 1024 * 1024
+
+
+@contextmanager
+def client_of(script, *, timeout_s: float = 1.0):
+    """Yield a client of a scripted server, and the server."""
+    with RawUpstream(script) as server:
+        client = JsonClient("127.0.0.1", server.port, timeout_s=timeout_s)
+        yield client, server
+        client.close()
+
+
+@pytest.mark.parametrize(
+    ("head", "block"),
+    [
+        (OK, b"X-More: 1\r\n" * 6000),
+        (OK + b"\r\n", BLOCK),
+        (OK + b"Content-Length: 99999999999\r\n\r\n", BLOCK),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
+    ],
+)
+def test_a_reply_without_end_is_given_up(monkeypatch, head, block):
+    monkeypatch.setattr(bounded_client, "MAX_REPLY_BYTES", 1024 * 1024)
+    script = without_end(head, block, limit_bytes=LIMIT_BYTES * 4)
+    with client_of(script) as (client, server), pytest.raises(CallLost):
+        client.call("GET", "/x")
+    gevent.sleep(0.05)
+    assert server.closed_early == 1
+
+
+def test_a_slow_reply_without_end_is_given_up_in_time():
+    script = without_end(OK + b"\r\n", b"x", pause_s=0.05, limit_bytes=100)
+    with (
+        client_of(script, timeout_s=0.3) as (client, _),
+        gevent.Timeout(1.0),
+        pytest.raises(CallLost),
+    ):
+        client.call("GET", "/x")
+
+
+def test_the_bound_holds_for_each_reply_and_not_for_the_connection(monkeypatch):
+    monkeypatch.setattr(bounded_client, "MAX_REPLY_BYTES", 1000)
+    with client_of(answering(b"x" * 600)) as (client, _):
+        for _ in range(3):
+            assert client.call("GET", "/x") == (200, b"x" * 600)
--- a/toucanspool/backing/http_client.py
+++ b/toucanspool/backing/http_client.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+import gevent
 import orjson
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from toucanspool.backing.bounded_client import BoundedClient
+
 POOL_SIZE = 8
 CONNECT_TIMEOUT_S = 1.0
 
@@ -32,10 +34,11 @@
         open, so that no abandoned request takes effect later.
     """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_timeout_s")
 
     def __init__(self, host: str, port: int, *, timeout_s: float | None) -> None:
-        self._client = HTTPClient(
+        self._timeout_s = timeout_s
+        self._client = BoundedClient(
             host,
             port,
             concurrency=POOL_SIZE,
@@ -104,9 +107,12 @@
     def _request(
         self, method: str, path: str, data: bytes, headers: dict[str, str]
     ) -> tuple[HTTPResponse, Any]:
+        # The client's own time limit is renewed by each byte that arrives.
+        late = CallLost(f"no complete response within {self._timeout_s} s")
         try:
-            resp = self._client.request(method, path, body=data, headers=headers)
-            body = resp.read()
+            with gevent.Timeout(self._timeout_s, late):
+                resp = self._client.request(method, path, body=data, headers=headers)
+                body = resp.read()
         except ConnectionRefusedError as exc:
             raise CallRefused(str(exc)) from exc
         except (OSError, HTTPParseError) as exc:
--- a/toucanspool/ctl/client.py
+++ b/toucanspool/ctl/client.py
@@ -5,9 +5,9 @@
 from urllib.parse import urlsplit
 
 import orjson
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from toucanspool.backing.bounded_client import BoundedClient
 from toucanspool.ctl.failures import (
     ChangeConflict,
     CommandFailed,
@@ -90,7 +90,7 @@
 
     def _send(self, entry: str, method: str, path: str, body: Any) -> tuple[int, Any]:
         url = urlsplit(entry)
-        client = HTTPClient(
+        client = BoundedClient(
             url.hostname or "",
             url.port or 80,
             connection_timeout=self._timeout_s,
