Take no answer of the store, of objects or of an entry that was cut for whole

An object or an answer of another type than JSON was complete when its connection closed; a cut JSON answer raised an error that no caller of the pooled client, nor the tool, expected; an empty answer without framing was 'no body'. All are lost calls now, an unknown outcome in the tool. JSON that can be decoded is complete by itself.

--- a/tests/backing/test_http_client.py
+++ b/tests/backing/test_http_client.py
@@ -1,4 +1,4 @@
-"""The pooled JSON client bounds replies in size and time."""
+"""The pooled JSON client bounds replies, and takes none that was cut for whole."""
 
 from contextlib import contextmanager
 
@@ -10,6 +10,7 @@
 from toucanspool.backing.http_client import CallLost, JsonClient
 
 OK = b"HTTP/1.1 200 OK\r\n"
+JSON = "Content-Type: application/json"
 BLOCK = b"x" * 65536
 LIMIT_BYTES = 4 * 1024 * 1024
 
@@ -56,3 +57,22 @@
     with client_of(answering(b"x" * 600)) as (client, _):
         for _ in range(3):
             assert client.call("GET", "/x") == (200, b"x" * 600)
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_json_body_that_was_cut_is_lost(framed):
+    script = answering(b'{"a": [1, 2', headers=JSON, framed=framed)
+    with client_of(script) as (client, _), pytest.raises(CallLost):
+        client.call("GET", "/x")
+
+
+@pytest.mark.parametrize("body", [b"", b"part of an object"])
+def test_a_body_that_only_the_closed_connection_ends_is_lost(body):
+    script = answering(body, framed=False)
+    with client_of(script) as (client, _), pytest.raises(CallLost):
+        client.call("GET", "/x")
+
+
+def test_a_json_body_without_framing_is_whole():
+    with client_of(answering(b'{"a": 1}', headers=JSON, framed=False)) as (client, _):
+        assert client.call("GET", "/x") == (200, {"a": 1})
--- /dev/null
+++ b/tests/platform/test_unpooled_client.py
@@ -0,0 +1,48 @@
+"""The client of the store takes no response that was cut for whole."""
+
+import gevent
+import pytest
+
+from standins.raw_upstream import RawUpstream, answering, without_end
+from toucanspool.backing.http_client import CallLost
+from toucanspool.platform.unpooled_client import UnpooledClient
+
+JSON = "Content-Type: application/json"
+
+
+def call(script, *, crashes: bool = False):
+    """Return the body of a scripted server's response to one request."""
+    with RawUpstream(script, crashes=crashes) as server:
+        client = UnpooledClient("127.0.0.1", server.port, timeout_s=2.0)
+        return client.call("GET", "/x").body
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_json_body_that_was_cut_is_lost(framed):
+    with pytest.raises(CallLost):
+        call(answering(b'{"rows": [1', headers=JSON, framed=framed))
+
+
+def test_an_empty_body_that_only_the_closed_connection_ends_is_lost():
+    with pytest.raises(CallLost):
+        call(answering(b"", headers=JSON, framed=False))
+
+
+def test_a_body_without_framing_whose_server_crashes_is_lost():
+    with pytest.raises(CallLost):
+        call(answering(b"text", framed=False), crashes=True)
+
+
+def test_a_json_body_without_framing_is_whole():
+    assert call(answering(b'{"a": 1}', headers=JSON, framed=False)) == {"a": 1}
+
+
+def test_an_empty_body_with_a_length_is_no_body():
+    assert call(answering(b"", headers=JSON)) is None
+
+
+def test_a_response_without_end_is_lost():
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    script = without_end(head, b"x" * 65536, limit_bytes=64 * 1024 * 1024)
+    with gevent.Timeout(1.5), pytest.raises(CallLost):
+        call(script)
--- a/toucanspool/backing/http_client.py
+++ b/toucanspool/backing/http_client.py
@@ -7,6 +7,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from toucanspool.backing.bounded_client import BoundedClient
+from toucanspool.wire.reply_parser import BODILESS_STATUSES
 
 POOL_SIZE = 8
 CONNECT_TIMEOUT_S = 1.0
@@ -118,8 +119,22 @@
         except (OSError, HTTPParseError) as exc:
             raise CallLost(repr(exc)) from exc
         is_json = str(resp.get("content-type", "")).startswith("application/json")
-        return resp, (orjson.loads(body) if is_json and body else body)
+        if not (is_json and body):
+            _check_framing(resp)
+            return resp, body
+        try:
+            return resp, orjson.loads(body)
+        except orjson.JSONDecodeError as exc:
+            raise CallLost(f"the response body is invalid JSON: {exc}") from exc
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
+
+
+def _check_framing(resp: HTTPResponse) -> None:
+    """Raise `CallLost` if only the closed connection says that a body is complete."""
+    chunked = str(resp.get("transfer-encoding", "")).lower().endswith("chunked")
+    framed = chunked or resp.get("content-length") is not None
+    if not framed and resp.status_code not in BODILESS_STATUSES:
+        raise CallLost("the response does not say where it ends")
--- a/toucanspool/ctl/client.py
+++ b/toucanspool/ctl/client.py
@@ -74,7 +74,7 @@
             except ConnectionRefusedError as exc:
                 errors.append(f"{entry}: {exc.strerror or exc}")
                 continue
-            except (OSError, HTTPParseError) as exc:
+            except (OSError, HTTPParseError, orjson.JSONDecodeError) as exc:
                 errors.append(f"{entry}: {exc!r}")
                 may_have_run = True
                 continue
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -104,7 +104,9 @@
         parser, data = self._exchange(method, target, body, wait_s)
         is_json = parser.header("content-type").startswith(JSON)
         try:
-            decoded = orjson.loads(data) if is_json and data else None
+            # A JSON body is complete if it can be decoded; an empty one says nothing.
+            empty = not data and parser.framed
+            decoded = orjson.loads(data) if is_json and not empty else None
         except orjson.JSONDecodeError as exc:
             raise CallLost(f"the response body is invalid JSON: {exc}") from exc
         return JsonResponse(parser.status, _by_lower_name(parser.headers), decoded)
