Treat a failure that breaks off before a stream as a failed attempt

The body of an upstream's failure on a streaming route was read outside of the attempt's error handling: one that broke off raised through the server, and the caller got 500 in place of 502, or of the stream from another upstream. Found while looking for readers that believe a close. Both new tests fail without this change.

--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from standins.raw_upstream import event, streaming
+from standins.raw_upstream import event, reply, streaming
 from tests.gateway.gateways import RESET, gateway, request, route
 from toucanspool.gateway import stream
 from toucanspool.routing.routes import CallKind
@@ -159,6 +159,23 @@
         assert gw.call("POST", body=b"ask")[0] == 502
 
 
+def failing(sock, seen):
+    sock.sendall(reply(seen, b"whole failure", status="500 Failed")[:-4])
+
+
+def test_a_failure_that_breaks_off_before_a_stream_is_answered_502():
+    with gateway(failing, routes=UNRESUMABLE) as gw:
+        status, _, body = gw.call("POST", body=b"ask")
+    assert status == 502
+    assert b'"unknown"' in body
+
+
+def test_a_stream_is_asked_for_elsewhere_after_a_failure_that_breaks_off():
+    with gateway(failing, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
 def test_streams_add_to_the_retry_budget():
     with gateway(streaming(EVENTS), routes=STREAM) as gw:
         gw.core._budget.configure(ratio=0.5, window_s=10.0, extra=0.0)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -74,11 +74,12 @@
         progress = self._relay.start_call(call)
         splitter = EventSplitter(last_id=call.last_event_id)
         attempt_stack = closing.enter_context(ExitStack())
-        attempt, upstream = self._open_stream(call, progress, splitter, attempt_stack)
+        attempt, upstream, failure_body = self._open_stream(
+            call, progress, splitter, attempt_stack
+        )
         headers = list(attempt.reply_head.headers)
-        if attempt.status not in SUCCESS_STATUSES:
-            body = attempt.read_body(call.deadline.at, self._relay.max_reply_bytes)
-            return Reply(attempt.status, headers, body, framed=attempt.framed)
+        if failure_body is not None:
+            return Reply(attempt.status, headers, failure_body, framed=attempt.framed)
         events = self._relay_events(
             call, progress, splitter, attempt_stack, attempt, upstream
         )
@@ -92,7 +93,8 @@
         progress: CallProgress,
         splitter: EventSplitter,
         attempt_stack: ExitStack,
-    ) -> tuple[Attempt, Upstream]:
+    ) -> tuple[Attempt, Upstream, bytes | None]:
+        """Return an attempt after the reply's head, and the body if it is a failure."""
         while True:
             attempt_stack.close()
             upstream = self._relay.choose(call, progress)
@@ -101,12 +103,15 @@
             try:
                 until = min(call.deadline.at, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
                 attempt.begin(until, last_event_id=splitter.last_id)
+                failure_body = None
+                if attempt.status not in SUCCESS_STATUSES:
+                    failure_body = attempt.read_body(until, self._relay.max_reply_bytes)
             except _ATTEMPT_ERRORS as exc:
                 self._relay.handle_failure(
                     call, progress, upstream, exc, sent=attempt.sent
                 )
                 continue
-            return attempt, upstream
+            return attempt, upstream, failure_body
 
     def _relay_events(
         self,
@@ -126,10 +131,10 @@
                 splitter.drop_partial()
                 try:
                     self._relay.handle_failure(call, progress, upstream, exc, sent=True)
-                    attempt, upstream = self._open_stream(
+                    attempt, upstream, failure_body = self._open_stream(
                         call, progress, splitter, attempt_stack
                     )
-                    if attempt.status not in SUCCESS_STATUSES:
+                    if failure_body is not None:
                         raise BrokenReply(f"resumed with status {attempt.status}")
                 except (Refused, BrokenReply) as cause:
                     # Without an event sent yet, the caller can still be refused.
