Ask an upstream after a closed connection only while the answer means something

A gateway that stood still while an upstream crashed and came back found it accepting connections, and took the answer without framing for complete. A close that may be older than half a second, in which no upstream restarts, proves nothing: the answer counts as broken off. The new test stops reader and upstream as a signal does, and fails without the check; sound answers that take long stay whole.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -26,7 +26,8 @@
 )
 from toucanspool.platform.store import RowStoreClient, table_of
 from toucanspool.recovery.feed import HistoryGone, StoreLapsed
-from toucanspool.wire.exchange import Exchange, Silent
+from toucanspool.wire.exchange import Exchange
+from toucanspool.wire.reply_reader import Silent
 
 
 @pytest.fixture()
--- /dev/null
+++ b/tests/wire/test_exchange.py
@@ -0,0 +1,61 @@
+"""The end of a connection is the end of a reply only if the upstream lives on."""
+
+import socket
+import time
+from contextlib import closing
+
+import gevent
+import pytest
+
+from standins.raw_upstream import RawUpstream, answering
+from toucanspool.wire.exchange import MIN_RESTART_S, Exchange
+from toucanspool.wire.reply_parser import BrokenReply
+from toucanspool.wire.reply_reader import OPEN_CHECK_INTERVAL_S
+
+MAX_BYTES = 1000
+
+
+def read(port: int) -> bytes:
+    """Return the body of an upstream's reply to one request."""
+    until = time.monotonic() + 3.0
+    with closing(Exchange("127.0.0.1", port, "GET")) as exchange:
+        exchange.send("/x", [("Host", "x")], b"")
+        exchange.read_head(until)
+        return exchange.read_body(until, MAX_BYTES)
+
+
+def test_a_reply_whose_upstream_crashes_is_broken_if_it_is_back_before_we_ask():
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = listener.getsockname()
+    reading = gevent.spawn(read, address[1])
+    gevent.sleep(0.05)
+    sock, _ = listener.accept()
+    sock.recv(1000)
+    sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npar")
+    sock.close()
+    listener.close()
+    # This process stands still, as one that is stopped by a signal.
+    time.sleep(MIN_RESTART_S + 0.1)
+    with (
+        socket.create_server(address),
+        pytest.raises(BrokenReply, match="may have been restarted"),
+    ):
+        reading.get()
+
+
+def test_a_reply_that_takes_long_is_whole_if_its_upstream_lives():
+    def slow(sock, seen):
+        gevent.sleep(MIN_RESTART_S + 2 * OPEN_CHECK_INTERVAL_S)
+        answering(b"whole", framed=False)(sock, seen)
+
+    with RawUpstream(slow) as upstream:
+        assert read(upstream.port) == b"whole"
+
+
+def test_a_reply_that_was_read_while_we_stood_still_is_whole_if_it_has_a_length():
+    def slow(sock, seen):
+        answering(b"whole")(sock, seen)
+        time.sleep(MIN_RESTART_S + 0.1)
+
+    with RawUpstream(slow) as upstream:
+        assert read(upstream.port) == b"whole"
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -9,8 +9,9 @@
 from toucanspool.settings.settings import Address
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.events import is_event_stream
-from toucanspool.wire.exchange import Exchange, Silent, Unreachable
+from toucanspool.wire.exchange import Exchange, Unreachable
 from toucanspool.wire.reply_parser import BrokenReply, Header
+from toucanspool.wire.reply_reader import Silent
 
 
 class UpstreamUnreachable(Exception):
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -9,8 +9,9 @@
 from toucanspool.gateway.dialect import Dialect, ReplyHead
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
-from toucanspool.wire.exchange import Exchange, Silent
+from toucanspool.wire.exchange import Exchange
 from toucanspool.wire.reply_parser import BrokenReply
+from toucanspool.wire.reply_reader import Silent
 
 MS_PER_S = 1000.0
 SUCCESS_STATUSES = range(200, 300)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -15,8 +15,9 @@
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import Upstream
-from toucanspool.wire.exchange import Silent, Unreachable
+from toucanspool.wire.exchange import Unreachable
 from toucanspool.wire.reply_parser import BrokenReply
+from toucanspool.wire.reply_reader import Silent
 
 SERVER_ERROR_STATUSES = range(500, 600)
 MAX_SENDS = 3
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -14,8 +14,9 @@
 from toucanspool.gateway.relay import Relay
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
-from toucanspool.wire.exchange import Silent, Unreachable
+from toucanspool.wire.exchange import Unreachable
 from toucanspool.wire.reply_parser import BrokenReply
+from toucanspool.wire.reply_reader import Silent
 
 # Callers abandon a stream after 2 s without an event. An upstream that stays silent is
 # abandoned a little earlier, so that another one can resume the stream.
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -8,8 +8,9 @@
 import orjson
 
 from toucanspool.backing.http_client import CallLost, CallRefused
-from toucanspool.wire.exchange import Exchange, Silent, Unreachable
+from toucanspool.wire.exchange import Exchange, Unreachable
 from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
+from toucanspool.wire.reply_reader import Silent
 
 JSON = "application/json"
 # Larger than the store's largest answer, which has 1 MB of rows in base64.
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Iterable, Iterator
 
-import gevent
 from gevent import socket
 
 from toucanspool.wire.event_splitter import EventSplitter
@@ -15,25 +14,21 @@
     Header,
     ReplyParser,
 )
+from toucanspool.wire.reply_reader import ReplyReader, Silent
 
 CONNECT_TIMEOUT_S = 0.5
 END_CHECK_TIMEOUT_S = 0.5
 # Time from the first byte of a head to its end. Upstreams send a head at once; this
 # covers retransmissions.
 HEAD_TIMEOUT_S = 1.0
-READ_BLOCK_BYTES = 16 * 1024
-# Bytes after which other greenlets get a turn, even if more can be read.
-BURST_BYTES = 512 * 1024
+# An upstream that crashed does not accept connections again within this time.
+MIN_RESTART_S = 0.5
 
 
 class Unreachable(Exception):
     """Report that no connection could be opened; the upstream got no request."""
 
 
-class Silent(Exception):
-    """Report that an upstream timed out; it may have run the request."""
-
-
 class Exchange:
     """Send one request and read the reply; must be closed.
 
@@ -66,10 +61,10 @@
     """
 
     __slots__ = (
-        "_burst_bytes",
         "_conn",
         "_keepalive_s",
         "_method",
+        "_reader",
         "parser",
         "sent",
     )
@@ -80,7 +75,6 @@
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
-        self._burst_bytes = 0
         self.parser = ReplyParser(method)
         self.sent = False
 
@@ -109,6 +103,7 @@
             conn.sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
         except OSError as exc:
             raise Unreachable(str(exc)) from exc
+        self._reader = ReplyReader(conn.sock)
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
         for name, value in headers:
             conn.putheader(name, value)
@@ -263,21 +258,10 @@
         self._conn.close()
 
     def _receive(self, until: float) -> None:
-        remaining_s = until - time.monotonic()
-        if remaining_s <= 0.0:
-            raise Silent("the time limit has passed")
-        sock = self._conn.sock
-        sock.settimeout(remaining_s)
         try:
-            data = sock.recv(READ_BLOCK_BYTES)
-        except TimeoutError as exc:
-            raise Silent(f"no data received for {remaining_s:.1f} s") from exc
+            data = self._reader.read(until)
         except OSError as exc:
             raise BrokenReply(str(exc)) from exc
-        self._burst_bytes += len(data)
-        if self._burst_bytes > BURST_BYTES:
-            self._burst_bytes = 0
-            gevent.sleep(0)
         self.parser.receive(data)
 
     def _check_end(self, until: float) -> None:
@@ -291,6 +275,11 @@
                 "the connection was closed without an end of the reply, and the "
                 f"reachability of the upstream is: {reachability.value}"
             )
+        if self._reader.max_close_age_s > MIN_RESTART_S:
+            raise BrokenReply(
+                "the connection was closed without an end of the reply, so long ago "
+                "that the upstream may have been restarted"
+            )
 
 
 def _enable_keepalive(sock: socket.socket, keepalive_s: int) -> None:
