Let upstreams of the soak crash, send replies without framing, and without end

The soak's upstreams gave every answer a length or chunks, never crashed and always came to an end. Now three in ten answers end with their connection; upstreams crash at any moment, at an event's end too, and come back under another name; a failing one may send a head, a body or an event without end. Callers read bodies that end with their connection, and take a reset for a cut.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -93,6 +93,8 @@
             headers[name.strip().lower()] = value.strip()
         if headers.get(b"transfer-encoding") == b"chunked":
             self._read_stream(call, reader)
+        elif b"content-length" not in headers:
+            self._read_to_close(call, reader, streamed=prefix == "/stream/")
         else:
             length = int(headers[b"content-length"])
             data = reader.read(length)
@@ -116,6 +118,25 @@
                     break
                 data += reader.read(size)
                 reader.readline()
+        self._check_stream(call, data, complete=complete)
+
+    def _read_to_close(self, call: str, reader: object, *, streamed: bool) -> None:
+        """Read a body that ends with its connection; a reset breaks it off."""
+        data, complete = b"", False
+        with suppress(OSError):
+            while block := reader.read1():
+                data += block
+            complete = True
+        self._disconnect()
+        if streamed:
+            self._check_stream(call, data, complete=complete)
+        elif complete:
+            self._oracle.check_answer(call, data)
+
+    def _check_stream(self, call: str, data: bytes, *, complete: bool) -> None:
+        if not complete:
+            # The connection may break off inside an event.
+            data = data[: data.rfind(b"\n\n") + 2] if b"\n\n" in data else b""
         events = [e for e in data.decode().split("\n\n") if e]
         texts = [event.partition("data: ")[2] for event in events]
         self._oracle.check_stream(call, texts, complete=complete)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -125,8 +125,19 @@
     upstream.fail_share = 0.0
 
 
+def _crash_upstream(system: "SoakSystem") -> None:
+    upstream = system.rng.choice(system.upstreams)
+    if upstream.draining_since is None and not upstream.crashed:
+        upstream.crash()
+        gevent.sleep(system.rng.uniform(1.0, 3.0))
+        number = system.next_upstream_number()
+        upstream.return_after_crash(system.store.pages, number)
+
+
 def _replace_upstream(system: "SoakSystem") -> None:
     upstream = system.rng.choice(system.upstreams)
+    if upstream.crashed:
+        return
     if upstream.draining_since is None and system.store.pages.status == 0:
         upstream.drain(system.store.pages)
         gevent.sleep(4.0)
@@ -156,6 +167,7 @@
     "store silent": _silence_store,
     "store loses answers": _lose_store_answers,
     "store forgets": _truncate_store_history,
+    "upstream crashes": _crash_upstream,
     "upstream fails": _fail_upstream,
     "upstream leaves": _replace_upstream,
     "orders late": _delay_orders,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -10,6 +10,8 @@
 STREAM_EVENTS = 8
 # A call may take this much longer than the timeout of its route.
 TIMEOUT_SLACK_S = 0.6
+# The gateways' limit on a reply, and the buffers of both sockets.
+MAX_READ_BYTES = 24 * 1024 * 1024
 # An upstream gets no new calls this long after the store listed it as draining.
 DRAIN_DELAY_S = 2.5
 
@@ -111,6 +113,11 @@
         elif complete and events != expected:
             self._report("a cut stream does not look complete", call, repr(events))
 
+    def check_read(self, call: str, n_bytes: int) -> None:
+        """Check how much was read of a reply without end."""
+        if n_bytes > MAX_READ_BYTES:
+            self._report("replies are bounded", call, f"{n_bytes} bytes were read")
+
     def record_refusal(self, call: str, status: int) -> None:
         """Record a refusal; status 503 guarantees that the call does not run."""
         self.refusals += 1
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -4,6 +4,7 @@
 the system. Mechanisms are named after the guarantees that they implement.
 """
 
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -18,6 +19,7 @@
 from toucanspool.platform import configuration, frontend, listings
 from toucanspool.routing.routes import CallKind, Route, RouteTable
 from toucanspool.settings.settings import RowStore
+from toucanspool.wire import event_splitter, reply_parser
 from toucanspool.wire.exchange import Exchange
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk
 
@@ -49,15 +51,29 @@
     """Accept a partial body as complete when its connection ends."""
     read_body = Exchange.read_body
 
-    def read_partial(self: Exchange, until: float) -> bytes:
+    def read_partial(self: Exchange, until: float, max_bytes: int) -> bytes:
         try:
-            return read_body(self, until)
+            return read_body(self, until, max_bytes)
         except Exception:
             return self.parser.take_body()
 
     Exchange.read_body = read_partial
 
 
+def _trust_closed_connections() -> None:
+    """Take any close for the end of a reply without framing."""
+    Exchange._check_end = lambda self, until: None
+
+
+def _read_without_limit() -> None:
+    """Read replies of any size."""
+    read_body = Exchange.read_body
+    Exchange.read_body = lambda self, until, max_bytes: read_body(
+        self, until, sys.maxsize
+    )
+    reply_parser.MAX_HEAD_BYTES = event_splitter.MAX_EVENT_BYTES = sys.maxsize
+
+
 def _restart_streams() -> None:
     """Resume a broken stream from its first event."""
     begin = Attempt.begin
@@ -123,6 +139,8 @@
     "not run is true": _report_not_run,
     "one's own whole answer": _accept_partial_bodies,
     "no piece missing or twice": _restart_streams,
+    "a cut stream does not look complete": _trust_closed_connections,
+    "replies are bounded": _read_without_limit,
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
     "one map in each pass": _arm_without_hold,
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,18 +1,24 @@
 """Upstreams of the soak test, which report the calls they run and fail at random."""
 
 import random
+import struct
 import time
 
 import gevent
 import orjson
 from gevent import socket
 
-from soak.oracle import STREAM_EVENTS, Oracle
+from soak.oracle import MAX_READ_BYTES, STREAM_EVENTS, Oracle
 from standins.raw_upstream import RawUpstream, ReceivedRequest, reply
 from standins.row_store import RowStorePages
 from toucanspool.platform import headers as names
 
 EVENT_GAP_S = 0.04
+# Share of replies without length or chunks, which end with their connection.
+UNFRAMED_SHARE = 0.3
+FAULTS = ("full", "early", "late", "cut", "garbage", "hang", "endless")
+ENDLESS_BLOCK = b"x" * 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class SoakUpstream:
@@ -33,12 +39,15 @@
         Fraction of the calls that fail.
     draining_since : float or None
         When it started to drain, on the monotonic clock; None if it does not.
+    crashed : bool
+        Whether it has crashed and is not back yet.
     """
 
     def __init__(self, name: str, oracle: Oracle, rng: random.Random) -> None:
         self.name = name
         self.fail_share = 0.0
         self.draining_since: float | None = None
+        self.crashed = False
         self._oracle = oracle
         self._rng = rng
         self.server = RawUpstream(self._serve)
@@ -66,12 +75,24 @@
         self.draining_since = None
         self.list(pages)
 
+    def crash(self) -> None:
+        """Break all replies off and refuse connections; the list keeps its row."""
+        self.crashed = True
+        self.server.crash()
+
+    def return_after_crash(self, pages: RowStorePages, number: int) -> None:
+        """Listen again, as an instance of another name."""
+        self.server.restart()
+        self.crashed = False
+        self.restart(pages, number)
+
     def _serve(self, sock: socket.socket, request: ReceivedRequest) -> None:
         if request.header(names.EXPECT_INSTANCE) != self.name:
             sock.sendall(reply(request, b"", status="421 Other", signed=False))
             return
         fault = self._rng.random() < self.fail_share
-        kind = self._rng.choice(("full", "early", "late", "cut", "garbage", "hang"))
+        kind = self._rng.choice(FAULTS)
+        framed = self._rng.random() >= UNFRAMED_SHARE
         if fault and kind == "full":
             headers = f"{names.NOT_EXECUTED}: 1"
             options = {"status": "503 Full", "headers": headers, "signed": False}
@@ -89,27 +110,53 @@
             return
         if fault and kind == "hang":
             gevent.sleep(3.0)
+        if fault and kind == "endless":
+            self._send_without_end(sock, call)
+            return
         if " /stream/" in request.head:
-            self._stream(sock, request, call, cut=fault)
+            self._stream(sock, request, call, cut=fault, framed=framed)
             return
         gevent.sleep(self._rng.uniform(0.0, 0.05))
-        data = reply(request, b"answer to " + call.encode())
+        data = reply(request, b"answer to " + call.encode(), framed=framed)
         sock.sendall(data[:-3] if fault else data)
+        if fault and not framed:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    def _send_without_end(self, sock: socket.socket, call: str) -> None:
+        """Send a head, or the body of a reply or a stream, until it is not read."""
+        start = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {call}\r\n{names.SIGNATURE}: s"
+        rest = ("\r\nX-More: ", "\r\n\r\n", "\r\nContent-Length: 99999999999\r\n\r\n")
+        sent_bytes = 0
+        try:
+            sock.sendall((start + self._rng.choice(rest)).encode())
+            while sent_bytes <= MAX_READ_BYTES:
+                sock.sendall(ENDLESS_BLOCK)
+                sent_bytes += len(ENDLESS_BLOCK)
+        finally:
+            self._oracle.check_read(call, sent_bytes)
 
     def _stream(
-        self, sock: socket.socket, request: ReceivedRequest, call: str, *, cut: bool
+        self,
+        sock: socket.socket,
+        request: ReceivedRequest,
+        call: str,
+        *,
+        cut: bool,
+        framed: bool,
     ) -> None:
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"{names.ATTEMPT_ID}: {call}\r\n{names.SIGNATURE}: s\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
         )
+        head += "Transfer-Encoding: chunked\r\n\r\n" if framed else "\r\n"
         sock.sendall(head.encode())
         first = int(request.header("last-event-id") or 0) + 1
         last = self._rng.randrange(first, STREAM_EVENTS + 1) if cut else STREAM_EVENTS
         for number in range(first, last + 1):
             gevent.sleep(EVENT_GAP_S)
             event = f"id: {number}\ndata: {call} piece {number}\n\n".encode()
-            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-        if not cut:
+            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event) if framed else event)
+        if framed and not cut:
             sock.sendall(b"0\r\n\r\n")
+        elif cut and not framed:
+            sock.sendall(b"id: 9\nda")
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.oracle import DRAIN_DELAY_S, STREAM_EVENTS, Oracle
+from soak.oracle import DRAIN_DELAY_S, MAX_READ_BYTES, STREAM_EVENTS, Oracle
 
 ALL_EVENTS = [f"c piece {number}" for number in range(1, STREAM_EVENTS + 1)]
 
@@ -51,6 +51,14 @@
     assert len(oracle.violations) == 1
 
 
+def test_a_reply_that_is_read_without_limit():
+    oracle = Oracle()
+    oracle.check_read("c", MAX_READ_BYTES)
+    assert violated(oracle) == []
+    oracle.check_read("c", MAX_READ_BYTES + 1)
+    assert violated(oracle) == ["replies are bounded"]
+
+
 def test_another_calls_answer():
     oracle = Oracle()
     oracle.check_answer("c", b"answer to d")
