Pass the missing framing of plain services on through agents and entries

The rest of the cause on the product's own road of calls: an entry gave the answers of plain services chunks, although neither agent nor upstream had said where they end. An agent now says whether a reply has framing (Head.framed; true for agents that don't say), and an entry passes that on, with the reset of the connection that gateways have: the code moves from the gateway's handler to the HTTP server that both use. Chat streams keep their chunks, as their end marker says where they end.

--- a/tests/agent/test_call.py
+++ b/tests/agent/test_call.py
@@ -34,6 +34,8 @@
 class FakeUpstream:
     """Send a reply, raise instead, or break off in the body."""
 
+    framed = True
+
     def __init__(
         self, *, send_error: Exception | None = None, breaks_off: bool = False
     ) -> None:
@@ -49,6 +51,7 @@
         return SimpleNamespace(
             status=201,
             headers={"content-type": "application/json"},
+            framed=self.framed,
             iter_body=self._iter_body,
             close=lambda: None,
         )
@@ -166,6 +169,13 @@
     assert end_of(frames).outcome == Outcome.COMPLETED
 
 
+@pytest.mark.parametrize("framed", [True, False])
+def test_the_entry_is_told_whether_a_reply_has_framing(run, framed):
+    upstream = FakeUpstream()
+    upstream.framed = framed
+    assert run(upstream, guarded=False)[0].head.framed is framed
+
+
 CASES: dict[str, tuple[Callable[[], dict], int, int]] = {
     "refused at the gate": (
         lambda: {"upstream": FakeUpstream(), "gate": FakeGate(0)},
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -28,7 +28,7 @@
 from toucanspool.entry.attempt import Attempt
 from toucanspool.entry.dispatcher import Dispatcher
 from toucanspool.entry.problems import Problem
-from toucanspool.wire.gen.messages.ttypes import Chunk, Outcome, Refusal
+from toucanspool.wire.gen.messages.ttypes import Chunk, Head, Outcome, Refusal
 
 
 def text_of(data: bytes) -> str:
@@ -111,6 +111,18 @@
     assert b'"outcome":"unknown"' in data
 
 
+@pytest.mark.parametrize(("stream", "framed"), [(False, False), (True, True)])
+def test_only_a_chat_stream_needs_no_framing(stream, framed):
+    def script(message):
+        head = STREAM_HEAD if stream else Head(status=200, headers={})
+        head = Head(status=200, headers=head.headers, framed=False)
+        pieces = events(message.body)
+        return [head, *chunks(pieces), completed(pieces)]
+
+    dispatcher, _ = make_dispatcher(script)
+    assert dispatcher.dispatch(make_request(stream=stream)).framed is framed
+
+
 def test_two_answers_at_once_are_not_continued():
     dispatcher, _ = make_dispatcher(breaks_after(5), streams)
     data = b"".join(dispatcher.dispatch(make_request(body={"n": 2})))
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -220,7 +220,7 @@
         return bytes(body)
 
     def _relay(self, reply: Reply) -> None:
-        self._send_head(reply.status, reply.headers)
+        self._send_head(reply.status, reply.headers, framed=reply.framed)
         for piece in self._iter_body(reply):
             if not self._extend_last_chunk(piece):
                 self._credit.acquire()
@@ -232,8 +232,11 @@
         self._send_chunk(response.body)
         self._send_end(replayed=replayed)
 
-    def _send_head(self, status: int, headers: dict[str, str]) -> None:
-        head = Head(call=self._request.call, status=status, headers=headers)
+    def _send_head(
+        self, status: int, headers: dict[str, str], *, framed: bool = True
+    ) -> None:
+        call = self._request.call
+        head = Head(call=call, status=status, headers=headers, framed=framed)
         self._conn.send(Frame(head=head))
 
     def _send_chunk(self, data: bytes) -> None:
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -41,6 +41,11 @@
         self.status = exchange.parser.status
         self.headers = {"content-type": exchange.parser.header("content-type")}
 
+    @property
+    def framed(self) -> bool:
+        """Whether the reply says where its body ends."""
+        return self._exchange.parser.framed
+
     @property
     def streamed(self) -> bool:
         """Whether the body consists of server-sent events."""
--- a/toucanspool/entry/callers_api.py
+++ b/toucanspool/entry/callers_api.py
@@ -17,6 +17,7 @@
 from toucanspool.membership.service import InstancesService
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
+from toucanspool.wire.http_server import HANDLER_KEY, ReplyHandler
 
 
 class AddressResource:
@@ -84,12 +85,21 @@
         Metrics to record the latency in.
     started_at : float
         Start of the request, in seconds on the monotonic clock.
+    unframed_handler : ReplyHandler or None
+        Told of the end of a reply without framing; None if the reply has framing.
     """
 
-    __slots__ = ("_metrics", "_reply", "_started_at")
+    __slots__ = ("_metrics", "_reply", "_started_at", "_unframed_handler")
 
-    def __init__(self, reply: Reply, metrics: Metrics, started_at: float) -> None:
+    def __init__(
+        self,
+        reply: Reply,
+        metrics: Metrics,
+        started_at: float,
+        unframed_handler: ReplyHandler | None,
+    ) -> None:
         self._reply = reply
+        self._unframed_handler = unframed_handler
         self._metrics = metrics
         self._started_at = started_at
 
@@ -103,6 +113,8 @@
                 is_first = False
             yield chunk
         self._metrics.answer_time.record(time.monotonic() - self._started_at)
+        if self._unframed_handler is not None:
+            self._unframed_handler.finish_unframed_reply()
 
     def close(self) -> None:
         """Close the reply; called by the HTTP server."""
@@ -126,14 +138,21 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
 
-    def _send(self, request: CallerRequest, resp: falcon.Response) -> None:
+    def _send(
+        self, req: falcon.Request, request: CallerRequest, resp: falcon.Response
+    ) -> None:
         started_at = time.monotonic()
         reply = self._dispatcher.dispatch(request)
         resp.status = reply.status
         resp.content_type = reply.content_type or "application/octet-stream"
         if reply.replayed:
             resp.set_header("Idempotent-Replayed", "true")
-        resp.stream = TimedReply(reply, self._metrics, started_at)
+        handler = None
+        if not reply.framed:
+            handler = req.env[HANDLER_KEY]
+            handler.begin_unframed_reply()
+            resp.set_header("Connection", "close")
+        resp.stream = TimedReply(reply, self._metrics, started_at, handler)
 
 
 class ChatResource(_DispatchingResource):
@@ -144,7 +163,8 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Run a chat completion; the reply is complete or streamed."""
         team = self._authenticator.authenticate_team(req)
-        self._send(self._reader.chat(req, team, req.context.request_id), resp)
+        request = self._reader.chat(req, team, req.context.request_id)
+        self._send(req, request, resp)
 
 
 class ServiceResource(_DispatchingResource):
@@ -158,7 +178,8 @@
         """Forward a request of any method to the service."""
         team = self._authenticator.authenticate_team(req)
         request_id = req.context.request_id
-        self._send(self._reader.service(req, team, request_id, name, path), resp)
+        request = self._reader.service(req, team, request_id, name, path)
+        self._send(req, request, resp)
 
     on_post = on_put = on_delete = on_head = on_patch = on_get
 
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -122,7 +122,7 @@
             closing.enter_context(self._track(req, progress))
             self._budget.record_request(self._clock.now())
             body = self._start_reply(req, progress)
-            attempt = progress.attempt
+            attempt, head = progress.attempt, progress.attempt.head
             if body is None:
                 chunks = self._relay(req, progress)
             else:
@@ -132,8 +132,8 @@
                 )
                 closing.close()
             return Reply(
-                attempt.head.status,
-                attempt.head.headers.get("content-type", ""),
+                head,
+                head.framed or req.streamed,
                 attempt.replayed,
                 chunks,
                 closing.pop_all(),
--- a/toucanspool/entry/reply.py
+++ b/toucanspool/entry/reply.py
@@ -3,16 +3,20 @@
 from collections.abc import Iterator
 from contextlib import ExitStack
 
+from toucanspool.wire.gen.messages.ttypes import Head
+
 
 class Reply:
     """Hold a reply whose body is streamed; must be closed.
 
     Parameters
     ----------
-    status : int
-        HTTP status code.
-    content_type : str
-        Media type of the body.
+    head : Head
+        Status and headers of the upstream's reply.
+    framed : bool
+        Whether it is known where the body ends, by its framing or by the end marker of
+        the chat API. If not, the caller must not be told either: the body ends with
+        the connection.
     replayed : bool
         Whether it is the recorded reply of an earlier run with the same key.
     chunks : iterator of bytes
@@ -21,18 +25,26 @@
         Resources of the request, released by `close`.
     """
 
-    __slots__ = ("_chunks", "_closing", "content_type", "replayed", "status")
+    __slots__ = (
+        "_chunks",
+        "_closing",
+        "content_type",
+        "framed",
+        "replayed",
+        "status",
+    )
 
     def __init__(
         self,
-        status: int,
-        content_type: str,
+        head: Head,
+        framed: bool,
         replayed: bool,
         chunks: Iterator[bytes],
         closing: ExitStack,
     ) -> None:
-        self.status = status
-        self.content_type = content_type
+        self.status = head.status
+        self.content_type = head.headers.get("content-type", "")
+        self.framed = framed
         self.replayed = replayed
         self._chunks = chunks
         self._closing = closing
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -2,24 +2,18 @@
 
 import contextlib
 import http.client
-import struct
 from http import HTTPStatus
 from typing import Any, BinaryIO
 
 import gevent
 import structlog
 from gevent import socket
-from gevent.pywsgi import WSGIHandler
 
 from toucanspool.gateway.caller import CallerLeft
 from toucanspool.routing.routes import RequestLimits
-from toucanspool.wire.http_server import HttpServer
+from toucanspool.wire.http_server import HttpServer, ReplyHandler
 from toucanspool.wire.reply_parser import Header
 
-HANDLER_KEY = "toucanspool.handler"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-CLOSE_NORMALLY = struct.pack("ii", 0, 0)
-
 _log = structlog.get_logger()
 
 
@@ -35,12 +29,11 @@
     """Report a request head that exceeds the time limit."""
 
 
-class CallerHandler(WSGIHandler):
+class CallerHandler(ReplyHandler):
     """Handle requests, and give the application access to connection and headers."""
 
     _head_timer: gevent.Timeout | None = None
     _head_error_status: HTTPStatus | None = None
-    _reply_framed = True
 
     @property
     def header_list(self) -> list[Header]:
@@ -52,26 +45,6 @@
         """Return the caller's connection."""
         return self.socket
 
-    def begin_unframed_reply(self) -> None:
-        """Send the next reply without framing: it ends with the connection.
-
-        Until `finish_unframed_reply`, the connection is reset however it ends, also by
-        the end of this process, so that a part of the reply can't look complete.
-        """
-        self._reply_framed = False
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-    def finish_unframed_reply(self) -> None:
-        """Mark the unframed reply as complete, so that the connection is closed."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_NORMALLY)
-
-    def finalize_headers(self) -> None:
-        """Add the headers that frame the reply; overrides `WSGIHandler`."""
-        super().finalize_headers()
-        if not self._reply_framed and self.response_use_chunked:
-            self.response_use_chunked = False
-            self.response_headers.remove((b"Transfer-Encoding", b"chunked"))
-
     def handle_one_request(self) -> Any:
         """Read and answer one request; overrides `WSGIHandler`."""
         self._head_error_status = None
@@ -122,12 +95,6 @@
             raise BadFraming("the request has an unknown transfer coding")
         return headers
 
-    def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment; overrides `WSGIHandler`."""
-        environ = super().get_environ()
-        environ[HANDLER_KEY] = self
-        return environ
-
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.close()
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -13,11 +13,12 @@
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.call_dispatcher import CallDispatcher
 from toucanspool.gateway.caller import CallerLeft, CallerWatch, ReplyCutOff
-from toucanspool.gateway.caller_server import HANDLER_KEY, CallerHandler
+from toucanspool.gateway.caller_server import CallerHandler
 from toucanspool.platform import headers as platform_headers
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.telemetry.call_metrics import CallMetrics
+from toucanspool.wire.http_server import HANDLER_KEY
 from toucanspool.wire.reply_parser import Header
 
 MS_PER_S = 1000.0
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -439,6 +439,7 @@
      - call
      - status
      - headers
+     - framed
 
     """
 
@@ -446,13 +447,15 @@
         'call',
         'status',
         'headers',
+        'framed',
     )
 
 
-    def __init__(self, call=None, status=None, headers=None,):
+    def __init__(self, call=None, status=None, headers=None, framed=True,):
         self.call = call
         self.status = status
         self.headers = headers
+        self.framed = framed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -484,6 +487,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.framed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -510,6 +518,10 @@
                 oprot.writeString(viter17.encode('utf-8') if sys.version_info[0] == 2 else viter17)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.framed is not None:
+            oprot.writeFieldBegin('framed', TType.BOOL, 4)
+            oprot.writeBool(self.framed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2653,6 +2665,7 @@
     (1, TType.I64, 'call', None, None, ),  # 1
     (2, TType.I32, 'status', None, None, ),  # 2
     (3, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.BOOL, 'framed', None, True, ),  # 4
 )
 all_structs.append(Chunk)
 Chunk.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -18,8 +18,10 @@
   14: i64 revision, 15: i32 window
 }
 
-// Status line and headers of the upstream's reply.
-struct Head { 1: i64 call, 2: i32 status, 3: map<string, string> headers }
+// Status line and headers of the upstream's reply; framed if it says where its body ends.
+struct Head {
+  1: i64 call, 2: i32 status, 3: map<string, string> headers, 4: bool framed = true
+}
 
 // A piece of the reply's body; offset counts bytes from the start of the body.
 struct Chunk { 1: i64 call, 2: i64 offset, 3: binary data }
