--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -189,7 +189,7 @@
 
 
 def without_end(
-    head: bytes, block: bytes = b"", *, pause_s: float = 0.0, limit_bytes: int
+    head: bytes, block: bytes, *, pause_s: float = 0.0, limit_bytes: int
 ) -> Script:
     """Return a script that repeats a block until the connection is closed.
 
@@ -197,7 +197,7 @@
     ----------
     head : bytes
         Bytes to send first.
-    block : bytes, default=b""
+    block : bytes
         Bytes to repeat.
     pause_s : float, default=0.0
         Pause before each block.
