--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -6,6 +6,7 @@
 import base64
 import time
 from collections.abc import Callable
+from itertools import takewhile
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -52,6 +53,7 @@
         self._silences = 0
         self._silent = False
         self._version = 0
+        self._changed = Event()
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[tuple[int, str, str, bytes | None]] = []
 
@@ -68,6 +70,7 @@
     def silent(self, silent: bool) -> None:
         self._silences += silent and not self._silent
         self._silent = silent
+        self._wake_feeds()
 
     @property
     def version(self) -> int:
@@ -102,6 +105,7 @@
                 self._rows.pop((table, key), None)
             else:
                 self._rows[table, key] = (value, at)
+        self._wake_feeds()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -156,16 +160,27 @@
             return 410, {}
         deadline = time.monotonic() + int(query["waitMs"]) / MS_PER_S
         while True:
-            rows = [
-                {"table": t, "key": k, "ver": v, "tombstone": True}
-                if value is None
-                else {"table": t, "key": k, "ver": v, "value": _encode_value(value)}
-                for v, t, k, value in self._history
-                if v > after and t == query["table"]
-            ]
-            if (rows and not self._silent) or time.monotonic() >= deadline:
+            rows = self._changes(query["table"], after)
+            remaining_s = deadline - time.monotonic()
+            if (rows and not self._silent) or remaining_s <= 0.0:
                 return 200, {"rows": rows, "ver": self._version}
-            gevent.sleep(POLL_S)
+            self._changed.wait(remaining_s)
+
+    def _changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        newest_first = takewhile(
+            lambda entry: entry[0] > after, reversed(self._history)
+        )
+        return [
+            {"table": t, "key": k, "ver": v, "tombstone": True}
+            if value is None
+            else {"table": t, "key": k, "ver": v, "value": _encode_value(value)}
+            for v, t, k, value in reversed(list(newest_first))
+            if t == table
+        ]
+
+    def _wake_feeds(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
 
     def _outlast_silence(self) -> None:
         while self._silent:
@@ -176,6 +191,7 @@
 
     def _set(self, table: str, key: str, value: bytes | None) -> None:
         self._history.append((self._version, table, key, value))
+        self._wake_feeds()
         if value is None:
             self._rows.pop((table, key), None)
         else:
