Keep restarted gateways from using their part of the retry budget twice

Cause: each gateway limits itself to an equal part of the fixed number of retries in a sliding window, and a restart forgot what the process before had used. Six restarts fall into that window (planned ones, then kills), while a crashed rank has all upstreams reject calls.

Change: a process leaves the fixed number alone in its first window, and keeps to the fraction of its own requests. Not prevented: a gateway replaced by one at another address counts as one more.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -1,5 +1,6 @@
 """A gateway on loopback with scripted upstreams."""
 
+import math
 import random
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -138,6 +139,8 @@
             rng=rng,
             metrics=metrics,
             max_reply_bytes=MAX_REPLY_BYTES,
+            # The retry budget has its whole size.
+            started_at=-math.inf,
         )
         listings = [
             Listing(name=f"u{n}", service="desk", host="127.0.0.1", port=upstream.port)
--- a/tests/retries/test_shared_budget.py
+++ b/tests/retries/test_shared_budget.py
@@ -5,8 +5,10 @@
 from toucanspool.retries.shared_budget import SharedBudget
 
 
-def budget(entries: int, *, extra: float = 88.0) -> SharedBudget:
-    shared = SharedBudget(ratio=0.2, window_s=10.0, extra=extra)
+def budget(
+    entries: int, *, extra: float = 88.0, started_at: float = -10.0
+) -> SharedBudget:
+    shared = SharedBudget(ratio=0.2, window_s=10.0, extra=extra, started_at=started_at)
     shared.entries = entries
     return shared
 
@@ -30,6 +32,27 @@
     assert len(retry_times) > 100
 
 
+def use_up(shared: SharedBudget, now: float) -> int:
+    """Withdraw retries while the budget allows any, and return their number."""
+    retries = 0
+    while shared.try_withdraw("s", now):
+        retries += 1
+    return retries
+
+
+def test_entries_that_restart_stay_within_the_limit_with_the_processes_before():
+    before = sum(use_up(budget(6), 0.0) for _ in range(6))
+    after = sum(use_up(budget(6, started_at=1.0), 1.5) for _ in range(6))
+    assert before > 0
+    assert before + after <= 88
+
+
+def test_a_restarted_entry_uses_its_part_again_after_a_window():
+    shared = budget(1, extra=2.0, started_at=5.0)
+    assert not shared.try_withdraw("s", 14.9)
+    assert shared.try_withdraw("s", 15.0)
+
+
 def test_the_fixed_number_is_not_used_while_the_entry_count_is_unknown():
     assert not budget(0).try_withdraw("s", 0.0)
 
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -49,6 +49,8 @@
         Limit on the size of a reply that is not a stream.
     on_crash : callable, optional
         Called with each crash of an upstream; it must record it in `quarantine`.
+    started_at : float, optional
+        Start of this process, in seconds on the monotonic clock; now by default.
 
     Attributes
     ----------
@@ -90,6 +92,7 @@
         metrics: CallMetrics,
         max_reply_bytes: int,
         on_crash: Callable[[Crash], None] | None = None,
+        started_at: float | None = None,
     ) -> None:
         self._on_crash = on_crash or self._record_crash
         self._entries = entries
@@ -103,7 +106,10 @@
             self.upstreams, self.ejector, failure_domain, rng
         )
         self._budget = SharedBudget(
-            ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
+            ratio=retries.ratio,
+            window_s=retries.window_s,
+            extra=retries.extra,
+            started_at=time.monotonic() if started_at is None else started_at,
         )
         self.quarantine = PromptQuarantine()
         relay = Relay(
--- a/toucanspool/retries/shared_budget.py
+++ b/toucanspool/retries/shared_budget.py
@@ -20,6 +20,10 @@
         Length of the sliding window, in seconds.
     extra : float
         Fixed number of further retries per window, for all entries together.
+    started_at : float
+        Start of this process, in seconds on the monotonic clock. Its part of the fixed
+        number is not used in the first window: the process before, at the same entry,
+        may have used it.
 
     Attributes
     ----------
@@ -28,16 +32,33 @@
         and the fixed number is not used.
     """
 
-    __slots__ = ("_extra", "_ratio", "_requests", "_retries", "_window_s", "entries")
-
-    def __init__(self, *, ratio: float, window_s: float, extra: float) -> None:
+    __slots__ = (
+        "_extra",
+        "_ratio",
+        "_requests",
+        "_retries",
+        "_started_at",
+        "_window_s",
+        "entries",
+    )
+
+    def __init__(
+        self, *, ratio: float, window_s: float, extra: float, started_at: float
+    ) -> None:
+        self._started_at = started_at
         self.configure(ratio=ratio, window_s=window_s, extra=extra)
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
         self.entries = 0
 
     def configure(self, *, ratio: float, window_s: float, extra: float) -> None:
-        """Replace the limits; the parameters are those of the class."""
+        """Replace the limits; the parameters are those of the class.
+
+        Parameters
+        ----------
+        ratio, window_s, extra : float
+            As for the class.
+        """
         self._ratio = ratio
         self._window_s = window_s
         self._extra = extra
@@ -71,7 +92,9 @@
         """
         requests = len(self._recent(self._requests, service, now))
         retries = self._recent(self._retries, service, now)
-        extra = self._extra / self.entries if self.entries else 0.0
+        extra = 0.0
+        if self.entries and now - self._started_at >= self._window_s:
+            extra = self._extra / self.entries
         if len(retries) + 1 > SAFETY_FACTOR * (self._ratio * requests + extra):
             return False
         retries.append(now)
