--- a/soak/process.py
+++ b/soak/process.py
@@ -66,7 +66,9 @@
         return time.monotonic() - self.disturbed_at
 
     def start(self) -> None:
-        """Start the process, also after it has exited."""
+        """Start the process unless it runs, as when two faults overlap."""
+        if self._child is not None and self._child.poll() is None:
+            return
         self.starts += 1
         self.disturbed_at = time.monotonic()
         with self.log.open("ab") as out:
