--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -1,5 +1,6 @@
 """One attempt at a call: an HTTP exchange with one upstream and its outcome."""
 
+import math
 import time
 from collections.abc import Iterator
 
@@ -150,6 +151,8 @@
             self._upstream.report_load(head.running, head.waiting, now)
         if head.leaving:
             self._upstream.leave()
+        if not math.isnan(head.request_limit):
+            self._upstream.set_request_limit(head.request_limit)
         turned_away = head.not_run or self.status == UNAVAILABLE_STATUS
         if turned_away and head.retry_after_s > 0.0:
             self._upstream.pause(now, head.retry_after_s)
--- a/toucanspool/gateway/dialect.py
+++ b/toucanspool/gateway/dialect.py
@@ -1,5 +1,6 @@
 """The interface for the headers that are exchanged with upstreams."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -24,6 +25,9 @@
         Delay requested before a retry, in seconds; 0 if missing.
     leaving : bool
         Whether the upstream is leaving and wants no new requests.
+    request_limit : float
+        Requests a second that the upstream takes from all entries together; infinity
+        if it names no limit, NaN if the limit that it names can't be read.
     running, waiting : int or None
         Running and queued requests of the upstream; None if missing.
     headers : sequence of (str, str)
@@ -35,6 +39,7 @@
     not_run: bool
     retry_after_s: float = 0.0
     leaving: bool = False
+    request_limit: float = math.inf
     running: int | None = None
     waiting: int | None = None
     headers: Sequence[Header] = ()
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -1,5 +1,6 @@
 """The platform's headers on requests and replies; implements `Dialect`."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 from toucanspool.gateway.call import Call
@@ -15,6 +16,8 @@
 # "ID:TOKENS,..." of the parts of a prompt; the last part is the request's own.
 PREFIX_HASH = "toucanspool-prefix-hash"
 PRIORITY = "toucanspool-request-priority"
+# Requests a second that the upstream takes from all machines together.
+SERVER_LIMIT = "server-limit"
 # "RUNNING,WAITING,SLOTS" of the upstream.
 SERVER_LOAD = "toucanspool-server-load"
 SIGNATURE = "toucanspool-server-signature"
@@ -79,6 +82,7 @@
             not_run=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
             retry_after_s=parse_number(values.get("retry-after", ""), 0.0),
             leaving=values.get(LEAVING) == "1",
+            request_limit=_parse_request_limit(values.get(SERVER_LIMIT)),
             running=running,
             waiting=waiting,
             headers=[(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP],
@@ -152,6 +156,13 @@
     return value if value >= 0.0 else default
 
 
+def _parse_request_limit(text: str | None) -> float:
+    if text is None:
+        return math.inf
+    limit = parse_number(text, math.nan)
+    return limit if limit < math.inf else math.nan
+
+
 def _parse_load(text: str) -> tuple[int | None, int | None]:
     parts = text.split(",")
     try:
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -66,6 +66,9 @@
         Unfinished calls of this entry.
     leaving : bool
         Whether it has said that it is leaving. It never takes that back.
+    request_limit : float
+        Requests a second that it takes from all entries together; infinity if it
+        names no limit.
     paused_until : float
         Time until which it wants no requests from this entry, in seconds on the
         monotonic clock.
@@ -78,6 +81,7 @@
         "leaving",
         "listing",
         "paused_until",
+        "request_limit",
     )
 
     def __init__(self, listing: Listing) -> None:
@@ -85,6 +89,7 @@
         self.in_flight = 0
         self.leaving = not listing.ready
         self.paused_until = -math.inf
+        self.request_limit = math.inf
         self._other_requests = 0.0
         self._reported_at = -math.inf
 
@@ -104,6 +109,24 @@
             self.leaving = True
             _log.info("upstream leaving", upstream=self.name)
 
+    def set_request_limit(self, limit: float) -> None:
+        """Record the limit that an answer names.
+
+        Parameters
+        ----------
+        limit : float
+            Requests a second from all entries together; infinity if the answer names
+            no limit.
+        """
+        if limit != self.request_limit:
+            _log.info(
+                "upstream names a limit",
+                upstream=self.name,
+                per_s=_log_value(limit),
+                before=_log_value(self.request_limit),
+            )
+        self.request_limit = limit
+
     def pause(self, now: float, duration_s: float) -> None:
         """Record that it wants no requests from this entry for a time.
 
@@ -151,3 +174,7 @@
         weight = math.exp(-age_s / REPORT_DECAY_S)
         others = weight * self._other_requests + (1.0 - weight) * usual_load
         return self.in_flight + others
+
+
+def _log_value(limit: float) -> float | None:
+    return round(limit, 3) if limit < math.inf else None
