--- a/standins/raw_upstream.py
+++ b/standins/raw_upstream.py
@@ -143,6 +143,7 @@
     cut: bool = False,
     partial: bytes = b"",
     framed: bool = True,
+    headers: str = "",
 ) -> Script:
     """Return a script that streams events, one per chunk.
 
@@ -158,6 +159,8 @@
         Part of an event to send after the others.
     framed : bool, default=True
         Whether the stream has chunks; it ends with its connection otherwise.
+    headers : str, default=""
+        Further lines of the head.
     """
 
     def send(sock: socket.socket, data: bytes) -> None:
@@ -170,6 +173,8 @@
             f"{names.ATTEMPT_ID.title()}: {request.header(names.ATTEMPT_ID)}\r\n"
             f"{names.SIGNATURE.title()}: s.1\r\n"
         )
+        if headers:
+            head += headers + "\r\n"
         head += "Transfer-Encoding: chunked\r\n\r\n" if framed else "\r\n"
         sock.sendall(head.encode())
         for event in events[first:]:
