Keep to the request limits that upstreams name, all gateways together

Callers saw nothing; an upstream in need got up to twice what it takes. Nothing read the limit: the balancer counts requests under way, so a limited upstream looked like any other.

Each gateway now has a part of the limit, worked out alike by all from the list of entries and the loads in the probes that they send each other anyway; no call to the store. The probes also tell what upstreams have named, so that a restarted gateway knows it within a second and a limit that has ended ends everywhere. Parts form a ring along the upstreams, since equal parts of each let every entry send to one upstream at the same moment. A limited upstream goes by all that reaches it: retries, resumed streams, turned away calls, health checks. Calls that no limit admits wait up to 0.25 s or are rejected with a time that no other caller is told.

--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -62,7 +62,7 @@
         listing = upstream.listing
         self._exchange = Exchange(listing.host, listing.port, call.method)
         self.reply_head: ReplyHead
-        upstream.in_flight += 1
+        upstream.start_request(time.monotonic())
 
     @property
     def status(self) -> int:
@@ -151,11 +151,18 @@
             self._upstream.report_load(head.running, head.waiting, now)
         if head.leaving:
             self._upstream.leave()
-        if not math.isnan(head.request_limit):
-            self._upstream.set_request_limit(head.request_limit)
+        self._update_limit(now)
         turned_away = head.not_run or self.status == UNAVAILABLE_STATUS
         if turned_away and head.retry_after_s > 0.0:
             self._upstream.pause(now, head.retry_after_s)
 
+    def _update_limit(self, now: float) -> None:
+        head, upstream = self.reply_head, self._upstream
+        if head.misdirected or math.isnan(head.request_limit):
+            return
+        # Only an answer that the upstream vouches for shows that a limit has ended.
+        if head.request_limit < math.inf or (head.signed and upstream.limit.limited):
+            upstream.name_limit(head.request_limit, now, now)
+
 
 Failure = BrokenReply | Silent
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -9,9 +9,11 @@
 from toucanspool.gateway.call_dispatcher import CallDispatcher
 from toucanspool.gateway.crash_watch import Crash, CrashWatch
 from toucanspool.gateway.dialect import Dialect
+from toucanspool.gateway.limit_sharing import LimitSharing
 from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
+from toucanspool.gateway.upstream_chooser import UpstreamChooser
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
 from toucanspool.limits.gate import Gate
 from toucanspool.limits.stream_limiter import StreamLimiter
@@ -62,6 +64,8 @@
         Health of the upstreams.
     quarantine : PromptQuarantine
         Prompts that crash upstreams.
+    limit_sharing : LimitSharing
+        This entry's parts of the limits that upstreams name.
     dispatcher : CallDispatcher
         Admits calls and forwards them.
     """
@@ -76,6 +80,7 @@
         "_stream_limits",
         "dispatcher",
         "ejector",
+        "limit_sharing",
         "quarantine",
         "routes",
         "upstreams",
@@ -101,6 +106,7 @@
         self._stream_limits: dict[str, StreamLimiter] = {}
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamList()
+        self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
         self._balancer = LeastLoadBalancer(
             self.upstreams, self.ejector, failure_domain, rng
@@ -112,12 +118,14 @@
             started_at=time.monotonic() if started_at is None else started_at,
         )
         self.quarantine = PromptQuarantine()
+        guard = PromptGuard(self.quarantine, CrashWatch(self._count_crash))
         relay = Relay(
-            self._balancer,
+            UpstreamChooser(self._balancer, guard),
             self.ejector,
             self._budget,
+            self.limit_sharing,
             dialect,
-            PromptGuard(self.quarantine, CrashWatch(self._count_crash)),
+            guard,
             max_reply_bytes,
         )
         streams = StreamRelay(relay, dialect, self._record_gap)
@@ -172,6 +180,7 @@
         self.quarantine.expire(now)
         if self.upstreams.expire(now):
             self.upstreams_changed()
+        self.limit_sharing.update(now)
         entries = len(self._entries.live)
         self._budget.entries = entries
         self._balancer.set_tie_offset(self._entries.position)
--- a/toucanspool/gateway/dialect.py
+++ b/toucanspool/gateway/dialect.py
@@ -21,6 +21,8 @@
         Whether it has a server signature.
     not_run : bool
         Whether the upstream states that it did not run the call.
+    misdirected : bool
+        Whether it comes from another instance, which has the address now.
     retry_after_s : float
         Delay requested before a retry, in seconds; 0 if missing.
     leaving : bool
@@ -37,6 +39,7 @@
     call_id: str
     signed: bool
     not_run: bool
+    misdirected: bool = False
     retry_after_s: float = 0.0
     leaving: bool = False
     request_limit: float = math.inf
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -8,12 +8,12 @@
 from toucanspool.gateway.attempt import Attempt, TurnedAway
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.dialect import Dialect
+from toucanspool.gateway.limit_sharing import LimitSharing
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.prompt_guard import PromptGuard
+from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.retries.shared_budget import SharedBudget
-from toucanspool.routing.balancer import LeastLoadBalancer
-from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.exchange import Unreachable
 from toucanspool.wire.reply_parser import BrokenReply
@@ -21,8 +21,6 @@
 
 SERVER_ERROR_STATUSES = range(500, 600)
 MAX_SENDS = 3
-MIN_REMAINING_S = 0.02
-MIN_RETRY_AFTER_S = 0.3
 # Share of the remaining time for an attempt that may be retried. It leaves another
 # upstream time to answer within the caller's deadline.
 ATTEMPT_TIME_SHARE = 0.5
@@ -35,12 +33,14 @@
 
     Parameters
     ----------
-    balancer : LeastLoadBalancer
+    chooser : UpstreamChooser
         Chooses upstreams.
     ejector : Ejector
         Receives the results of attempts.
     budget : SharedBudget
         Retry budget.
+    limit_sharing : LimitSharing
+        Counts the calls of each service.
     dialect : Dialect
         Translates headers.
     guard : PromptGuard
@@ -50,27 +50,30 @@
     """
 
     __slots__ = (
-        "_balancer",
         "_budget",
         "_dialect",
         "_ejector",
+        "_limit_sharing",
+        "chooser",
         "guard",
         "max_reply_bytes",
     )
 
     def __init__(
         self,
-        balancer: LeastLoadBalancer,
+        chooser: UpstreamChooser,
         ejector: Ejector,
         budget: SharedBudget,
+        limit_sharing: LimitSharing,
         dialect: Dialect,
         guard: PromptGuard,
         max_reply_bytes: int,
     ) -> None:
         self.max_reply_bytes = max_reply_bytes
-        self._balancer = balancer
+        self.chooser = chooser
         self._ejector = ejector
         self._budget = budget
+        self._limit_sharing = limit_sharing
         self._dialect = dialect
         self.guard = guard
 
@@ -93,7 +96,7 @@
         """
         progress = self.start_call(call)
         while True:
-            upstream = self.choose(call, progress)
+            upstream = self.chooser.choose(call, progress)
             with ExitStack() as closing:
                 attempt = Attempt(call, upstream, self._dialect)
                 closing.callback(attempt.close)
@@ -130,59 +133,10 @@
         CallProgress
         """
         self._budget.record_request(call.service, time.monotonic())
+        self._limit_sharing.record_call(call.service)
         self.guard.record_call(call)
         return CallProgress()
 
-    def choose(self, call: Call, progress: CallProgress) -> Upstream:
-        """Return the upstream of the next attempt.
-
-        Parameters
-        ----------
-        call : Call
-            The call.
-        progress : CallProgress
-            Its attempts so far.
-
-        Returns
-        -------
-        Upstream
-
-        Raises
-        ------
-        Refused
-            No upstream is ready, or too little time is left.
-        """
-        now = time.monotonic()
-        progress.start_attempt()
-        self.guard.check(call, may_have_run=progress.runs > 0)
-        if call.deadline.left_s(now) < MIN_REMAINING_S:
-            raise Refused(RefusalCause.DEADLINE, may_have_run=progress.runs > 0)
-        prefer_local = call.route.kind is not CallKind.STREAM
-        upstream = self._balancer.choose(
-            call.service, progress.tried, now, prefer_local=prefer_local
-        )
-        if upstream is None:
-            available_s = self._balancer.next_available_s(call.service, now)
-            raise Refused(
-                RefusalCause.NO_UPSTREAM,
-                may_have_run=progress.runs > 0,
-                retry_after_s=max(MIN_RETRY_AFTER_S, available_s),
-            )
-        _log.info(
-            "call routed",
-            request_id=call.id,
-            route=call.route.name,
-            team=call.team,
-            service=call.service,
-            upstream=upstream.name,
-            load=round(self._balancer.load(upstream, now), 2),
-            attempt=progress.sends + 1,
-            left_ms=call.deadline.left_ms(now),
-            routes_version=call.routes_version,
-            list_version=self._balancer.list_version,
-        )
-        return upstream
-
     def handle_failure(
         self,
         call: Call,
@@ -245,11 +199,10 @@
         cause = RefusalCause.TURNED_AWAY if turned_away else RefusalCause.BROKEN
         if unreachable:
             cause = RefusalCause.UNREACHABLE
-        available_s = self._balancer.next_available_s(call.service, time.monotonic())
         raise Refused(
             cause,
             may_have_run=progress.runs > 0,
-            retry_after_s=max(MIN_RETRY_AFTER_S, available_s),
+            retry_after_s=self.chooser.retry_after_s(call.service),
         ) from exc
 
     def record_success(self, upstream: Upstream) -> None:
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -98,7 +98,7 @@
         """Return an attempt after the reply's head, and the body if it is a failure."""
         while True:
             attempt_stack.close()
-            upstream = self._relay.choose(call, progress)
+            upstream = self._relay.chooser.choose(call, progress)
             attempt = Attempt(call, upstream, self._dialect)
             attempt_stack.callback(attempt.close)
             try:
--- /dev/null
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -0,0 +1,127 @@
+"""Choice of the upstream for the next attempt at a call."""
+
+import time
+
+import gevent
+import structlog
+
+from toucanspool.gateway.call import Call, RefusalCause, Refused
+from toucanspool.gateway.progress import CallProgress
+from toucanspool.gateway.prompt_guard import PromptGuard
+from toucanspool.routing.balancer import LeastLoadBalancer
+from toucanspool.routing.routes import CallKind
+from toucanspool.routing.upstream import Upstream
+
+MIN_REMAINING_S = 0.02
+MIN_RETRY_AFTER_S = 0.3
+# A call waits for an upstream that wants it this soon. A rejected caller would come
+# back later than that.
+MAX_WAIT_S = 0.25
+
+_log = structlog.get_logger()
+
+
+class UpstreamChooser:
+    """Choose upstreams for calls, and refuse calls that none wants.
+
+    Parameters
+    ----------
+    balancer : LeastLoadBalancer
+        Compares upstreams.
+    guard : PromptGuard
+        Refuses calls that crash upstreams.
+    """
+
+    __slots__ = ("_balancer", "_guard")
+
+    def __init__(self, balancer: LeastLoadBalancer, guard: PromptGuard) -> None:
+        self._balancer = balancer
+        self._guard = guard
+
+    def choose(self, call: Call, progress: CallProgress) -> Upstream:
+        """Return the upstream of the next attempt.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        progress : CallProgress
+            Its attempts so far.
+
+        Returns
+        -------
+        Upstream
+
+        Raises
+        ------
+        Refused
+            No upstream is ready, or too little time is left.
+        """
+        progress.start_attempt()
+        upstream = self._find(call, progress)
+        if upstream is None:
+            wait_s = self._wait_s(call, progress)
+            if wait_s is not None:
+                gevent.sleep(wait_s)
+                upstream = self._find(call, progress)
+        if upstream is None:
+            raise self._refusal(call, progress)
+        now = time.monotonic()
+        _log.info(
+            "call routed",
+            request_id=call.id,
+            route=call.route.name,
+            team=call.team,
+            service=call.service,
+            upstream=upstream.name,
+            load=round(self._balancer.load(upstream, now), 2),
+            attempt=progress.sends + 1,
+            left_ms=call.deadline.left_ms(now),
+            routes_version=call.routes_version,
+            list_version=self._balancer.list_version,
+        )
+        return upstream
+
+    def retry_after_s(self, service: str) -> float:
+        """Return when to come back for a call that is refused now.
+
+        Parameters
+        ----------
+        service : str
+            Service of the call.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        available_s = self._balancer.reserve_s(service, time.monotonic())
+        return max(MIN_RETRY_AFTER_S, available_s)
+
+    def _find(self, call: Call, progress: CallProgress) -> Upstream | None:
+        now = time.monotonic()
+        self._guard.check(call, may_have_run=progress.runs > 0)
+        if call.deadline.left_s(now) < MIN_REMAINING_S:
+            raise Refused(RefusalCause.DEADLINE, may_have_run=progress.runs > 0)
+        prefer_local = call.route.kind is not CallKind.STREAM
+        return self._balancer.choose(
+            call.service, progress.tried, now, prefer_local=prefer_local
+        )
+
+    def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
+        """Return how long to wait for an upstream; None if that is too long."""
+        now = time.monotonic()
+        wait_s = self._balancer.next_available_s(call.service, progress.tried, now)
+        most_s = min(MAX_WAIT_S, call.deadline.left_s(now) - MIN_REMAINING_S)
+        return wait_s if 0.0 < wait_s <= most_s else None
+
+    def _refusal(self, call: Call, progress: CallProgress) -> Refused:
+        retry_after_s = self.retry_after_s(call.service)
+        limits = self._balancer.limits(call.service)
+        fields = {"limited": len(limits), "own_per_s": round(sum(limits), 3)}
+        return Refused(
+            RefusalCause.LIMITED if limits else RefusalCause.NO_UPSTREAM,
+            may_have_run=progress.runs > 0,
+            retry_after_s=retry_after_s,
+            log_fields=fields if limits else None,
+        )
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -1,5 +1,6 @@
 """The entries that callers may use, listed in the table and probed by each other."""
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -71,6 +72,7 @@
     """
 
     __slots__ = (
+        "_peer_loads",
         "_peer_streams",
         "_probe_queue",
         "_listed",
@@ -83,6 +85,7 @@
         self._own = own
         self._listed: dict[str, EntryRecord] = {own.name: own}
         self._missed_probes: dict[str, int] = {}
+        self._peer_loads: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._peer_streams: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._probe_queue: list[str] = []
         self.leaving = False
@@ -96,6 +99,11 @@
         live = [e for e in listed if self._missed_by(e) < MISSED_PROBE_THRESHOLD]
         return live or listed
 
+    @property
+    def own_name(self) -> str:
+        """Return the name of this entry."""
+        return self._own.name
+
     @property
     def position(self) -> float:
         """Return this entry's position among the live ones, from 0 up to below 1."""
@@ -163,6 +171,33 @@
                 streams.append(report[service])
         return streams
 
+    def loads(
+        self, service: str, own_load: float, now: float
+    ) -> dict[str, float | None]:
+        """Return the calls a second of this entry and of all live ones.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        own_load : float
+            Calls a second of this entry.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        dict of str to float or None
+            None for entries without a recent report.
+        """
+        loads: dict[str, float | None] = {}
+        for entry in self.live:
+            reported_at, report = self._peer_loads.get(entry.name, (-math.inf, {}))
+            recent = now - reported_at <= MAX_REPORT_AGE_S
+            loads[entry.name] = report.get(service, 0.0) if recent else None
+        loads[self._own.name] = own_load
+        return loads
+
     def replace(self, rows: Iterable[Row]) -> None:
         """Replace the listed entries.
 
@@ -201,6 +236,7 @@
         """
         name = key.removeprefix(ENTRY_PREFIX)
         self._peer_streams.pop(name, None)
+        self._peer_loads.pop(name, None)
         if name != self._own.name and self._listed.pop(name, None) is not None:
             _log.info("entry left", entry=name)
 
@@ -211,6 +247,7 @@
         ready: bool,
         now: float,
         streams: Mapping[str, float] | None = None,
+        loads: Mapping[str, float] | None = None,
         lost: Iterable[str] = (),
     ) -> None:
         """Record the result of a probe.
@@ -225,10 +262,14 @@
             Seconds on the monotonic clock.
         streams : mapping of str to float, optional
             Average number of streams that the entry reported, by service.
+        loads : mapping of str to float, optional
+            Calls a second that the entry reported, by service.
         lost : iterable of str, optional
             Names of entries that the probed entry lost; this entry probes them next.
         """
         self._peer_streams[name] = now, streams or {}
+        if loads is not None:
+            self._peer_loads[name] = now, loads
         for other in lost:
             known = other in self._listed and other != self._own.name
             if known and not self._missed_probes.get(other):
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -196,7 +196,13 @@
         self._closing.callback(server.stop, timeout=0)
 
     def _peer_status(self) -> dict[str, Any]:
-        return {"carried": self._core.mean_streams(), "lost": self._entries.lost}
+        sharing = self._core.limit_sharing
+        return {
+            "carried": self._core.mean_streams(),
+            "loads": sharing.loads(),
+            "limits": sharing.report(),
+            "lost": self._entries.lost,
+        }
 
     def _ready_addresses(self) -> list[str]:
         live = self._entries.live
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -80,6 +80,7 @@
             call_id=values.get(ATTEMPT_ID, ""),
             signed=SIGNATURE in values,
             not_run=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
+            misdirected=status == MISDIRECTED_REQUEST,
             retry_after_s=parse_number(values.get("retry-after", ""), 0.0),
             leaving=values.get(LEAVING) == "1",
             request_limit=_parse_request_limit(values.get(SERVER_LIMIT)),
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -52,6 +52,7 @@
 
     def _probe_entry(self, entry: EntryRecord) -> None:
         host, _, port = entry.probe.rpartition(":")
+        asked_at = time.monotonic()
         status, peer_status = _send_probe(host, int(port), PEERS_PATH)
         peer_status = peer_status if isinstance(peer_status, dict) else {}
         self._entries.record_probe(
@@ -59,16 +60,21 @@
             ready=status == OK,
             now=time.monotonic(),
             streams=peer_status.get("carried"),
+            loads=peer_status.get("loads"),
             lost=peer_status.get("lost") or (),
         )
+        limits = peer_status.get("limits") or ()
+        self._core.limit_sharing.adopt(limits, entry.name, asked_at)
 
     def _probe_upstream(self, name: str) -> None:
         upstream = self._core.upstreams.find(name)
         if upstream is None or self._core.routes is None:
             return
-        if upstream.paused_until > time.monotonic():
-            # Health checks are requests too.
+        now = time.monotonic()
+        if upstream.wait_s(now) > 0.0:
             return
+        # Health checks are requests too.
+        upstream.limit.count_request(now)
         listing = upstream.listing
         path = self._core.routes.service(listing.service).health_path
         status, _ = _send_probe(listing.host, listing.port, path)
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -1,5 +1,6 @@
 """The load balancer for calls that are matched by route."""
 
+import math
 import random
 from collections.abc import Collection
 
@@ -30,7 +31,13 @@
         Draws the initial tie offset.
     """
 
-    __slots__ = ("_ejector", "_failure_domain", "_tie_offset", "_upstreams")
+    __slots__ = (
+        "_ejector",
+        "_failure_domain",
+        "_reserved",
+        "_tie_offset",
+        "_upstreams",
+    )
 
     def __init__(
         self,
@@ -43,6 +50,7 @@
         self._ejector = ejector
         self._failure_domain = failure_domain
         self._tie_offset = rng.random()
+        self._reserved: dict[str, float] = {}
 
     @property
     def list_version(self) -> int:
@@ -64,23 +72,73 @@
         """Return the estimated number of requests at an upstream."""
         return self._upstreams.load(upstream, now)
 
-    def next_available_s(self, service: str, now: float) -> float:
-        """Return the time until a ready upstream wants requests again, in seconds.
+    def next_available_s(
+        self, service: str, tried: Collection[str], now: float
+    ) -> float:
+        """Return the time until an untried upstream wants a request, in seconds.
 
         Parameters
         ----------
         service : str
             Name of the service.
+        tried : collection of str
+            Upstreams that have failed the call; they are excluded.
         now : float
             Seconds on the monotonic clock.
 
         Returns
         -------
         float
-            0 if an upstream wants requests now, or none is ready.
+            0 if an upstream wants one now, infinity if none will.
+        """
+        ready = self._upstreams.ready(service)
+        waits = [u.wait_s(now) for u in ready if u.name not in tried]
+        return min(waits, default=math.inf)
+
+    def reserve_s(self, service: str, now: float) -> float:
+        """Return when an upstream wants a request that is refused now.
+
+        Where limits keep requests out, refused callers are told times that are as far
+        apart as the limits admit them, so that they don't all return for the first.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if an upstream wants requests now, or none is ready.
+        """
+        wait_s = self.next_available_s(service, (), now)
+        if wait_s == math.inf:
+            return 0.0
+        own_per_s = sum(self.limits(service))
+        unlimited = any(not u.limit.limited for u in self._upstreams.ready(service))
+        if wait_s and own_per_s and not unlimited:
+            reserved_at = self._reserved.get(service, -math.inf)
+            wait_s = max(wait_s, reserved_at + 1.0 / own_per_s - now)
+            self._reserved[service] = now + wait_s
+        return wait_s
+
+    def limits(self, service: str) -> list[float]:
+        """Return this entry's parts of the limits of ready upstreams.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        list of float
+            Requests a second, for each upstream that names a limit.
         """
-        waits = [u.paused_until - now for u in self._upstreams.ready(service)]
-        return max(0.0, min(waits, default=0.0))
+        ready = self._upstreams.ready(service)
+        return [u.limit.own_per_s for u in ready if u.limit.limited]
 
     def choose(
         self, service: str, tried: Collection[str], now: float, *, prefer_local: bool
--- /dev/null
+++ b/toucanspool/routing/limit_parts.py
@@ -0,0 +1,82 @@
+"""Division of the upstreams' request limits among the entries."""
+
+import math
+from collections.abc import Iterator, Mapping
+
+# An entry has parts of this many upstreams at least, so that it can do without one.
+MIN_UPSTREAMS = 3.0
+# An entry counts with this fraction of the mean load at least, for its next calls.
+MIN_WEIGHT_FRACTION = 0.1
+
+
+def weigh_entries(loads: Mapping[str, float | None]) -> dict[str, float]:
+    """Return the weights by which entries share limits.
+
+    Entries weigh as much as the load that they carry. All weigh the same where the
+    load of one is not known: each would else work out another division.
+
+    Parameters
+    ----------
+    loads : mapping of str to float or None
+        Calls a second by entry; None if unknown.
+
+    Returns
+    -------
+    dict of str to float
+    """
+    known = [load for load in loads.values() if load is not None]
+    mean = sum(known) / len(loads)
+    if len(known) < len(loads) or not mean:
+        return dict.fromkeys(loads, 1.0)
+    least = MIN_WEIGHT_FRACTION * mean
+    return {name: max(load or 0.0, least) for name, load in loads.items()}
+
+
+def divide_limits(
+    weights: Mapping[str, float], own: str, n_upstreams: int
+) -> list[float]:
+    """Return the fraction of each upstream's limit that belongs to an entry.
+
+    If each entry had a part of every upstream, an upstream could get a request from
+    all of them at the same time, and an entry would wait for long between its requests
+    to one. So the upstreams form a ring, along which the entries have sections as
+    long as their weights. All entries come to the same division by themselves.
+
+    Parameters
+    ----------
+    weights : mapping of str to float
+        Weights of all entries by name, greater than 0.
+    own : str
+        Name of the entry.
+    n_upstreams : int
+        Number of upstreams.
+
+    Returns
+    -------
+    list of float
+        Fractions in the order of the upstreams; those of all entries add up to 1.
+    """
+    total_weight = sum(weights.values())
+    claims, own_claims = [0.0] * n_upstreams, [0.0] * n_upstreams
+    start = 0.0
+    for name in sorted(weights):
+        share = weights[name] / total_weight * n_upstreams
+        length = max(share, min(MIN_UPSTREAMS, n_upstreams))
+        for index, covered in _cover_ring(start, length, n_upstreams):
+            claim = covered * share / length
+            claims[index] += claim
+            if name == own:
+                own_claims[index] += claim
+        start += share
+    pairs = zip(own_claims, claims, strict=True)
+    return [own_claim / claim if claim else 0.0 for own_claim, claim in pairs]
+
+
+def _cover_ring(
+    start: float, length: float, n_positions: int
+) -> Iterator[tuple[int, float]]:
+    """Yield the positions that a section covers, and how much of each."""
+    end = start + length
+    for position in range(math.floor(start), math.ceil(end)):
+        covered = min(position + 1, end) - max(position, start)
+        yield position % n_positions, covered
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from toucanspool.routing.request_limit import RequestLimit
+
 # Time constant by which a reported load decays.
 REPORT_DECAY_S = 1.0
 _log = structlog.get_logger()
@@ -66,9 +68,8 @@
         Unfinished calls of this entry.
     leaving : bool
         Whether it has said that it is leaving. It never takes that back.
-    request_limit : float
-        Requests a second that it takes from all entries together; infinity if it
-        names no limit.
+    limit : RequestLimit
+        The requests a second that it takes, and this entry's part of them.
     paused_until : float
         Time until which it wants no requests from this entry, in seconds on the
         monotonic clock.
@@ -79,9 +80,9 @@
         "_reported_at",
         "in_flight",
         "leaving",
+        "limit",
         "listing",
         "paused_until",
-        "request_limit",
     )
 
     def __init__(self, listing: Listing) -> None:
@@ -89,7 +90,7 @@
         self.in_flight = 0
         self.leaving = not listing.ready
         self.paused_until = -math.inf
-        self.request_limit = math.inf
+        self.limit = RequestLimit(math.inf, -math.inf, 0.0)
         self._other_requests = 0.0
         self._reported_at = -math.inf
 
@@ -109,23 +110,59 @@
             self.leaving = True
             _log.info("upstream leaving", upstream=self.name)
 
-    def set_request_limit(self, limit: float) -> None:
-        """Record the limit that an answer names.
+    def name_limit(
+        self, per_s: float, named_at: float, now: float, *, told_by: str = ""
+    ) -> None:
+        """Record a limit that the upstream has named, unless a later one is known.
 
         Parameters
         ----------
-        limit : float
-            Requests a second from all entries together; infinity if the answer names
-            no limit.
+        per_s : float
+            Requests a second from all entries together; infinity for no limit.
+        named_at, now : float
+            When it was named, and the time, in seconds on the monotonic clock.
+        told_by : str, default=""
+            Entry that it was named to; empty for this one.
         """
-        if limit != self.request_limit:
+        if named_at < self.limit.named_at:
+            return
+        if per_s != self.limit.per_s:
             _log.info(
                 "upstream names a limit",
                 upstream=self.name,
-                per_s=_log_value(limit),
-                before=_log_value(self.request_limit),
+                per_s=_log_value(per_s),
+                before=_log_value(self.limit.per_s),
+                age_s=round(now - named_at, 3),
+                told_by=told_by,
             )
-        self.request_limit = limit
+        self.limit.name(per_s, named_at, now)
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until it wants a request from this entry.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if it wants one now, infinity if this entry has no part of its
+            limit.
+        """
+        return max(0.0, self.paused_until - now, self.limit.wait_s(now))
+
+    def start_request(self, now: float) -> None:
+        """Count a request that this entry sends.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        self.in_flight += 1
+        self.limit.count_request(now)
 
     def pause(self, now: float, duration_s: float) -> None:
         """Record that it wants no requests from this entry for a time.
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -207,7 +207,7 @@
         -------
         list of Upstream
         """
-        return [u for u in self.ready(service) if u.paused_until <= now]
+        return [u for u in self.ready(service) if u.wait_s(now) <= 0.0]
 
     def _put(self, listing: Listing, version: int) -> None:
         self._missing.discard(listing.name)
