Divide limits exactly by weight, and count limited upstreams by what they take

The overlap of the entries' sections gave entries with little load up to half as much again as their weight (2.2 of 1.5 upstreams of 12). Sections are now widened by the same length, so that parts are exact for any weights. The age in a report was rounded to 1 ms, by which a limit that had ended could return.

The limit on an entry's streams counted a limited upstream as a whole one; it now counts it for the streams that its requests a second keep running (Little's law).

--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -186,13 +186,18 @@
         self._balancer.set_tie_offset(self._entries.position)
         for name, stream_limit in self._stream_limits.items():
             engine = self.routes.service(name).engine
-            available = len(self.upstreams.available(name, now))
-            if engine is None or not available:
+            wanting = self.upstreams.unpaused(name, now)
+            if engine is None or not wanting:
                 continue
+            adaptive_limit = stream_limit.adaptive_limit
+            usable = sum(
+                adaptive_limit.usable_fraction(engine, upstream.limit.per_s)
+                for upstream in wanting
+            )
             others = self._entries.peer_streams(name, now)
-            stream_limit.adapt(engine, available, entries, others, now)
+            stream_limit.adapt(engine, usable, entries, others, now)
             if others:
-                usual_load = sum(others) / len(others) * (entries - 1) / available
+                usual_load = sum(others) / len(others) * (entries - 1) / len(wanting)
                 self.upstreams.set_usual_load(name, usual_load)
             self._metrics.stream_limit.labels(name).set(stream_limit.capacity)
             self._metrics.streams.labels(name).set(stream_limit.running)
--- a/toucanspool/gateway/limit_sharing.py
+++ b/toucanspool/gateway/limit_sharing.py
@@ -93,7 +93,7 @@
             (
                 *upstream.incarnation,
                 upstream.limit.per_s if upstream.limit.limited else None,
-                round(age_s, 3),
+                age_s,
             )
             for age_s, upstream in recent[:MAX_REPORTED_LIMITS]
         ]
--- a/toucanspool/limits/adaptive_limit.py
+++ b/toucanspool/limits/adaptive_limit.py
@@ -50,6 +50,7 @@
         "_mean_pause_s",
         "_pause_count",
         "_pause_sum_s",
+        "_per_upstream",
         "_requests_per_upstream",
         "_updated_at",
         "limit",
@@ -66,6 +67,7 @@
         self._pause_sum_s = 0.0
         self._pause_count = 0
         self._updated_at = 0.0
+        self._per_upstream = MIN_ON_TIME_REQUESTS
 
     @property
     def mean_pause_s(self) -> float:
@@ -85,10 +87,30 @@
         )
         self._pause_count += 1
 
+    def usable_fraction(self, engine: EngineModel, per_s: float) -> float:
+        """Return the part of an upstream's room that a limit on its requests leaves.
+
+        Parameters
+        ----------
+        engine : EngineModel
+            Model of the upstream's engine.
+        per_s : float
+            Requests a second that the upstream takes.
+
+        Returns
+        -------
+        float
+            From 0 to 1, by Little's law.
+        """
+        if not self._mean_pause_s:
+            return 1.0
+        response_s = _mean_events(engine) * self._mean_pause_s
+        return min(1.0, per_s * response_s / self._per_upstream)
+
     def adapt(
         self,
         engine: EngineModel,
-        upstreams: int,
+        upstreams: float,
         entries: int,
         running: float,
         now: float,
@@ -99,8 +121,9 @@
         ----------
         engine : EngineModel
             Model of the upstreams' engines.
-        upstreams : int
-            Number of upstreams that accept requests.
+        upstreams : float
+            Number of upstreams that accept requests; those that accept few count as
+            fractions.
         entries : int
             Number of entries that share the upstreams.
         running : float
@@ -114,8 +137,8 @@
         """
         entries = max(1, entries)
         self._update_averages(running * entries / upstreams, now)
-        per_upstream = self._max_per_upstream(engine)
-        self.limit = max(MIN_STREAMS, per_upstream * upstreams / entries)
+        self._per_upstream = self._max_per_upstream(engine)
+        self.limit = max(MIN_STREAMS, self._per_upstream * upstreams / entries)
         return self.limit
 
     def _update_averages(self, requests: float, now: float) -> None:
@@ -142,10 +165,8 @@
         )
         if on_time >= MIN_ON_TIME_REQUESTS:
             return min(on_time, engine.slots)
-        events = max(1.0, engine.mean_answer_tokens / engine.steps_per_pass)
-        late = _requests_for_pass(
-            engine, TARGET_RESPONSE_FRACTION * self.max_response_s / events / slowdown
-        )
+        pause_s = TARGET_RESPONSE_FRACTION * self.max_response_s / _mean_events(engine)
+        late = _requests_for_pass(engine, pause_s / slowdown)
         return min(max(MIN_ON_TIME_REQUESTS, late), engine.slots)
 
 
@@ -174,5 +195,9 @@
     return (step_s - engine.step_base_s) / engine.step_per_request_s
 
 
+def _mean_events(engine: EngineModel) -> float:
+    return max(1.0, engine.mean_answer_tokens / engine.steps_per_pass)
+
+
 def _prefill_s(engine: EngineModel) -> float:
     return engine.mean_prompt_tokens / engine.prefill_tokens_per_s
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -62,7 +62,7 @@
     def adapt(
         self,
         engine: EngineModel,
-        upstreams: int,
+        upstreams: float,
         entries: int,
         others: Sequence[float],
         now: float,
--- a/toucanspool/routing/limit_parts.py
+++ b/toucanspool/routing/limit_parts.py
@@ -1,7 +1,7 @@
 """Division of the upstreams' request limits among the entries."""
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
 # An entry has parts of this many upstreams at least, so that it can do without one.
 MIN_UPSTREAMS = 3.0
@@ -40,7 +40,8 @@
     If each entry had a part of every upstream, an upstream could get a request from
     all of them at the same time, and an entry would wait for long between its requests
     to one. So the upstreams form a ring, along which the entries have sections as
-    long as their weights. All entries come to the same division by themselves.
+    long as their weights, with ends that overlap. All entries come to the same division
+    by themselves.
 
     Parameters
     ----------
@@ -56,27 +57,26 @@
     list of float
         Fractions in the order of the upstreams; those of all entries add up to 1.
     """
-    total_weight = sum(weights.values())
-    claims, own_claims = [0.0] * n_upstreams, [0.0] * n_upstreams
-    start = 0.0
-    for name in sorted(weights):
-        share = weights[name] / total_weight * n_upstreams
-        length = max(share, min(MIN_UPSTREAMS, n_upstreams))
-        for index, covered in _cover_ring(start, length, n_upstreams):
-            claim = covered * share / length
-            claims[index] += claim
-            if name == own:
-                own_claims[index] += claim
-        start += share
-    pairs = zip(own_claims, claims, strict=True)
-    return [own_claim / claim if claim else 0.0 for own_claim, claim in pairs]
+    scale = n_upstreams / sum(weights.values())
+    start = scale * sum(weight for name, weight in weights.items() if name < own)
+    length = scale * weights[own]
+    overlap = min(MIN_UPSTREAMS, n_upstreams)
+    parts = [0.0] * n_upstreams
+    for position in range(math.floor(start), math.ceil(start + length + overlap)):
+        offset = position - start
+        parts[position % n_upstreams] += (
+            _ramp_area(offset + 1.0, length)
+            - _ramp_area(offset, length)
+            - _ramp_area(offset + 1.0 - overlap, length)
+            + _ramp_area(offset - overlap, length)
+        ) / overlap
+    return [min(1.0, max(0.0, part)) for part in parts]
 
 
-def _cover_ring(
-    start: float, length: float, n_positions: int
-) -> Iterator[tuple[int, float]]:
-    """Yield the positions that a section covers, and how much of each."""
-    end = start + length
-    for position in range(math.floor(start), math.ceil(end)):
-        covered = min(position + 1, end) - max(position, start)
-        yield position % n_positions, covered
+def _ramp_area(end: float, length: float) -> float:
+    """Return the integral up to `end` of a ramp from 0 at 0 to `length` at `length`."""
+    if end <= 0.0:
+        return 0.0
+    if end <= length:
+        return end**2 / 2.0
+    return length * (end - length / 2.0)
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -193,6 +193,22 @@
         upstreams.sort(key=lambda upstream: upstream.name)
         return upstreams
 
+    def unpaused(self, service: str, now: float) -> list[Upstream]:
+        """Return the ready upstreams of a service that have not asked for a pause.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        list of Upstream
+        """
+        return [u for u in self.ready(service) if u.paused_until <= now]
+
     def available(self, service: str, now: float) -> list[Upstream]:
         """Return the ready upstreams of a service that want requests now.
 
