--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -168,6 +168,16 @@
         assert len(gw.upstreams[0].seen) == 2
 
 
+def test_a_failure_is_passed_on_if_limits_keep_the_call_from_other_upstreams():
+    failing = answering(b"failed", status="500 Failed")
+    with gateway(limited("0"), failing) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        gw.call()
+        gw.core._balancer.set_tie_offset(0.5)
+        status, _, body = gw.call()
+    assert (status, body) == (500, b"failed")
+
+
 def test_health_checks_count_against_the_limit():
     with gateway(limited("0.2")) as gw:
         assert gw.call()[0] == 200
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -115,7 +115,8 @@
                 progress.sends += 1
                 if attempt.status in SERVER_ERROR_STATUSES and call.route.retryable:
                     progress.tried.add(upstream.name)
-                    if self._may_retry(call, progress):
+                    wanted = self.chooser.wanted(call, progress)
+                    if wanted and self._may_retry(call, progress):
                         continue
                 headers = list(attempt.reply_head.headers)
                 return Reply(attempt.status, headers, body, framed=attempt.framed)
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -61,7 +61,7 @@
         upstream = self._find(call, progress)
         if upstream is None:
             wait_s = self._wait_s(call, progress)
-            if wait_s is not None:
+            if wait_s:
                 gevent.sleep(wait_s)
                 upstream = self._find(call, progress)
         if upstream is None:
@@ -82,6 +82,22 @@
         )
         return upstream
 
+    def wanted(self, call: Call, progress: CallProgress) -> bool:
+        """Return whether an untried upstream wants a call now or soon enough.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        progress : CallProgress
+            Its attempts so far.
+
+        Returns
+        -------
+        bool
+        """
+        return self._wait_s(call, progress) is not None
+
     def retry_after_s(self, service: str) -> float:
         """Return when to come back for a call that is refused now.
 
@@ -109,11 +125,11 @@
         )
 
     def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
-        """Return how long to wait for an upstream; None if that is too long."""
+        """Return how long to wait for an untried upstream; None if that is too long."""
         now = time.monotonic()
         wait_s = self._balancer.next_available_s(call.service, progress.tried, now)
         most_s = min(MAX_WAIT_S, call.deadline.left_s(now) - MIN_REMAINING_S)
-        return wait_s if 0.0 < wait_s <= most_s else None
+        return wait_s if wait_s <= most_s else None
 
     def _refusal(self, call: Call, progress: CallProgress) -> Refused:
         retry_after_s = self.retry_after_s(call.service)
