--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,6 +45,7 @@
         self._oracle = oracle
         self._rng = rng
         self._count = 0
+        self._port = 0
         self._sock: socket.socket | None = None
 
     def run(self, until: float) -> None:
@@ -56,7 +57,6 @@
     def _call(self, prefix: str) -> None:
         self._count += 1
         call = f"{self._name}-{self._count}"
-        self._oracle.record_call(call, once=prefix == "/book/")
         started = time.monotonic()
         gives_up = self._rng.random() < 0.05
         try:
@@ -71,9 +71,11 @@
 
     def _exchange(self, call: str, prefix: str) -> None:
         if self._sock is None:
-            port = self._rng.choice(self._ports())
-            self._sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+            self._port = self._rng.choice(self._ports())
+            address = "127.0.0.1", self._port
+            self._sock = socket.create_connection(address, timeout=1.0)
             self._sock.settimeout(CALL_TIMEOUT_S)
+        self._oracle.record_call(call, once=prefix == "/book/", port=self._port)
         body = b"body of " + call.encode()
         self._sock.sendall(
             f"POST {prefix}x HTTP/1.1\r\nHost: {HOST}\r\n"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -125,6 +125,14 @@
     upstream.fail_share = 0.0
 
 
+def _limit_upstream(system: "SoakSystem") -> None:
+    upstream = system.rng.choice(system.upstreams)
+    if upstream.limit is None:
+        upstream.limit = round(system.rng.uniform(0.2, 3.0), 1)
+        gevent.sleep(system.rng.uniform(5.0, 10.0))
+        upstream.limit = None
+
+
 def _crash_upstream(system: "SoakSystem") -> None:
     upstream = system.rng.choice(system.upstreams)
     if upstream.draining_since is None and not upstream.crashed:
@@ -169,6 +177,7 @@
     "store forgets": _truncate_store_history,
     "upstream crashes": _crash_upstream,
     "upstream fails": _fail_upstream,
+    "upstream limited": _limit_upstream,
     "upstream leaves": _replace_upstream,
     "orders late": _delay_orders,
     "changes": _change_configuration,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    call_ports : dict of str to int
+        Port of the gateway that each call was sent to.
     runs : dict of str to list of str
         Upstreams that ran each call.
     answers, refusals : int
@@ -50,6 +52,7 @@
         monotonic clock. Callers, upstreams and the store all run in it.
     """
 
+    call_ports: dict[str, int] = field(default_factory=dict)
     runs: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     refused_calls: set[str] = field(default_factory=set)
     once_calls: set[str] = field(default_factory=set)
@@ -83,8 +86,19 @@
         if min(draining_s, self.undisturbed_s()) > DRAIN_DELAY_S:
             self._report("leaving", call, f"{upstream} leaves for {draining_s:.1f} s")
 
-    def record_call(self, call: str, *, once: bool) -> None:
-        """Record a call; ``once`` if it may run at most once."""
+    def record_call(self, call: str, *, once: bool, port: int = 0) -> None:
+        """Record a call.
+
+        Parameters
+        ----------
+        call : str
+            The call.
+        once : bool
+            Whether it may run at most once.
+        port : int, default=0
+            Port of the gateway that it is sent to.
+        """
+        self.call_ports[call] = port
         if once:
             self.once_calls.add(call)
 
@@ -178,6 +192,11 @@
         detail = f"{gateway} without version {version}, written {late_s:.1f} s before"
         self._report(guarantee, "", detail)
 
+    def record_excess(self, upstream: str, limit: float, requests: int) -> None:
+        """Record that an upstream got more requests than it takes."""
+        detail = f"{upstream} takes {limit:.1f} a second and got {requests} in a window"
+        self._report("limits are kept", "", detail)
+
     def record_mixed_maps(self, detail: str) -> None:
         """Record a pass that started on two maps."""
         self._report("one map in each pass", "", detail)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -17,6 +17,7 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.platform import configuration, frontend, listings
+from toucanspool.routing.request_limit import RequestLimit
 from toucanspool.routing.routes import CallKind, Route, RouteTable
 from toucanspool.settings.settings import RowStore
 from toucanspool.wire import event_splitter, reply_parser
@@ -129,6 +130,11 @@
     ArmedSwitch._hold = next_pass
 
 
+def _ignore_limits() -> None:
+    """Send upstreams requests whatever they name."""
+    RequestLimit.limited = property(lambda self: False)
+
+
 def _patch_routes(change: Callable[[Route], Route]) -> None:
     route = configuration._decode_route
     configuration._decode_route = lambda data: change(route(data))
@@ -141,6 +147,7 @@
     "no piece missing or twice": _restart_streams,
     "a cut stream does not look complete": _trust_closed_connections,
     "replies are bounded": _read_without_limit,
+    "limits are kept": _ignore_limits,
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
     "one map in each pass": _arm_without_hold,
--- a/soak/system.py
+++ b/soak/system.py
@@ -16,6 +16,7 @@
 from soak.callers import HOST, KEY, ROUTE_TIMEOUT_S, SoakCaller
 from soak.config_watch import ConfigWatch, version_prefix
 from soak.faults import FAULTS
+from soak.limit_watch import LimitWatch
 from soak.oracle import Oracle
 from soak.process import GRACE_S, Process
 from soak.proxy import LinkMode
@@ -117,9 +118,10 @@
         for row in self.group.rows:
             row.counts = np.ones((LAYER_SETS, EXPERTS), dtype=int)
         self.upstreams = []
+        limit_watch = LimitWatch(self.oracle, self._find_gateway)
         for number in range(UPSTREAMS):
             rng = random.Random(self.rng.random())
-            upstream = SoakUpstream(f"u{number}", self.oracle, rng)
+            upstream = SoakUpstream(f"u{number}", self.oracle, limit_watch, rng)
             self._cleanup.enter_context(upstream.server)
             upstream.list(self.store.pages)
             self.upstreams.append(upstream)
@@ -208,6 +210,10 @@
         for name, value in self._rank_rows.items():
             self.store.pages.put("servers", name, value)
 
+    def _find_gateway(self, call: str) -> Process | None:
+        port = self.oracle.call_ports.get(call)
+        return next((g for g in self.gateways if g.callers == port), None)
+
     def _addresses(self) -> list[int]:
         return [gateway.callers for gateway in self.gateways]
 
@@ -284,6 +290,7 @@
         self.group.delayed_share = self.group.lost_share = 0.0
         for upstream in self.upstreams:
             upstream.fail_share = 0.0
+            upstream.limit = None
         for process in self.gateways + self.agents:
             process.proxy.mode = LinkMode.GOOD
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -8,6 +8,7 @@
 import orjson
 from gevent import socket
 
+from soak.limit_watch import LimitWatch
 from soak.oracle import MAX_READ_BYTES, STREAM_EVENTS, Oracle
 from standins.raw_upstream import RawUpstream, ReceivedRequest, reply
 from standins.row_store import RowStorePages
@@ -30,6 +31,8 @@
         Name of the instance, which changes with each restart.
     oracle : Oracle
         Told of each call that runs.
+    limit_watch : LimitWatch
+        Told of each request.
     rng : random.Random
         Random source of failures and delays.
 
@@ -37,18 +40,25 @@
     ----------
     fail_share : float
         Fraction of the calls that fail.
+    limit : float or None
+        Requests a second that it takes from all gateways together, as named in its
+        answers.
     draining_since : float or None
         When it started to drain, on the monotonic clock; None if it does not.
     crashed : bool
         Whether it has crashed and is not back yet.
     """
 
-    def __init__(self, name: str, oracle: Oracle, rng: random.Random) -> None:
+    def __init__(
+        self, name: str, oracle: Oracle, limit_watch: LimitWatch, rng: random.Random
+    ) -> None:
         self.name = name
         self.fail_share = 0.0
         self.draining_since: float | None = None
         self.crashed = False
+        self.limit: float | None = None
         self._oracle = oracle
+        self._limit_watch = limit_watch
         self._rng = rng
         self.server = RawUpstream(self._serve)
 
@@ -90,15 +100,17 @@
         if request.header(names.EXPECT_INSTANCE) != self.name:
             sock.sendall(reply(request, b"", status="421 Other", signed=False))
             return
+        call = request.header(names.ATTEMPT_ID)
+        self._limit_watch.record_request(self.name, call, self.limit)
+        limit = f"{names.SERVER_LIMIT}: {self.limit}" if self.limit is not None else ""
         fault = self._rng.random() < self.fail_share
         kind = self._rng.choice(FAULTS)
         framed = self._rng.random() >= UNFRAMED_SHARE
         if fault and kind == "full":
-            headers = f"{names.NOT_EXECUTED}: 1"
+            headers = f"{names.NOT_EXECUTED}: 1" + (f"\r\n{limit}" if limit else "")
             options = {"status": "503 Full", "headers": headers, "signed": False}
             sock.sendall(reply(request, b"", **options))
             return
-        call = request.header(names.ATTEMPT_ID)
         draining_s = (
             time.monotonic() - self.draining_since if self.draining_since else 0.0
         )
@@ -114,10 +126,11 @@
             self._send_without_end(sock, call)
             return
         if " /stream/" in request.head:
-            self._stream(sock, request, call, cut=fault, framed=framed)
+            self._stream(sock, request, call, limit, cut=fault, framed=framed)
             return
         gevent.sleep(self._rng.uniform(0.0, 0.05))
-        data = reply(request, b"answer to " + call.encode(), framed=framed)
+        body = b"answer to " + call.encode()
+        data = reply(request, body, headers=limit, framed=framed)
         sock.sendall(data[:-3] if fault else data)
         if fault and not framed:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -140,6 +153,7 @@
         sock: socket.socket,
         request: ReceivedRequest,
         call: str,
+        limit: str,
         *,
         cut: bool,
         framed: bool,
@@ -148,6 +162,7 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"{names.ATTEMPT_ID}: {call}\r\n{names.SIGNATURE}: s\r\n"
         )
+        head += f"{limit}\r\n" if limit else ""
         head += "Transfer-Encoding: chunked\r\n\r\n" if framed else "\r\n"
         sock.sendall(head.encode())
         first = int(request.header("last-event-id") or 0) + 1
