--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -43,6 +43,8 @@
         Id of the event after which to resume a stream; empty for a new stream.
     prompt : tuple of str
         Ids of the parts of the prompt that other calls may share, in order.
+    fingerprint : str
+        Digest by which the same request is known again; see `fingerprint`.
     """
 
     id: str
@@ -61,6 +63,7 @@
     answer_tokens: int = 0
     last_event_id: str = ""
     prompt: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 class RefusalCause(Enum):
--- a/toucanspool/gateway/crash_watch.py
+++ b/toucanspool/gateway/crash_watch.py
@@ -64,10 +64,8 @@
         upstream : Upstream
             The upstream.
         prompt : sequence of str
-            Shared parts of the prompt; nothing is recorded if there are none.
+            Shared parts of the prompt.
         """
-        if not prompt:
-            return
         suspects = self._suspects.setdefault(upstream.incarnation, [])
         suspects.append(tuple(prompt))
         if len(suspects) == 1:
@@ -83,4 +81,6 @@
                 service=listing.service,
                 prompts=prompts,
             )
-            self._on_crash(Crash(listing.name, listing.started_ms, prompts))
+            known = tuple(prompt for prompt in prompts if prompt)
+            if known:
+                self._on_crash(Crash(listing.name, listing.started_ms, known))
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -70,6 +70,7 @@
         _log.info(
             "call routed",
             request_id=call.id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             team=call.team,
             service=call.service,
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -14,6 +14,7 @@
 from toucanspool.gateway.call_dispatcher import CallDispatcher
 from toucanspool.gateway.caller import CallerLeft, CallerWatch, ReplyCutOff
 from toucanspool.gateway.caller_server import CallerHandler
+from toucanspool.gateway.fingerprint import fingerprint
 from toucanspool.platform import headers as platform_headers
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route, RouteTable
@@ -157,6 +158,7 @@
             answer_tokens=answer_tokens,
             last_event_id=request_headers.get(platform_headers.LAST_EVENT_ID, ""),
             prompt=platform_headers.parse_shared_prompt(request_headers),
+            fingerprint=fingerprint(team, host, handler.command, handler.path, body),
         )
 
     def _refuse(
