--- a/standins/crashing_engine.py
+++ b/standins/crashing_engine.py
@@ -1,4 +1,4 @@
-"""An engine that crashes when it begins to answer a prompt with a certain part.
+"""An engine that crashes when it begins to answer certain prompts or requests.
 
 It comes back at the same address, as a new instance, and is listed in a row store.
 """
@@ -33,6 +33,8 @@
         Name of the engine; its incarnations are numbered.
     deadly : collection of str
         Parts of prompts that crash it.
+    deadly_bodies : collection of bytes, optional
+        Bodies of requests that crash it.
 
     Attributes
     ----------
@@ -43,7 +45,12 @@
     """
 
     def __init__(
-        self, pages: RowStorePages, name: str, deadly: Collection[str]
+        self,
+        pages: RowStorePages,
+        name: str,
+        deadly: Collection[str],
+        *,
+        deadly_bodies: Collection[bytes] = (),
     ) -> None:
         self.crashed_at: list[float] = []
         self.received: list[tuple[float, ReceivedRequest]] = []
@@ -51,6 +58,7 @@
         self._name = name
         self._numbers = itertools.count()
         self._deadly = frozenset(deadly)
+        self._deadly_bodies = frozenset(deadly_bodies)
         self._stream = streaming(
             [event(number) for number in range(1, EVENTS + 1)], gap_s=EVENT_GAP_S
         )
@@ -70,8 +78,7 @@
             sock.sendall(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
         self.received.append((time.monotonic(), request))
-        parts = request.header(names.PREFIX_HASH).split(",")
-        if self._deadly.isdisjoint(part.partition(":")[0] for part in parts):
+        if not self._is_deadly(request):
             self._stream(sock, request)
             return
         streaming([], cut=True)(sock, request)
@@ -79,6 +86,11 @@
         gevent.spawn(self._crash)
         gevent.sleep(DOWN_S)
 
+    def _is_deadly(self, request: ReceivedRequest) -> bool:
+        parts = request.header(names.PREFIX_HASH).split(",")
+        ids = (part.partition(":")[0] for part in parts)
+        return request.body in self._deadly_bodies or not self._deadly.isdisjoint(ids)
+
     def _crash(self) -> None:
         """End all connections, refuse new ones, and return as a new instance."""
         self.crashed_at.append(time.monotonic())
