Refuse requests that crash upstreams when they come again

Callers of a plain service got 503 for half of the time: a request without a prompt crashed three upstreams, came again, and crashed their successors, twelve in all. Crashes were attributed to parts of prompts only; a call without any was never looked at.

A call now has traits: the shared parts of its prompt, and the request itself, by a digest of team, host, method, path and body. Evidence, reports and blocks hold for both alike. A request that was in all crashes of a part is the narrower cause; a part is blocked in place of its requests once others crash under it. A request that was only near the crashes of another one is released when that one is found, at its next crash. Upstreams that come back as the same incarnation count again, by the time at which the broken call was sent.

--- a/tests/retries/test_crash_exchange.py
+++ b/tests/retries/test_crash_exchange.py
@@ -6,13 +6,10 @@
 
 from standins.memory import MemoryTable
 from toucanspool.backing.table import Write
+from toucanspool.retries.crash_evidence import EVIDENCE_S, CrashId
 from toucanspool.retries.crash_exchange import CrashExchange
 from toucanspool.retries.crash_reports import REPORT_PREFIX
-from toucanspool.retries.quarantine import (
-    CRASHES_TO_BLOCK,
-    EVIDENCE_S,
-    PromptQuarantine,
-)
+from toucanspool.retries.quarantine import CRASHES_TO_BLOCK, Quarantine
 
 FIRST, DEADLY = "first", "deadly"
 
@@ -22,14 +19,14 @@
 
     def __init__(self, table: MemoryTable, name: str) -> None:
         self.table = table
-        self.quarantine = PromptQuarantine()
+        self.quarantine = Quarantine()
         self.exchange = CrashExchange(table, name, self.quarantine)
         self.read()
 
     def crash(self, number: int) -> None:
         """Report a crash that this entry saw."""
         prompts = ((FIRST, f"s{number}", DEADLY), (FIRST, f"b{number}"))
-        self.exchange.report(f"u{number}", 1, prompts)
+        self.exchange.report(CrashId(f"u{number}", 1), prompts)
         gevent.sleep(0.01)
 
     def read(self) -> None:
@@ -108,7 +105,7 @@
     table = MemoryTable()
     entry = Entry(table, "e0")
     for number in range(20):
-        entry.exchange.report(f"u{number}", 1, (("x" * 9000, f"s{number}"),))
+        entry.exchange.report(CrashId(f"u{number}", 1), (("x" * 9000, f"s{number}"),))
     gevent.sleep(0.01)
     assert len(table.get([REPORT_PREFIX + "e0"])[REPORT_PREFIX + "e0"].value) < 65536
 
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from toucanspool.retries.crash_evidence import Traits, request_trait
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route
 from toucanspool.wire.reply_parser import Header
@@ -65,6 +66,11 @@
     prompt: tuple[str, ...] = ()
     fingerprint: str = ""
 
+    @property
+    def traits(self) -> Traits:
+        """Return what the call has in common with others that may crash upstreams."""
+        return (*self.prompt, request_trait(self.fingerprint))
+
 
 class RefusalCause(Enum):
     """Name the reasons for refusing a call; values are titles for callers."""
@@ -82,7 +88,7 @@
     DEADLINE = "The time for the call is over."
     MAYBE_RUN = "The call may have run, and its answer was lost."
     BROKEN = "The upstream's answer was broken off."
-    QUARANTINED = "A part of the prompt has crashed several upstreams."
+    QUARANTINED = "Calls like this one have crashed several upstreams."
     BAD_REQUEST = "The request is malformed."
     BODY_TOO_LARGE = "The body is too large."
     BODY_TOO_SLOW = "The body came too slowly."
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -7,10 +7,10 @@
 import structlog
 
 from toucanspool.gateway.call_dispatcher import CallDispatcher
+from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.crash_watch import Crash, CrashWatch
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.limit_sharing import LimitSharing
-from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.gateway.upstream_chooser import UpstreamChooser
@@ -19,7 +19,7 @@
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
-from toucanspool.retries.quarantine import PromptQuarantine
+from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import Route, RouteTable
@@ -62,7 +62,7 @@
         Known upstreams.
     ejector : Ejector
         Health of the upstreams.
-    quarantine : PromptQuarantine
+    quarantine : Quarantine
         Prompts that crash upstreams.
     limit_sharing : LimitSharing
         This entry's parts of the limits that upstreams name.
@@ -117,8 +117,8 @@
             extra=retries.extra,
             started_at=time.monotonic() if started_at is None else started_at,
         )
-        self.quarantine = PromptQuarantine()
-        guard = PromptGuard(self.quarantine, CrashWatch(self._count_crash))
+        self.quarantine = Quarantine()
+        guard = CrashGuard(self.quarantine, CrashWatch(self._count_crash))
         relay = Relay(
             UpstreamChooser(self._balancer, guard),
             self.ejector,
@@ -222,8 +222,7 @@
         self._on_crash(crash)
 
     def _record_crash(self, crash: Crash) -> None:
-        incarnation = crash.upstream, crash.started_ms
-        self.quarantine.record_crash(incarnation, crash.prompts, time.monotonic())
+        self.quarantine.record_crash(crash.id, crash.calls, time.monotonic())
 
     def _find_gate(self, service: str) -> Gate | None:
         stream_limit = self._stream_limits.get(service)
--- a/toucanspool/gateway/prompt_guard.py
+++ b/toucanspool/gateway/crash_guard.py
@@ -1,36 +1,36 @@
-"""Protection of upstreams from calls whose prompts crash them."""
+"""Protection of upstreams from calls that crash them."""
 
 import time
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused
 from toucanspool.gateway.crash_watch import CrashWatch
 from toucanspool.gateway.progress import CallProgress
-from toucanspool.retries.quarantine import PromptQuarantine
+from toucanspool.retries.quarantine import Quarantine
 from toucanspool.routing.upstream import Upstream
 
-# Prompts that crash an upstream do so when it begins to write the answer.
+# Calls that crash an upstream do so when it begins to run them or to answer.
 SOUND_AFTER_S = 0.5
 
 
-class PromptGuard:
-    """Refuse calls with quarantined prompts, and collect evidence on all prompts.
+class CrashGuard:
+    """Refuse quarantined calls, and collect evidence on all calls.
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
-        Prompts that crash upstreams.
+    quarantine : Quarantine
+        Calls that crash upstreams.
     crash_watch : CrashWatch
         Told of replies that break off.
     """
 
     __slots__ = ("_crash_watch", "_quarantine")
 
-    def __init__(self, quarantine: PromptQuarantine, crash_watch: CrashWatch) -> None:
+    def __init__(self, quarantine: Quarantine, crash_watch: CrashWatch) -> None:
         self._quarantine = quarantine
         self._crash_watch = crash_watch
 
     def check(self, call: Call, *, may_have_run: bool = False) -> None:
-        """Raise unless the call's prompt may be sent to upstreams.
+        """Raise unless the call may be sent to upstreams.
 
         Parameters
         ----------
@@ -42,9 +42,9 @@
         Raises
         ------
         Refused
-            A part of the prompt crashes upstreams.
+            The call, or a part of its prompt, crashes upstreams.
         """
-        blocked_s = self._quarantine.remaining_s(call.prompt, time.monotonic())
+        blocked_s = self._quarantine.remaining_s(call.traits, time.monotonic())
         if blocked_s:
             raise Refused(
                 RefusalCause.QUARANTINED,
@@ -54,7 +54,7 @@
 
     def record_call(self, call: Call) -> None:
         """Record a new call."""
-        self._quarantine.record_call(call.prompt)
+        self._quarantine.record_call(call.traits)
 
     def record_answer(
         self, call: Call, progress: CallProgress, *, complete: bool = False
@@ -76,7 +76,7 @@
         lasted = now - progress.began_at >= SOUND_AFTER_S
         if not progress.sound and (complete or lasted):
             progress.sound = True
-            self._quarantine.record_sound(call.prompt, now)
+            self._quarantine.record_sound(call.traits, now)
 
     def record_break(
         self, call: Call, progress: CallProgress, upstream: Upstream
@@ -93,4 +93,4 @@
             Upstream of the attempt.
         """
         if not progress.sound:
-            self._crash_watch.record_break(upstream, call.prompt)
+            self._crash_watch.record_break(upstream, call.traits, progress.sent_at)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -7,10 +7,10 @@
 
 from toucanspool.gateway.attempt import Attempt, TurnedAway
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
+from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.limit_sharing import LimitSharing
 from toucanspool.gateway.progress import CallProgress
-from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.retries.shared_budget import SharedBudget
@@ -43,8 +43,8 @@
         Counts the calls of each service.
     dialect : Dialect
         Translates headers.
-    guard : PromptGuard
-        Refuses prompts that crash upstreams.
+    guard : CrashGuard
+        Refuses calls that crash upstreams.
     max_reply_bytes : int
         Limit on the size of a reply that is not a stream.
     """
@@ -66,7 +66,7 @@
         budget: SharedBudget,
         limit_sharing: LimitSharing,
         dialect: Dialect,
-        guard: PromptGuard,
+        guard: CrashGuard,
         max_reply_bytes: int,
     ) -> None:
         self.max_reply_bytes = max_reply_bytes
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -6,8 +6,8 @@
 import structlog
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused
+from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.progress import CallProgress
-from toucanspool.gateway.prompt_guard import PromptGuard
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import Upstream
@@ -28,13 +28,13 @@
     ----------
     balancer : LeastLoadBalancer
         Compares upstreams.
-    guard : PromptGuard
+    guard : CrashGuard
         Refuses calls that crash upstreams.
     """
 
     __slots__ = ("_balancer", "_guard")
 
-    def __init__(self, balancer: LeastLoadBalancer, guard: PromptGuard) -> None:
+    def __init__(self, balancer: LeastLoadBalancer, guard: CrashGuard) -> None:
         self._balancer = balancer
         self._guard = guard
 
@@ -57,7 +57,6 @@
         Refused
             No upstream is ready, or too little time is left.
         """
-        progress.start_attempt()
         upstream = self._find(call, progress)
         if upstream is None:
             wait_s = self._wait_s(call, progress)
@@ -67,6 +66,7 @@
         if upstream is None:
             raise self._refusal(call, progress)
         now = time.monotonic()
+        progress.start_attempt(now)
         _log.info(
             "call routed",
             request_id=call.id,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -230,7 +230,7 @@
         self._core.upstreams_changed()
 
     def _report_crash(self, crash: Crash) -> None:
-        self._crash_exchange.report(crash.upstream, crash.started_ms, crash.prompts)
+        self._crash_exchange.report(crash.id, crash.calls)
 
     def _replace_entries(self, changes: Changes) -> None:
         entries = [row for row in changes.rows if row.key.startswith(ENTRY_PREFIX)]
--- a/toucanspool/retries/crash_exchange.py
+++ b/toucanspool/retries/crash_exchange.py
@@ -6,6 +6,7 @@
 
 from toucanspool.backing.table import Row, Table
 from toucanspool.membership.own_row import OwnRow
+from toucanspool.retries.crash_evidence import EVIDENCE_S, CrashId, Traits
 from toucanspool.retries.crash_reports import (
     REPORT_PREFIX,
     EntryReport,
@@ -13,7 +14,7 @@
     age_s,
     decode_report,
 )
-from toucanspool.retries.quarantine import EVIDENCE_S, Prompt, PromptQuarantine
+from toucanspool.retries.quarantine import Quarantine
 
 
 class CrashExchange:
@@ -28,13 +29,13 @@
         Holds the rows of all entries.
     entry : str
         Name of this entry.
-    quarantine : PromptQuarantine
+    quarantine : Quarantine
         Receives all crashes.
     """
 
     __slots__ = ("_key", "_own", "_quarantine", "_reports", "_row")
 
-    def __init__(self, table: Table, entry: str, quarantine: PromptQuarantine) -> None:
+    def __init__(self, table: Table, entry: str, quarantine: Quarantine) -> None:
         self._key = REPORT_PREFIX + entry
         self._quarantine = quarantine
         self._own = OwnReports()
@@ -45,22 +46,18 @@
         """Stop writing the report."""
         self._row.stop()
 
-    def report(
-        self, upstream: str, started_ms: int, prompts: tuple[Prompt, ...]
-    ) -> None:
+    def report(self, crash_id: CrashId, calls: tuple[Traits, ...]) -> None:
         """Record a crash that this entry saw, and report it.
 
         Parameters
         ----------
-        upstream : str
-            Name of the upstream.
-        started_ms : int
-            Start time of its incarnation; see `Listing`.
-        prompts : tuple of tuple of str
-            Prompts whose answers the crash may be due to.
+        crash_id : CrashId
+            The crash.
+        calls : tuple of tuple of str
+            Traits of the calls that the crash may be due to.
         """
-        self._own.add(upstream, started_ms, prompts)
-        self._record((upstream, started_ms), prompts, time.monotonic())
+        self._own.add(crash_id, calls)
+        self._record(crash_id, calls, time.monotonic())
         self._write()
 
     def replace(self, rows: Iterable[Row]) -> None:
@@ -106,34 +103,32 @@
 
     def _record_sound(self, report: EntryReport) -> None:
         now = time.monotonic()
-        for part, sound_at in report.sound.items():
-            self._quarantine.record_sound([part], now - age_s(sound_at))
+        for trait, sound_at in report.sound.items():
+            self._quarantine.record_sound([trait], now - age_s(sound_at))
 
     def _adopt_blocks(self) -> None:
-        """Block the parts that at least half of the reporting entries have blocked."""
+        """Block the traits that at least half of the reporting entries have blocked."""
         now = time.monotonic()
         counts = Counter(p for report in self._reports.values() for p in report.blocked)
-        for part, count in counts.items():
+        for trait, count in counts.items():
             if 2 * count < len(self._reports):
                 continue
             times = [
-                r.blocked[part] for r in self._reports.values() if part in r.blocked
+                r.blocked[trait] for r in self._reports.values() if trait in r.blocked
             ]
-            if self._quarantine.adopt(part, now - age_s(max(times)), now):
-                self._own.blocked[part] = max(times)
+            if self._quarantine.adopt(trait, now - age_s(max(times)), now):
+                self._own.blocked[trait] = max(times)
 
     def _record_crashes(self, report: EntryReport) -> None:
         now = time.monotonic()
         for crash in report.crashes:
             if age_s(crash.at_s) >= EVIDENCE_S:
                 continue
-            incarnation = crash.upstream, crash.started_ms
-            self._record(incarnation, crash.prompts, now - age_s(crash.at_s))
+            crash_id = CrashId(crash.upstream, crash.started_ms, crash.number)
+            self._record(crash_id, crash.prompts, now - age_s(crash.at_s))
 
-    def _record(
-        self, incarnation: tuple[str, int], prompts: tuple[Prompt, ...], at: float
-    ) -> None:
-        blocked = self._quarantine.record_crash(incarnation, prompts, at)
+    def _record(self, crash_id: CrashId, calls: tuple[Traits, ...], at: float) -> None:
+        blocked = self._quarantine.record_crash(crash_id, calls, at)
         self._own.blocked.update(dict.fromkeys(blocked, time.time()))
         if blocked:
             self._write()
--- a/toucanspool/retries/crash_reports.py
+++ b/toucanspool/retries/crash_reports.py
@@ -9,11 +9,12 @@
 
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
-from toucanspool.retries.quarantine import BLOCK_S, EVIDENCE_S, Prompt
+from toucanspool.retries.crash_evidence import EVIDENCE_S, CrashId, Traits
+from toucanspool.retries.quarantine import BLOCK_S
 
 REPORT_PREFIX = "crash/"
 MAX_REPORTED_CRASHES = 32
-MAX_REPORTED_PROMPTS = 16
+MAX_REPORTED_CALLS = 16
 MAX_REPORTED_SOUND = 128
 # Well below the size of a row; callers choose the length of parts.
 MAX_REPORT_BYTES = 32 * 1024
@@ -29,15 +30,19 @@
         Name of the upstream.
     started_ms : int
         Start time of its incarnation; see `Listing`.
+    number : int
+        Number of its crash; see `CrashId`.
     prompts : sequence of sequence of str
-        Prompts whose answers the crash may be due to.
+        Traits of the calls that the crash may be due to. Rows keep the name from when
+        prompts were the only ones.
     at_s : float
         Unix time of the crash, in seconds.
     """
 
     upstream: str
     started_ms: int
-    prompts: tuple[Prompt, ...]
+    number: int
+    prompts: tuple[Traits, ...]
     at_s: float
 
 
@@ -50,9 +55,9 @@
     crashes : sequence of CrashReport
         The latest crashes.
     blocked : mapping of str to float
-        Unix times at which it blocked parts of prompts, in seconds.
+        Unix times at which it blocked traits, in seconds.
     sound : mapping of str to float
-        Unix times at which it last saw parts that it has cleared of a crash sound, in
+        Unix times at which it last saw traits that it has cleared of a crash sound, in
         seconds.
     """
 
@@ -71,7 +76,7 @@
     Attributes
     ----------
     blocked : dict of str to float
-        Unix times at which this entry blocked parts of prompts, in seconds.
+        Unix times at which this entry blocked traits, in seconds.
     """
 
     __slots__ = ("_crashes", "blocked")
@@ -80,20 +85,18 @@
         self._crashes: deque[CrashReport] = deque(maxlen=MAX_REPORTED_CRASHES)
         self.blocked: dict[str, float] = {}
 
-    def add(self, upstream: str, started_ms: int, prompts: Iterable[Prompt]) -> None:
+    def add(self, crash_id: CrashId, calls: Iterable[Traits]) -> None:
         """Add a crash that was seen now.
 
         Parameters
         ----------
-        upstream : str
-            Name of the upstream.
-        started_ms : int
-            Start time of its incarnation.
-        prompts : iterable of tuple of str
-            Prompts whose answers the crash may be due to.
+        crash_id : CrashId
+            The crash.
+        calls : iterable of tuple of str
+            Traits of the calls that the crash may be due to.
         """
-        distinct = tuple(dict.fromkeys(prompts))[:MAX_REPORTED_PROMPTS]
-        self._crashes.append(CrashReport(upstream, started_ms, distinct, time.time()))
+        distinct = tuple(dict.fromkeys(calls))[:MAX_REPORTED_CALLS]
+        self._crashes.append(CrashReport(*crash_id, distinct, time.time()))
 
     def restore(self, report: EntryReport) -> None:
         """Continue the report of an earlier process of this entry.
@@ -109,15 +112,15 @@
         self._crashes.extend(known)
         self.blocked = {**report.blocked, **self.blocked}
 
-    def keep_blocked(self, parts: Container[str]) -> None:
-        """Drop the blocks of all other parts, which have been unblocked.
+    def keep_blocked(self, traits: Container[str]) -> None:
+        """Drop the blocks of all other traits, which have been unblocked.
 
         Parameters
         ----------
-        parts : container of str
-            Parts that are blocked.
+        traits : container of str
+            Traits that are blocked.
         """
-        self.blocked = {p: at for p, at in self.blocked.items() if p in parts}
+        self.blocked = {t: at for t, at in self.blocked.items() if t in traits}
 
     def report(self, sound: dict[str, float]) -> EntryReport:
         """Return the current report, without what no longer counts.
@@ -134,7 +137,9 @@
         crashes = tuple(c for c in self._crashes if age_s(c.at_s) < EVIDENCE_S)
         blocked = {p: at for p, at in self.blocked.items() if age_s(at) < BLOCK_S}
         latest = sorted(sound, key=sound.__getitem__)[-MAX_REPORTED_SOUND:]
-        report = EntryReport(crashes, blocked, {part: sound[part] for part in latest})
+        report = EntryReport(
+            crashes, blocked, {trait: sound[trait] for trait in latest}
+        )
         while report.crashes and len(report.encode()) > MAX_REPORT_BYTES:
             report = replace(report, crashes=report.crashes[1:], sound={})
         return report
@@ -167,13 +172,14 @@
                 CrashReport(
                     crash["upstream"],
                     int(crash["started_ms"]),
-                    tuple(tuple(map(str, prompt)) for prompt in crash["prompts"]),
+                    int(crash.get("number", 1)),
+                    tuple(tuple(map(str, call)) for call in crash["prompts"]),
                     float(crash["at_s"]),
                 )
                 for crash in data["crashes"]
             ),
-            {str(part): float(at_s) for part, at_s in data["blocked"].items()},
-            {str(part): float(at_s) for part, at_s in data["sound"].items()},
+            {str(trait): float(at_s) for trait, at_s in data["blocked"].items()},
+            {str(trait): float(at_s) for trait, at_s in data["sound"].items()},
         ),
         error_event="unreadable crash report",
     )
--- a/toucanspool/retries/quarantine.py
+++ b/toucanspool/retries/quarantine.py
@@ -1,153 +1,145 @@
-"""Quarantine of prompts that crash the upstreams that answer them."""
+"""Quarantine of calls that crash the upstreams that run them."""
 
-import math
-from collections import Counter, OrderedDict
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence
 
 import structlog
 
-# Distinct incarnations of upstreams that must crash before a part is blocked.
+from toucanspool.retries.crash_evidence import (
+    SOUND_WINDOW_S,
+    CrashEvidence,
+    CrashId,
+    is_request,
+)
+
+# Crashes of upstreams before a trait is blocked.
 CRASHES_TO_BLOCK = 3
+# Of these, crashes under other requests than blocked ones, before a part is blocked.
+OTHER_CRASHES_TO_BLOCK = 2
 BLOCK_S = 600.0
-# A part that was blocked before is blocked again at its first crash within this time.
+# A trait that was blocked before is blocked again at its first crash within this time.
 PROBATION_S = 600.0
-EVIDENCE_S = 600.0
-# A part that was sound this shortly before a crash, or after it, has not caused it.
-SOUND_WINDOW_S = 5.0
-MAX_CRASHES = 256
-MAX_PARTS = 1024
-
-Incarnation = tuple[str, int]
-Prompt = tuple[str, ...]
 
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Crash:
-    at: float
-    prompts: set[Prompt] = field(default_factory=set)
-
-    def parts(self) -> set[str]:
-        return {part for prompt in self.prompts for part in prompt}
-
-
-@dataclass(slots=True)
-class _Part:
-    calls: int = 0
-    sound_at: float = -math.inf
+class Quarantine:
+    """Block the calls that share a trait which crashes upstreams.
 
-
-class PromptQuarantine:
-    """Block the calls whose prompts share a part that crashes upstreams.
-
-    All calls that a crash may be due to are suspect with each part of their prompts. A
-    part is cleared by calls that upstreams answer without a crash, so that after
-    several crashes only the part that causes them is left.
+    All calls that a crash may be due to are suspect with each of their traits: the
+    parts of their prompts, and the requests themselves, which may come again. A trait
+    is cleared by calls that upstreams run without a crash, so that after several
+    crashes only the one that causes them is left.
 
     Attributes
     ----------
     blocked : dict of str to float
-        Ends of the blocks by part, in seconds on the monotonic clock.
+        Ends of the blocks by trait, in seconds on the monotonic clock.
     """
 
-    __slots__ = ("_crashes", "_parts", "_probation", "blocked")
+    __slots__ = ("_decided", "_evidence", "_probation", "blocked")
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
-        self._parts: OrderedDict[str, _Part] = OrderedDict()
+        # Whether the crashes so far have been accounted for.
+        self._decided = True
+        self._evidence = CrashEvidence()
         self._probation: dict[str, float] = {}
         self.blocked: dict[str, float] = {}
 
-    def remaining_s(self, prompt: Sequence[str], now: float) -> float:
-        """Return for how long calls with a prompt are blocked.
+    def remaining_s(self, traits: Sequence[str], now: float) -> float:
+        """Return for how long a call is blocked.
 
         Parameters
         ----------
-        prompt : sequence of str
-            Shared parts of the prompt.
+        traits : sequence of str
+            Its traits.
         now : float
             Seconds on the monotonic clock.
 
         Returns
         -------
         float
-            Seconds; 0 if they are not blocked.
+            Seconds; 0 if it is not blocked.
         """
-        ends = (self.blocked.get(part, now) for part in prompt)
+        ends = (self.blocked.get(trait, now) for trait in traits)
         return max(0.0, max(ends, default=now) - now)
 
-    def record_call(self, prompt: Iterable[str]) -> None:
-        """Count a new call with a prompt."""
-        for part in prompt:
-            self._part(part).calls += 1
+    def record_call(self, traits: Iterable[str]) -> None:
+        """Count a new call."""
+        self._evidence.record_call(traits)
 
-    def record_sound(self, prompt: Iterable[str], now: float) -> None:
-        """Record that an upstream has answered a prompt without a crash.
+    def record_sound(self, traits: Iterable[str], now: float) -> None:
+        """Record that an upstream has run a call without a crash.
 
         Parameters
         ----------
-        prompt : iterable of str
-            Shared parts of the prompt.
+        traits : iterable of str
+            Traits of the call.
         now : float
             Time of the answer, in seconds on the monotonic clock.
         """
-        for part in prompt:
-            known = self._part(part)
-            known.sound_at = max(known.sound_at, now)
-            blocked_at = self.blocked.get(part, math.inf) - BLOCK_S
+        for trait in traits:
+            self._evidence.record_sound(trait, now)
+            if trait not in self.blocked:
+                continue
+            blocked_at = self.blocked[trait] - BLOCK_S
             if now > blocked_at - SOUND_WINDOW_S:
-                del self.blocked[part]
-                _log.info("prompt part unblocked", part=part)
+                self._unblock(trait)
 
     def record_crash(
-        self, incarnation: Incarnation, prompts: Iterable[Sequence[str]], at: float
+        self, crash_id: CrashId, calls: Iterable[Sequence[str]], at: float
     ) -> list[str]:
-        """Record a crash and block the parts that have caused enough of them.
+        """Record a crash and block the traits that have caused enough of them.
 
         Parameters
         ----------
-        incarnation : tuple of (str, int)
-            Name and start time of the upstream.
-        prompts : iterable of sequence of str
-            Prompts whose answers the crash may be due to.
+        crash_id : CrashId
+            The crash.
+        calls : iterable of sequence of str
+            Traits of the calls that the crash may be due to.
         at : float
             Time of the crash, in seconds on the monotonic clock.
 
         Returns
         -------
         list of str
-            Parts that are blocked from now on.
+            Traits that are blocked from now on.
         """
-        crash = self._crashes.setdefault(incarnation, _Crash(at))
-        crash.prompts.update(tuple(prompt) for prompt in prompts)
-        while len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
-        return self._block_causes(at)
+        known = not self._evidence.record_crash(crash_id, calls, at)
+        if known and self._decided:
+            return []
+        before = set(self.blocked)
+        suspects = self._evidence.suspects()
+        while (trait := self._find_cause(suspects)) is not None:
+            self._block(trait, at, crashes=len(suspects[trait]))
+        for trait in [t for t in self.blocked if self._is_explained(t, suspects)]:
+            self._unblock(trait)
+            self._probation.pop(trait, None)
+        self._decided = True
+        return [trait for trait in self.blocked if trait not in before]
 
     def cleared(self) -> dict[str, float]:
-        """Return when the parts that have been cleared of a crash were last sound.
+        """Return when the traits that have been cleared of a crash were last sound.
 
         Returns
         -------
         dict of str to float
-            Seconds on the monotonic clock by part.
+            Seconds on the monotonic clock by trait.
         """
+        evidence = self._evidence
         return {
-            part: self._sound_at(part)
-            for crash in self._crashes.values()
-            for part in crash.parts()
-            if self._is_cleared(part, crash)
+            trait: evidence.sound_at(trait)
+            for crash in evidence.crashes.values()
+            for trait in crash.traits
+            if evidence.is_cleared(trait, crash)
         }
 
-    def adopt(self, part: str, at: float, now: float) -> bool:
-        """Block a part that other entries have blocked, unless it was sound here.
+    def adopt(self, trait: str, at: float, now: float) -> bool:
+        """Block a trait that other entries have blocked, unless it was sound here.
 
         Parameters
         ----------
-        part : str
-            The part.
+        trait : str
+            The trait.
         at : float
             Time at which it was blocked, in seconds on the monotonic clock.
         now : float
@@ -158,11 +150,13 @@
         bool
             Whether it is blocked from now on.
         """
-        if part in self.blocked or at + BLOCK_S <= now:
+        if trait in self.blocked or at + BLOCK_S <= now:
             return False
-        if self._sound_at(part) > at - SOUND_WINDOW_S:
+        if self._evidence.sound_at(trait) > at - SOUND_WINDOW_S:
             return False
-        self._block(part, at, crashes=0)
+        if self._is_explained(trait, self._evidence.suspects()):
+            return False
+        self._block(trait, at, crashes=0)
         return True
 
     def expire(self, now: float) -> None:
@@ -173,59 +167,76 @@
         now : float
             Seconds on the monotonic clock.
         """
-        for part in [part for part, until in self.blocked.items() if until <= now]:
-            del self.blocked[part]
-            _log.info("prompt part unblocked", part=part)
-        for part in [part for part, until in self._probation.items() if until <= now]:
-            del self._probation[part]
-        old = [key for key, c in self._crashes.items() if c.at + EVIDENCE_S <= now]
-        for incarnation in old:
-            del self._crashes[incarnation]
-
-    def _block_causes(self, now: float) -> list[str]:
-        blocked = []
-        while suspects := self._suspects():
-            # The rarest suspect explains the crashes with the fewest calls blocked.
-            # Prompts share less from part to part.
-            part = min(suspects, key=lambda p: (self._calls(p), -self._depth(p), p))
-            self._block(part, now, crashes=suspects[part])
-            blocked.append(part)
-        return blocked
-
-    def _suspects(self) -> dict[str, int]:
-        """Return the parts with enough crashes that no blocked part explains."""
-        counts: Counter[str] = Counter()
-        for crash in self._crashes.values():
-            parts = crash.parts()
-            if parts.isdisjoint(self.blocked):
-                counts.update(p for p in parts if not self._is_cleared(p, crash))
-        return {
-            part: count
-            for part, count in counts.items()
-            if count >= (1 if part in self._probation else CRASHES_TO_BLOCK)
-        }
-
-    def _block(self, part: str, at: float, *, crashes: int) -> None:
-        self.blocked[part] = at + BLOCK_S
-        self._probation[part] = at + BLOCK_S + PROBATION_S
-        _log.warning("prompt part blocked", part=part, crashes=crashes)
-
-    def _depth(self, part: str) -> int:
-        prompts = (p for crash in self._crashes.values() for p in crash.prompts)
-        return max((p.index(part) for p in prompts if part in p), default=0)
-
-    def _is_cleared(self, part: str, crash: _Crash) -> bool:
-        return self._sound_at(part) > crash.at - SOUND_WINDOW_S
-
-    def _calls(self, part: str) -> int:
-        return self._parts[part].calls if part in self._parts else 0
-
-    def _sound_at(self, part: str) -> float:
-        return self._parts[part].sound_at if part in self._parts else -math.inf
-
-    def _part(self, part: str) -> _Part:
-        known = self._parts.setdefault(part, _Part())
-        self._parts.move_to_end(part)
-        if len(self._parts) > MAX_PARTS:
-            self._parts.popitem(last=False)
-        return known
+        for trait in [t for t, until in self.blocked.items() if until <= now]:
+            self._unblock(trait)
+        for trait in [t for t, until in self._probation.items() if until <= now]:
+            del self._probation[trait]
+        self._evidence.expire(now)
+
+    def _find_cause(self, suspects: Mapping[str, set[CrashId]]) -> str | None:
+        """Return the trait to block next, or None if all crashes are accounted for."""
+        evidence = self._evidence
+        requests, parts = self._find_candidates(suspects)
+        request = max(
+            requests,
+            key=lambda r: (len(suspects[r]), evidence.call_count(r), r),
+            default=None,
+        )
+        # The rarest part explains the crashes with the fewest calls blocked. Prompts
+        # share less from part to part.
+        part = min(
+            parts,
+            key=lambda p: (evidence.call_count(p), -evidence.depth(p), p),
+            default=None,
+        )
+        if request is None or part is None:
+            return request or part
+        # A request that was in all crashes of the part explains them as well.
+        covers = suspects[part] <= suspects[request]
+        rarer = evidence.call_count(request) <= evidence.call_count(part)
+        return request if covers and rarer else part
+
+    def _find_candidates(
+        self, suspects: Mapping[str, set[CrashId]]
+    ) -> tuple[list[str], list[str]]:
+        """Return the requests and the parts that have caused enough crashes.
+
+        At least one of the crashes must have no blocked trait. For a request, all
+        others count too: after a request has been blocked for the crashes of another
+        one, the other one is known at its next crash. For a part, those of blocked
+        requests count, which may share it with others.
+        """
+        unexplained = self._evidence.crashes_without(self.blocked)
+        blocked_parts = {trait for trait in self.blocked if not is_request(trait)}
+        outside_parts = self._evidence.crashes_without(blocked_parts)
+        requests, parts = [], []
+        for trait, crashes in suspects.items():
+            others = len(crashes & unexplained)
+            needed = 1 if trait in self._probation else CRASHES_TO_BLOCK
+            if is_request(trait):
+                if others and len(crashes) >= needed:
+                    requests.append(trait)
+            elif (
+                others >= min(needed, OTHER_CRASHES_TO_BLOCK)
+                and len(crashes & outside_parts) >= needed
+            ):
+                parts.append(trait)
+        return requests, parts
+
+    def _is_explained(self, trait: str, suspects: Mapping[str, set[CrashId]]) -> bool:
+        """Return whether a request was only near the crashes of a blocked trait."""
+        crashes = suspects.get(trait)
+        if not crashes or not is_request(trait):
+            return False
+        others = (suspects.get(t, set()) for t in self.blocked if t != trait)
+        return any(crashes < other for other in others)
+
+    def _block(self, trait: str, at: float, *, crashes: int) -> None:
+        self.blocked[trait] = at + BLOCK_S
+        self._probation[trait] = at + BLOCK_S + PROBATION_S
+        _log.warning("trait blocked", trait=trait, crashes=crashes)
+
+    def _unblock(self, trait: str) -> None:
+        del self.blocked[trait]
+        self._decided = False
+        _log.info("trait unblocked", trait=trait)
