Forget limits that nobody names any more, and limit streams where all upstreams take none

An entry that was cut off while a limit ended, and has no part of that upstream, was never told: it would not have used the upstream again. The limit on an entry's streams divided by the number of usable upstreams, which is 0 if all take nothing.

--- a/tests/gateway/test_limit_sharing.py
+++ b/tests/gateway/test_limit_sharing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from toucanspool.backing.table import Row
-from toucanspool.gateway.limit_sharing import MAX_REPORTED_LIMITS, LimitSharing
+from toucanspool.gateway.limit_sharing import LAPSE_S, MAX_REPORTED_LIMITS, LimitSharing
 from toucanspool.membership.entries import ENTRY_PREFIX, Entries, EntryRecord
 from toucanspool.routing.upstream import Listing, Upstream
 from toucanspool.routing.upstreams import UpstreamList
@@ -110,3 +110,13 @@
     entry.sharing.update(time.monotonic())
     entry.name_limit(3.0)
     assert entry.upstream().limit.own_per_s == pytest.approx(1.0)
+
+
+def test_a_limit_that_nobody_has_named_for_long_is_forgotten():
+    entry = Entry("e1")
+    entry.name_limit(0.0)
+    now = time.monotonic()
+    entry.sharing.update(now + LAPSE_S - 1.0)
+    assert entry.upstream().limit.limited
+    entry.sharing.update(now + LAPSE_S + 1.0)
+    assert entry.upstream().wait_s(now + LAPSE_S + 1.0) == 0.0
--- a/tests/limits/test_adaptive_limit.py
+++ b/tests/limits/test_adaptive_limit.py
@@ -89,3 +89,21 @@
     alone = limit.adapt(ENGINE, UPSTREAMS, 1, 0, 1.0)
     assert alone == ENGINE.slots * UPSTREAMS
     assert limit.adapt(ENGINE, UPSTREAMS, ENTRIES, 0, 1.1) == alone / ENTRIES
+
+
+def test_an_upstream_that_takes_few_requests_counts_for_the_streams_they_keep_running():
+    group = Group(1.0)
+    group.run(10.0)
+    response_s = group.limit.mean_pause_s * ENGINE.mean_answer_tokens / 4
+    per_upstream = group.limit.limit * ENTRIES / UPSTREAMS
+    full = per_upstream / response_s
+    assert group.limit.usable_fraction(ENGINE, full / 2) == pytest.approx(0.5, rel=0.05)
+    assert group.limit.usable_fraction(ENGINE, 2 * full) == 1.0
+    assert group.limit.usable_fraction(ENGINE, 0.0) == 0.0
+
+
+def test_a_group_whose_upstreams_take_nothing_keeps_the_least_limit():
+    group = Group(1.0)
+    group.run(10.0)
+    limit = group.limit.adapt(ENGINE, UPSTREAMS, ENTRIES, 5.0, group.now, usable=0.0)
+    assert limit == 1.0
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -195,7 +195,9 @@
                 for upstream in wanting
             )
             others = self._entries.peer_streams(name, now)
-            stream_limit.adapt(engine, usable, entries, others, now)
+            stream_limit.adapt(
+                engine, len(wanting), entries, others, now, usable=usable
+            )
             if others:
                 usual_load = sum(others) / len(others) * (entries - 1) / len(wanting)
                 self.upstreams.set_usual_load(name, usual_load)
--- a/toucanspool/gateway/limit_sharing.py
+++ b/toucanspool/gateway/limit_sharing.py
@@ -15,6 +15,9 @@
 # Other entries are told of limits that have been named, or have ended, this recently.
 MAX_AGE_S = 30.0
 MAX_REPORTED_LIMITS = 64
+# Limits are named again at least each ten seconds while there are calls. One that is
+# older has ended without this entry being told, as when it was cut off.
+LAPSE_S = 60.0
 
 _log = structlog.get_logger()
 
@@ -60,11 +63,14 @@
         equal_part = 1.0 / max(1, len(self._entries.live))
         limited_services = set()
         for upstream in self._upstreams:
-            if upstream.limit.limited:
+            limit = upstream.limit
+            if limit.limited and now - limit.named_at > LAPSE_S:
+                upstream.forget_limit(now)
+            if limit.limited:
                 limited_services.add(upstream.listing.service)
             else:
                 # Holds from the first answer that names a limit to the next update.
-                upstream.limit.set_part(equal_part, now)
+                limit.set_part(equal_part, now)
         for service in limited_services:
             self._divide(service, now)
 
--- a/toucanspool/limits/adaptive_limit.py
+++ b/toucanspool/limits/adaptive_limit.py
@@ -110,10 +110,12 @@
     def adapt(
         self,
         engine: EngineModel,
-        upstreams: float,
+        upstreams: int,
         entries: int,
         running: float,
         now: float,
+        *,
+        usable: float | None = None,
     ) -> float:
         """Update the limit from the pauses since the last call, and return it.
 
@@ -121,24 +123,26 @@
         ----------
         engine : EngineModel
             Model of the upstreams' engines.
-        upstreams : float
-            Number of upstreams that accept requests; those that accept few count as
-            fractions.
+        upstreams : int
+            Number of upstreams that accept requests.
         entries : int
             Number of entries that share the upstreams.
         running : float
             Mean number of running streams per entry.
         now : float
             Seconds on the monotonic clock.
+        usable : float, optional
+            The same number with fractions for upstreams that accept few requests.
 
         Returns
         -------
         float
         """
+        usable = upstreams if usable is None else usable
         entries = max(1, entries)
         self._update_averages(running * entries / upstreams, now)
         self._per_upstream = self._max_per_upstream(engine)
-        self.limit = max(MIN_STREAMS, self._per_upstream * upstreams / entries)
+        self.limit = max(MIN_STREAMS, self._per_upstream * usable / entries)
         return self.limit
 
     def _update_averages(self, requests: float, now: float) -> None:
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -62,16 +62,18 @@
     def adapt(
         self,
         engine: EngineModel,
-        upstreams: float,
+        upstreams: int,
         entries: int,
         others: Sequence[float],
         now: float,
+        *,
+        usable: float | None = None,
     ) -> None:
         """Adapt the limit to the load since the last call.
 
         Parameters
         ----------
-        engine, upstreams, entries, now
+        engine, upstreams, entries, now, usable
             As for `AdaptiveLimit.adapt`.
         others : sequence of float
             Mean numbers of running streams that other entries report.
@@ -79,7 +81,7 @@
         self._spare_capacity.observe(self.running, now)
         mean_running = self._spare_capacity.mean_per_entry(others)
         equal_limit = self.adaptive_limit.adapt(
-            engine, upstreams, entries, mean_running, now
+            engine, upstreams, entries, mean_running, now, usable=usable
         )
         self.gate.admission.resize(self._spare_capacity.limit(equal_limit, others), now)
 
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -137,6 +137,22 @@
             )
         self.limit.name(per_s, named_at, now)
 
+    def forget_limit(self, now: float) -> None:
+        """Drop a limit that has not been named for long.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        _log.info(
+            "upstream limit forgotten",
+            upstream=self.name,
+            before=_log_value(self.limit.per_s),
+            age_s=round(now - self.limit.named_at, 3),
+        )
+        self.limit.name(math.inf, self.limit.named_at, now)
+
     def wait_s(self, now: float) -> float:
         """Return the time until it wants a request from this entry.
 
