Let requests crash upstreams of the soak, and check that they stop reaching them

An upstream that breaks a resumed stream off which has no event left no longer fails itself, and the configuration of the soak has a module of its own.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -142,6 +142,11 @@
         upstream.return_after_crash(system.store.pages, number)
 
 
+def _send_deadly_request(system: "SoakSystem") -> None:
+    prefix = system.rng.choice(("/book/", "/read/", "/stream/"))
+    system.deadly_requests.send(prefix, system.rng.uniform(6.0, 12.0))
+
+
 def _replace_upstream(system: "SoakSystem") -> None:
     upstream = system.rng.choice(system.upstreams)
     if upstream.crashed:
@@ -175,6 +180,7 @@
     "store silent": _silence_store,
     "store loses answers": _lose_store_answers,
     "store forgets": _truncate_store_history,
+    "deadly request": _send_deadly_request,
     "upstream crashes": _crash_upstream,
     "upstream fails": _fail_upstream,
     "upstream limited": _limit_upstream,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -197,6 +197,11 @@
         detail = f"{upstream} takes {limit:.1f} a second and got {requests} in a window"
         self._report("limits are kept", "", detail)
 
+    def record_deadly(self, call: str, crashes: int) -> None:
+        """Record that a request reached an upstream that it crashes, once too often."""
+        detail = f"sent although {crashes} upstreams had crashed under it"
+        self._report("deadly requests are refused", call, detail)
+
     def record_mixed_maps(self, detail: str) -> None:
         """Record a pass that started on two maps."""
         self._report("one map in each pass", "", detail)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -17,6 +17,7 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.platform import configuration, frontend, listings
+from toucanspool.retries.quarantine import Quarantine
 from toucanspool.routing.request_limit import RequestLimit
 from toucanspool.routing.routes import CallKind, Route, RouteTable
 from toucanspool.settings.settings import RowStore
@@ -135,6 +136,12 @@
     RequestLimit.limited = property(lambda self: False)
 
 
+def _ignore_crashes() -> None:
+    """Block no calls, whatever crashes under them."""
+    Quarantine.record_crash = lambda self, crash_id, calls, at: []
+    Quarantine.adopt = lambda self, trait, at, now: False
+
+
 def _patch_routes(change: Callable[[Route], Route]) -> None:
     route = configuration._decode_route
     configuration._decode_route = lambda data: change(route(data))
@@ -147,6 +154,7 @@
     "no piece missing or twice": _restart_streams,
     "a cut stream does not look complete": _trust_closed_connections,
     "replies are bounded": _read_without_limit,
+    "deadly requests are refused": _ignore_crashes,
     "limits are kept": _ignore_limits,
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
--- a/soak/system.py
+++ b/soak/system.py
@@ -13,8 +13,10 @@
 from gevent.pool import Group
 
 from demo.launcher import PortAllocator
-from soak.callers import HOST, KEY, ROUTE_TIMEOUT_S, SoakCaller
-from soak.config_watch import ConfigWatch, version_prefix
+from soak.callers import SoakCaller
+from soak.config_watch import ConfigWatch
+from soak.configuration import EXPERTS, LAYER_SETS, PLACES, build_configuration
+from soak.deadly_requests import DeadlyRequests
 from soak.faults import FAULTS
 from soak.limit_watch import LimitWatch
 from soak.oracle import Oracle
@@ -28,7 +30,6 @@
 GATEWAYS, RANKS, UPSTREAMS = 3, 3, 4
 CALLERS_PER_GATEWAY = 2
 START_S = 3.0
-LAYER_SETS, EXPERTS, PLACES = 2, 12, 6
 TICK_S = 0.02
 STALL_CHECK_S = 0.05
 # A busy event loop is late by a few hundredths of a second. A longer delay means that
@@ -38,27 +39,6 @@
 # Between series of faults there are calm spells, in which connected processes must have
 # caught up.
 CALM_S = 5.0
-ROUTE_TYPES = {
-    "/book/": "non_idempotent",
-    "/read/": "idempotent",
-    "/stream/": "streaming",
-}
-ENGINE = {
-    "slots": 8,
-    "stride": 4,
-    "step_ms": 5.0,
-    "per_seq_ms": 1.0,
-    "read_per_s": 60000.0,
-    "chunk": 512,
-    "usual": {"prompt": 100, "answer": 32},
-    "sets": LAYER_SETS,
-    "experts": EXPERTS,
-    "placements": PLACES,
-    "spare": 4,
-    "expertMb": 10.0,
-    "expertShare": 0.8,
-    "linkMbps": 8000.0,
-}
 
 
 class SoakSystem:
@@ -119,9 +99,20 @@
             row.counts = np.ones((LAYER_SETS, EXPERTS), dtype=int)
         self.upstreams = []
         limit_watch = LimitWatch(self.oracle, self._find_gateway)
+        rng = random.Random(self.rng.random())
+        self.deadly_requests = DeadlyRequests(
+            self.oracle, self._addresses, self._find_gateway, rng
+        )
         for number in range(UPSTREAMS):
             rng = random.Random(self.rng.random())
-            upstream = SoakUpstream(f"u{number}", self.oracle, limit_watch, rng)
+            upstream = SoakUpstream(
+                f"u{number}",
+                self.oracle,
+                limit_watch,
+                self.deadly_requests,
+                self._crash_upstream,
+                rng,
+            )
             self._cleanup.enter_context(upstream.server)
             upstream.list(self.store.pages)
             self.upstreams.append(upstream)
@@ -178,27 +169,7 @@
         """Write a configuration of a newer version to the store."""
         self._version += self.rng.randrange(1, 4)
         versions = [*self._config_watch.versions, self._version]
-        route_types = ROUTE_TYPES | {version_prefix(v): "idempotent" for v in versions}
-        routes = [
-            {
-                "name": prefix,
-                "hostname": HOST,
-                "prefix": prefix,
-                "routeType": route_type,
-                "timeoutMs": int(ROUTE_TIMEOUT_S.get(prefix, 1.0) * 1000),
-                "objectiveMs": 500,
-                "service": "desk",
-                "maxAttempts": 1 if prefix == "/book/" else 2,
-                "resumable": True,
-                "gapTargetMs": 120,
-            }
-            for prefix, route_type in route_types.items()
-        ]
-        services = [{"name": "desk"}, {"name": "ranks", "engine": ENGINE}]
-        tenants = [{"name": "clerks", "apiKeys": [KEY]}]
-        config = {"version": self._version, "routes": routes}
-        config |= {"services": services, "tenants": tenants}
-        self._config = orjson.dumps(config)
+        self._config = build_configuration(self._version, versions)
         self.store.pages.put("op", "config", self._config)
         self._config_watch.record_write(self._version)
 
@@ -210,6 +181,19 @@
         for name, value in self._rank_rows.items():
             self.store.pages.put("servers", name, value)
 
+    def _crash_upstream(self, upstream: SoakUpstream, body: bytes) -> None:
+        self._fault_tasks.spawn(self._crash_and_return, upstream, body)
+
+    def _crash_and_return(self, upstream: SoakUpstream, body: bytes) -> None:
+        gevent.sleep(self.rng.uniform(0.0, 0.1))
+        if upstream.crashed:
+            return
+        self.deadly_requests.record_crash(body)
+        upstream.crash()
+        gevent.sleep(self.rng.uniform(0.5, 2.0))
+        number = self.next_upstream_number()
+        upstream.return_after_crash(self.store.pages, number)
+
     def _find_gateway(self, call: str) -> Process | None:
         port = self.oracle.call_ports.get(call)
         return next((g for g in self.gateways if g.callers == port), None)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -3,11 +3,13 @@
 import random
 import struct
 import time
+from collections.abc import Callable
 
 import gevent
 import orjson
 from gevent import socket
 
+from soak.deadly_requests import DeadlyRequests
 from soak.limit_watch import LimitWatch
 from soak.oracle import MAX_READ_BYTES, STREAM_EVENTS, Oracle
 from standins.raw_upstream import RawUpstream, ReceivedRequest, reply
@@ -15,6 +17,7 @@
 from toucanspool.platform import headers as names
 
 EVENT_GAP_S = 0.04
+HANG_S = 3.0
 # Share of replies without length or chunks, which end with their connection.
 UNFRAMED_SHARE = 0.3
 FAULTS = ("full", "early", "late", "cut", "garbage", "hang", "endless")
@@ -33,6 +36,10 @@
         Told of each call that runs.
     limit_watch : LimitWatch
         Told of each request.
+    deadly_requests : DeadlyRequests
+        Tells which requests crash the upstream.
+    on_deadly : callable
+        Called with the upstream and the body of a request that crashes it.
     rng : random.Random
         Random source of failures and delays.
 
@@ -50,7 +57,13 @@
     """
 
     def __init__(
-        self, name: str, oracle: Oracle, limit_watch: LimitWatch, rng: random.Random
+        self,
+        name: str,
+        oracle: Oracle,
+        limit_watch: LimitWatch,
+        deadly_requests: DeadlyRequests,
+        on_deadly: Callable[["SoakUpstream", bytes], None],
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.fail_share = 0.0
@@ -59,6 +72,8 @@
         self.limit: float | None = None
         self._oracle = oracle
         self._limit_watch = limit_watch
+        self._deadly_requests = deadly_requests
+        self._on_deadly = on_deadly
         self._rng = rng
         self.server = RawUpstream(self._serve)
 
@@ -102,6 +117,11 @@
             return
         call = request.header(names.ATTEMPT_ID)
         self._limit_watch.record_request(self.name, call, self.limit)
+        if self._deadly_requests.is_deadly(request.body):
+            self._deadly_requests.record_arrival(call, request.body)
+            self._on_deadly(self, request.body)
+            gevent.sleep(HANG_S)
+            return
         limit = f"{names.SERVER_LIMIT}: {self.limit}" if self.limit is not None else ""
         fault = self._rng.random() < self.fail_share
         kind = self._rng.choice(FAULTS)
@@ -121,7 +141,7 @@
             sock.sendall(b"\x00 no answer \r\n\r\n")
             return
         if fault and kind == "hang":
-            gevent.sleep(3.0)
+            gevent.sleep(HANG_S)
         if fault and kind == "endless":
             self._send_without_end(sock, call)
             return
@@ -166,7 +186,9 @@
         head += "Transfer-Encoding: chunked\r\n\r\n" if framed else "\r\n"
         sock.sendall(head.encode())
         first = int(request.header("last-event-id") or 0) + 1
-        last = self._rng.randrange(first, STREAM_EVENTS + 1) if cut else STREAM_EVENTS
+        last = STREAM_EVENTS
+        if cut and first <= last:
+            last = self._rng.randrange(first, last + 1)
         for number in range(first, last + 1):
             gevent.sleep(EVENT_GAP_S)
             event = f"id: {number}\ndata: {call} piece {number}\n\n".encode()
