Share limits by load only among entries that all know each other's loads

From ten entries on, an entry was probed every second or third second, and its load counted as known for two. Entries would have changed between equal parts and parts by load at different times, with a sum beyond the limit.

--- a/tests/routing/test_limit_parts.py
+++ b/tests/routing/test_limit_parts.py
@@ -3,6 +3,7 @@
 import pytest
 
 from toucanspool.routing.limit_parts import (
+    MAX_WEIGHTED_ENTRIES,
     MIN_UPSTREAMS,
     MIN_WEIGHT_FRACTION,
     divide_limits,
@@ -59,3 +60,8 @@
 @pytest.mark.parametrize("loads", [{"a": 9.0, "b": None}, {"a": 0.0, "b": 0.0}])
 def test_entries_weigh_the_same_where_a_load_is_unknown_or_all_are_idle(loads):
     assert weigh_entries(loads) == {"a": 1.0, "b": 1.0}
+
+
+def test_many_entries_weigh_the_same():
+    loads = {f"e{number}": float(number) for number in range(MAX_WEIGHTED_ENTRIES + 1)}
+    assert set(weigh_entries(loads).values()) == {1.0}
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -16,6 +16,9 @@
 # Load changes within seconds. With many entries, most of the reports are older than
 # this, and the newer ones are a sample of all.
 MAX_REPORT_AGE_S = 2.0
+# Loads are averages over seconds. Up to `MAX_WEIGHTED_ENTRIES`, each entry is probed
+# more often than this.
+MAX_LOAD_AGE_S = 6.0
 
 _log = structlog.get_logger()
 
@@ -193,7 +196,7 @@
         loads: dict[str, float | None] = {}
         for entry in self.live:
             reported_at, report = self._peer_loads.get(entry.name, (-math.inf, {}))
-            recent = now - reported_at <= MAX_REPORT_AGE_S
+            recent = now - reported_at <= MAX_LOAD_AGE_S
             loads[entry.name] = report.get(service, 0.0) if recent else None
         loads[self._own.name] = own_load
         return loads
--- a/toucanspool/routing/limit_parts.py
+++ b/toucanspool/routing/limit_parts.py
@@ -7,13 +7,16 @@
 MIN_UPSTREAMS = 3.0
 # An entry counts with this fraction of the mean load at least, for its next calls.
 MIN_WEIGHT_FRACTION = 0.1
+# More entries than this don't all know each other's loads at the same time.
+MAX_WEIGHTED_ENTRIES = 24
 
 
 def weigh_entries(loads: Mapping[str, float | None]) -> dict[str, float]:
     """Return the weights by which entries share limits.
 
-    Entries weigh as much as the load that they carry. All weigh the same where the
-    load of one is not known: each would else work out another division.
+    Entries weigh as much as the load that they carry. All weigh the same where there
+    are many, or the load of one is not known: each would else work out another
+    division.
 
     Parameters
     ----------
@@ -26,7 +29,7 @@
     """
     known = [load for load in loads.values() if load is not None]
     mean = sum(known) / len(loads)
-    if len(known) < len(loads) or not mean:
+    if len(known) < len(loads) or len(loads) > MAX_WEIGHTED_ENTRIES or not mean:
         return dict.fromkeys(loads, 1.0)
     least = MIN_WEIGHT_FRACTION * mean
     return {name: max(load or 0.0, least) for name, load in loads.items()}
