Count entries that are not listed when request limits are shared

Gateways that have just started read of each other up to two seconds late, and later if the store falls silent meanwhile; each took itself for alone, with the whole limit.

A probe now names its sender, and a report tells how many entries its sender knows. An entry that knows fewer than another one takes a smaller part. The soak's check counted gateways as told that had been told of an earlier limit of the same upstream; it starts anew with each limit, and tells the requests by gateway.

--- a/soak/limit_watch.py
+++ b/soak/limit_watch.py
@@ -1,7 +1,7 @@
 """Check, from outside, that upstreams get no more requests than they take."""
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 from soak.oracle import Oracle
@@ -33,7 +33,7 @@
         self._oracle = oracle
         self._find_gateway = find_gateway
         self._named_at: dict[str, float] = {}
-        self._told_at: dict[tuple[str, str, int], float] = {}
+        self._told_at: dict[str, dict[tuple[str, int], float]] = {}
         self._arrivals: dict[str, list[tuple[float, Process]]] = defaultdict(list)
 
     def record_request(self, upstream: str, call: str, limit: float | None) -> None:
@@ -51,12 +51,12 @@
         if limit is None:
             self._named_at.pop(upstream, None)
             self._arrivals.pop(upstream, None)
+            self._told_at.pop(upstream, None)
             return
         if gateway is None:
             return
-        told_at = self._told_at.setdefault(
-            (upstream, gateway.name, gateway.starts), now
-        )
+        incarnation = gateway.name, gateway.starts
+        told_at = self._told_at.setdefault(upstream, {}).setdefault(incarnation, now)
         named_at = self._named_at.setdefault(upstream, now)
         if now - max(told_at, named_at) < TOLD_S:
             return
@@ -65,7 +65,9 @@
         while arrivals[0][0] < now - WINDOW_S:
             arrivals.pop(0)
         # A gateway that was disturbed is excused.
-        counted = sum(g.undisturbed_s() > WINDOW_S + CONTACT_S for _, g in arrivals)
+        counts = Counter(
+            g.name for _, g in arrivals if g.undisturbed_s() > WINDOW_S + CONTACT_S
+        )
         allowed = LIMIT_FACTOR * limit * WINDOW_S + EXTRA_REQUESTS
-        if now > named_at + CONTACT_S and counted > allowed:
-            self._oracle.record_excess(upstream, limit, counted)
+        if now > named_at + CONTACT_S and counts.total() > allowed:
+            self._oracle.record_excess(upstream, limit, counts)
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -5,6 +5,7 @@
 
 import time
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 STREAM_EVENTS = 8
@@ -192,9 +193,21 @@
         detail = f"{gateway} without version {version}, written {late_s:.1f} s before"
         self._report(guarantee, "", detail)
 
-    def record_excess(self, upstream: str, limit: float, requests: int) -> None:
-        """Record that an upstream got more requests than it takes."""
-        detail = f"{upstream} takes {limit:.1f} a second and got {requests} in a window"
+    def record_excess(
+        self, upstream: str, limit: float, requests: Mapping[str, int]
+    ) -> None:
+        """Record that an upstream got more requests than it takes.
+
+        Parameters
+        ----------
+        upstream : str
+            The upstream.
+        limit : float
+            Requests a second that it takes.
+        requests : mapping of str to int
+            Requests in one window by gateway.
+        """
+        detail = f"{upstream} takes {limit:.1f} a second, got {dict(requests)}"
         self._report("limits are kept", "", detail)
 
     def record_deadly(self, call: str, crashes: int) -> None:
--- a/tests/gateway/test_limit_sharing.py
+++ b/tests/gateway/test_limit_sharing.py
@@ -120,3 +120,26 @@
     assert entry.upstream().limit.limited
     entry.sharing.update(now + LAPSE_S + 1.0)
     assert entry.upstream().wait_s(now + LAPSE_S + 1.0) == 0.0
+
+
+def test_entries_that_probe_this_one_have_parts_before_they_are_listed():
+    entry = Entry("e1")
+    now = time.monotonic()
+    entry.entries.replace([])
+    entry.sharing.update(now)
+    entry.name_limit(3.0)
+    assert entry.upstream().limit.own_per_s == pytest.approx(3.0)
+    entry.entries.reports.record_prober("e2", now)
+    entry.sharing.update(now)
+    assert entry.upstream().limit.own_per_s == pytest.approx(1.5)
+
+
+def test_entries_that_only_others_know_have_parts():
+    entry = Entry("e1")
+    now = time.monotonic()
+    entry.name_limit(3.0)
+    entry.entries.record_probe("e2", ready=True, now=now, count=6)
+    entry.sharing.update(now)
+    assert entry.upstream().limit.own_per_s == pytest.approx(0.5)
+    entry.sharing.update(now + 10.0)
+    assert entry.upstream().limit.own_per_s == pytest.approx(1.0)
--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -1,18 +1,22 @@
 """Pages for readiness, the directory and metrics."""
 
 import orjson
+import pytest
 
 from toucanspool.platform import pages
 
+PROBERS: list[str] = []
 
-def get(page: pages.Page, path: str = "/") -> tuple[str, bytes]:
+
+def get(page: pages.Page, path: str = "/", query: str = "") -> tuple[str, bytes]:
     statuses: list[str] = []
-    body = page({"PATH_INFO": path}, lambda status, headers: statuses.append(status))
+    environ = {"PATH_INFO": path, "QUERY_STRING": query}
+    body = page(environ, lambda status, headers: statuses.append(status))
     return statuses[0], b"".join(body)
 
 
 def readiness(ready: bool) -> pages.Page:
-    return pages.readiness_page(lambda: ready, lambda: {"s": 2.5})
+    return pages.readiness_page(lambda: ready, lambda: {"s": 2.5}, PROBERS.append)
 
 
 def test_readiness():
@@ -26,6 +30,15 @@
     assert get(readiness(False), pages.PEERS_PATH)[0] == pages.UNAVAILABLE
 
 
+@pytest.mark.parametrize("ready", [True, False])
+def test_a_probe_tells_who_sent_it(ready):
+    PROBERS.clear()
+    get(readiness(ready), pages.PEERS_PATH, "from=e%202")
+    get(readiness(ready), "/", "from=e3")
+    get(readiness(ready), pages.PEERS_PATH, "other=e4")
+    assert PROBERS == ["e 2"]
+
+
 def test_the_directory_lists_addresses_and_their_ttl():
     page = pages.directory_page(lambda: ["10.0.0.1:80"], lambda: 2.0)
     status, body = get(page, "/resolve")
--- a/tests/processes/test_limited_upstreams.py
+++ b/tests/processes/test_limited_upstreams.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
+from pathlib import Path
 
 import gevent
 import orjson
@@ -20,13 +21,16 @@
 
 GATEWAYS, UPSTREAMS = 4, 3
 LIMIT = 1.0
-# The platform allows this in any window, beyond which a limit counts as broken.
 WINDOW_S = 4.0
-ALLOWED = 1.5 * LIMIT * WINDOW_S + 5
 CALL_GAP_S = 0.05
 RUN_S = 14.0
 
 
+def allowed(limit: float) -> float:
+    """Return the requests that are allowed in any window."""
+    return 1.5 * limit * WINDOW_S + 5
+
+
 class LimitedSystem:
     """Run gateways before upstreams that name limits, and callers.
 
@@ -61,14 +65,20 @@
 
         return script
 
-    def call(self, seconds: float, gateways: list[GatewayProcess]) -> float:
+    def call(
+        self,
+        seconds: float,
+        gateways: list[GatewayProcess],
+        *,
+        gap_s: float = CALL_GAP_S,
+    ) -> float:
         """Call random gateways for a time; return the answers a second."""
         until = time.monotonic() + seconds
         before = self.statuses.count(200)
         while time.monotonic() < until:
             gateway = self._rng.choice(gateways)
             self._calls.spawn(self._call, gateway)
-            gevent.sleep(CALL_GAP_S)
+            gevent.sleep(gap_s)
         return (self.statuses.count(200) - before) / seconds
 
     def most_in_window(self) -> int:
@@ -95,7 +105,10 @@
 
 
 @contextmanager
-def running_system(folder) -> Iterator[LimitedSystem]:
+def running_system(
+    folder: Path, *, silent_store: bool = False
+) -> Iterator[LimitedSystem]:
+    """Run the system; its store may fall silent when all gateways are ready."""
     with ExitStack() as closing:
         system = LimitedSystem(closing.enter_context(RowStore()))
         for number in range(UPSTREAMS):
@@ -120,20 +133,21 @@
             system.gateways.append(process)
         for process in system.gateways:
             process.wait_until_ready()
+        system.store.pages.silent = silent_store
         yield system
 
 
 def test_all_gateways_together_keep_to_a_limit_and_use_it(system):
     system.call(CONTACT_S + 1.0, system.gateways)
     answers_per_s = system.call(RUN_S, system.gateways)
-    assert system.most_in_window() <= ALLOWED
+    assert system.most_in_window() <= allowed(LIMIT)
     assert answers_per_s >= 0.8 * UPSTREAMS * LIMIT
 
 
 def test_a_gateway_that_has_most_of_the_calls_uses_most_of_a_limit(system):
     system.call(CONTACT_S + 1.0, system.gateways)
     answers_per_s = system.call(RUN_S, system.gateways[:1])
-    assert system.most_in_window() <= ALLOWED
+    assert system.most_in_window() <= allowed(LIMIT)
     assert answers_per_s >= 0.7 * UPSTREAMS * LIMIT
 
 
@@ -142,7 +156,16 @@
     restarts = gevent.spawn(restart_gateways, system)
     system.call(RUN_S, system.gateways)
     restarts.join()
-    assert system.most_in_window() <= ALLOWED
+    assert system.most_in_window() <= allowed(LIMIT)
+
+
+def test_gateways_that_have_not_read_of_each_other_do_not_each_take_a_whole_limit(
+    tmp_path,
+):
+    with running_system(tmp_path, silent_store=True) as system:
+        system.limit = "5"
+        system.call(3 * CONTACT_S, system.gateways, gap_s=0.02)
+        assert system.most_in_window() <= allowed(5.0)
 
 
 def test_a_limit_that_has_ended_ends_at_all_gateways(system):
--- a/toucanspool/gateway/limit_sharing.py
+++ b/toucanspool/gateway/limit_sharing.py
@@ -60,7 +60,9 @@
             Seconds on the monotonic clock.
         """
         self._update_loads(now)
-        equal_part = 1.0 / max(1, len(self._entries.live))
+        # Entries that are not known here have parts as well.
+        known = self._entries.known_fraction(now)
+        equal_part = known / self._entries.count(now)
         limited_services = set()
         for upstream in self._upstreams:
             limit = upstream.limit
@@ -72,7 +74,7 @@
                 # Holds from the first answer that names a limit to the next update.
                 limit.set_part(equal_part, now)
         for service in limited_services:
-            self._divide(service, now)
+            self._divide(service, known, now)
 
     def loads(self) -> dict[str, float]:
         """Return the recent calls a second by service, for the other entries."""
@@ -145,13 +147,13 @@
             load = self._loads.get(service, 0.0)
             self._loads[service] = load + weight * (per_s - load)
 
-    def _divide(self, service: str, now: float) -> None:
+    def _divide(self, service: str, known: float, now: float) -> None:
         own_load = self._loads.get(service, 0.0)
         weights = weigh_entries(self._entries.loads(service, own_load, now))
         upstreams = self._upstreams.ready(service)
         parts = divide_limits(weights, self._entries.own_name, len(upstreams))
         for upstream, part in zip(upstreams, parts, strict=True):
-            upstream.limit.set_part(part, now)
+            upstream.limit.set_part(known * part, now)
 
 
 def _decode_limit(limit: Any) -> float:
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -1,6 +1,5 @@
 """The entries that callers may use, listed in the table and probed by each other."""
 
-import math
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -10,15 +9,10 @@
 
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
+from toucanspool.membership.peer_reports import PeerReports
 
 ENTRY_PREFIX = "entry/"
 MISSED_PROBE_THRESHOLD = 2
-# Load changes within seconds. With many entries, most of the reports are older than
-# this, and the newer ones are a sample of all.
-MAX_REPORT_AGE_S = 2.0
-# Loads are averages over seconds. Up to `MAX_WEIGHTED_ENTRIES`, each entry is probed
-# more often than this.
-MAX_LOAD_AGE_S = 6.0
 
 _log = structlog.get_logger()
 
@@ -72,26 +66,31 @@
     ----------
     own : EntryRecord
         Record of this entry.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether this entry is stopping.
+    reports : PeerReports
+        What the other entries report.
     """
 
     __slots__ = (
-        "_peer_loads",
-        "_peer_streams",
         "_probe_queue",
         "_listed",
         "_missed_probes",
         "_own",
         "leaving",
+        "reports",
     )
 
     def __init__(self, own: EntryRecord) -> None:
         self._own = own
         self._listed: dict[str, EntryRecord] = {own.name: own}
         self._missed_probes: dict[str, int] = {}
-        self._peer_loads: dict[str, tuple[float, Mapping[str, float]]] = {}
-        self._peer_streams: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._probe_queue: list[str] = []
         self.leaving = False
+        self.reports = PeerReports()
 
     @property
     def live(self) -> list[EntryRecord]:
@@ -167,12 +166,8 @@
         list of float
             Average number of streams, for each peer that reported it.
         """
-        streams = []
-        for entry in self.live:
-            reported_at, report = self._peer_streams.get(entry.name, (0.0, {}))
-            if service in report and now - reported_at <= MAX_REPORT_AGE_S:
-                streams.append(report[service])
-        return streams
+        names = [entry.name for entry in self.live]
+        return self.reports.streams(service, names, now)
 
     def loads(
         self, service: str, own_load: float, now: float
@@ -193,14 +188,23 @@
         dict of str to float or None
             None for entries without a recent report.
         """
-        loads: dict[str, float | None] = {}
-        for entry in self.live:
-            reported_at, report = self._peer_loads.get(entry.name, (-math.inf, {}))
-            recent = now - reported_at <= MAX_LOAD_AGE_S
-            loads[entry.name] = report.get(service, 0.0) if recent else None
+        names = self._live_names(now)
+        loads = {name: self.reports.load(service, name, now) for name in names}
         loads[self._own.name] = own_load
         return loads
 
+    def known_fraction(self, now: float) -> float:
+        """Return the fraction of the live entries that this entry knows.
+
+        It knows few right after its start, and as long as it can't read the list.
+        """
+        known = self.count(now)
+        return known / max(known, self.reports.highest_count(now))
+
+    def count(self, now: float) -> int:
+        """Return the number of live entries, with those that send probes."""
+        return len(self._live_names(now))
+
     def replace(self, rows: Iterable[Row]) -> None:
         """Replace the listed entries.
 
@@ -238,8 +242,7 @@
             Key of the deleted row.
         """
         name = key.removeprefix(ENTRY_PREFIX)
-        self._peer_streams.pop(name, None)
-        self._peer_loads.pop(name, None)
+        self.reports.drop(name)
         if name != self._own.name and self._listed.pop(name, None) is not None:
             _log.info("entry left", entry=name)
 
@@ -251,6 +254,7 @@
         now: float,
         streams: Mapping[str, float] | None = None,
         loads: Mapping[str, float] | None = None,
+        count: int = 0,
         lost: Iterable[str] = (),
     ) -> None:
         """Record the result of a probe.
@@ -267,12 +271,12 @@
             Average number of streams that the entry reported, by service.
         loads : mapping of str to float, optional
             Calls a second that the entry reported, by service.
+        count : int, default=0
+            Number of live entries that the entry reported.
         lost : iterable of str, optional
             Names of entries that the probed entry lost; this entry probes them next.
         """
-        self._peer_streams[name] = now, streams or {}
-        if loads is not None:
-            self._peer_loads[name] = now, loads
+        self.reports.record(name, now, streams=streams, loads=loads, count=count)
         for other in lost:
             known = other in self._listed and other != self._own.name
             if known and not self._missed_probes.get(other):
@@ -285,5 +289,9 @@
         elif self._missed_probes[name] == MISSED_PROBE_THRESHOLD:
             _log.warning("entry lost", entry=name, missed_probes=MISSED_PROBE_THRESHOLD)
 
+    def _live_names(self, now: float) -> set[str]:
+        names = {entry.name for entry in self.live} | self.reports.probers(now)
+        return names | {self._own.name}
+
     def _missed_by(self, entry: EntryRecord) -> int:
         return self._missed_probes.get(entry.name, 0)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -134,7 +134,11 @@
             cfg.callers.host, cfg.callers.port, frontend, limits=RequestLimits()
         )
         self._start_server(self._server)
-        readiness = pages.readiness_page(lambda: self.ready, self._peer_status)
+        readiness = pages.readiness_page(
+            lambda: self.ready,
+            self._peer_status,
+            lambda name: self._entries.reports.record_prober(name, time.monotonic()),
+        )
         self._serve_page(cfg.readiness, readiness)
         addresses = pages.directory_page(
             self._ready_addresses, lambda: self._cfg.gateway.address_ttl_s
@@ -201,6 +205,7 @@
             "carried": self._core.mean_streams(),
             "loads": sharing.loads(),
             "limits": sharing.report(),
+            "count": self._entries.count(time.monotonic()),
             "lost": self._entries.lost,
         }
 
--- a/toucanspool/platform/pages.py
+++ b/toucanspool/platform/pages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
+from urllib.parse import parse_qs
 
 import orjson
 
@@ -13,6 +14,9 @@
 MAX_ADDRESSES = 64
 # Path on which entries probe each other.
 PEERS_PATH = "/peers"
+# The entry that sends the probe.
+PROBER_PARAMETER = "from"
+MAX_NAME_CHARS = 128
 
 Headers = list[tuple[str, str]]
 StartResponse = Callable[[str, Headers], Any]
@@ -20,7 +24,9 @@
 
 
 def readiness_page(
-    ready: Callable[[], bool], peer_status: Callable[[], Mapping[str, Any]]
+    ready: Callable[[], bool],
+    peer_status: Callable[[], Mapping[str, Any]],
+    on_probe: Callable[[str], None],
 ) -> Page:
     """Return the page that tells whether this entry is ready for calls.
 
@@ -30,6 +36,8 @@
         Returns whether it is ready.
     peer_status : callable
         Returns the status for other entries, which is sent as JSON on `PEERS_PATH`.
+    on_probe : callable
+        Called with the name of an entry that asks for that status.
 
     Returns
     -------
@@ -38,6 +46,9 @@
     """
 
     def page(environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        probers = parse_qs(environ.get("QUERY_STRING", "")).get(PROBER_PARAMETER)
+        if probers and environ["PATH_INFO"] == PEERS_PATH:
+            on_probe(probers[0][:MAX_NAME_CHARS])
         if not ready():
             return _respond(start_response, UNAVAILABLE, b"")
         if environ["PATH_INFO"] != PEERS_PATH:
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -3,6 +3,7 @@
 import random
 import time
 from typing import Any
+from urllib.parse import urlencode
 
 import gevent
 import structlog
@@ -10,7 +11,7 @@
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.membership.entries import Entries, EntryRecord
-from toucanspool.platform.pages import PEERS_PATH
+from toucanspool.platform.pages import PEERS_PATH, PROBER_PARAMETER
 from toucanspool.platform.unpooled_client import UnpooledClient
 from toucanspool.retries.ejection import AttemptResult
 
@@ -53,7 +54,10 @@
     def _probe_entry(self, entry: EntryRecord) -> None:
         host, _, port = entry.probe.rpartition(":")
         asked_at = time.monotonic()
-        status, peer_status = _send_probe(host, int(port), PEERS_PATH)
+        path = PEERS_PATH
+        if not self._entries.leaving:
+            path += "?" + urlencode({PROBER_PARAMETER: self._entries.own_name})
+        status, peer_status = _send_probe(host, int(port), path)
         peer_status = peer_status if isinstance(peer_status, dict) else {}
         self._entries.record_probe(
             entry.name,
@@ -61,6 +65,7 @@
             now=time.monotonic(),
             streams=peer_status.get("carried"),
             loads=peer_status.get("loads"),
+            count=peer_status.get("count") or 0,
             lost=peer_status.get("lost") or (),
         )
         limits = peer_status.get("limits") or ()
