--- a/tests/soak/test_deadly_watch.py
+++ b/tests/soak/test_deadly_watch.py
@@ -12,29 +12,13 @@
     DeadlyRequests,
 )
 from soak.oracle import Oracle
+from tests.soak.doubles import Clock, Gateway
 
 BODY = b"deadly 0"
 
 
-class Gateway:
-    """Stand for a gateway that was left alone for a time."""
-
-    def __init__(self, undisturbed_s: float = 100.0) -> None:
-        self._undisturbed_s = undisturbed_s
-
-    def undisturbed_s(self) -> float:
-        """Return for how long it was left alone."""
-        return self._undisturbed_s
-
-
 @pytest.fixture
 def clock(monkeypatch):
-    class Clock:
-        now = 1e6
-
-        def monotonic(self) -> float:
-            return self.now
-
     clock = Clock()
     monkeypatch.setattr(deadly_requests, "time", clock)
     monkeypatch.setattr("soak.oracle.time", clock)
--- a/tests/soak/test_limit_watch.py
+++ b/tests/soak/test_limit_watch.py
@@ -5,31 +5,14 @@
 from soak import limit_watch
 from soak.limit_watch import CONTACT_S, EXTRA_REQUESTS, LIMIT_FACTOR, WINDOW_S
 from soak.oracle import Oracle
+from tests.soak.doubles import Clock, Gateway
 
 LIMIT = 2.0
 ALLOWED = int(LIMIT_FACTOR * LIMIT * WINDOW_S + EXTRA_REQUESTS)
 
 
-class Gateway:
-    """Stand for a gateway that was left alone for a time."""
-
-    def __init__(self, undisturbed_s: float = 100.0) -> None:
-        self.name, self.starts = "g", 1
-        self._undisturbed_s = undisturbed_s
-
-    def undisturbed_s(self) -> float:
-        """Return for how long it was left alone."""
-        return self._undisturbed_s
-
-
 @pytest.fixture
 def clock(monkeypatch):
-    class Clock:
-        now = 100.0
-
-        def monotonic(self) -> float:
-            return self.now
-
     clock = Clock()
     monkeypatch.setattr(limit_watch, "time", clock)
     return clock
