Test a late order to hold behind a pass that is released

The coordinator's requests keep the other ranks from standing for election, so the group would stay held.

The new test lets a second hold take effect right after the first release: it times out.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -257,6 +257,25 @@
     assert len({row.map for row in group.rows}) == 1
 
 
+def test_a_late_hold_behind_a_released_pass_is_released_too():
+    group = PassGroup(3, random.Random(7))
+    engines = make_engines(group)
+    group.execute(1, "hold", (2,))
+    execute = group.execute
+
+    def execute_and_hold_again(rank: int, name: str, args: tuple) -> None:
+        execute(rank, name, args)
+        if name == "go" and args == (2,):
+            # Another order to hold arrives only now.
+            execute(rank, "hold", (3,))
+
+    group.execute = execute_and_hold_again  # type: ignore[method-assign]
+    with ticking(group):
+        resolve(group, engines, 1)
+        wait_for_pass(group)
+    assert not group.held
+
+
 @pytest.mark.parametrize("at", range(0, 40, 1))
 def test_a_coordinator_that_dies_at_any_ask_leaves_nothing_that_another_cannot_mend(at):
     group = PassGroup(3, random.Random(at))
