Search further for violations of the configuration, and let late commits arrive in an outage

Change: 1200 examples instead of 120, for the oracle's proof and for the configuration itself, which is as strict as ten times more runs. The further examples showed a fault of the scripted table: a late commit that was due during an outage raised in the test instead of taking effect. It does now, as it would at a store that had read the request.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -58,6 +58,9 @@
     def commit(self, checks: Sequence[Check], writes: Sequence[Write]) -> int:
         """Apply all writes atomically if all checks hold."""
         self._check_available()
+        return self._execute(checks, writes)
+
+    def _execute(self, checks: Sequence[Check], writes: Sequence[Write]) -> int:
         failed = [c.key for c in checks if self._version(c.key) != c.version]
         if failed:
             raise TableConflict(failed)
--- a/tests/config/scripted.py
+++ b/tests/config/scripted.py
@@ -123,13 +123,14 @@
         if fault in ("late", "dropped"):
             raise TableUncertain("the answer of a commit was lost")
         self.flush()
+        self._check_available()
         version = self._commit(checks, writes)
         if fault == "lost":
             raise TableUncertain("the answer of a commit was lost")
         return version
 
     def flush(self):
-        """Apply late commits whose checks still hold."""
+        """Apply late commits whose checks still hold, also during an outage."""
         late, self.late = self.late, []
         for checks, writes in late:
             if all(self._version(c.key) == c.version for c in checks):
@@ -138,7 +139,7 @@
     def _commit(self, checks, writes):
         before = self.commits
         try:
-            return super().commit(checks, writes)
+            return super()._execute(checks, writes)
         finally:
             if self.commits > before:
                 self.oracle.record_commit(writes)
--- a/tests/config/test_config_machine.py
+++ b/tests/config/test_config_machine.py
@@ -46,7 +46,7 @@
 SETTINGS = settings(
     derandomize=True,
     deadline=None,
-    max_examples=120,
+    max_examples=1200,
     stateful_step_count=50,
     suppress_health_check=list(HealthCheck),
     report_multiple_bugs=False,
