Let a call wait for its agent's first configuration

An agent asks for the configuration whoever connects with a newer revision, and refused the call that came along with it.

Change: a call that finds its agent without any configuration waits for it, at most 0.5 s and not past its deadline, and is then checked against it (the state by selectors as well). An agent that nobody gives a configuration still refuses as before. Looked for the same elsewhere: gateways refuse before their first configuration with a Retry-After of 0.2 s and aren't ready before; rank agents refuse orders, not calls, until they know the last election, and coordinators repeat those.

--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -30,6 +30,9 @@
 
 UPSTREAM_READ_TIMEOUT_S = 120.0
 SHUTDOWN_DELAY_S = 0.5
+# Longest wait of a call for the agent's first configuration.
+CONFIG_WAIT_S = 0.5
+MS_PER_S = 1000
 
 _log = structlog.get_logger()
 
@@ -145,10 +148,11 @@
         """Raise if a call must not be sent to the upstream; see `Gate`."""
         if request.upstream != self._cfg.agent.upstream:
             raise _not_run(Refusal.WRONG_UPSTREAM, "This is another upstream.")
+        # Whoever sent the call has the configuration and has been asked for it.
+        if not self._config.wait(min(CONFIG_WAIT_S, request.deadline_ms / MS_PER_S)):
+            raise _not_run(Refusal.NO_CONFIG, "The agent has no configuration yet.")
         if self._stopping:
             raise _not_run(Refusal.DRAINING, "The upstream's instance is stopping.")
-        if not self._config.ready:
-            raise _not_run(Refusal.NO_CONFIG, "The agent has no configuration yet.")
         if self._state == DRAIN:
             raise _not_run(Refusal.DRAINING, "The upstream drains by a selector.")
         if len(self._calls) > self._cfg.agent.max_running:
--- a/toucanspool/config/service.py
+++ b/toucanspool/config/service.py
@@ -7,6 +7,7 @@
 
 import gevent
 import structlog
+from gevent.event import Event
 
 from toucanspool.backing.table import TableError
 from toucanspool.config.failures import ChangesPruned
@@ -62,6 +63,7 @@
         "_peer_contact_at",
         "_interval_s",
         "_listeners",
+        "_loaded",
         "_updated_by_peers",
         "store",
     )
@@ -71,6 +73,7 @@
         self._updated_by_peers = updated_by_peers
         self._peer_contact_at = -PEER_TIMEOUT_S
         self._listeners: list[Callable[[], None]] = []
+        self._loaded = Event()
         self._closing = ExitStack()
 
     @property
@@ -104,6 +107,21 @@
         """
         self._listeners.append(listener)
 
+    def wait(self, timeout_s: float) -> bool:
+        """Wait until a configuration is loaded.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether one is loaded.
+        """
+        return self._loaded.wait(timeout_s)
+
     def start(self, kernel: Kernel) -> None:
         """Load the configuration and start polling the table; see `Service`."""
         platform = kernel.find("platform")
@@ -208,6 +226,7 @@
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
+        self._loaded.set()
 
 
 def _convert_items(
