Check elections and held passes in the soak, and kill the coordinator around a restore

Change: the soak reads elections from the rows that processes write, and looks at each tick whether a pass stays held in undisturbed times. A new fault kills the coordinator, alone and before and after the store loses its last seconds.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,16 @@
 
 
 def _kill(system: "SoakSystem") -> None:
-    process = system.random_process()
+    _restart(system.random_process())
+
+
+def _kill_coordinator(system: "SoakSystem") -> None:
+    coordinator = system.find_coordinator()
+    if coordinator is not None:
+        _restart(coordinator)
+
+
+def _restart(process: Process) -> None:
     process.signal(signal.SIGKILL)
     process.wait(1.0)
     process.start()
@@ -97,6 +106,9 @@
     pages = system.store.pages
     with _store_disturbed(system):
         copied_at = pages.version
+        # An election that the store is going to lose.
+        if system.rng.random() < 0.5:
+            _kill_coordinator(system)
         gevent.sleep(system.rng.uniform(0.5, 3.0))
         _change_configuration(system)
         pages.silent = True
@@ -104,6 +116,8 @@
         if copied_at <= pages.version:
             pages.lapse(copied_at)
         pages.silent = False
+        if system.rng.random() < 0.5:
+            _kill_coordinator(system)
         gevent.sleep(system.rng.uniform(0.0, 2.0))
         # The operator and the upstreams write what they had written.
         system.rewrite_store()
@@ -171,6 +185,7 @@
 
 FAULTS: dict[str, Callable[["SoakSystem"], None]] = {
     "kill": _kill,
+    "kill the coordinator": _kill_coordinator,
     "term": _terminate,
     "pause": _pause,
     "hang up": _reload_settings,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -219,5 +219,13 @@
         """Record a pass that started on two maps."""
         self._report("one map in each pass", "", detail)
 
+    def record_held(self, step: int, held_s: float) -> None:
+        """Record that a pass stays held though its coordinators are connected."""
+        self._report("a held group goes on", "", f"pass {step} held {held_s:.1f} s")
+
+    def record_token(self, token: int, holder: str) -> None:
+        """Record that an election gave a token that an earlier one had given."""
+        self._report("no token twice", "", f"{holder} elected with token {token}")
+
     def _report(self, guarantee: str, call: str, detail: str) -> None:
         self.violations.append(Violation(guarantee, call, detail))
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -15,8 +15,10 @@
 from toucanspool.gateway.attempt import Attempt
 from toucanspool.gateway.call import RefusalCause
 from toucanspool.gateway.core import GatewayCore
+from toucanspool.groups import rank_member
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.platform import configuration, frontend, listings
+from toucanspool.recovery import election
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.routing.request_limit import RequestLimit
 from toucanspool.routing.routes import CallKind, Route, RouteTable
@@ -131,6 +133,20 @@
     ArmedSwitch._hold = next_pass
 
 
+def _keep_passes_held() -> None:
+    """Release no pass that is held."""
+    ArmedSwitch._release = lambda self, step, rank: None
+
+
+def _repeat_tokens() -> None:
+    """Count tokens on from the store's last election, whatever it has lost."""
+    elect = election.elect
+    election.TOKENS_PER_ERA = 0
+    rank_member.elect = lambda table, duty, holder, *, above: elect(
+        table, duty, holder, above=0
+    )
+
+
 def _ignore_limits() -> None:
     """Send upstreams requests whatever they name."""
     RequestLimit.limited = property(lambda self: False)
@@ -159,6 +175,8 @@
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
     "one map in each pass": _arm_without_hold,
+    "a held group goes on": _keep_passes_held,
+    "no token twice": _repeat_tokens,
     "configuration in time": _wait_long_for_changes,
     "a configuration never goes back": _take_any_version,
 }
--- a/soak/system.py
+++ b/soak/system.py
@@ -18,6 +18,7 @@
 from soak.configuration import EXPERTS, LAYER_SETS, PLACES, build_configuration
 from soak.deadly_requests import DeadlyRequests
 from soak.faults import FAULTS
+from soak.group_watch import GroupWatch
 from soak.limit_watch import LimitWatch
 from soak.oracle import Oracle
 from soak.process import GRACE_S, Process
@@ -124,6 +125,8 @@
             self._gateway(number, folder) for number in range(self._gateway_count)
         ]
         self.agents = [self._agent(rank, folder) for rank in range(self._rank_count)]
+        self._group_watch = GroupWatch(self.group, self.agents, self.oracle)
+        self.store.pages.on_commit = self._group_watch.record_commit
         for process in self.gateways + self.agents:
             self._cleanup.callback(process.wait, 0.1)
             self._cleanup.callback(process.signal, signal.SIGKILL)
@@ -252,6 +255,7 @@
                 row.counts = row.counts + 5
                 row.counts[:, hot] += 300
             self.group.tick(busy=self.rng.random() < 0.9)
+            self._group_watch.check_held()
             gevent.sleep(TICK_S)
 
     def _record_stalls(self) -> None:
@@ -278,6 +282,11 @@
         for process in self.gateways + self.agents:
             process.proxy.mode = LinkMode.GOOD
 
+    def find_coordinator(self) -> Process | None:
+        """Return the rank agent that was elected last, or None before any election."""
+        name = self._group_watch.coordinator
+        return next((agent for agent in self.agents if agent.name == name), None)
+
     def random_process(self) -> Process:
         """Return a random gateway or rank agent."""
         return self.rng.choice(self.gateways + self.agents)
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -41,6 +41,8 @@
         Era that every response names; 0 for none.
     answers_late : bool
         Whether calls that a silence met are answered once it has ended.
+    on_commit : callable or None
+        Called with the key and value of each row that a process writes.
     """
 
     def __init__(self) -> None:
@@ -50,6 +52,7 @@
         self.calls: list[str] = []
         self.era = 0
         self.answers_late = False
+        self.on_commit: Callable[[str, bytes], None] | None = None
         self._silences = 0
         self._silent = False
         self._version = 0
@@ -141,7 +144,10 @@
                 return 412, {"rows": []}
         self._version += 1
         for put in body["puts"]:
-            self._set(put["table"], put["key"], base64.b64decode(put["value"]))
+            value = base64.b64decode(put["value"])
+            self._set(put["table"], put["key"], value)
+            if self.on_commit is not None:
+                self.on_commit(put["key"], value)
         for removal in body["remove"]:
             self._set(removal["table"], removal["key"], None)
         return 200, {"ver": self._version}
