Wait for passes, not for time, in the tests of armed switches

A stall of 50 ms right after the switch shows it each time: one tick since the switch ended, all ranks armed for the next pass (40 of 40 runs failed; none without the stall).

Change: the tests of the file wait for the passes that a switch takes instead of 30 and 50 ms; what they check is as it was.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -11,7 +11,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from toucanspool.groups import armed_switch, map_preparation
-from toucanspool.groups.armed_switch import ArmedSwitch, SwitchEnd
+from toucanspool.groups.armed_switch import PASSES_AHEAD, ArmedSwitch, SwitchEnd
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.group_client import (
@@ -127,10 +127,11 @@
     return not held and not armed
 
 
-def wait_for_pass(group: PassGroup) -> None:
-    step = group.step
+def wait_for_passes(group: PassGroup, count: int = PASSES_AHEAD + 1) -> None:
+    """Wait for passes; by default until one that is armed now has begun."""
+    last = group.step + count
     with gevent.Timeout(2):
-        while group.step <= step:
+        while group.step < last:
             gevent.sleep(TICK_S)
 
 
@@ -147,7 +148,7 @@
             make_switch(make_engines(group)).run(NEW, INITIAL, COPY_TIMEOUT_S)
             is SwitchEnd.DONE
         )
-        gevent.sleep(0.05)
+        wait_for_passes(group)
     assert {row.map for row in group.rows} == {(1, NEW_MAP.tobytes())}
 
 
@@ -158,14 +159,14 @@
     with ticking(group):
         switch = make_switch(engines)
         assert switch.run(NEW, INITIAL, COPY_TIMEOUT_S) is SwitchEnd.DONE
-        gevent.sleep(0.05)
+        wait_for_passes(group)
         second = VersionedMap(2, NEW_MAP[:, ::-1])
         engine = engines[1]
         answer = engine.answer
         engines[1] = Recorder(answer, requests)  # type: ignore[call-overload]
         switch = make_switch(engines)
         assert switch.run(second, NEW, COPY_TIMEOUT_S) is SwitchEnd.DONE
-        gevent.sleep(0.05)
+        wait_for_passes(group)
     prepare = [r for r in requests if r.action == RankAction.PREPARE]
     assert prepare
     assert all(request.changes and not request.experts for request in prepare)
@@ -209,7 +210,7 @@
             make_switch(engines).run(NEW, INITIAL, COPY_TIMEOUT_S)
             is SwitchEnd.NOT_ARMED
         )
-        wait_for_pass(group)
+        wait_for_passes(group)
     assert {row.map[0] for row in group.rows} == {0}
     assert all(row.armed is None for row in group.rows)
 
@@ -253,7 +254,7 @@
         gevent.sleep(0.01)
         other = VersionedMap(second.next_version(answers), NEW_MAP[:, ::-1])
         second.run(other, INITIAL, COPY_TIMEOUT_S)
-        gevent.sleep(0.05)
+        wait_for_passes(group)
     assert len({row.map for row in group.rows}) == 1
 
 
@@ -272,7 +273,7 @@
     group.execute = execute_and_hold_again  # type: ignore[method-assign]
     with ticking(group):
         resolve(group, engines, 1)
-        wait_for_pass(group)
+        wait_for_passes(group)
     assert not group.held
 
 
@@ -290,9 +291,9 @@
         task.join(timeout=2)
         task.kill()
         resolve(group, engines, 2)
-        wait_for_pass(group)
+        wait_for_passes(group)
         end = make_switch(engines, 2).run(LATER, INITIAL, COPY_TIMEOUT_S)
-        gevent.sleep(0.03)
+        wait_for_passes(group)
     assert end is SwitchEnd.DONE
     assert {row.map[0] for row in group.rows} == {5 << 20}
 
@@ -327,4 +328,4 @@
         group.delayed_share = group.lost_share = 0.0
         gevent.sleep(0.1)
         resolve(group, engines, token + 1)
-        wait_for_pass(group)
+        wait_for_passes(group)
