--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -8,6 +8,7 @@
 
 from standins.memory import MemoryObjects, MemoryTable
 from standins.raw_upstream import RawUpstream, answering
+from tests.agent.messages import make_open
 from toucanspool.agent.agent import Agent
 from toucanspool.config.match import Match
 from toucanspool.config.records import Selector, Upstream, encode
@@ -18,7 +19,6 @@
     Changes,
     Frame,
     Hello,
-    Open,
     Outcome,
     Refusal,
 )
@@ -65,7 +65,7 @@
     def call(self) -> None:
         """Announce revision 1 and open a call, in one go."""
         self._agent.received(self, Frame(hello=Hello(instance="e", revision=1)))
-        self._agent.received(self, Frame(open=make_open()))
+        self._agent.received(self, Frame(open=make_open(guarded=False)))
 
     def wait(self) -> Frame:
         """Return the last frame of the call."""
@@ -80,27 +80,6 @@
         self._agent.received(self, Frame(changes=changes))
 
 
-def make_open() -> Open:
-    """Return the message that opens a call."""
-    return Open(
-        call=1,
-        request_id="r",
-        attempt=1,
-        team="clerks",
-        upstream="desk-1",
-        method="GET",
-        path="/fares",
-        headers={},
-        body=b"",
-        deadline_ms=5000,
-        idempotency_key="",
-        guarded=False,
-        priority=0,
-        revision=1,
-        window=8,
-    )
-
-
 @contextmanager
 def running_agent(upstream: RawUpstream) -> Iterator[Agent]:
     """Yield an agent whose table holds no configuration."""
--- a/tests/agent/test_call.py
+++ b/tests/agent/test_call.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins.memory import MemoryObjects, MemoryTable
+from tests.agent.messages import make_open
 from toucanspool.agent.call import Call
 from toucanspool.agent.gate import CallFailed
 from toucanspool.agent.upstream_client import UpstreamBroken, UpstreamUnreachable
@@ -112,29 +113,6 @@
     committer.close(timeout_s=1.0)
 
 
-def make_open(
-    *, key: str = "k1", guarded: bool = True, deadline_ms: int = 5000
-) -> Open:
-    """Return the message with which an entry opens a booking call."""
-    return Open(
-        call=1,
-        request_id="r",
-        attempt=1,
-        team="clerks",
-        upstream="desk-1",
-        method="POST",
-        path="/bookings",
-        headers={},
-        body=b"{}",
-        deadline_ms=deadline_ms,
-        idempotency_key=key,
-        guarded=guarded,
-        priority=0,
-        revision=1,
-        window=8,
-    )
-
-
 def end_of(frames: list[Frame]):
     """Return the end message, which must come once and last."""
     assert frames[-1].end is not None
