--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -95,6 +95,29 @@
         waits = [u.wait_s(now) for u in ready if u.name not in tried]
         return min(waits, default=math.inf)
 
+    def evacuated(self, service: str) -> bool:
+        """Return whether all upstreams of a service that don't leave are evacuated.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        bool
+            False if the service has no such upstream.
+        """
+        staying = [
+            upstream
+            for upstream in self._upstreams
+            if upstream.listing.service == service and not upstream.leaving
+        ]
+        evacuations = self._upstreams.evacuations
+        return bool(staying) and all(
+            upstream.listing.failure_domain in evacuations for upstream in staying
+        )
+
     def reserve_s(self, service: str, now: float) -> float:
         """Return when an upstream wants a request that is refused now.
 
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from toucanspool.routing.evacuation import Evacuations
 from toucanspool.routing.upstream import Listing, Upstream
 
 # Upstreams that a list misses right after an outage of its store are kept for this
@@ -26,6 +27,13 @@
     from an older copy. So entries that are missing right after an outage are kept for
     a grace period, and an upstream that has left returns only once it is listed again
     after that.
+
+    Attributes
+    ----------
+    evacuations : Evacuations
+        Failure domains whose upstreams get no new calls.
+    version : int
+        Version of the list.
     """
 
     __slots__ = (
@@ -36,6 +44,7 @@
         "_slowdowns",
         "_stale",
         "_usual_loads",
+        "evacuations",
         "version",
     )
 
@@ -47,6 +56,7 @@
         self._missing: set[str] = set()
         self._departed: dict[tuple[str, int], tuple[float, Upstream]] = {}
         self._stale: dict[str, tuple[float, Listing]] = {}
+        self.evacuations = Evacuations(self.take_back)
         self.version = 0
 
     def __len__(self) -> int:
@@ -162,6 +172,7 @@
         -------
         bool
         """
+        self.evacuations.expire(now)
         missing = sorted(self._missing) if now >= self._grace_until else []
         for name in missing:
             self._remove(name, self.version, now)
@@ -173,8 +184,21 @@
                 del self._departed[incarnation]
         return bool(missing or relisted)
 
+    def take_back(self, failure_domain: str, now: float) -> None:
+        """Use the upstreams of a failure domain again that was evacuated.
+
+        Parameters
+        ----------
+        failure_domain : str
+            The failure domain.
+        now : float
+            Seconds on the monotonic clock.
+        """
+
     def ready(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that are not leaving, sorted by name.
+        """Return the upstreams of a service that may get calls, sorted by name.
+
+        Those that are leaving or in evacuated failure domains are left out.
 
         Parameters
         ----------
@@ -188,7 +212,9 @@
         upstreams = [
             upstream
             for upstream in self._by_name.values()
-            if upstream.listing.service == service and not upstream.leaving
+            if upstream.listing.service == service
+            and not upstream.leaving
+            and upstream.listing.failure_domain not in self.evacuations
         ]
         upstreams.sort(key=lambda upstream: upstream.name)
         return upstreams
