Follow the operator's evacuations in the gateway role

The rows come in the table that gateways follow anyway, and are applied before routes, with which an entry becomes ready. Health probes skip evacuated upstreams, calls of a service that is evacuated as a whole are refused at once as EVACUATED, and the feed's wait keeps to evacuate_ms.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -57,12 +57,19 @@
         TCP port for callers.
     upstreams : list of RawUpstream
         Scripted upstreams, in the order in which they are chosen first.
+    metrics : CallMetrics
+        The gateway's metrics.
     """
 
     def __init__(
-        self, core: GatewayCore, port: int, upstreams: list[RawUpstream]
+        self,
+        core: GatewayCore,
+        port: int,
+        upstreams: list[RawUpstream],
+        metrics: CallMetrics,
     ) -> None:
         self.core = core
+        self.metrics = metrics
         self.port = port
         self.upstreams = upstreams
 
@@ -162,4 +169,4 @@
         )
         server.start()
         closing.callback(server.stop, timeout=0)
-        yield Gateway(core, server.server_port, raw_upstreams)
+        yield Gateway(core, server.server_port, raw_upstreams, metrics)
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -93,3 +93,13 @@
 def test_a_feed_waits_no_longer_than_lets_it_recover_in_time():
     store = RowStore(address=ADDRESS, contact_ms=3000)
     assert store.feed_wait_s + FEED_RECOVERY_S == 3.0
+
+
+@pytest.mark.parametrize(
+    ("evacuate_ms", "wait_s"), [(None, 7.0), (5000, 3.0), (1, 0.5)]
+)
+def test_a_feed_recovers_within_the_time_to_evacuate_a_failure_domain(
+    evacuate_ms, wait_s
+):
+    store = RowStore(address=ADDRESS, contact_ms=8000, evacuate_ms=evacuate_ms)
+    assert store.feed_wait_s == wait_s
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -79,6 +79,7 @@
     NO_ROUTE = "No route has this host and path."
     NO_KEY = "The key is not known."
     NO_UPSTREAM = "No upstream of the service is ready."
+    EVACUATED = "All upstreams of the service are in evacuated failure domains."
     LIMITED = "The upstreams take no more requests now."
     NO_ROOM = "There is more work than room."
     WAITED = "The call waited as long as calls may wait."
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -180,6 +180,7 @@
         self.quarantine.expire(now)
         if self.upstreams.expire(now):
             self.upstreams_changed()
+        self._metrics.evacuated_domains.set(len(self.upstreams.evacuations))
         self.limit_sharing.update(now)
         entries = len(self._entries.live)
         self._budget.entries = entries
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -17,6 +17,8 @@
 # A call waits for an upstream that wants it this soon. A rejected caller would come
 # back later than that.
 MAX_WAIT_S = 0.25
+# Evacuations last for minutes. Callers that come back sooner would only add load.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -83,6 +85,17 @@
         )
         return upstream
 
+    def check_evacuated(self, call: Call) -> None:
+        """Raise `Refused` if all upstreams of a new call's service are evacuated.
+
+        Parameters
+        ----------
+        call : Call
+            The call, which has not been sent yet.
+        """
+        if self._balancer.evacuated(call.service):
+            raise _evacuated(may_have_run=False)
+
     def wanted(self, call: Call, progress: CallProgress) -> bool:
         """Return whether an untried upstream wants a call now or soon enough.
 
@@ -133,6 +146,8 @@
         return wait_s if wait_s <= most_s else None
 
     def _refusal(self, call: Call, progress: CallProgress) -> Refused:
+        if self._balancer.evacuated(call.service):
+            return _evacuated(may_have_run=progress.runs > 0)
         retry_after_s = self.retry_after_s(call.service)
         limits = self._balancer.limits(call.service)
         fields = {"limited": len(limits), "own_per_s": round(sum(limits), 3)}
@@ -142,3 +157,11 @@
             retry_after_s=retry_after_s,
             log_fields=fields if limits else None,
         )
+
+
+def _evacuated(*, may_have_run: bool) -> Refused:
+    return Refused(
+        RefusalCause.EVACUATED,
+        may_have_run=may_have_run,
+        retry_after_s=EVACUATED_RETRY_AFTER_S,
+    )
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -33,6 +33,7 @@
     RefusalCause.NO_ROUTE: 404,
     RefusalCause.NO_KEY: 401,
     RefusalCause.NO_UPSTREAM: 503,
+    RefusalCause.EVACUATED: 503,
     RefusalCause.LIMITED: 503,
     RefusalCause.NO_ROOM: 503,
     RefusalCause.WAITED: 503,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -11,14 +11,15 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.crash_watch import Crash
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
-from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
 from toucanspool.membership.entries import ENTRY_PREFIX, Entries, EntryRecord
 from toucanspool.platform import configuration, listings, pages
+from toucanspool.platform.evacuations import EvacuationRows
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
 from toucanspool.platform.probes import Prober
+from toucanspool.platform.rank_rows import RankRows
 from toucanspool.platform.registration import Registration
 from toucanspool.platform.store import OWN_ROWS_PAUSE_S, RowStoreClient, table_of
 from toucanspool.platform.subscriptions import Subscriptions
@@ -58,9 +59,9 @@
         "_core",
         "_crash_exchange",
         "_entries",
+        "_evacuations",
         "_metrics",
         "_own_record",
-        "_ranks",
         "_registration",
         "_server",
         "_store",
@@ -79,7 +80,6 @@
         self._entries = Entries(self._own_record)
         self._metrics = CallMetrics()
         self._closing = ExitStack()
-        self._ranks: dict[str, RankRecord] = {}
         self._upstreams_known = False
 
     def start(self, kernel: Kernel) -> None:
@@ -107,10 +107,13 @@
             self._store, wait_s=store.feed_wait_s, rng=rng
         )
         self._closing.callback(self._subscriptions.stop)
+        self._evacuations = EvacuationRows(
+            self._core.upstreams.evacuations, lambda: self._store.era
+        )
         self._subscriptions.follow(
             configuration.TABLE,
-            self._set_routes,
-            self._set_routes,
+            self._replace_operator_rows,
+            self._update_operator_rows,
             pause_s=ROUTES_PAUSE_S,
         )
         self._subscriptions.follow(
@@ -120,9 +123,10 @@
             pause_s=store.list_interval_s,
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
+        ranks = RankRows(self._core.upstreams.set_slowdowns)
         for prefix, on_snapshot, on_changes in (
             (ENTRY_PREFIX, self._replace_entries, self._update_entries),
-            (RANK_PREFIX, self._replace_ranks, self._update_ranks),
+            (RANK_PREFIX, ranks.replace, ranks.update),
         ):
             self._subscriptions.follow(
                 table_of(prefix), on_snapshot, on_changes, pause_s=OWN_ROWS_PAUSE_S
@@ -215,6 +219,15 @@
             live = [entry for entry in live if entry != self._own_record]
         return [entry.address for entry in live]
 
+    def _replace_operator_rows(self, changes: Changes) -> None:
+        # Evacuations come first: with the routes, this entry becomes ready.
+        self._evacuations.replace(changes, time.monotonic())
+        self._set_routes(changes)
+
+    def _update_operator_rows(self, changes: Changes) -> None:
+        self._evacuations.update(changes, time.monotonic())
+        self._set_routes(changes)
+
     def _set_routes(self, changes: Changes) -> None:
         routes = configuration.find_routes(changes)
         if routes is not None:
@@ -252,19 +265,6 @@
             self._entries.drop(key)
         self._registration.check_deleted(changes.deleted)
 
-    def _replace_ranks(self, changes: Changes) -> None:
-        self._ranks.clear()
-        self._update_ranks(changes)
-
-    def _update_ranks(self, changes: Changes) -> None:
-        for key in changes.deleted:
-            self._ranks.pop(key, None)
-        for row in changes.rows:
-            if record := decode_rank(row):
-                self._ranks[row.key] = record
-        slowdowns = {record.upstream: record.pace for record in self._ranks.values()}
-        self._core.upstreams.set_slowdowns(slowdowns)
-
     def _log_load(self) -> None:
         ages = self._subscriptions.ages()
         for table, age_s in ages.items():
@@ -276,6 +276,7 @@
             entries=len(self._entries.live),
             upstreams=len(self._core.upstreams),
             ejected=sorted(self._core.ejector.ejected),
+            evacuated=list(self._core.upstreams.evacuations),
             store_ages_s={table: round(age_s, 1) for table, age_s in ages.items()},
         )
 
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -75,6 +75,8 @@
         upstream = self._core.upstreams.find(name)
         if upstream is None or self._core.routes is None:
             return
+        if upstream.listing.failure_domain in self._core.upstreams.evacuations:
+            return
         now = time.monotonic()
         if upstream.wait_s(now) > 0.0:
             return
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -14,6 +14,8 @@
         Streams that are admitted now, by service.
     stream_limit : Gauge
         Largest number of streams admitted at once, by service.
+    evacuated_domains : Gauge
+        Failure domains that get no new calls.
     routes_version : Gauge
         Version of the routes in force.
     store_age : Gauge
@@ -27,6 +29,7 @@
         "_first_byte_time",
         "_refusals",
         "_registry",
+        "evacuated_domains",
         "routes_version",
         "store_age",
         "stream_limit",
@@ -63,6 +66,11 @@
             ["service"],
             registry=registry,
         )
+        self.evacuated_domains = Gauge(
+            "toucanspool_evacuated_domains",
+            "Failure domains that get no new calls.",
+            registry=registry,
+        )
         self.routes_version = Gauge(
             "toucanspool_routes_version", "Routes in force.", registry=registry
         )
