--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -46,6 +46,23 @@
     assert len(caller.seen("guide-1")["requests"]) == before
 
 
+def test_one_selector_evacuates_a_whole_failure_domain(caller):
+    selector = {
+        "kind": "selector",
+        "name": "evacuated",
+        "action": "drain",
+        "order": 1,
+        "upstreams": {"has": {"failure-domain": "one"}},
+    }
+    _, answer, _ = caller.change("evacuate", selector)
+    _wait_active(caller, answer["revision"])
+    before = [len(caller.seen(name)["requests"]) for name in ("guide-1", "guide-2")]
+    _send_streams(caller)
+    after = [len(caller.seen(name)["requests"]) for name in ("guide-1", "guide-2")]
+    assert after[0] == before[0]
+    assert after[1] > before[1]
+
+
 def test_a_new_agent_learns_a_drain_from_peers_while_the_table_is_down(caller):
     _, answer, _ = caller.change("drain", DRAIN, index=0)
     _wait_active(caller, answer["revision"])
