Bind calls to the regions of their route and team

Operators could not say in which regions a route's or a team's calls may run. Routes and tenants may now have allowedRegions; the balancer passes over upstreams elsewhere, and a call without an upstream in its regions is refused at once as OUTSIDE_REGIONS. Settings have regions by zone. For a host whose routes are all bound, the address response names entries in those regions or in the caller's own; entries publish their region for that.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -10,7 +10,8 @@
 from standins.raw_upstream import RawUpstream, Script
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
 from toucanspool.routing.routes import (
--- a/tests/gateway/test_evacuated_upstreams.py
+++ b/tests/gateway/test_evacuated_upstreams.py
@@ -9,7 +9,8 @@
 from standins.raw_upstream import answering, event, streaming
 from tests.gateway.gateways import Gateway, gateway, route
 from toucanspool.gateway.call import RefusalCause
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.probes import Prober
 from toucanspool.retries.ejection import AttemptResult
 from toucanspool.routing.routes import CallKind, EngineModel, RouteTable, ServiceModel
--- a/tests/gateway/test_limit_sharing.py
+++ b/tests/gateway/test_limit_sharing.py
@@ -7,7 +7,8 @@
 
 from toucanspool.backing.table import Row
 from toucanspool.gateway.limit_sharing import LAPSE_S, MAX_REPORTED_LIMITS, LimitSharing
-from toucanspool.membership.entries import ENTRY_PREFIX, Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import ENTRY_PREFIX, EntryRecord
 from toucanspool.routing.upstream import Listing, Upstream
 from toucanspool.routing.upstreams import UpstreamList
 
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -10,7 +10,8 @@
 
 from standins.raw_upstream import Script, answering, event, reply, streaming
 from tests.gateway.gateways import Gateway, gateway, route
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.probes import Prober
 from toucanspool.routing.routes import CallKind
 
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -83,6 +83,29 @@
     assert (table.limits.max_body_bytes, table.limits.idle_timeout_s) == (100, 15.0)
 
 
+def test_regions_of_routes_and_teams():
+    tenants = [{"name": "t", "apiKeys": ["k"], "allowedRegions": ["south"]}]
+    table = decode_with(
+        routes=[{**ROUTE, "allowedRegions": ["north", "south"]}], tenants=tenants
+    )
+    assert table.routes[0].allowed_regions == {"north", "south"}
+    assert table.keys["k"].allowed_regions == {"south"}
+
+
+@pytest.mark.parametrize(
+    "absent", [{}, {"allowedRegions": []}, {"allowedRegions": None}]
+)
+def test_absent_and_empty_regions_are_no_restriction(absent):
+    assert not decode_with(routes=[{**ROUTE, **absent}]).routes[0].allowed_regions
+
+
+@pytest.mark.parametrize("regions", ["north", 7, [7], {"north": 1}, [["north"]]])
+def test_regions_that_are_no_list_of_names_are_an_error(regions):
+    # The letters of a single name must not be taken for regions.
+    with pytest.raises(BadConfiguration):
+        decode_with(routes=[{**ROUTE, "allowedRegions": regions}])
+
+
 def test_keys_are_not_required_without_tenants():
     data = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
     assert not decode_configuration(orjson.dumps(data)).keys_required
--- a/tests/platform/test_registration.py
+++ b/tests/platform/test_registration.py
@@ -4,7 +4,7 @@
 
 from standins.memory import MemoryTable
 from toucanspool.backing.table import Write
-from toucanspool.membership.entries import ENTRY_PREFIX, EntryRecord
+from toucanspool.membership.entry_record import ENTRY_PREFIX, EntryRecord
 from toucanspool.platform.registration import Registration
 
 KEY = ENTRY_PREFIX + "e1"
--- a/tests/settings/test_templates.py
+++ b/tests/settings/test_templates.py
@@ -74,8 +74,14 @@
 def test_settings_without_optional_fields_are_valid(load):
     cfg = load(FIELDS)
     assert cfg.gateway.store.evacuate_ms is None
+    assert cfg.zones is None
 
 
 def test_the_time_to_evacuate_is_taken_over(load):
     bounds = {**FIELDS["bounds"], "evacuateMs": 5000}
     assert load({**FIELDS, "bounds": bounds}).gateway.store.evacuate_ms == 5000
+
+
+def test_the_regions_of_zones_are_taken_over(load):
+    zones = {"one": "south", "two": "north"}
+    assert load({**FIELDS, "zones": zones}).zones == zones
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -46,6 +46,8 @@
         Ids of the parts of the prompt that other calls may share, in order.
     fingerprint : str
         Digest by which the same request is known again; see `fingerprint`.
+    regions : frozenset of str or None
+        Regions in which the call may run; None for any upstream.
     """
 
     id: str
@@ -65,6 +67,7 @@
     last_event_id: str = ""
     prompt: tuple[str, ...] = ()
     fingerprint: str = ""
+    regions: frozenset[str] | None = None
 
     @property
     def traits(self) -> Traits:
@@ -80,6 +83,9 @@
     NO_KEY = "The key is not known."
     NO_UPSTREAM = "No upstream of the service is ready."
     EVACUATED = "All upstreams of the service are in evacuated failure domains."
+    OUTSIDE_REGIONS = (
+        "No upstream of the service is in a region where the call may run."
+    )
     LIMITED = "The upstreams take no more requests now."
     NO_ROOM = "There is more work than room."
     WAITED = "The call waited as long as calls may wait."
@@ -106,8 +112,8 @@
         Whether an upstream may have run the call.
     retry_after_s : float, default=0.0
         Delay before a retry makes sense, in seconds; 0 for an immediate retry.
-    log_fields : mapping of str to float, optional
-        Figures behind the decision, added to the log line.
+    log_fields : mapping of str to object, optional
+        Values behind the decision, added to the log line.
     """
 
     def __init__(
@@ -116,7 +122,7 @@
         *,
         may_have_run: bool = False,
         retry_after_s: float = 0.0,
-        log_fields: Mapping[str, float] | None = None,
+        log_fields: Mapping[str, object] | None = None,
     ) -> None:
         super().__init__(cause.value)
         self.log_fields = dict(log_fields or {})
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -77,7 +77,7 @@
             raise Refused(RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S)
         self._relay.guard.check(call)
         # Calls that no upstream may take don't wait for admission.
-        self._relay.chooser.check_evacuated(call)
+        self._relay.chooser.check_excluded(call)
         self.running += 1
         closing.callback(self._finish_call)
         self._admit(call, closing)
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -22,6 +22,7 @@
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
+from toucanspool.routing.regions import Regions
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.routing.upstreams import UpstreamList
 from toucanspool.settings.settings import RetryBudget
@@ -60,6 +61,8 @@
         Routes in force; None until some are set.
     upstreams : UpstreamList
         Known upstreams.
+    regions : Regions
+        Regions of the upstreams; none is known at first.
     ejector : Ejector
         Health of the upstreams.
     quarantine : Quarantine
@@ -82,6 +85,7 @@
         "ejector",
         "limit_sharing",
         "quarantine",
+        "regions",
         "routes",
         "upstreams",
     )
@@ -106,10 +110,11 @@
         self._stream_limits: dict[str, StreamLimiter] = {}
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamList()
+        self.regions = Regions()
         self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
         self._balancer = LeastLoadBalancer(
-            self.upstreams, self.ejector, failure_domain, rng
+            self.upstreams, self.ejector, failure_domain, rng, self.regions
         )
         self._budget = SharedBudget(
             ratio=retries.ratio,
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -203,7 +203,7 @@
         raise Refused(
             cause,
             may_have_run=progress.runs > 0,
-            retry_after_s=self.chooser.retry_after_s(call.service),
+            retry_after_s=self.chooser.retry_after_s(call),
         ) from exc
 
     def record_success(self, upstream: Upstream) -> None:
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -17,8 +17,9 @@
 # A call waits for an upstream that wants it this soon. A rejected caller would come
 # back later than that.
 MAX_WAIT_S = 0.25
-# Evacuations last for minutes. Callers that come back sooner would only add load.
-EVACUATED_RETRY_AFTER_S = 1.0
+# Evacuations last for minutes, and so does the lack of upstreams in a region. Callers
+# that come back sooner would only add load.
+EXCLUDED_RETRY_AFTER_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -85,16 +86,16 @@
         )
         return upstream
 
-    def check_evacuated(self, call: Call) -> None:
-        """Raise `Refused` if all upstreams of a new call's service are evacuated.
+    def check_excluded(self, call: Call) -> None:
+        """Raise `Refused` if all upstreams are evacuated or in other regions.
 
         Parameters
         ----------
         call : Call
-            The call, which has not been sent yet.
+            A new call, which has not been sent yet.
         """
-        if self._balancer.evacuated(call.service):
-            raise _evacuated(may_have_run=False)
+        if refusal := self._exclusion(call, may_have_run=False):
+            raise refusal
 
     def wanted(self, call: Call, progress: CallProgress) -> bool:
         """Return whether an untried upstream wants a call now or soon enough.
@@ -112,20 +113,22 @@
         """
         return self._wait_s(call, progress) is not None
 
-    def retry_after_s(self, service: str) -> float:
+    def retry_after_s(self, call: Call) -> float:
         """Return when to come back for a call that is refused now.
 
         Parameters
         ----------
-        service : str
-            Service of the call.
+        call : Call
+            The call.
 
         Returns
         -------
         float
             Seconds.
         """
-        available_s = self._balancer.reserve_s(service, time.monotonic())
+        available_s = self._balancer.reserve_s(
+            call.service, time.monotonic(), regions=call.regions
+        )
         return max(MIN_RETRY_AFTER_S, available_s)
 
     def _find(self, call: Call, progress: CallProgress) -> Upstream | None:
@@ -135,21 +138,27 @@
             raise Refused(RefusalCause.DEADLINE, may_have_run=progress.runs > 0)
         prefer_local = call.route.kind is not CallKind.STREAM
         return self._balancer.choose(
-            call.service, progress.tried, now, prefer_local=prefer_local
+            call.service,
+            progress.tried,
+            now,
+            prefer_local=prefer_local,
+            regions=call.regions,
         )
 
     def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
         """Return how long to wait for an untried upstream; None if that is too long."""
         now = time.monotonic()
-        wait_s = self._balancer.next_available_s(call.service, progress.tried, now)
+        wait_s = self._balancer.next_available_s(
+            call.service, progress.tried, now, regions=call.regions
+        )
         most_s = min(MAX_WAIT_S, call.deadline.left_s(now) - MIN_REMAINING_S)
         return wait_s if wait_s <= most_s else None
 
     def _refusal(self, call: Call, progress: CallProgress) -> Refused:
-        if self._balancer.evacuated(call.service):
-            return _evacuated(may_have_run=progress.runs > 0)
-        retry_after_s = self.retry_after_s(call.service)
-        limits = self._balancer.limits(call.service)
+        if refusal := self._exclusion(call, may_have_run=progress.runs > 0):
+            return refusal
+        retry_after_s = self.retry_after_s(call)
+        limits = self._balancer.limits(call.service, regions=call.regions)
         fields = {"limited": len(limits), "own_per_s": round(sum(limits), 3)}
         return Refused(
             RefusalCause.LIMITED if limits else RefusalCause.NO_UPSTREAM,
@@ -158,10 +167,18 @@
             log_fields=fields if limits else None,
         )
 
-
-def _evacuated(*, may_have_run: bool) -> Refused:
-    return Refused(
-        RefusalCause.EVACUATED,
-        may_have_run=may_have_run,
-        retry_after_s=EVACUATED_RETRY_AFTER_S,
-    )
+    def _exclusion(self, call: Call, *, may_have_run: bool) -> Refused | None:
+        if self._balancer.outside(call.service, call.regions):
+            cause = RefusalCause.OUTSIDE_REGIONS
+        elif self._balancer.evacuated(call.service, call.regions):
+            cause = RefusalCause.EVACUATED
+        else:
+            return None
+        return Refused(
+            cause,
+            may_have_run=may_have_run,
+            retry_after_s=EXCLUDED_RETRY_AFTER_S,
+            log_fields={
+                "regions": None if call.regions is None else sorted(call.regions)
+            },
+        )
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -108,6 +108,7 @@
         max_attempts=int(route.get("maxAttempts") or 1),
         public=bool(route.get("public")),
         resumable=bool(route.get("resumable")),
+        allowed_regions=_decode_regions(route),
     )
 
 
@@ -145,11 +146,22 @@
 def _decode_keys(data: dict[str, Any]) -> dict[str, KeyHolder]:
     keys = {}
     for tenant in data.get("tenants") or ():
-        holder = KeyHolder(name=tenant["name"], priority=tenant.get("priority"))
+        holder = KeyHolder(
+            name=tenant["name"],
+            priority=tenant.get("priority"),
+            allowed_regions=_decode_regions(tenant),
+        )
         keys.update(dict.fromkeys(tenant["apiKeys"], holder))
     return keys
 
 
+def _decode_regions(restricted: dict[str, Any]) -> frozenset[str]:
+    regions = restricted.get("allowedRegions") or []
+    if not isinstance(regions, list) or not all(isinstance(r, str) for r in regions):
+        raise TypeError(f"invalid allowedRegions {regions!r}")
+    return frozenset(regions)
+
+
 def _decode_limits(limits: dict[str, Any]) -> RequestLimits:
     default = RequestLimits()
     return RequestLimits(
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import gevent
-import orjson
 import structlog
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
@@ -16,8 +15,10 @@
 from toucanspool.gateway.caller_server import CallerHandler
 from toucanspool.gateway.fingerprint import fingerprint
 from toucanspool.platform import headers as platform_headers
+from toucanspool.platform.refusals import refusal_body, refusal_status
 from toucanspool.retries.deadline import Deadline
-from toucanspool.routing.routes import Route, RouteTable
+from toucanspool.routing.regions import combine_regions
+from toucanspool.routing.routes import KeyHolder, Route, RouteTable
 from toucanspool.telemetry.call_metrics import CallMetrics
 from toucanspool.wire.http_server import HANDLER_KEY
 from toucanspool.wire.reply_parser import Header
@@ -28,29 +29,6 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 PROBLEM_JSON = "application/problem+json"
 
-_STATUS_BY_CAUSE = {
-    RefusalCause.NO_CONFIG: 503,
-    RefusalCause.NO_ROUTE: 404,
-    RefusalCause.NO_KEY: 401,
-    RefusalCause.NO_UPSTREAM: 503,
-    RefusalCause.EVACUATED: 503,
-    RefusalCause.LIMITED: 503,
-    RefusalCause.NO_ROOM: 503,
-    RefusalCause.WAITED: 503,
-    RefusalCause.DRAINING: 503,
-    RefusalCause.UNREACHABLE: 503,
-    RefusalCause.TURNED_AWAY: 503,
-    RefusalCause.DEADLINE: 503,
-    RefusalCause.MAYBE_RUN: 502,
-    RefusalCause.BROKEN: 502,
-    RefusalCause.QUARANTINED: 503,
-    RefusalCause.BAD_REQUEST: 400,
-    RefusalCause.BODY_TOO_LARGE: 413,
-    RefusalCause.BODY_TOO_SLOW: 408,
-}
-# Replacements for statuses that would promise that the call was not run.
-STATUS_IF_MAY_HAVE_RUN = {503: 504}
-
 StartResponse = Callable[[str, list[Header]], Any]
 
 _log = structlog.get_logger()
@@ -134,7 +112,7 @@
         route = table.find(host, path)
         if route is None:
             raise Refused(RefusalCause.NO_ROUTE, log_fields={"routes": table.version})
-        team, priority = _authenticate(table, route, request_headers)
+        team = _authenticate(table, route, request_headers)
         timeout_ms = platform_headers.parse_number(
             request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
         )
@@ -151,15 +129,18 @@
             route=route,
             routes_version=table.version,
             service=route.service(self._rng),
-            team=team,
-            priority=priority,
+            team=team.name,
+            priority=route.priority if team.priority is None else team.priority,
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
             last_event_id=request_headers.get(platform_headers.LAST_EVENT_ID, ""),
             prompt=platform_headers.parse_shared_prompt(request_headers),
-            fingerprint=fingerprint(team, host, handler.command, handler.path, body),
+            fingerprint=fingerprint(
+                team.name, host, handler.command, handler.path, body
+            ),
+            regions=combine_regions(route.allowed_regions, team.allowed_regions),
         )
 
     def _refuse(
@@ -169,16 +150,7 @@
         start_response: StartResponse,
         arrived_at: float,
     ) -> list[bytes]:
-        status = _STATUS_BY_CAUSE[exc.cause]
-        if exc.may_have_run:
-            status = STATUS_IF_MAY_HAVE_RUN.get(status, status)
-        body = orjson.dumps(
-            {
-                "title": exc.cause.value,
-                "status": status,
-                "outcome": "unknown" if exc.may_have_run else "not_run",
-            }
-        )
+        status, body = refusal_status(exc), refusal_body(exc)
         headers = [("Content-Type", PROBLEM_JSON), ("Content-Length", str(len(body)))]
         if status in (429, 503):
             headers.append(("Retry-After", f"{exc.retry_after_s:.3f}"))
@@ -282,16 +254,15 @@
 
 def _authenticate(
     table: RouteTable, route: Route, request_headers: dict[str, str]
-) -> tuple[str, int]:
+) -> KeyHolder:
     if route.public or not table.keys_required:
-        return "", route.priority
+        return KeyHolder(name="")
     credentials = request_headers.get("authorization", "")
     key = credentials[len(BEARER) :].strip()
     holder = table.keys.get(key) if credentials.lower().startswith(BEARER) else None
     if holder is None:
         raise Refused(RefusalCause.NO_KEY, log_fields={"routes": table.version})
-    priority = route.priority if holder.priority is None else holder.priority
-    return holder.name, priority
+    return holder
 
 
 def _status_line(status: int) -> str:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -13,8 +13,14 @@
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.membership.entries import ENTRY_PREFIX, Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import (
+    ENTRY_PREFIX,
+    EntryRecord,
+    select_entries,
+)
 from toucanspool.platform import configuration, listings, pages
+from toucanspool.platform.entry_rows import EntryRows
 from toucanspool.platform.evacuations import EvacuationRows
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
@@ -76,6 +82,7 @@
             cfg.instance,
             _format_address(gateway.callers),
             _format_address(gateway.readiness),
+            cfg.region if cfg.zones else "",
         )
         self._entries = Entries(self._own_record)
         self._metrics = CallMetrics()
@@ -99,6 +106,7 @@
             max_reply_bytes=cfg.max_reply_bytes,
             on_crash=self._report_crash,
         )
+        self._set_regions()
         self._crash_exchange = CrashExchange(
             self._store, self._cfg.instance, self._core.quarantine
         )
@@ -123,10 +131,11 @@
             pause_s=store.list_interval_s,
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
-        ranks = RankRows(self._core.upstreams.set_slowdowns)
+        entry_rows = EntryRows(self._entries, self._registration, self._crash_exchange)
+        rank_rows = RankRows(self._core.upstreams.set_slowdowns)
         for prefix, on_snapshot, on_changes in (
-            (ENTRY_PREFIX, self._replace_entries, self._update_entries),
-            (RANK_PREFIX, ranks.replace, ranks.update),
+            (ENTRY_PREFIX, entry_rows.replace, entry_rows.update),
+            (RANK_PREFIX, rank_rows.replace, rank_rows.update),
         ):
             self._subscriptions.follow(
                 table_of(prefix), on_snapshot, on_changes, pause_s=OWN_ROWS_PAUSE_S
@@ -164,6 +173,7 @@
         """Apply new settings; changed addresses need a restart."""
         self._cfg = cfg
         self._core.set_retry_budget(cfg.gateway.retries)
+        self._set_regions()
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
@@ -213,11 +223,21 @@
             "lost": self._entries.lost,
         }
 
-    def _ready_addresses(self) -> list[str]:
+    def _set_regions(self) -> None:
+        cfg = self._cfg
+        if cfg.zones:
+            self._core.regions.replace({cfg.failure_domain: cfg.region} | cfg.zones)
+        else:
+            # Without a table there is one region.
+            self._core.regions.replace({}, elsewhere=cfg.region)
+
+    def _ready_addresses(self, host: str, region: str) -> list[str]:
         live = self._entries.live
         if not self.ready:
             live = [entry for entry in live if entry != self._own_record]
-        return [entry.address for entry in live]
+        routes = self._core.routes
+        regions = routes.host_regions(host) if routes else None
+        return [entry.address for entry in select_entries(live, regions, region)]
 
     def _replace_operator_rows(self, changes: Changes) -> None:
         # Evacuations come first: with the routes, this entry becomes ready.
@@ -250,21 +270,6 @@
     def _report_crash(self, crash: Crash) -> None:
         self._crash_exchange.report(crash.id, crash.calls)
 
-    def _replace_entries(self, changes: Changes) -> None:
-        entries = [row for row in changes.rows if row.key.startswith(ENTRY_PREFIX)]
-        self._entries.replace(entries)
-        self._registration.check(entries)
-        self._crash_exchange.replace(changes.rows)
-
-    def _update_entries(self, changes: Changes) -> None:
-        for row in changes.rows:
-            if row.key.startswith(ENTRY_PREFIX):
-                self._entries.put(row)
-        self._crash_exchange.update(changes.rows)
-        for key in changes.deleted:
-            self._entries.drop(key)
-        self._registration.check_deleted(changes.deleted)
-
     def _log_load(self) -> None:
         ages = self._subscriptions.ages()
         for table, age_s in ages.items():
--- a/toucanspool/platform/pages.py
+++ b/toucanspool/platform/pages.py
@@ -59,14 +59,15 @@
 
 
 def directory_page(
-    addresses: Callable[[], Sequence[str]], ttl_s: Callable[[], float]
+    addresses: Callable[[str, str], Sequence[str]], ttl_s: Callable[[], float]
 ) -> Page:
     """Return the page that lists the entries for callers.
 
     Parameters
     ----------
     addresses : callable
-        Returns the addresses of the entries, as ``HOST:PORT``.
+        Takes a host name and the caller's region, each empty if it is not given;
+        returns the addresses of the entries, as ``HOST:PORT``.
     ttl_s : callable
         Returns how long callers may cache the response, in seconds.
 
@@ -79,7 +80,9 @@
     def page(environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         if environ["PATH_INFO"] != "/resolve":
             return _respond(start_response, NOT_FOUND, b"")
-        listed = list(addresses())[:MAX_ADDRESSES]
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        host, region = (query.get(name, [""])[0] for name in ("name", "region"))
+        listed = list(addresses(host, region))[:MAX_ADDRESSES]
         if not listed:
             return _respond(start_response, UNAVAILABLE, b"")
         body = orjson.dumps({"addresses": listed, "ttlS": ttl_s()})
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -10,7 +10,8 @@
 
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.gateway.core import GatewayCore
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.pages import PEERS_PATH, PROBER_PARAMETER
 from toucanspool.platform.unpooled_client import UnpooledClient
 from toucanspool.retries.ejection import AttemptResult
--- a/toucanspool/platform/registration.py
+++ b/toucanspool/platform/registration.py
@@ -1,7 +1,7 @@
 """Registration of a gateway among the entries, in the platform's store."""
 
 from toucanspool.backing.table import Table
-from toucanspool.membership.entries import ENTRY_PREFIX, EntryRecord
+from toucanspool.membership.entry_record import ENTRY_PREFIX, EntryRecord
 from toucanspool.membership.own_row import OwnRow
 
 
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 
 from toucanspool.retries.ejection import Ejector
+from toucanspool.routing.regions import Regions
 from toucanspool.routing.upstream import Upstream
 from toucanspool.routing.upstreams import UpstreamList
 
@@ -12,6 +13,8 @@
 CROSS_DOMAIN_LOAD = 0.25
 MIN_WEIGHT = 0.01
 
+AllowedRegions = frozenset[str] | None
+
 
 class LeastLoadBalancer:
     """Choose the upstream with the least load, weighted by speed and health.
@@ -29,11 +32,17 @@
         Failure domain of this entry.
     rng : random.Random
         Draws the initial tie offset.
+    regions : Regions, optional
+        Regions of the upstreams; by default, none is known.
+
+    Methods that take the regions in which a call may run consider only upstreams in
+    one of them, and all if that is None.
     """
 
     __slots__ = (
         "_ejector",
         "_failure_domain",
+        "_regions",
         "_reserved",
         "_tie_offset",
         "_upstreams",
@@ -45,12 +54,14 @@
         ejector: Ejector,
         failure_domain: str,
         rng: random.Random,
+        regions: Regions | None = None,
     ) -> None:
         self._upstreams = upstreams
+        self._regions = regions or Regions()
         self._ejector = ejector
         self._failure_domain = failure_domain
         self._tie_offset = rng.random()
-        self._reserved: dict[str, float] = {}
+        self._reserved: dict[tuple[str, AllowedRegions], float] = {}
 
     @property
     def list_version(self) -> int:
@@ -73,7 +84,12 @@
         return self._upstreams.load(upstream, now)
 
     def next_available_s(
-        self, service: str, tried: Collection[str], now: float
+        self,
+        service: str,
+        tried: Collection[str],
+        now: float,
+        *,
+        regions: AllowedRegions = None,
     ) -> float:
         """Return the time until an untried upstream wants a request, in seconds.
 
@@ -85,40 +101,60 @@
             Upstreams that have failed the call; they are excluded.
         now : float
             Seconds on the monotonic clock.
+        regions : frozenset of str or None
+            Regions in which the call may run.
 
         Returns
         -------
         float
             0 if an upstream wants one now, infinity if none will.
         """
-        ready = self._upstreams.ready(service)
+        ready = self._ready(service, regions)
         waits = [u.wait_s(now) for u in ready if u.name not in tried]
         return min(waits, default=math.inf)
 
-    def evacuated(self, service: str) -> bool:
+    def evacuated(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether all upstreams of a service that don't leave are evacuated.
 
         Parameters
         ----------
         service : str
             Name of the service.
+        regions : frozenset of str or None
+            Regions in which the call may run.
 
         Returns
         -------
         bool
             False if the service has no such upstream.
         """
-        staying = [
-            upstream
-            for upstream in self._upstreams
-            if upstream.listing.service == service and not upstream.leaving
-        ]
+        staying = self._regions.select(self._staying(service), regions)
         evacuations = self._upstreams.evacuations
         return bool(staying) and all(
             upstream.listing.failure_domain in evacuations for upstream in staying
         )
 
-    def reserve_s(self, service: str, now: float) -> float:
+    def outside(self, service: str, regions: AllowedRegions) -> bool:
+        """Return whether all upstreams of a service that don't leave are elsewhere.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        regions : frozenset of str or None
+            Regions in which the call may run.
+
+        Returns
+        -------
+        bool
+            False if the service has no such upstream.
+        """
+        staying = self._staying(service)
+        return bool(staying) and not self._regions.select(staying, regions)
+
+    def reserve_s(
+        self, service: str, now: float, *, regions: AllowedRegions = None
+    ) -> float:
         """Return when an upstream wants a request that is refused now.
 
         Where limits keep requests out, refused callers are told times that are as far
@@ -130,41 +166,52 @@
             Name of the service.
         now : float
             Seconds on the monotonic clock.
+        regions : frozenset of str or None
+            Regions in which the call may run.
 
         Returns
         -------
         float
             Seconds; 0 if an upstream wants requests now, or none is ready.
         """
-        wait_s = self.next_available_s(service, (), now)
+        wait_s = self.next_available_s(service, (), now, regions=regions)
         if wait_s == math.inf:
             return 0.0
-        own_per_s = sum(self.limits(service))
-        unlimited = any(not u.limit.limited for u in self._upstreams.ready(service))
+        own_per_s = sum(self.limits(service, regions=regions))
+        ready = self._ready(service, regions)
+        unlimited = any(not u.limit.limited for u in ready)
         if wait_s and own_per_s and not unlimited:
-            reserved_at = self._reserved.get(service, -math.inf)
+            reserved_at = self._reserved.get((service, regions), -math.inf)
             wait_s = max(wait_s, reserved_at + 1.0 / own_per_s - now)
-            self._reserved[service] = now + wait_s
+            self._reserved[service, regions] = now + wait_s
         return wait_s
 
-    def limits(self, service: str) -> list[float]:
+    def limits(self, service: str, *, regions: AllowedRegions = None) -> list[float]:
         """Return this entry's parts of the limits of ready upstreams.
 
         Parameters
         ----------
         service : str
             Name of the service.
+        regions : frozenset of str or None
+            Regions in which the call may run.
 
         Returns
         -------
         list of float
             Requests a second, for each upstream that names a limit.
         """
-        ready = self._upstreams.ready(service)
+        ready = self._ready(service, regions)
         return [u.limit.own_per_s for u in ready if u.limit.limited]
 
     def choose(
-        self, service: str, tried: Collection[str], now: float, *, prefer_local: bool
+        self,
+        service: str,
+        tried: Collection[str],
+        now: float,
+        *,
+        prefer_local: bool,
+        regions: AllowedRegions = None,
     ) -> Upstream | None:
         """Return the upstream for a call, or None where none is left to try.
 
@@ -178,12 +225,16 @@
             Seconds on the monotonic clock.
         prefer_local : bool
             Whether to prefer the entry's own failure domain among equals.
+        regions : frozenset of str or None
+            Regions in which the call may run.
 
         Returns
         -------
         Upstream or None
         """
-        available = self._upstreams.available(service, now)
+        available = self._regions.select(
+            self._upstreams.available(service, now), regions
+        )
         untried = [upstream for upstream in available if upstream.name not in tried]
         usable = [
             (self._ejector.weight(upstream.name, now), position, upstream)
@@ -204,3 +255,13 @@
             return (load + 1.0) * penalty, (position - first) % len(untried)
 
         return min(usable, key=cost)[2]
+
+    def _ready(self, service: str, regions: AllowedRegions) -> list[Upstream]:
+        return self._regions.select(self._upstreams.ready(service), regions)
+
+    def _staying(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self._upstreams
+            if upstream.listing.service == service and not upstream.leaving
+        ]
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -44,6 +44,8 @@
         Whether calls need no API key.
     resumable : bool
         Whether another upstream can resume a broken stream.
+    allowed_regions : frozenset of str
+        Regions in which calls may run; empty for any.
     """
 
     name: str
@@ -58,6 +60,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def retryable(self) -> bool:
@@ -175,10 +178,13 @@
         Name of the team.
     priority : int or None
         Overrides the priority of routes; None keeps it.
+    allowed_regions : frozenset of str
+        Regions in which the team's calls may run; empty for any.
     """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -234,6 +240,23 @@
                 return route
         return None
 
+    def host_regions(self, host: str) -> frozenset[str] | None:
+        """Return the regions in which calls to a host may run.
+
+        Parameters
+        ----------
+        host : str
+            Host name, with or without a port.
+
+        Returns
+        -------
+        frozenset of str or None
+            None if a route of the host has no restriction, or it has no route.
+        """
+        host = host.partition(":")[0].lower()
+        lists = [r.allowed_regions for r in self.routes if r.host == host]
+        return frozenset().union(*lists) if lists and all(lists) else None
+
     def service(self, name: str) -> ServiceModel:
         """Return a service; defaults apply to one that is not configured.
 
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -220,12 +220,13 @@
 
 
 class Settings(Model):
-    """Hold all settings of a process."""
+    """Hold all settings of a process; ``zones`` has regions by failure domain."""
 
     instance: Text
     role: Literal["entry", "agent", "gateway", "rank_agent"]
     failure_domain: Text
     region: Text = "default"
+    zones: dict[Text, Text] | None = None
     host: Text
     port: Port
     platform: Platform | None = None
