--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -10,7 +10,8 @@
 from standins.raw_upstream import RawUpstream, Script
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.frontend import Frontend
 from toucanspool.platform.headers import PlatformDialect
 from toucanspool.routing.routes import (
@@ -57,12 +58,19 @@
         TCP port for callers.
     upstreams : list of RawUpstream
         Scripted upstreams, in the order in which they are chosen first.
+    metrics : CallMetrics
+        The gateway's metrics.
     """
 
     def __init__(
-        self, core: GatewayCore, port: int, upstreams: list[RawUpstream]
+        self,
+        core: GatewayCore,
+        port: int,
+        upstreams: list[RawUpstream],
+        metrics: CallMetrics,
     ) -> None:
         self.core = core
+        self.metrics = metrics
         self.port = port
         self.upstreams = upstreams
 
@@ -162,4 +170,4 @@
         )
         server.start()
         closing.callback(server.stop, timeout=0)
-        yield Gateway(core, server.server_port, raw_upstreams)
+        yield Gateway(core, server.server_port, raw_upstreams, metrics)
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -10,7 +10,8 @@
 
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.gateway.core import GatewayCore
-from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.membership.entries import Entries
+from toucanspool.membership.entry_record import EntryRecord
 from toucanspool.platform.pages import PEERS_PATH, PROBER_PARAMETER
 from toucanspool.platform.unpooled_client import UnpooledClient
 from toucanspool.retries.ejection import AttemptResult
@@ -75,6 +76,8 @@
         upstream = self._core.upstreams.find(name)
         if upstream is None or self._core.routes is None:
             return
+        if upstream.listing.failure_domain in self._core.upstreams.evacuations:
+            return
         now = time.monotonic()
         if upstream.wait_s(now) > 0.0:
             return
