Plan groups with few slots by a search that exchanges experts

Cause: the search for copies only adds copies.

Change: groups with at most 6 slots on a rank are planned by few_slots.SlotSearch. In each step it weighs copies, removals, exchanges and relocations that relieve the slowest rank, in all sets at once. A copy must pay for the time that it adds to the orders. Where a link can't carry the counts of all ranks, a sample of ranks is read, of which a quarter is replaced each time, so that counts cover 0.2 s and not several reads. Groups with more slots are planned as before.

--- a/tests/groups/test_count_reader.py
+++ b/tests/groups/test_count_reader.py
@@ -77,7 +77,8 @@
         links[rank] = SlowLink(rank, engine, shared)
     client = GroupClient(GROUP, 1, links, link_bits_per_s=LINK_BITS_PER_S)
     reader = CountReader(LINK_BITS_PER_S)
-    for _ in range(12):
+    # The link carries 12 ranks at a time, and 3 of them are replaced at each read.
+    for _ in range(19):
         for row in group.rows:
             row.counts = row.counts + 3
         answers = reader.fetch(client, links, MODEL)
--- a/toucanspool/groups/count_reader.py
+++ b/toucanspool/groups/count_reader.py
@@ -1,12 +1,13 @@
 """Reading of the expert counts of a group's ranks, within a coordinator's bandwidth."""
 
 import time
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
 import gevent
 import numpy as np
 
+from toucanspool.groups.count_sample import CountSample
 from toucanspool.groups.demand import Demand
 from toucanspool.groups.group_client import GroupClient, Replaced
 from toucanspool.groups.rank_arrays import COUNT_DTYPE, unpack_counts
@@ -23,8 +24,7 @@
     """Read expert counts and estimate the demand for experts from them.
 
     In a large group, the counts of all ranks take longer to arrive than demand takes
-    to change. So ranks take turns: each read asks as many as the link carries within
-    the interval.
+    to change. So each read asks as many ranks as the link carries within the interval.
 
     Parameters
     ----------
@@ -37,25 +37,25 @@
         The estimate.
     """
 
-    __slots__ = ("_due_at", "_link_bits_per_s", "_next_index", "demand")
+    __slots__ = ("_due_at", "_link_bits_per_s", "_sample", "demand")
 
     def __init__(self, link_bits_per_s: float) -> None:
         self._link_bits_per_s = link_bits_per_s
         self._due_at = 0.0
-        self._next_index = 0
+        self._sample = CountSample()
         self.demand = Demand()
 
     def fetch(
         self, client: GroupClient, ranks: Iterable[int], engine: EngineModel
     ) -> dict[int, RankAnswer]:
-        """Read the status of all ranks, and the counts of those whose turn it is.
+        """Read the status of all ranks, and the counts of a sample of them.
 
         Parameters
         ----------
         client : GroupClient
             Sends the requests.
         ranks : iterable of int
-            The ranks that take turns.
+            The ranks to choose from.
         engine : EngineModel
             Numbers of layer sets and experts.
 
@@ -73,13 +73,14 @@
             return client.fetch_statuses()
         count_bytes = COUNT_DTYPE().itemsize * engine.layer_sets * engine.experts
         bytes_per_s = LINK_SHARE * self._link_bits_per_s / 8.0
-        counted = self._take_turns(
+        counted, usable = self._sample.take(
             sorted(ranks), max(1, int(bytes_per_s * INTERVAL_S / count_bytes))
         )
         self._due_at = now + len(counted) * count_bytes / bytes_per_s
         answers = client.fetch_statuses(counted=counted, count_bytes=count_bytes)
-        if answers:
-            self._add(answers, engine)
+        used = [answer for rank, answer in answers.items() if rank in usable]
+        if used:
+            self._add(used, engine)
         return answers
 
     @contextmanager
@@ -104,15 +105,9 @@
                 # The switch in progress gets the same answer and ends as well.
                 return
 
-    def _take_turns(self, ranks: list[int], max_ranks: int) -> list[int]:
-        start = self._next_index % max(1, len(ranks))
-        chosen = (ranks[start:] + ranks[:start])[:max_ranks]
-        self._next_index = start + len(chosen)
-        return chosen
-
-    def _add(self, answers: Mapping[int, RankAnswer], engine: EngineModel) -> None:
+    def _add(self, answers: Iterable[RankAnswer], engine: EngineModel) -> None:
         total = np.zeros((engine.layer_sets, engine.experts))
-        for answer in answers.values():
+        for answer in answers:
             unit = answer.picks_unit or 1.0
             counts = unpack_counts(answer.picks or b"", unit, total.shape)
             if counts is not None:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -8,11 +8,10 @@
 
 from toucanspool.groups.armed_switch import PASSES_AHEAD, ArmedSwitch, SwitchEnd
 from toucanspool.groups.copies import ExpertCopies
-from toucanspool.groups.copy_search import CopySearch
 from toucanspool.groups.count_reader import CountReader
-from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
 from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
@@ -26,11 +25,6 @@
 MAX_STATE_LAG_S = 0.6
 # Arm rounds of a switch without lost orders: the other ranks, then the own rank.
 LOSSLESS_ARM_ROUNDS = 2
-# Time for a rank to copy the experts of one plan, one after the other. In a longer time
-# demand changes, and copies with much gain wait for those with little.
-COPY_BUDGET_S = 0.2
-MIN_COPY_S = 0.02
-MIN_COPY_GAIN = 0.01
 # The smallest decrease of skew that is worth the copies, for a group whose engines are
 # full and for an idle one, in which skew affects callers less.
 MIN_SKEW_GAIN = 0.1
@@ -177,16 +171,16 @@
             return
         demand = self._counts.demand.shares
         slowdowns = np.array([answers[rank].pace for rank in sorted(answers)])
-        per_rank = max(1, round(COPY_BUDGET_S / max(engine.expert_copy_s, MIN_COPY_S)))
-        copies = CopySearch(self._copies, demand, slowdowns).run(
-            max_per_rank=per_rank,
-            max_per_set=max(1, engine.copies_per_set),
-            min_gain=MIN_COPY_GAIN,
+        planned = plan_copies(
+            self._copies,
+            demand,
+            slowdowns,
+            engine,
+            link_bits_per_s=self._link_bits_per_s,
         )
-        planned = self._copies.with_changes(copies)
         before = self._copies.skew(demand, slowdowns)
         after = planned.skew(demand, slowdowns)
-        if not copies or before - after < _min_skew_gain(answers, engine):
+        if before - after < _min_skew_gain(answers, engine):
             return
         version = switch.next_version(answers)
         started = time.monotonic()
@@ -194,7 +188,7 @@
             "map planned",
             group=self._group,
             version=version,
-            copies=sum(copy.expert != EMPTY for copy in copies),
+            copies=int((planned.held & ~self._copies.held).sum()),
             slowest=round(float(slowdowns.max()), 1),
             running=sum(answer.running for answer in answers.values()),
             skew=round(before, 2),
@@ -202,7 +196,7 @@
             token=self._token,
         )
         timeout_s = (
-            COPY_TIMEOUT_FACTOR * per_rank * engine.expert_copy_s
+            COPY_TIMEOUT_FACTOR * copies_per_rank(engine) * engine.expert_copy_s
             + COPY_TIMEOUT_MARGIN_S
         )
         try:
