--- a/toucanspool/groups/few_slots/exchanges.py
+++ b/toucanspool/groups/few_slots/exchanges.py
@@ -22,17 +22,20 @@
 
     Returns
     -------
-    ndarray of bool, shape (n, slots, slots, ranks)
-        By slot of the slowest rank, other rank's slot, and other rank.
+    ndarray of bool, shape (n, slots, slots, m)
+        By slot of the slowest rank, receiver's slot, and receiver.
     """
-    rows, sets = times.rows, times.sets
-    experts = times.slots[rows, :, times.slowest]
-    free = table.kept[sets[:, None], experts]
-    free |= table.has_budget(sets)[:, None]
-    other = ~table.held[sets[:, None], experts]
+    experts = times.slots[times.rows, :, times.slowest]
+    cells = table.cells(
+        times.sets[:, None, None], experts[:, :, None], times.receivers[:, None]
+    )
+    free = table.kept.ravel().take(cells)
+    free |= times.at_receivers(table.has_budget(times.sets))[:, None]
+    other = ~table.held.ravel().take(cells)
     other &= (experts != table.empty)[:, :, None]
     free &= other
-    return free[:, :, None] | (table.copied[sets][:, None] & other[:, :, None])
+    copied = times.at_receivers(table.copied[times.sets])
+    return free[:, :, None] | (copied[:, None] & other[:, :, None])
 
 
 def exchange_gains(
@@ -48,28 +51,30 @@
         The placement.
     times : RankTimes
         The times under it.
-    receivable : ndarray of bool, shape (n, slots, slots, ranks)
+    receivable : ndarray of bool, shape (n, slots, slots, m)
         Result of `can_receive`.
 
     Returns
     -------
-    ndarray of float, shape (n, slots, slots, ranks)
-        By slot of the slowest rank, other rank's slot, and other rank.
+    ndarray of float, shape (n, slots, slots, m)
+        By slot of the slowest rank, receiver's slot, and receiver.
     """
     rows, sets, slowest = times.rows, times.sets, times.slowest
-    own_index = rows, slice(None), slowest
-    change = times.slot_load[:, None] - times.slot_load[own_index][:, :, None, None]
-    own_scale = times.scale[rows, slowest][:, None, None, None]
-    own = (change + times.loads[rows, slowest][:, None, None, None]) * own_scale
-    other = (times.loads[:, None, None] - change) * times.scale[:, None, None]
-    gains = (times.terms + times.terms[rows, slowest][:, None])[:, None, None]
-    gains = gains - power(own)
+    slot_load = times.at_receivers(times.slot_load)
+    change = slot_load[:, None] - times.slot_load[rows, :, slowest][:, :, None, None]
+    own = change + times.loads[rows, slowest][:, None, None, None]
+    own *= times.scale[rows, slowest][:, None, None, None]
+    other = times.at_receivers(times.loads)[:, None, None] - change
+    other *= times.at_receivers(times.scale)[:, None, None]
+    terms = times.at_receivers(times.terms) + times.terms[rows, slowest][:, None]
+    gains = terms[:, None, None] - power(own)
     gains -= power(other)
-    free = times.by_slot(table.kept[sets, :, slowest])
+    experts = times.at_receivers(times.slots)
+    cells = table.cells(sets[:, None, None], experts, slowest[:, None, None])
+    free = table.kept.ravel().take(cells)
     free |= table.has_budget(sets)[rows, slowest][:, None, None]
-    lacking = ~times.by_slot(table.held[sets, :, slowest])
     possible = free[:, None] | table.copied[sets, :, slowest][:, :, None, None]
-    possible &= lacking[:, None]
+    possible &= ~table.held.ravel().take(cells)[:, None]
     possible &= receivable
     np.copyto(gains, IMPOSSIBLE, where=~possible)
     return gains
--- a/toucanspool/groups/few_slots/extra_copies.py
+++ b/toucanspool/groups/few_slots/extra_copies.py
@@ -48,14 +48,14 @@
 
         Parameters
         ----------
-        receivable : ndarray of bool, shape (n, slots, slots, ranks)
+        receivable : ndarray of bool, shape (n, slots, slots, m)
             Result of `can_receive`.
 
         Returns
         -------
-        ndarray of float, shape (n, slots, slots, ranks)
-            By slot of the slowest rank, other rank's slot, and other rank; in sums
-            of terms.
+        ndarray of float, shape (n, slots, slots, m)
+            By slot of the slowest rank, receiver's slot, and receiver; in sums of
+            terms.
         """
         table, times = self._table, self._times
         experts = times.slots[times.rows, :, times.slowest]
@@ -66,12 +66,13 @@
         relieved = times.loads[:, None] - decrease[:, :, None]
         relieved = power(relieved * times.scale[:, None])
         relief = ((times.terms[:, None] - relieved) * holders).sum(axis=2)
-        left = (times.loads[:, None] - times.slot_load)[:, None]
-        receiver = (left + share[:, :, None, None]) * times.scale[:, None, None]
-        gains = (times.terms[:, None] - self._others_loss)[:, None]
+        left = times.at_receivers(times.loads[:, None] - times.slot_load)[:, None]
+        receiver = left + share[:, :, None, None]
+        receiver *= times.at_receivers(times.scale)[:, None, None]
+        gains = times.at_receivers(times.terms[:, None] - self._others_loss)[:, None]
         gains = gains + relief[:, :, None, None]
         gains -= power(receiver)
-        possible = receivable & self._droppable[:, None]
+        possible = receivable & times.at_receivers(self._droppable)[:, None]
         np.copyto(gains, IMPOSSIBLE, where=~possible)
         return gains
 
--- a/toucanspool/groups/few_slots/rank_times.py
+++ b/toucanspool/groups/few_slots/rank_times.py
@@ -8,6 +8,8 @@
 # Exponent of the smooth maximum. It is a power of two, so that `power` needs only
 # multiplications.
 EXPONENT = 8
+# Ranks of a set that may get experts of the slowest one.
+MAX_RECEIVERS = 24
 # Gains are differences of terms near 1 and matter from 1 in 1000 on, so single
 # precision suffices; it takes half the time.
 DTYPE = np.float32
@@ -16,6 +18,9 @@
 class RankTimes:
     """Compute the times of all ranks, relative to the slowest one of each set.
 
+    Experts of a slowest rank may go to the fastest ranks only, which are nearly always
+    the best and take less time to weigh than all ranks.
+
     Parameters
     ----------
     table : SlotTable
@@ -49,17 +54,22 @@
         Term of each rank in the smooth maximum.
     slowest : ndarray of int, shape (n,)
         The slowest rank.
+    receivers : ndarray of int, shape (n, m)
+        The ranks that may get its experts.
     peak : ndarray of float, shape (n,)
         Time of the slowest rank, in times of the mean load.
     """
 
     __slots__ = (
+        "_at_ranks",
+        "_at_slots",
         "copy_load",
         "counts",
         "demand",
         "flat_slots",
         "loads",
         "peak",
+        "receivers",
         "rows",
         "scale",
         "sets",
@@ -88,6 +98,13 @@
         self.loads = self.slot_load.sum(axis=1)
         times = self.loads * slowdowns.astype(DTYPE)
         self.slowest = times.argmax(axis=1)
+        last = min(MAX_RECEIVERS, times.shape[1]) - 1
+        self.receivers = times.argpartition(last, axis=1)[:, : last + 1]
+        n_slots, n_ranks = self.slots.shape[1:]
+        at_rows = self.rows[:, None] * n_ranks
+        self._at_ranks = at_rows + self.receivers
+        at_slots = at_rows[..., None] * n_slots + np.arange(n_slots)[:, None] * n_ranks
+        self._at_slots = at_slots + self.receivers[:, None]
         self.peak = times[self.rows, self.slowest]
         self.scale = slowdowns.astype(DTYPE) / self.peak[:, None]
         self.terms = power(self.loads * self.scale)
@@ -106,6 +123,21 @@
         """
         return values.ravel().take(self.flat_slots).reshape(self.slots.shape)
 
+    def at_receivers(self, values: np.ndarray) -> np.ndarray:
+        """Return the values of the ranks that may get experts.
+
+        Parameters
+        ----------
+        values : ndarray, shape (n, ranks) or (n, slots, ranks)
+            Value of each rank, or of each slot.
+
+        Returns
+        -------
+        ndarray, shape (n, m) or (n, slots, m)
+        """
+        index = self._at_ranks if values.ndim == 2 else self._at_slots
+        return values.ravel().take(index)
+
     def decrease(self, gains: FloatArray) -> FloatArray:
         """Return by how much the smooth maximum of each set falls.
 
--- a/toucanspool/groups/few_slots/slot_search.py
+++ b/toucanspool/groups/few_slots/slot_search.py
@@ -6,14 +6,14 @@
 from toucanspool.groups.expert_map import FloatArray, IntArray
 from toucanspool.groups.few_slots.exchanges import can_receive, exchange_gains
 from toucanspool.groups.few_slots.extra_copies import ExtraCopies
-from toucanspool.groups.few_slots.rank_times import DTYPE, RankTimes
+from toucanspool.groups.few_slots.rank_times import DTYPE, MAX_RECEIVERS, RankTimes
 from toucanspool.groups.few_slots.slot_table import SlotTable
 
 # Minimum decrease of a set's smooth maximum by one move, in times of the mean load.
 MIN_GAIN = 0.001
 # Limit of the work of a search, in moves weighed. It takes 9 to 14 ms, so that a plan
 # takes 20 ms on two thirds of a processor.
-MAX_WORK = 280_000
+MAX_WORK = 230_000
 # Work of a step whatever the number of moves, for its calls of numpy.
 STEP_WORK = 6_000
 # Kinds of moves, in the order in which their gains are computed.
@@ -23,7 +23,7 @@
 class SlotSearch:
     """Search for the placement that lowers the times of the slowest ranks most.
 
-    Each step weighs, in all sets at once, every move that relieves the slowest rank:
+    Each step weighs, in all sets at once, the moves that relieve the slowest rank:
     another copy of one of its experts, the removal of one of its copies, and the
     exchange of one of its experts for an expert or an empty slot of another rank. Each
     set makes its best move.
@@ -71,7 +71,7 @@
         copy_price : float, default=0.0
             Decrease of a set's smooth maximum by which a move must gain more for each
             copy that it needs.
-        max_work : int, default=280000
+        max_work : int, default=230000
             Maximum number of moves to weigh; a step counts as `STEP_WORK` more.
 
         Returns
@@ -83,9 +83,10 @@
         )
         n_sets, slots, ranks = table.slots.shape
         sets = np.arange(n_sets)
+        moves = slots * slots * min(MAX_RECEIVERS, ranks)
         work = 0
         while sets.size and work < max_work:
-            work += STEP_WORK + sets.size * slots * ranks * slots
+            work += STEP_WORK + sets.size * moves
             sets = self._step(table, sets, min_gain, copy_price)
         return table.copies()
 
@@ -100,7 +101,8 @@
         add_gains = extra_copies.add_gains(receivable) - price
         # An exchange needs two copies, one if it only moves an expert to an empty slot.
         needed = np.where(times.slots == table.empty, DTYPE(1.0), DTYPE(2.0))
-        exchanges = exchange_gains(table, times, receivable) - price * needed[:, None]
+        needed = times.at_receivers(needed)[:, None]
+        exchanges = exchange_gains(table, times, receivable) - price * needed
         all_gains = [
             gains.reshape(sets.size, -1)
             for gains in (extra_copies.removal_gains(), add_gains, exchanges)
@@ -124,32 +126,42 @@
             if kinds[row] == REMOVAL:
                 table.remove(layer_set, slowest, move)
                 continue
-            own_slot, rest = divmod(move, times.slots[0].size)
-            slot, rank = divmod(rest, times.loads.shape[1])
+            _, slots, receivers = add_gains[row].shape
+            own_slot, rest = divmod(move, slots * receivers)
+            slot, receiver = divmod(rest, receivers)
+            rank = int(times.receivers[row, receiver])
             if kinds[row] == EXCHANGE:
                 table.exchange(layer_set, (slowest, own_slot), (rank, slot))
+                continue
+            expert = int(times.slots[row, own_slot, slowest])
+            missing = int(times.demand[row, expert] - times.counts[row, expert])
+            if missing <= 1:
+                table.add(layer_set, expert, rank, slot)
             else:
-                _add_copies(table, times, row, own_slot, add_gains[row, own_slot])
+                gains = add_gains[row, own_slot]
+                _add_copies(table, times, row, expert, gains, missing)
         return sets[decreases >= min_gain]
 
 
 def _add_copies(
-    table: SlotTable, times: RankTimes, row: int, own_slot: int, gains: FloatArray
+    table: SlotTable,
+    times: RankTimes,
+    row: int,
+    expert: int,
+    gains: FloatArray,
+    count: int,
 ) -> None:
-    """Add copies of an expert until a copy has no more than the mean load of a rank.
+    """Add several copies of a very hot expert at once, since each step takes time.
 
-    A very hot expert needs many copies, and each step takes time. At least one is
-    added.
+    The count is what one copy lacks to have no more than a rank's mean load.
     """
     layer_set = int(times.sets[row])
-    expert = int(times.slots[row, own_slot, times.slowest[row]])
-    missing = int(times.demand[row, expert] - times.counts[row, expert])
     slots = gains.argmax(axis=0)
     gains = gains.max(axis=0)
-    for rank in np.argsort(-gains)[: max(1, missing)].tolist():
-        slot = int(slots[rank])
+    for receiver in np.argsort(-gains)[:count].tolist():
+        rank, slot = int(times.receivers[row, receiver]), int(slots[receiver])
         dropped = table.slots[layer_set, slot, rank]
         # Another rank that got a copy may have dropped the same expert.
         shared = dropped == table.empty or table.counts[layer_set, dropped] > 1
-        if gains[rank] > 0.0 and shared:
+        if gains[receiver] > 0.0 and shared:
             table.add(layer_set, expert, rank, slot)
--- a/toucanspool/groups/few_slots/slot_table.py
+++ b/toucanspool/groups/few_slots/slot_table.py
@@ -88,6 +88,24 @@
         """
         return (self._set_budget[sets] > 0) & (self._rank_budget > 0)
 
+    def cells(self, sets: IntArray, experts: IntArray, ranks: IntArray) -> IntArray:
+        """Return indices in the flattened arrays `held` and `kept`.
+
+        Taking from a flattened array is several times as fast as indexing it by three
+        arrays.
+
+        Parameters
+        ----------
+        sets, experts, ranks : ndarray of int
+            Indices in the arrays; their shapes are broadcast.
+
+        Returns
+        -------
+        ndarray of int
+        """
+        _, n_experts, n_ranks = self.held.shape
+        return (sets * n_experts + experts) * n_ranks + ranks
+
     def add(self, layer_set: int, expert: int, rank: int, slot: int) -> bool:
         """Put another copy of an expert into a slot, unless the budget is used up.
 
