Admit the most urgent streams first where those of a service differ in priority

Waiting streams are now served in the order of their levels, room is kept for urgent ones that arrive meanwhile, and late ones wait on instead of being refused.

--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -34,6 +34,8 @@
         Team of the caller's API key; empty on a public route.
     priority : int
         Priority; 0 is the most urgent.
+    ranked : bool
+        Whether the engine is told the priority, as its calls differ in it.
     deadline : Deadline
         End of the caller's or the route's time limit, whichever comes first.
     arrived_at : float
@@ -60,6 +62,7 @@
     priority: int
     deadline: Deadline
     arrived_at: float
+    ranked: bool = False
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -7,8 +7,9 @@
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
-from toucanspool.limits.gate import Gate
 from toucanspool.limits.shed import Shed, ShedCause
+from toucanspool.limits.stream_limiter import StreamLimiter
+from toucanspool.retries.usual_deadlines import UsualDeadlines
 from toucanspool.routing.routes import CallKind
 
 DRAIN_RETRY_AFTER_S = 0.05
@@ -28,9 +29,9 @@
         Forwards calls with a complete reply.
     streams : StreamRelay
         Forwards streams.
-    find_gate : callable
-        Takes the name of a service and returns its `Gate`, or None if calls to the
-        service aren't limited.
+    find_limiter : callable
+        Takes the name of a service and returns its `StreamLimiter`, or None if calls to
+        the service aren't limited.
 
     Attributes
     ----------
@@ -40,17 +41,25 @@
         Calls in progress.
     """
 
-    __slots__ = ("_find_gate", "_relay", "_streams", "draining", "running")
+    __slots__ = (
+        "_deadlines",
+        "_find_limiter",
+        "_relay",
+        "_streams",
+        "draining",
+        "running",
+    )
 
     def __init__(
         self,
         relay: Relay,
         streams: StreamRelay,
-        find_gate: Callable[[str], Gate | None],
+        find_limiter: Callable[[str], StreamLimiter | None],
     ) -> None:
+        self._deadlines = UsualDeadlines()
         self._relay = relay
         self._streams = streams
-        self._find_gate = find_gate
+        self._find_limiter = find_limiter
         self.draining = False
         self.running = 0
 
@@ -84,20 +93,25 @@
         return self._relay.forward(call)
 
     def _admit(self, call: Call, closing: ExitStack) -> None:
-        gate = self._find_gate(call.service)
-        if gate is None:
+        limiter = self._find_limiter(call.service)
+        if limiter is None:
             return
         now = time.monotonic()
+        route = call.route
+        late = self._deadlines.is_repeat(
+            route.name, call.deadline.left_s(call.arrived_at), route.objective_s
+        )
         try:
-            closing.enter_context(gate.hold(call.team, 1.0, -call.priority))
+            closing.enter_context(limiter.hold(call.team, call.priority, late=late))
         except Shed as exc:
             left_s = max(0.0, call.deadline.left_s(now))
             retry_s = min(exc.retry_after_s, left_s / 4.0)
-            admission = gate.admission
             log_fields = {
-                "limit": round(admission.capacity, 1),
-                "running": admission.running,
-                "waiting": admission.waiting,
+                "limit": round(limiter.capacity, 1),
+                "running": limiter.running,
+                "waiting": limiter.waiting,
+                "priority": call.priority,
+                "late": late,
             }
             raise Refused(
                 _REFUSAL_CAUSES[exc.cause], retry_after_s=retry_s, log_fields=log_fields
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -15,7 +15,6 @@
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.gateway.upstream_chooser import UpstreamChooser
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
-from toucanspool.limits.gate import Gate
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
@@ -129,7 +128,7 @@
             max_reply_bytes,
         )
         streams = StreamRelay(relay, dialect, self._record_gap)
-        self.dispatcher = CallDispatcher(relay, streams, self._find_gate)
+        self.dispatcher = CallDispatcher(relay, streams, self._stream_limits.get)
 
     def set_retry_budget(self, retries: RetryBudget) -> None:
         """Change the settings of the retry budget.
@@ -160,6 +159,8 @@
             for name, _ in route.services:
                 if routes.service(name).engine and route.gap_target_s:
                     self._set_stream_limit(name, route)
+        for name, stream_limit in self._stream_limits.items():
+            stream_limit.by_urgency = len(routes.priorities(name)) > 1
         _log.info(
             "routes in force",
             version=routes.version,
@@ -226,10 +227,6 @@
     def _record_crash(self, crash: Crash) -> None:
         self.quarantine.record_crash(crash.id, crash.calls, time.monotonic())
 
-    def _find_gate(self, service: str) -> Gate | None:
-        stream_limit = self._stream_limits.get(service)
-        return stream_limit.gate if stream_limit else None
-
     def _set_stream_limit(self, service: str, route: Route) -> None:
         stream_limit = self._stream_limits.get(service)
         if stream_limit is None:
--- a/toucanspool/limits/gate.py
+++ b/toucanspool/limits/gate.py
@@ -2,11 +2,11 @@
 
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
+from typing import Protocol
 
 from gevent.event import Event
 
-from toucanspool.limits.admission import Admission
 from toucanspool.limits.ticket import Ticket, TicketState
 
 TIMER_MARGIN_S = 0.001
@@ -24,12 +24,49 @@
         ticket.waiter.set()
 
 
+class AdmissionControl(Protocol):
+    """Hold the tickets of requests that run or wait."""
+
+    @property
+    def capacity(self) -> float:
+        """Return the largest total cost of running requests."""
+        ...
+
+    @property
+    def running(self) -> int:
+        """Return the number of running requests."""
+        ...
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        ...
+
+    def admit(
+        self, team: str, share: float, priority: int, cost: float, now: float
+    ) -> Ticket:
+        """Admit a request, queue it, or raise `Shed`."""
+        ...
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Release the capacity of a ticket; repeated calls have no effect."""
+        ...
+
+    def expire(self, now: float) -> None:
+        """Shed the tickets that have waited for the longest time allowed."""
+        ...
+
+    def resize(self, capacity: float, now: float) -> None:
+        """Change the capacity; running requests are not interrupted."""
+        ...
+
+
 class Gate:
     """Admit tasks, and hold their capacity while they run.
 
     Parameters
     ----------
-    admission : Admission
+    admission : AdmissionControl
         Admission control, created with ``on_settled=wake``.
     clock : callable, default=time.monotonic
         Returns seconds on the monotonic clock.
@@ -38,15 +75,17 @@
     __slots__ = ("_clock", "admission")
 
     def __init__(
-        self, admission: Admission, *, clock: Callable[[], float] = time.monotonic
+        self,
+        admission: AdmissionControl,
+        *,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.admission = admission
         self._clock = clock
 
-    @contextmanager
     def hold(
         self, team: str, share: float, priority: int, cost: float = 1.0
-    ) -> Iterator[Ticket]:
+    ) -> AbstractContextManager[Ticket]:
         """Wait for admission, and release the capacity at the end of the block.
 
         Parameters
@@ -56,10 +95,30 @@
         share : float
             Share of the team, greater than 0.
         priority : int
-            Requests of lower priority are shed first.
+            Priority of the request, with the meaning that it has to the admission
+            control.
         cost : float, default=1
             Capacity that the request occupies.
 
+        Returns
+        -------
+        context manager
+            Yields the ticket; raises `Shed` if the request was shed.
+        """
+        return self.hold_ticket(
+            lambda now: self.admission.admit(team, share, priority, cost, now)
+        )
+
+    @contextmanager
+    def hold_ticket(self, admit: Callable[[float], Ticket]) -> Iterator[Ticket]:
+        """Wait for admission, and release the capacity at the end of the block.
+
+        Parameters
+        ----------
+        admit : callable
+            Takes the time, in seconds on the monotonic clock, and returns the ticket
+            that the admission control gives to the request.
+
         Yields
         ------
         Ticket
@@ -69,7 +128,7 @@
         Shed
             The request was shed.
         """
-        ticket = self.admission.admit(team, share, priority, cost, self._clock())
+        ticket = admit(self._clock())
         try:
             self._wait(ticket)
             yield ticket
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -2,12 +2,15 @@
 
 import random
 from collections.abc import Sequence
+from contextlib import AbstractContextManager
 
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
 from toucanspool.limits.admission import Admission
 from toucanspool.limits.gate import Gate, wake
+from toucanspool.limits.priority_admission import PriorityAdmission
 from toucanspool.limits.shed import RetryAfter
 from toucanspool.limits.spare_capacity import SpareCapacity
+from toucanspool.limits.ticket import Ticket
 from toucanspool.routing.routes import EngineModel
 
 MAX_WAIT_S = 0.25
@@ -18,6 +21,9 @@
 class StreamLimiter:
     """Admit streams up to a limit that follows pauses and the load of other entries.
 
+    Where the streams of a service differ in urgency, the most urgent are admitted
+    first; elsewhere teams share the limit.
+
     Parameters
     ----------
     rng : random.Random
@@ -27,38 +33,84 @@
 
     Attributes
     ----------
-    gate : Gate
-        Gate at which streams wait for admission.
     adaptive_limit : AdaptiveLimit
         Limit to which pauses are reported.
+    by_urgency : bool
+        Whether the most urgent streams are admitted first. May be changed at any time;
+        streams that run or wait are not affected.
     """
 
-    __slots__ = ("_spare_capacity", "adaptive_limit", "gate")
+    __slots__ = (
+        "_fair_gate",
+        "_spare_capacity",
+        "_urgency_gate",
+        "adaptive_limit",
+        "by_urgency",
+    )
 
     def __init__(self, rng: random.Random, adaptive_limit: AdaptiveLimit) -> None:
         delays = RetryAfter(rng, min_s=MIN_RETRY_AFTER_S, min_jitter_s=MIN_JITTER_S)
-        admission = Admission(
-            1.0, rng, max_wait_s=MAX_WAIT_S, on_settled=wake, retry_after=delays
+        self._fair_gate = Gate(
+            Admission(
+                1.0, rng, max_wait_s=MAX_WAIT_S, on_settled=wake, retry_after=delays
+            )
+        )
+        self._urgency_gate = Gate(
+            PriorityAdmission(1.0, rng, on_settled=wake, retry_after=delays)
         )
-        self.gate = Gate(admission)
+        self.by_urgency = False
         self.adaptive_limit = adaptive_limit
         self._spare_capacity = SpareCapacity()
 
     @property
     def capacity(self) -> float:
         """Return the largest number of streams that may run."""
-        return self.gate.admission.capacity
+        return self._gate.admission.capacity
 
     @property
     def running(self) -> int:
         """Return the number of running streams."""
-        return self.gate.admission.running
+        gates = self._fair_gate, self._urgency_gate
+        return sum(gate.admission.running for gate in gates)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of streams that wait for admission."""
+        gates = self._fair_gate, self._urgency_gate
+        return sum(gate.admission.waiting for gate in gates)
 
     @property
     def mean_running(self) -> float:
         """Return the moving average of the number of running streams."""
         return self._spare_capacity.mean_running
 
+    def hold(
+        self, team: str, priority: int, *, late: bool
+    ) -> AbstractContextManager[Ticket]:
+        """Wait for admission of a stream, and release its capacity at the end.
+
+        Parameters
+        ----------
+        team : str
+            Name of the caller's team.
+        priority : int
+            Priority of the stream; 0 is the most urgent.
+        late : bool
+            Whether its first event can't be on time, since its caller has come back.
+
+        Returns
+        -------
+        context manager
+            Yields the ticket; raises `Shed` if the stream was shed.
+        """
+        if not self.by_urgency:
+            # There, requests of lower priority are shed first.
+            return self._fair_gate.hold(team, 1.0, -priority)
+        admission = self._urgency_gate.admission
+        return self._urgency_gate.hold_ticket(
+            lambda now: admission.admit(team, 1.0, priority, 1.0, now, late=late)
+        )
+
     def adapt(
         self,
         engine: EngineModel,
@@ -83,7 +135,9 @@
         equal_limit = self.adaptive_limit.adapt(
             engine, upstreams, entries, mean_running, now, usable=usable
         )
-        self.gate.admission.resize(self._spare_capacity.limit(equal_limit, others), now)
+        limit = self._spare_capacity.limit(equal_limit, others)
+        self._fair_gate.admission.resize(limit, now)
+        self._urgency_gate.admission.resize(limit, now)
 
     def log_fields(self, others: Sequence[float]) -> dict[str, float]:
         """Return the limit and its inputs, as fields of a log event.
@@ -104,3 +158,7 @@
             "running": self.running,
             "pause_ms": round(self.adaptive_limit.mean_pause_s * 1000),
         }
+
+    @property
+    def _gate(self) -> Gate:
+        return self._urgency_gate if self.by_urgency else self._fair_gate
--- a/toucanspool/limits/ticket.py
+++ b/toucanspool/limits/ticket.py
@@ -1,5 +1,6 @@
 """Tickets, which track requests through admission."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -28,12 +29,15 @@
     share : float
         Share of the team.
     priority : int
-        Requests of lower priority are shed first.
+        Priority of the request, with the meaning that it has to the admission control.
     cost : float
         Capacity that the request occupies.
     expires_at : float
         Time at which the request is shed if it still waits, in seconds on the
         monotonic clock.
+    on_time_until : float
+        Time until which the request can be admitted to be answered on time, in seconds
+        on the monotonic clock; infinite if that is not known.
     start_tag : float
         Virtual start time of its service.
     admitted_at : float
@@ -53,6 +57,7 @@
     priority: int
     cost: float
     expires_at: float
+    on_time_until: float = math.inf
     start_tag: float = 0.0
     admitted_at: float = 0.0
     within_quota: bool = True
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -138,6 +138,7 @@
             request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
         )
         left_s = min(timeout_ms / MS_PER_S, route.timeout_s)
+        service = route.service(self._rng)
         prompt_tokens, answer_tokens = platform_headers.parse_token_counts(
             request_headers
         )
@@ -149,9 +150,10 @@
             body=body,
             route=route,
             routes_version=table.version,
-            service=route.service(self._rng),
+            service=service,
             team=team,
             priority=priority,
+            ranked=len(table.priorities(service)) > 1,
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -16,6 +16,8 @@
 # "ID:TOKENS,..." of the parts of a prompt; the last part is the request's own.
 PREFIX_HASH = "toucanspool-prefix-hash"
 PRIORITY = "toucanspool-request-priority"
+# The least urgent priority that engines know; 0 is the most urgent.
+MAX_PRIORITY = 9
 # Requests a second that the upstream takes from all machines together.
 SERVER_LIMIT = "server-limit"
 # "RUNNING,WAITING,SLOTS" of the upstream.
@@ -66,6 +68,8 @@
         headers.append(("Connection", "close"))
         if call.team:
             headers.append((TENANT, call.team))
+        if call.ranked:
+            headers.append((PRIORITY, str(min(call.priority, MAX_PRIORITY))))
         if last_event_id:
             headers.append((LAST_EVENT_ID, last_event_id))
         if call.body or call.method not in ("GET", "HEAD"):
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -208,6 +208,7 @@
     keys_required: bool = False
     limits: RequestLimits = field(default_factory=RequestLimits)
     _by_prefix: dict[tuple[str, str], Route] = field(default_factory=dict, repr=False)
+    _priorities: dict[str, frozenset[int]] = field(default_factory=dict, repr=False)
 
     def __post_init__(self) -> None:
         for route in self.routes:
@@ -234,6 +235,22 @@
                 return route
         return None
 
+    def priorities(self, service: str) -> frozenset[int]:
+        """Return the priorities that the streams of a service may have.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        frozenset of int
+        """
+        if service not in self._priorities:
+            self._priorities[service] = frozenset(self._find_priorities(service))
+        return self._priorities[service]
+
     def service(self, name: str) -> ServiceModel:
         """Return a service; defaults apply to one that is not configured.
 
@@ -247,3 +264,19 @@
         ServiceModel
         """
         return self.services.get(name) or ServiceModel(name=name)
+
+    def _find_priorities(self, service: str) -> set[int]:
+        routes = [
+            route
+            for route in self.routes
+            if route.kind is CallKind.STREAM
+            and any(name == service for name, _ in route.services)
+        ]
+        priorities = {route.priority for route in routes}
+        if any(not route.public for route in routes):
+            priorities |= {
+                holder.priority
+                for holder in self.keys.values()
+                if holder.priority is not None
+            }
+        return priorities
