Rank streams by the priorities of team and route

The team's priority now goes before the route's. Callers that come back are no longer told from others: their deadlines overlap.

--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -32,10 +32,11 @@
         Name of the service chosen from the route.
     team : str
         Team of the caller's API key; empty on a public route.
-    priority : int
-        Priority; 0 is the most urgent.
+    urgency : int
+        Rank of its priority among those that the service's streams may have; 0 is the
+        most urgent.
     ranked : bool
-        Whether the engine is told the priority, as its calls differ in it.
+        Whether the service's streams differ in priority.
     deadline : Deadline
         End of the caller's or the route's time limit, whichever comes first.
     arrived_at : float
@@ -59,7 +60,7 @@
     routes_version: int
     service: str
     team: str
-    priority: int
+    urgency: int
     deadline: Deadline
     arrived_at: float
     ranked: bool = False
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -9,7 +9,6 @@
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.limits.shed import Shed, ShedCause
 from toucanspool.limits.stream_limiter import StreamLimiter
-from toucanspool.retries.usual_deadlines import UsualDeadlines
 from toucanspool.routing.routes import CallKind
 
 DRAIN_RETRY_AFTER_S = 0.05
@@ -42,7 +41,6 @@
     """
 
     __slots__ = (
-        "_deadlines",
         "_find_limiter",
         "_relay",
         "_streams",
@@ -56,7 +54,6 @@
         streams: StreamRelay,
         find_limiter: Callable[[str], StreamLimiter | None],
     ) -> None:
-        self._deadlines = UsualDeadlines()
         self._relay = relay
         self._streams = streams
         self._find_limiter = find_limiter
@@ -97,12 +94,8 @@
         if limiter is None:
             return
         now = time.monotonic()
-        route = call.route
-        late = self._deadlines.is_repeat(
-            route.name, call.deadline.left_s(call.arrived_at), route.objective_s
-        )
         try:
-            closing.enter_context(limiter.hold(call.team, call.priority, late=late))
+            closing.enter_context(limiter.hold(call.team, call.urgency))
         except Shed as exc:
             left_s = max(0.0, call.deadline.left_s(now))
             retry_s = min(exc.retry_after_s, left_s / 4.0)
@@ -110,8 +103,7 @@
                 "limit": round(limiter.capacity, 1),
                 "running": limiter.running,
                 "waiting": limiter.waiting,
-                "priority": call.priority,
-                "late": late,
+                "urgency": call.urgency,
             }
             raise Refused(
                 _REFUSAL_CAUSES[exc.cause], retry_after_s=retry_s, log_fields=log_fields
--- a/toucanspool/limits/gate.py
+++ b/toucanspool/limits/gate.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import contextmanager
 from typing import Protocol
 
 from gevent.event import Event
@@ -25,7 +25,7 @@
 
 
 class AdmissionControl(Protocol):
-    """Hold the tickets of requests that run or wait."""
+    """Decide which requests run, wait or are shed, up to a capacity."""
 
     @property
     def capacity(self) -> float:
@@ -83,9 +83,10 @@
         self.admission = admission
         self._clock = clock
 
+    @contextmanager
     def hold(
         self, team: str, share: float, priority: int, cost: float = 1.0
-    ) -> AbstractContextManager[Ticket]:
+    ) -> Iterator[Ticket]:
         """Wait for admission, and release the capacity at the end of the block.
 
         Parameters
@@ -100,25 +101,6 @@
         cost : float, default=1
             Capacity that the request occupies.
 
-        Returns
-        -------
-        context manager
-            Yields the ticket; raises `Shed` if the request was shed.
-        """
-        return self.hold_ticket(
-            lambda now: self.admission.admit(team, share, priority, cost, now)
-        )
-
-    @contextmanager
-    def hold_ticket(self, admit: Callable[[float], Ticket]) -> Iterator[Ticket]:
-        """Wait for admission, and release the capacity at the end of the block.
-
-        Parameters
-        ----------
-        admit : callable
-            Takes the time, in seconds on the monotonic clock, and returns the ticket
-            that the admission control gives to the request.
-
         Yields
         ------
         Ticket
@@ -128,7 +110,7 @@
         Shed
             The request was shed.
         """
-        ticket = admit(self._clock())
+        ticket = self.admission.admit(team, share, priority, cost, self._clock())
         try:
             self._wait(ticket)
             yield ticket
--- a/toucanspool/limits/priority_admission.py
+++ b/toucanspool/limits/priority_admission.py
@@ -110,14 +110,7 @@
         return self._capacity / self._service_time_s
 
     def admit(
-        self,
-        team: str,
-        share: float,
-        level: int,
-        cost: float,
-        now: float,
-        *,
-        late: bool = False,
+        self, team: str, share: float, level: int, cost: float, now: float
     ) -> Ticket:
         """Admit a request, queue it, or shed it at once.
 
@@ -133,9 +126,6 @@
             Capacity that the request occupies; capped at the capacity.
         now : float
             Seconds on the monotonic clock.
-        late : bool, default=False
-            Whether the request can't be answered on time in any case, since its caller
-            has come back after an attempt in vain.
 
         Returns
         -------
@@ -149,7 +139,6 @@
         """
         self.expire(now)
         ticket = self._make_ticket(team, share, level, min(cost, self._capacity), now)
-        ticket.on_time_until = now if late else now + ON_TIME_WAIT_S
         self._queue.append(ticket)
         self._admit_waiting(now)
         self._shed_excess(ticket, now)
@@ -204,6 +193,7 @@
     ) -> Ticket:
         usage = self._teams.add_request(team, share, cost, now)
         ticket = Ticket(team, share, level, cost, now + MAX_WAIT_S)
+        ticket.on_time_until = now + ON_TIME_WAIT_S
         ticket.start_tag = max(self._virtual_time, usage.finish_tag)
         usage.finish_tag = ticket.start_tag + cost / share
         self._rates.record_arrival(level, now)
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -84,19 +84,15 @@
         """Return the moving average of the number of running streams."""
         return self._spare_capacity.mean_running
 
-    def hold(
-        self, team: str, priority: int, *, late: bool
-    ) -> AbstractContextManager[Ticket]:
+    def hold(self, team: str, urgency: int) -> AbstractContextManager[Ticket]:
         """Wait for admission of a stream, and release its capacity at the end.
 
         Parameters
         ----------
         team : str
             Name of the caller's team.
-        priority : int
-            Priority of the stream; 0 is the most urgent.
-        late : bool
-            Whether its first event can't be on time, since its caller has come back.
+        urgency : int
+            Rank of its priority; 0 is the most urgent.
 
         Returns
         -------
@@ -105,11 +101,8 @@
         """
         if not self.by_urgency:
             # There, requests of lower priority are shed first.
-            return self._fair_gate.hold(team, 1.0, -priority)
-        admission = self._urgency_gate.admission
-        return self._urgency_gate.hold_ticket(
-            lambda now: admission.admit(team, 1.0, priority, 1.0, now, late=late)
-        )
+            return self._fair_gate.hold(team, 1.0, -urgency)
+        return self._urgency_gate.hold(team, 1.0, urgency)
 
     def adapt(
         self,
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -17,7 +17,7 @@
 from toucanspool.gateway.fingerprint import fingerprint
 from toucanspool.platform import headers as platform_headers
 from toucanspool.retries.deadline import Deadline
-from toucanspool.routing.routes import Route, RouteTable
+from toucanspool.routing.routes import KeyHolder, Route, RouteTable
 from toucanspool.telemetry.call_metrics import CallMetrics
 from toucanspool.wire.http_server import HANDLER_KEY
 from toucanspool.wire.reply_parser import Header
@@ -133,11 +133,12 @@
         route = table.find(host, path)
         if route is None:
             raise Refused(RefusalCause.NO_ROUTE, log_fields={"routes": table.version})
-        team, priority = _authenticate(table, route, request_headers)
+        holder = _authenticate(table, route, request_headers)
         timeout_ms = platform_headers.parse_number(
             request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
         )
         left_s = min(timeout_ms / MS_PER_S, route.timeout_s)
+        team = holder.name if holder else ""
         service = route.service(self._rng)
         prompt_tokens, answer_tokens = platform_headers.parse_token_counts(
             request_headers
@@ -152,8 +153,8 @@
             routes_version=table.version,
             service=service,
             team=team,
-            priority=priority,
-            ranked=len(table.priorities(service)) > 1,
+            urgency=table.urgency(service, route, holder),
+            ranked=table.has_priorities(service),
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
@@ -283,16 +284,15 @@
 
 def _authenticate(
     table: RouteTable, route: Route, request_headers: dict[str, str]
-) -> tuple[str, int]:
+) -> KeyHolder | None:
     if route.public or not table.keys_required:
-        return "", route.priority
+        return None
     credentials = request_headers.get("authorization", "")
     key = credentials[len(BEARER) :].strip()
     holder = table.keys.get(key) if credentials.lower().startswith(BEARER) else None
     if holder is None:
         raise Refused(RefusalCause.NO_KEY, log_fields={"routes": table.version})
-    priority = route.priority if holder.priority is None else holder.priority
-    return holder.name, priority
+    return holder
 
 
 def _status_line(status: int) -> str:
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -69,7 +69,7 @@
         if call.team:
             headers.append((TENANT, call.team))
         if call.ranked:
-            headers.append((PRIORITY, str(min(call.priority, MAX_PRIORITY))))
+            headers.append((PRIORITY, str(min(call.urgency, MAX_PRIORITY))))
         if last_event_id:
             headers.append((LAST_EVENT_ID, last_event_id))
         if call.body or call.method not in ("GET", "HEAD"):
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+# The priority of a team and that of a route.
+Priority = tuple[int, int]
+
 
 class CallKind(Enum):
     """Classify the calls of a route by whether they may be retried."""
@@ -174,7 +177,7 @@
     name : str
         Name of the team.
     priority : int or None
-        Overrides the priority of routes; None keeps it.
+        Goes before the priority of routes; None if the route's alone counts.
     """
 
     name: str
@@ -208,7 +211,7 @@
     keys_required: bool = False
     limits: RequestLimits = field(default_factory=RequestLimits)
     _by_prefix: dict[tuple[str, str], Route] = field(default_factory=dict, repr=False)
-    _priorities: dict[str, frozenset[int]] = field(default_factory=dict, repr=False)
+    _ranks: dict[str, dict[Priority, int]] = field(default_factory=dict, repr=False)
 
     def __post_init__(self) -> None:
         for route in self.routes:
@@ -235,21 +238,49 @@
                 return route
         return None
 
-    def priorities(self, service: str) -> frozenset[int]:
-        """Return the priorities that the streams of a service may have.
+    def urgency(self, service: str, route: Route, holder: KeyHolder | None) -> int:
+        """Return the rank of a stream's priority among all that its service may have.
 
         Parameters
         ----------
         service : str
             Name of the service.
+        route : Route
+            Route of the stream.
+        holder : KeyHolder or None
+            The caller's team; None on a public route.
 
         Returns
         -------
-        frozenset of int
+        int
+            0 for the most urgent streams, and for services of a single priority.
         """
-        if service not in self._priorities:
-            self._priorities[service] = frozenset(self._find_priorities(service))
-        return self._priorities[service]
+        priority = _combine(route.priority, holder.priority if holder else None)
+        return self._ranks_of(service).get(priority, 0)
+
+    def has_priorities(self, service: str) -> bool:
+        """Return whether streams of a service differ in priority."""
+        return len(self._ranks_of(service)) > 1
+
+    def _ranks_of(self, service: str) -> dict[Priority, int]:
+        if service not in self._ranks:
+            of_teams = {holder.priority for holder in self.keys.values()} or {None}
+            # A set first, as there are many routes and few priorities.
+            of_routes = {
+                (route.priority, route.public)
+                for route in self.routes
+                if route.kind is CallKind.STREAM
+                and any(name == service for name, _ in route.services)
+            }
+            priorities = {
+                _combine(route, team)
+                for route, public in of_routes
+                for team in ({None} if public else of_teams)
+            }
+            self._ranks[service] = {
+                p: rank for rank, p in enumerate(sorted(priorities))
+            }
+        return self._ranks[service]
 
     def service(self, name: str) -> ServiceModel:
         """Return a service; defaults apply to one that is not configured.
@@ -265,18 +296,6 @@
         """
         return self.services.get(name) or ServiceModel(name=name)
 
-    def _find_priorities(self, service: str) -> set[int]:
-        routes = [
-            route
-            for route in self.routes
-            if route.kind is CallKind.STREAM
-            and any(name == service for name, _ in route.services)
-        ]
-        priorities = {route.priority for route in routes}
-        if any(not route.public for route in routes):
-            priorities |= {
-                holder.priority
-                for holder in self.keys.values()
-                if holder.priority is not None
-            }
-        return priorities
+
+def _combine(route: int, team: int | None) -> Priority:
+    return (route if team is None else team), route
