--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -24,7 +24,7 @@
         "routes_version": 1,
         "service": "desk",
         "team": "clerks",
-        "priority": 1,
+        "urgency": 1,
         "deadline": Deadline(10.0),
         "arrived_at": 0.0,
         **changes,
@@ -53,6 +53,12 @@
     assert "toucanspool-tenant" not in headers_of(call(team=""))
 
 
+def test_engines_are_told_the_urgency_only_where_calls_differ_in_it():
+    assert "toucanspool-request-priority" not in headers_of(call())
+    headers = headers_of(call(ranked=True, urgency=12))
+    assert headers["toucanspool-request-priority"] == "9"
+
+
 def test_a_post_has_a_content_length_and_a_get_without_body_has_none():
     assert "Content-Length" not in headers_of(call())
     assert headers_of(call(method="POST"))["Content-Length"] == "0"
--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from toucanspool.routing.routes import CallKind, Route, RouteTable
+from toucanspool.routing.routes import CallKind, KeyHolder, Route, RouteTable
 
 
 def route(name: str, prefix: str, *, host: str = "a.example", **more: object) -> Route:
@@ -63,3 +63,26 @@
 )
 def test_which_calls_are_retryable(kind, resumable, retryable):
     assert route("r", "/", kind=kind, resumable=resumable).retryable is retryable
+
+
+def test_the_priority_of_a_team_goes_before_that_of_its_routes():
+    routes = [
+        route(f"r{n}", f"/{n}/", kind=CallKind.STREAM, priority=n) for n in (0, 2)
+    ]
+    keys = {
+        "k1": KeyHolder(name="a", priority=1),
+        "k2": KeyHolder(name="b", priority=0),
+    }
+    table = RouteTable(version=1, routes=routes, keys=keys)
+    order = [(keys["k2"], 0), (keys["k2"], 1), (keys["k1"], 0), (keys["k1"], 1)]
+    ranks = [table.urgency("s", routes[n], holder) for holder, n in order]
+    assert ranks == [0, 1, 2, 3]
+    assert table.has_priorities("s")
+
+
+def test_streams_of_one_priority_have_no_order():
+    routes = [route("r", "/a/", kind=CallKind.STREAM, priority=1)]
+    keys = {"k1": KeyHolder(name="a"), "k2": KeyHolder(name="b", priority=1)}
+    table = RouteTable(version=1, routes=routes, keys=keys)
+    assert not table.has_priorities("s")
+    assert table.urgency("s", routes[0], keys["k1"]) == 0
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -64,6 +64,11 @@
         self.reply_head: ReplyHead
         upstream.start_request(time.monotonic())
 
+    @property
+    def upstream(self) -> str:
+        """Return the name of the upstream."""
+        return self._upstream.name
+
     @property
     def status(self) -> int:
         """Return the HTTP status; 0 until the reply's head is complete."""
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -21,6 +21,7 @@
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
+from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.routing.upstreams import UpstreamList
 from toucanspool.settings.settings import RetryBudget
@@ -61,6 +62,8 @@
         Known upstreams.
     ejector : Ejector
         Health of the upstreams.
+    group_health : GroupHealth
+        Stalls of the upstreams' lock-step groups.
     quarantine : Quarantine
         Prompts that crash upstreams.
     limit_sharing : LimitSharing
@@ -79,6 +82,7 @@
         "_stream_limits",
         "dispatcher",
         "ejector",
+        "group_health",
         "limit_sharing",
         "quarantine",
         "routes",
@@ -107,8 +111,9 @@
         self.upstreams = UpstreamList()
         self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
+        self.group_health = GroupHealth()
         self._balancer = LeastLoadBalancer(
-            self.upstreams, self.ejector, failure_domain, rng
+            self.upstreams, self.ejector, failure_domain, rng, self.group_health
         )
         self._budget = SharedBudget(
             ratio=retries.ratio,
@@ -127,7 +132,7 @@
             guard,
             max_reply_bytes,
         )
-        streams = StreamRelay(relay, dialect, self._record_gap)
+        streams = StreamRelay(relay, dialect, self._record_gap, self.group_health)
         self.dispatcher = CallDispatcher(relay, streams, self._stream_limits.get)
 
     def set_retry_budget(self, retries: RetryBudget) -> None:
@@ -159,6 +164,7 @@
             for name, _ in route.services:
                 if routes.service(name).engine and route.gap_target_s:
                     self._set_stream_limit(name, route)
+                    self.group_health.max_pause_s = route.gap_target_s
         for name, stream_limit in self._stream_limits.items():
             stream_limit.by_urgency = routes.has_priorities(name)
         _log.info(
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -12,6 +12,7 @@
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay
+from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.exchange import Unreachable
@@ -39,16 +40,20 @@
     on_event_gap : callable
         Called with the name of the service and the seconds between two arrivals of
         events.
+    group_health : GroupHealth
+        Is told when streams begin, have an event and end.
     """
 
-    __slots__ = ("_dialect", "_on_event_gap", "_relay")
+    __slots__ = ("_dialect", "_group_health", "_on_event_gap", "_relay")
 
     def __init__(
         self,
         relay: Relay,
         dialect: Dialect,
         on_event_gap: Callable[[str, float], None],
+        group_health: GroupHealth,
     ) -> None:
+        self._group_health = group_health
         self._relay = relay
         self._dialect = dialect
         self._on_event_gap = on_event_gap
@@ -101,6 +106,8 @@
             upstream = self._relay.chooser.choose(call, progress)
             attempt = Attempt(call, upstream, self._dialect)
             attempt_stack.callback(attempt.close)
+            self._group_health.start_stream(upstream.name, time.monotonic())
+            attempt_stack.callback(self._group_health.end_stream, upstream.name)
             try:
                 until = min(call.deadline.at, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
                 attempt.begin(until, last_event_id=splitter.last_id)
@@ -170,6 +177,7 @@
             if last_at:
                 self._on_event_gap(call.service, now - last_at)
             last_at = now
+            self._group_health.record_event(attempt.upstream, now)
             self._relay.guard.record_answer(call, progress)
             yield events
         if not attempt.framed and (splitter.partial or not last_at):
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -122,7 +122,11 @@
             raise Refused(RefusalCause.DEADLINE, may_have_run=progress.runs > 0)
         prefer_local = call.route.kind is not CallKind.STREAM
         return self._balancer.choose(
-            call.service, progress.tried, now, prefer_local=prefer_local
+            call.service,
+            progress.tried,
+            now,
+            prefer_local=prefer_local,
+            urgency=call.urgency if call.ranked else None,
         )
 
     def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
--- a/toucanspool/limits/level_rates.py
+++ b/toucanspool/limits/level_rates.py
@@ -3,13 +3,16 @@
 import math
 from collections.abc import Collection
 
-# Arrivals of one level at one entry are a few a second; over this time there are enough
-# to tell levels apart, and a flood is noticed before most of its streams have ended.
-TIME_CONSTANT_S = 4.0
+# One entry sees about a request a second of each level. Over this time there are enough
+# to tell how much of a level is admitted.
+TIME_CONSTANT_S = 10.0
 # A level is neglected if the admitted fraction of its requests is less than this part
 # of the fraction of all requests. Below a quarter, callers call a level starved; the
 # distance allows for what other entries admit, which this one doesn't see.
-MIN_RELATIVE_FRACTION = 0.6
+MIN_RELATIVE_FRACTION = 0.35
+# Part of a request by which a level may be short. With less, levels with few requests
+# would be neglected most of the time.
+NEGLECT_SLACK = 0.25
 # Levels without a request for this long are forgotten.
 IDLE_TTL_S = 60.0
 
@@ -52,15 +55,15 @@
         self._decay(now)
         self._admitted[level] = self._admitted.get(level, 0.0) + 1.0
 
-    def per_s(self, below: int, now: float) -> float:
-        """Return the recent arrivals of more urgent levels.
+    def per_s(self, now: float, *, below: float = math.inf) -> float:
+        """Return the recent arrivals, of all levels or of the more urgent ones.
 
         Parameters
         ----------
-        below : int
-            The level; those with lower numbers are more urgent.
         now : float
             Seconds on the monotonic clock.
+        below : float, optional
+            Only levels with lower numbers count, which are more urgent.
 
         Returns
         -------
@@ -72,7 +75,7 @@
         return arrived / TIME_CONSTANT_S
 
     def is_neglected(self, level: int, now: float) -> bool:
-        """Return whether a level is a whole request short of its least fraction.
+        """Return whether too few requests of a level are admitted.
 
         Parameters
         ----------
@@ -91,7 +94,7 @@
             return False
         admitted_fraction = min(1.0, sum(self._admitted.values()) / arrived)
         due = MIN_RELATIVE_FRACTION * admitted_fraction * self._arrived.get(level, 0.0)
-        return due - self._admitted.get(level, 0.0) >= 1.0
+        return due - self._admitted.get(level, 0.0) >= NEGLECT_SLACK
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._updated_at
--- a/toucanspool/limits/priority_admission.py
+++ b/toucanspool/limits/priority_admission.py
@@ -1,5 +1,6 @@
 """Admission control of one service whose callers differ in urgency."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -207,25 +208,26 @@
             self._queue.remove(ticket)
             self._start(ticket, now)
 
-    def _order(self, ticket: Ticket, now: float) -> tuple[bool, int, bool, float]:
+    def _order(self, ticket: Ticket, now: float) -> tuple[bool, bool, int, float]:
         """Return the sort key of service; the lowest is served first."""
         return (
             not self._rates.is_neglected(ticket.priority, now),
-            ticket.priority,
             now >= ticket.on_time_until,
+            ticket.priority,
             ticket.start_tag,
         )
 
     def _fits(self, ticket: Ticket, now: float) -> bool:
         limit = self._capacity
         if not self._rates.is_neglected(ticket.priority, now):
-            limit -= self._reserve(ticket.priority, now)
+            limit -= self._reserve(ticket, now)
         return not self._running or self._used + ticket.cost <= limit + EPSILON
 
-    def _reserve(self, level: int, now: float) -> float:
-        """Return the room that requests of a level leave to more urgent ones."""
-        reserve = RESERVE_S * self._rates.per_s(level, now)
-        return min(reserve, MAX_RESERVED_FRACTION * self._capacity)
+    def _reserve(self, ticket: Ticket, now: float) -> float:
+        """Return the room that a request leaves to those that go before it."""
+        late = now >= ticket.on_time_until
+        before = self._rates.per_s(now, below=math.inf if late else ticket.priority)
+        return min(RESERVE_S * before, MAX_RESERVED_FRACTION * self._capacity)
 
     def _shed_excess(self, new_ticket: Ticket, now: float) -> None:
         limit = max(MIN_QUEUE_COST, self.service_rate * MAX_WAIT_S)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -264,6 +264,8 @@
                 self._ranks[row.key] = record
         slowdowns = {record.upstream: record.pace for record in self._ranks.values()}
         self._core.upstreams.set_slowdowns(slowdowns)
+        groups = {record.upstream: record.group for record in self._ranks.values()}
+        self._core.group_health.set_groups(groups)
 
     def _log_load(self) -> None:
         ages = self._subscriptions.ages()
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 
 from toucanspool.retries.ejection import Ejector
+from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.upstream import Upstream
 from toucanspool.routing.upstreams import UpstreamList
 
@@ -29,9 +30,12 @@
         Failure domain of this entry.
     rng : random.Random
         Draws the initial tie offset.
+    group_health : GroupHealth, optional
+        Stalls of the upstreams' groups, which count for calls that differ in urgency.
     """
 
     __slots__ = (
+        "_group_health",
         "_ejector",
         "_failure_domain",
         "_reserved",
@@ -45,7 +49,9 @@
         ejector: Ejector,
         failure_domain: str,
         rng: random.Random,
+        group_health: GroupHealth | None = None,
     ) -> None:
+        self._group_health = group_health or GroupHealth()
         self._upstreams = upstreams
         self._ejector = ejector
         self._failure_domain = failure_domain
@@ -141,7 +147,13 @@
         return [u.limit.own_per_s for u in ready if u.limit.limited]
 
     def choose(
-        self, service: str, tried: Collection[str], now: float, *, prefer_local: bool
+        self,
+        service: str,
+        tried: Collection[str],
+        now: float,
+        *,
+        prefer_local: bool,
+        urgency: int | None = None,
     ) -> Upstream | None:
         """Return the upstream for a call, or None where none is left to try.
 
@@ -155,6 +167,9 @@
             Seconds on the monotonic clock.
         prefer_local : bool
             Whether to prefer the entry's own failure domain among equals.
+        urgency : int, optional
+            Rank of the call's priority, where calls differ in it: the more urgent, the
+            more it avoids groups that have lately stalled.
 
         Returns
         -------
@@ -172,12 +187,16 @@
             return None
         first = int(self._tie_offset * len(untried))
 
-        def cost(option: tuple[float, int, Upstream]) -> tuple[float, int]:
+        def cost(option: tuple[float, int, Upstream]) -> tuple[bool, float, int]:
             weight, position, upstream = option
+            full = False
             load = self._upstreams.load(upstream, now)
             if prefer_local and upstream.listing.failure_domain != self._failure_domain:
                 load += CROSS_DOMAIN_LOAD
             penalty = self._upstreams.slowdown(upstream) / max(weight, MIN_WEIGHT)
-            return (load + 1.0) * penalty, (position - first) % len(untried)
+            if urgency is not None:
+                full = load >= upstream.listing.slots
+                penalty *= self._group_health.penalty(upstream.name, urgency, now)
+            return full, (load + 1.0) * penalty, (position - first) % len(untried)
 
         return min(usable, key=cost)[2]
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -265,7 +265,6 @@
     def _ranks_of(self, service: str) -> dict[Priority, int]:
         if service not in self._ranks:
             of_teams = {holder.priority for holder in self.keys.values()} or {None}
-            # A set first, as there are many routes and few priorities.
             of_routes = {
                 (route.priority, route.public)
                 for route in self.routes
