--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -35,8 +35,8 @@
     urgency : int
         Rank of its priority among those that the service's streams may have; 0 is the
         most urgent.
-    ranked : bool
-        Whether the service's streams differ in priority.
+    urgency_levels : int
+        Number of those priorities; more than 1 if the service's streams differ in them.
     deadline : Deadline
         End of the caller's or the route's time limit, whichever comes first.
     arrived_at : float
@@ -63,13 +63,20 @@
     urgency: int
     deadline: Deadline
     arrived_at: float
-    ranked: bool = False
+    urgency_levels: int = 1
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
     prompt: tuple[str, ...] = ()
     fingerprint: str = ""
 
+    @property
+    def tolerance(self) -> float | None:
+        """Return how little urgent the call is, from 0 to 1; None if calls don't differ."""
+        if self.urgency_levels < 2:
+            return None
+        return self.urgency / (self.urgency_levels - 1)
+
     @property
     def traits(self) -> Traits:
         """Return what the call has in common with others that may crash upstreams."""
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -126,7 +126,7 @@
             progress.tried,
             now,
             prefer_local=prefer_local,
-            urgency=call.urgency if call.ranked else None,
+            tolerance=call.tolerance,
         )
 
     def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -154,7 +154,7 @@
             service=service,
             team=team,
             urgency=table.urgency(service, route, holder),
-            ranked=table.has_priorities(service),
+            urgency_levels=table.urgency_levels(service),
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -153,7 +153,7 @@
         now: float,
         *,
         prefer_local: bool,
-        urgency: int | None = None,
+        tolerance: float | None = None,
     ) -> Upstream | None:
         """Return the upstream for a call, or None where none is left to try.
 
@@ -167,9 +167,9 @@
             Seconds on the monotonic clock.
         prefer_local : bool
             Whether to prefer the entry's own failure domain among equals.
-        urgency : int, optional
-            Rank of the call's priority, where calls differ in it: the more urgent, the
-            more it avoids groups that have lately stalled.
+        tolerance : float, optional
+            Where calls differ in priority, how little urgent this one is, from 0 to 1.
+            The more urgent, the more it avoids groups that have lately stalled.
 
         Returns
         -------
@@ -194,9 +194,9 @@
             if prefer_local and upstream.listing.failure_domain != self._failure_domain:
                 load += CROSS_DOMAIN_LOAD
             penalty = self._upstreams.slowdown(upstream) / max(weight, MIN_WEIGHT)
-            if urgency is not None:
+            if tolerance is not None:
                 full = load >= upstream.listing.slots
-                penalty *= self._group_health.penalty(upstream.name, urgency, now)
+                penalty *= self._group_health.penalty(upstream.name, tolerance, now)
             return full, (load + 1.0) * penalty, (position - first) % len(untried)
 
         return min(usable, key=cost)[2]
--- a/toucanspool/routing/group_health.py
+++ b/toucanspool/routing/group_health.py
@@ -11,8 +11,8 @@
 # pause that is on time. Passes vary by less.
 SILENCE_FACTOR = 3.0
 # Weight of the fraction of time lost in stalls. With it, a group that stands still for
-# a third of the time gets the most urgent calls only where others are full.
-STALL_WEIGHT = 20.0
+# a tenth of the time gets the most urgent calls only where others are full.
+STALL_WEIGHT = 40.0
 
 
 @dataclass(slots=True)
@@ -106,15 +106,15 @@
             group.lost_s += silent_s
         group.last_event_at = now
 
-    def penalty(self, upstream: str, urgency: int, now: float) -> float:
+    def penalty(self, upstream: str, tolerance: float, now: float) -> float:
         """Return the factor by which an upstream counts as slower for a call.
 
         Parameters
         ----------
         upstream : str
             Name of the upstream.
-        urgency : int
-            Rank of the call's priority; less urgent calls mind stalls less.
+        tolerance : float
+            How little urgent the call is, from 0 to 1; with 1, stalls don't count.
         now : float
             Seconds on the monotonic clock.
 
@@ -128,7 +128,7 @@
             return 1.0
         group.decay(now)
         lost = min(1.0, (group.lost_s + self._silent_s(group, now)) / MEMORY_S)
-        return 1.0 + STALL_WEIGHT * lost / (1.0 + urgency)
+        return 1.0 + STALL_WEIGHT * lost * (1.0 - tolerance)
 
     def _silent_s(self, group: _Group, now: float) -> float:
         """Return the length of a silence that is too long for a pass, else 0."""
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -258,9 +258,9 @@
         priority = _combine(route.priority, holder.priority if holder else None)
         return self._ranks_of(service).get(priority, 0)
 
-    def has_priorities(self, service: str) -> bool:
-        """Return whether streams of a service differ in priority."""
-        return len(self._ranks_of(service)) > 1
+    def urgency_levels(self, service: str) -> int:
+        """Return how many priorities the streams of a service may have."""
+        return len(self._ranks_of(service))
 
     def _ranks_of(self, service: str) -> dict[Priority, int]:
         if service not in self._ranks:
