--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -72,7 +72,7 @@
 
     @property
     def tolerance(self) -> float | None:
-        """Return how little urgent the call is, from 0 to 1; None if calls don't differ."""
+        """Return how little urgent the call is, 0 to 1; None if calls don't differ."""
         if self.urgency_levels < 2:
             return None
         return self.urgency / (self.urgency_levels - 1)
