--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from toucanspool.routing.routes import CallKind, Route, RouteTable
+from toucanspool.routing.routes import CallKind, KeyHolder, Route, RouteTable
 
 
 def route(name: str, prefix: str, *, host: str = "a.example", **more: object) -> Route:
@@ -63,3 +63,19 @@
 )
 def test_which_calls_are_retryable(kind, resumable, retryable):
     assert route("r", "/", kind=kind, resumable=resumable).retryable is retryable
+
+
+def test_streams_are_ranked_by_the_priorities_of_team_and_route():
+    routes = [
+        route("r0", "/0/", kind=CallKind.STREAM, priority=0),
+        route("r2", "/2/", kind=CallKind.STREAM, priority=2),
+        route("other", "/3/", priority=7),
+    ]
+    keys = {
+        "k1": KeyHolder(name="a", priority=1),
+        "k2": KeyHolder(name="b", priority=0),
+    }
+    table = RouteTable(version=1, routes=routes, keys=keys)
+    assert table.urgency("s").levels == 4
+    assert table.urgency("s").rank(2, 0) == 1
+    assert table.urgency("absent").levels == 0
--- /dev/null
+++ b/tests/routing/test_urgency.py
@@ -0,0 +1,20 @@
+"""Checks the order of urgency of streams."""
+
+from toucanspool.routing.urgency import UrgencyOrder
+
+
+def test_the_priority_of_a_team_goes_before_that_of_its_routes():
+    order = UrgencyOrder({(0, False), (2, False)}, {0, 1})
+    ranks = [order.rank(route, team) for team in (0, 1) for route in (0, 2)]
+    assert ranks == [0, 1, 2, 3]
+
+
+def test_streams_of_one_priority_have_no_order():
+    order = UrgencyOrder({(1, False), (1, True)}, {None, 1})
+    assert order.levels == 1
+    assert order.rank(1, None) == 0
+
+
+def test_teams_without_a_priority_rank_by_the_route_alone():
+    order = UrgencyOrder({(0, True), (3, False)}, {None})
+    assert (order.rank(0, None), order.rank(3, None)) == (0, 1)
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -32,8 +32,11 @@
         Name of the service chosen from the route.
     team : str
         Team of the caller's API key; empty on a public route.
-    priority : int
-        Priority; 0 is the most urgent.
+    urgency : int
+        Rank of its priority among those that the service's streams may have; 0 is the
+        most urgent.
+    urgency_levels : int
+        Number of those priorities; more than 1 if the service's streams differ in them.
     deadline : Deadline
         End of the caller's or the route's time limit, whichever comes first.
     arrived_at : float
@@ -59,9 +62,10 @@
     routes_version: int
     service: str
     team: str
-    priority: int
+    urgency: int
     deadline: Deadline
     arrived_at: float
+    urgency_levels: int = 1
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
@@ -69,6 +73,13 @@
     fingerprint: str = ""
     regions: frozenset[str] | None = None
 
+    @property
+    def tolerance(self) -> float | None:
+        """Return how little urgent the call is, 0 to 1; None if calls don't differ."""
+        if self.urgency_levels < 2:
+            return None
+        return self.urgency / (self.urgency_levels - 1)
+
     @property
     def traits(self) -> Traits:
         """Return what the call has in common with others that may crash upstreams."""
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -15,13 +15,13 @@
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.gateway.upstream_chooser import UpstreamChooser
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
-from toucanspool.limits.gate import Gate
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
+from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.regions import Regions
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.routing.upstreams import UpstreamList
@@ -65,6 +65,8 @@
         Regions of the upstreams; none is known at first.
     ejector : Ejector
         Health of the upstreams.
+    group_health : GroupHealth
+        Stalls of the upstreams' lock-step groups.
     quarantine : Quarantine
         Prompts that crash upstreams.
     limit_sharing : LimitSharing
@@ -83,6 +85,7 @@
         "_stream_limits",
         "dispatcher",
         "ejector",
+        "group_health",
         "limit_sharing",
         "quarantine",
         "regions",
@@ -113,8 +116,14 @@
         self.regions = Regions()
         self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
+        self.group_health = GroupHealth()
         self._balancer = LeastLoadBalancer(
-            self.upstreams, self.ejector, failure_domain, rng, self.regions
+            self.upstreams,
+            self.ejector,
+            failure_domain,
+            rng,
+            regions=self.regions,
+            group_health=self.group_health,
         )
         self._budget = SharedBudget(
             ratio=retries.ratio,
@@ -133,8 +142,8 @@
             guard,
             max_reply_bytes,
         )
-        streams = StreamRelay(relay, dialect, self._record_gap)
-        self.dispatcher = CallDispatcher(relay, streams, self._find_gate)
+        streams = StreamRelay(relay, dialect, self._record_gap, self.group_health)
+        self.dispatcher = CallDispatcher(relay, streams, self._stream_limits.get)
 
     def set_retry_budget(self, retries: RetryBudget) -> None:
         """Change the settings of the retry budget.
@@ -165,6 +174,11 @@
             for name, _ in route.services:
                 if routes.service(name).engine and route.gap_target_s:
                     self._set_stream_limit(name, route)
+                    self.group_health.max_pause_s = route.gap_target_s
+        for name, stream_limit in self._stream_limits.items():
+            by_urgency = routes.urgency(name).levels > 1
+            stream_limit.by_urgency = by_urgency
+            stream_limit.adaptive_limit.avoid_slow_passes = by_urgency
         _log.info(
             "routes in force",
             version=routes.version,
@@ -232,10 +246,6 @@
     def _record_crash(self, crash: Crash) -> None:
         self.quarantine.record_crash(crash.id, crash.calls, time.monotonic())
 
-    def _find_gate(self, service: str) -> Gate | None:
-        stream_limit = self._stream_limits.get(service)
-        return stream_limit.gate if stream_limit else None
-
     def _set_stream_limit(self, service: str, route: Route) -> None:
         stream_limit = self._stream_limits.get(service)
         if stream_limit is None:
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -143,6 +143,7 @@
             now,
             prefer_local=prefer_local,
             regions=call.regions,
+            tolerance=call.tolerance,
         )
 
     def _wait_s(self, call: Call, progress: CallProgress) -> float | None:
--- a/toucanspool/limits/gate.py
+++ b/toucanspool/limits/gate.py
@@ -3,10 +3,10 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import Protocol
 
 from gevent.event import Event
 
-from toucanspool.limits.admission import Admission
 from toucanspool.limits.ticket import Ticket, TicketState
 
 TIMER_MARGIN_S = 0.001
@@ -24,12 +24,49 @@
         ticket.waiter.set()
 
 
+class AdmissionControl(Protocol):
+    """Decide which requests run, wait or are shed, up to a capacity."""
+
+    @property
+    def capacity(self) -> float:
+        """Return the largest total cost of running requests."""
+        ...
+
+    @property
+    def running(self) -> int:
+        """Return the number of running requests."""
+        ...
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        ...
+
+    def admit(
+        self, team: str, share: float, priority: int, cost: float, now: float
+    ) -> Ticket:
+        """Admit a request, queue it, or raise `Shed`."""
+        ...
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Release the capacity of a ticket; repeated calls have no effect."""
+        ...
+
+    def expire(self, now: float) -> None:
+        """Shed the tickets that have waited for the longest time allowed."""
+        ...
+
+    def resize(self, capacity: float, now: float) -> None:
+        """Change the capacity; running requests are not interrupted."""
+        ...
+
+
 class Gate:
     """Admit tasks, and hold their capacity while they run.
 
     Parameters
     ----------
-    admission : Admission
+    admission : AdmissionControl
         Admission control, created with ``on_settled=wake``.
     clock : callable, default=time.monotonic
         Returns seconds on the monotonic clock.
@@ -38,7 +75,10 @@
     __slots__ = ("_clock", "admission")
 
     def __init__(
-        self, admission: Admission, *, clock: Callable[[], float] = time.monotonic
+        self,
+        admission: AdmissionControl,
+        *,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.admission = admission
         self._clock = clock
@@ -56,7 +96,8 @@
         share : float
             Share of the team, greater than 0.
         priority : int
-            Requests of lower priority are shed first.
+            Priority of the request, with the meaning that it has to the admission
+            control.
         cost : float, default=1
             Capacity that the request occupies.
 
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -117,6 +117,8 @@
             request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
         )
         left_s = min(timeout_ms / MS_PER_S, route.timeout_s)
+        service = route.service(self._rng)
+        urgency = table.urgency(service)
         prompt_tokens, answer_tokens = platform_headers.parse_token_counts(
             request_headers
         )
@@ -128,9 +130,10 @@
             body=body,
             route=route,
             routes_version=table.version,
-            service=route.service(self._rng),
+            service=service,
             team=team.name,
-            priority=route.priority if team.priority is None else team.priority,
+            urgency=urgency.rank(route.priority, team.priority),
+            urgency_levels=urgency.levels,
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -132,7 +132,9 @@
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
         entry_rows = EntryRows(self._entries, self._registration, self._crash_exchange)
-        rank_rows = RankRows(self._core.upstreams.set_slowdowns)
+        rank_rows = RankRows(
+            self._core.upstreams.set_slowdowns, self._core.group_health.set_groups
+        )
         for prefix, on_snapshot, on_changes in (
             (ENTRY_PREFIX, entry_rows.replace, entry_rows.update),
             (RANK_PREFIX, rank_rows.replace, rank_rows.update),
--- a/toucanspool/platform/rank_rows.py
+++ b/toucanspool/platform/rank_rows.py
@@ -1,4 +1,4 @@
-"""Rows of rank agents, from which gateways read the slowdowns of their engines."""
+"""Rows of rank agents, from which gateways read the slowdowns and groups of engines."""
 
 from collections.abc import Callable, Mapping
 
@@ -7,18 +7,25 @@
 
 
 class RankRows:
-    """Keep the records of the rank agents, and pass on the slowdowns in them.
+    """Keep the records of the rank agents, and pass on what they say of engines.
 
     Parameters
     ----------
     on_slowdowns : callable
         Takes the slowdown factors by name of the upstream, after each change.
+    on_groups : callable
+        Takes the names of the lock-step groups by name of the upstream, likewise.
     """
 
-    __slots__ = ("_on_slowdowns", "_ranks")
+    __slots__ = ("_on_groups", "_on_slowdowns", "_ranks")
 
-    def __init__(self, on_slowdowns: Callable[[Mapping[str, float]], None]) -> None:
+    def __init__(
+        self,
+        on_slowdowns: Callable[[Mapping[str, float]], None],
+        on_groups: Callable[[Mapping[str, str]], None],
+    ) -> None:
         self._on_slowdowns = on_slowdowns
+        self._on_groups = on_groups
         self._ranks: dict[str, RankRecord] = {}
 
     def replace(self, changes: Changes) -> None:
@@ -46,3 +53,4 @@
             if record := decode_rank(row):
                 self._ranks[row.key] = record
         self._on_slowdowns({r.upstream: r.pace for r in self._ranks.values()})
+        self._on_groups({r.upstream: r.group for r in self._ranks.values()})
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from toucanspool.routing.urgency import UrgencyOrder
+
 
 class CallKind(Enum):
     """Classify the calls of a route by whether they may be retried."""
@@ -177,7 +179,7 @@
     name : str
         Name of the team.
     priority : int or None
-        Overrides the priority of routes; None keeps it.
+        Goes before the priority of routes; None if the route's alone counts.
     allowed_regions : frozenset of str
         Regions in which the team's calls may run; empty for any.
     """
@@ -214,6 +216,7 @@
     keys_required: bool = False
     limits: RequestLimits = field(default_factory=RequestLimits)
     _by_prefix: dict[tuple[str, str], Route] = field(default_factory=dict, repr=False)
+    _urgency: dict[str, UrgencyOrder] = field(default_factory=dict, repr=False)
 
     def __post_init__(self) -> None:
         for route in self.routes:
@@ -257,6 +260,29 @@
         lists = [r.allowed_regions for r in self.routes if r.host == host]
         return frozenset().union(*lists) if lists and all(lists) else None
 
+    def urgency(self, service: str) -> UrgencyOrder:
+        """Return the order of urgency of a service's streams.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        UrgencyOrder
+        """
+        if service not in self._urgency:
+            of_routes = {
+                (route.priority, route.public)
+                for route in self.routes
+                if route.kind is CallKind.STREAM
+                and any(name == service for name, _ in route.services)
+            }
+            of_teams = {holder.priority for holder in self.keys.values()}
+            self._urgency[service] = UrgencyOrder(of_routes, of_teams)
+        return self._urgency[service]
+
     def service(self, name: str) -> ServiceModel:
         """Return a service; defaults apply to one that is not configured.
 
--- /dev/null
+++ b/toucanspool/routing/urgency.py
@@ -0,0 +1,61 @@
+"""The order of urgency of streams, by the priorities of their teams and routes."""
+
+from collections.abc import Collection
+
+# The priority of a team and that of a route.
+Priority = tuple[int, int]
+
+
+class UrgencyOrder:
+    """Rank the priorities that the streams of one service may have.
+
+    The priority of a team goes before that of its routes; lower numbers are more
+    urgent.
+
+    Parameters
+    ----------
+    of_routes : collection of (int, bool)
+        Priorities of the service's routes for streams, and whether each is public.
+    of_teams : collection of int or None
+        Priorities of all teams; None stands for teams without one.
+    """
+
+    __slots__ = ("_ranks",)
+
+    def __init__(
+        self,
+        of_routes: Collection[tuple[int, bool]],
+        of_teams: Collection[int | None],
+    ) -> None:
+        priorities = {
+            _combine(route, team)
+            for route, public in of_routes
+            for team in ((None,) if public else of_teams or (None,))
+        }
+        self._ranks = {p: rank for rank, p in enumerate(sorted(priorities))}
+
+    @property
+    def levels(self) -> int:
+        """Return the number of different priorities."""
+        return len(self._ranks)
+
+    def rank(self, route: int, team: int | None) -> int:
+        """Return the rank of a stream's priority.
+
+        Parameters
+        ----------
+        route : int
+            Priority of its route.
+        team : int or None
+            Priority of its team; None if the route's alone counts.
+
+        Returns
+        -------
+        int
+            0 for the most urgent streams, and for services of a single priority.
+        """
+        return self._ranks.get(_combine(route, team), 0)
+
+
+def _combine(route: int, team: int | None) -> Priority:
+    return (route if team is None else team), route
