--- a/tests/routing/test_group_health.py
+++ b/tests/routing/test_group_health.py
@@ -69,7 +69,7 @@
     ]
     upstreams.replace(listings, 1, now=0.0)
     balancer = LeastLoadBalancer(
-        upstreams, Ejector(random.Random(1)), "z", random.Random(1), health
+        upstreams, Ejector(random.Random(1)), "z", random.Random(1), group_health=health
     )
     health.record_event("a1", 0.0)
     health.record_event("a1", 1.5)
--- a/tests/routing/test_regions.py
+++ b/tests/routing/test_regions.py
@@ -54,7 +54,11 @@
         self.ejector = Ejector(random.Random(1))
         self.ejector.update([u.name for u in self.upstreams], 0.0)
         self.balancer = LeastLoadBalancer(
-            self.upstreams, self.ejector, "one", random.Random(1), Regions(ZONES)
+            self.upstreams,
+            self.ejector,
+            "one",
+            random.Random(1),
+            regions=Regions(ZONES),
         )
 
     def chosen(self, regions: frozenset[str] | None) -> set[str]:
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -176,9 +176,7 @@
                     self._set_stream_limit(name, route)
                     self.group_health.max_pause_s = route.gap_target_s
         for name, stream_limit in self._stream_limits.items():
-            by_urgency = routes.urgency(name).levels > 1
-            stream_limit.by_urgency = by_urgency
-            stream_limit.adaptive_limit.avoid_slow_passes = by_urgency
+            stream_limit.by_urgency = routes.urgency(name).levels > 1
         _log.info(
             "routes in force",
             version=routes.version,
--- a/toucanspool/limits/adaptive_limit.py
+++ b/toucanspool/limits/adaptive_limit.py
@@ -4,10 +4,7 @@
 the duration of a pass from the pauses between events of its own streams.
 """
 
-from collections.abc import Sequence
-
 from toucanspool.limits._ewma import ewma_weight
-from toucanspool.limits.slow_passes import SlowPasses
 from toucanspool.routing.routes import EngineModel
 
 # Fraction of the longest allowed pause that a pass may take on average. The rest
@@ -27,12 +24,6 @@
 # of shorter passes.
 MIN_PAUSE_S = 0.001
 MIN_STREAMS = 1.0
-# Fraction of the longest allowed pause that the slowest recent passes may take.
-SLOW_PAUSE_FRACTION = 0.97
-# Of the pauses since the last update, the longest but one of eight stands for the
-# slowest pass: streams of a group have the same pauses, and single ones wait for the
-# network.
-PAUSES_PER_SLOW_PASS = 4
 
 
 class AdaptiveLimit:
@@ -53,18 +44,15 @@
     ----------
     limit : float
         Limit per entry if all entries take equal parts; 0 before the first update.
-    avoid_slow_passes : bool
-        Whether the slowest recent passes must be on time, not only the mean.
     """
 
     __slots__ = (
         "_mean_pause_s",
+        "_pause_count",
+        "_pause_sum_s",
         "_per_upstream",
-        "_pauses_s",
         "_requests_per_upstream",
-        "_slow_passes",
         "_updated_at",
-        "avoid_slow_passes",
         "limit",
         "max_pause_s",
         "max_response_s",
@@ -76,9 +64,8 @@
         self.limit = 0.0
         self._mean_pause_s = 0.0
         self._requests_per_upstream = 0.0
-        self._pauses_s: list[float] = []
-        self._slow_passes = SlowPasses()
-        self.avoid_slow_passes = False
+        self._pause_sum_s = 0.0
+        self._pause_count = 0
         self._updated_at = 0.0
         self._per_upstream = MIN_ON_TIME_REQUESTS
 
@@ -95,8 +82,10 @@
         seconds : float
             Duration of the pause.
         """
-        longest_s = MAX_PAUSE_FACTOR * self.max_pause_s
-        self._pauses_s.append(min(max(seconds, MIN_PAUSE_S), longest_s))
+        self._pause_sum_s += min(
+            max(seconds, MIN_PAUSE_S), MAX_PAUSE_FACTOR * self.max_pause_s
+        )
+        self._pause_count += 1
 
     def usable_fraction(self, engine: EngineModel, per_s: float) -> float:
         """Return the part of an upstream's room that a limit on its requests leaves.
@@ -151,40 +140,25 @@
         """
         usable = upstreams if usable is None else usable
         entries = max(1, entries)
-        pauses_s, self._pauses_s = sorted(self._pauses_s), []
-        self._update_averages(running * entries / upstreams, pauses_s, now)
+        self._update_averages(running * entries / upstreams, now)
         self._per_upstream = self._max_per_upstream(engine)
-        if self.avoid_slow_passes:
-            self._record_slow_pass(engine, pauses_s, now)
-            self._per_upstream = self._slow_passes.limit(self._per_upstream, now)
         self.limit = max(MIN_STREAMS, self._per_upstream * usable / entries)
         return self.limit
 
-    def _update_averages(
-        self, requests: float, pauses_s: Sequence[float], now: float
-    ) -> None:
+    def _update_averages(self, requests: float, now: float) -> None:
         """Add the samples since the last update to the moving averages."""
         weight = ewma_weight(now - self._updated_at, TIME_CONSTANT_S)
         self._updated_at = now
         self._requests_per_upstream += weight * (requests - self._requests_per_upstream)
-        if not pauses_s:
+        if not self._pause_count:
             return
-        sample_s = sum(pauses_s) / len(pauses_s)
+        sample_s = self._pause_sum_s / self._pause_count
+        self._pause_sum_s, self._pause_count = 0.0, 0
         # A geometric mean forgets a pause that is ten times too long as fast as one
         # that is ten times too short.
         previous_s = self._mean_pause_s or sample_s
         self._mean_pause_s = previous_s * (sample_s / previous_s) ** weight
 
-    def _record_slow_pass(
-        self, engine: EngineModel, pauses_s: Sequence[float], now: float
-    ) -> None:
-        if not pauses_s:
-            return
-        slowest_s = pauses_s[-max(1, len(pauses_s) // PAUSES_PER_SLOW_PASS)]
-        slowdown = max(1.0, slowest_s / pass_s(engine, self._requests_per_upstream))
-        longest_s = SLOW_PAUSE_FRACTION * self.max_pause_s / slowdown
-        self._slow_passes.record(_requests_for_pass(engine, longest_s), now)
-
     def _max_per_upstream(self, engine: EngineModel) -> float:
         """Return the number of requests that an upstream may run at a time."""
         slowdown = max(
