--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
     "fairness",
     "retries",
     "placement",
+    "few_slots",
     "switch",
     "claims",
     "claim_cost",
