--- a/toucanspool/routing/request_limit.py
+++ b/toucanspool/routing/request_limit.py
@@ -2,6 +2,8 @@
 
 import math
 
+from toucanspool.routing.token_bucket import TokenBucket
+
 # An upstream that takes less is still asked this often by all entries together. Else
 # nothing would show that its limit has ended.
 MIN_PER_S = 0.1
@@ -25,21 +27,15 @@
     ----------
     per_s, named_at : float
         As the parameters.
-
-    References
-    ----------
-    Token bucket: J. Turner, "New Directions in Communications", IEEE Communications
-    Magazine 24(10), 1986. It starts empty, since the upstream was in need before.
     """
 
-    __slots__ = ("_part", "_tokens", "_updated_at", "named_at", "per_s")
+    __slots__ = ("_bucket", "_part", "named_at", "per_s")
 
     def __init__(self, per_s: float, named_at: float, part: float) -> None:
         self.per_s = per_s
         self.named_at = named_at
         self._part = part
-        self._tokens = 0.0
-        self._updated_at = named_at
+        self._bucket = TokenBucket(self._rate, self._depth, named_at)
 
     @property
     def limited(self) -> bool:
@@ -63,16 +59,16 @@
         """
         if per_s != self.per_s:
             if not self.limited:
-                self._tokens, self._updated_at = 0.0, now
-            self._refill(now)
+                self._bucket.empty(now)
             self.per_s = per_s
+            self._bucket.configure(self._rate, self._depth, now)
         self.named_at = at
 
     def set_part(self, part: float, now: float) -> None:
         """Change the fraction that belongs to this entry."""
         if part != self._part:
-            self._refill(now)
             self._part = part
+            self._bucket.configure(self._rate, self._depth, now)
 
     def wait_s(self, now: float) -> float:
         """Return the time until this entry may send a request.
@@ -87,13 +83,7 @@
         float
             Seconds; 0 if it may send one now, infinity if it has no part.
         """
-        if not self.limited:
-            return 0.0
-        self._refill(now)
-        if self._tokens >= 1.0:
-            return 0.0
-        own_per_s = self.own_per_s
-        return (1.0 - self._tokens) / own_per_s if own_per_s else math.inf
+        return self._bucket.wait_s(now) if self.limited else 0.0
 
     def count_request(self, now: float) -> None:
         """Count a request that this entry sends.
@@ -104,12 +94,12 @@
             Seconds on the monotonic clock.
         """
         if self.limited:
-            self._refill(now)
-            self._tokens -= 1.0
+            self._bucket.take(now)
 
-    def _refill(self, now: float) -> None:
-        elapsed_s = max(0.0, now - self._updated_at)
-        self._updated_at = max(now, self._updated_at)
-        if self.limited:
-            most = max(1.0, BURST_REQUESTS * self._part)
-            self._tokens = min(most, self._tokens + elapsed_s * self.own_per_s)
+    @property
+    def _rate(self) -> float:
+        return self.own_per_s if self.limited else 0.0
+
+    @property
+    def _depth(self) -> float:
+        return max(1.0, BURST_REQUESTS * self._part)
