Bound the requests to cold upstreams from all entries together

Upstreams crash when they get the load of a warm one right after their start. Rows of the list and health replies say how long an upstream stays cold; services name the rate that it tolerates, and settings what it may get beyond. Each entry works out by itself which entries use a cold upstream, with a token bucket of one request each.

--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -7,6 +7,7 @@
 import structlog
 
 from toucanspool.gateway.call_dispatcher import CallDispatcher
+from toucanspool.gateway.cold_sharing import ColdSharing
 from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.crash_watch import Crash, CrashWatch
 from toucanspool.gateway.dialect import Dialect
@@ -24,7 +25,7 @@
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import Route, RouteTable
 from toucanspool.routing.upstreams import UpstreamList
-from toucanspool.settings.settings import RetryBudget
+from toucanspool.settings.settings import ColdStarts, RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
 _log = structlog.get_logger()
@@ -53,6 +54,8 @@
         Called with each crash of an upstream; it must record it in `quarantine`.
     started_at : float, optional
         Start of this process, in seconds on the monotonic clock; now by default.
+    cold_starts : ColdStarts, optional
+        Settings of the bound on cold upstreams; by default there is none.
 
     Attributes
     ----------
@@ -73,6 +76,8 @@
     __slots__ = (
         "_balancer",
         "_budget",
+        "_cold_settings",
+        "_cold_sharing",
         "_entries",
         "_metrics",
         "_on_crash",
@@ -98,6 +103,7 @@
         max_reply_bytes: int,
         on_crash: Callable[[Crash], None] | None = None,
         started_at: float | None = None,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self._on_crash = on_crash or self._record_crash
         self._entries = entries
@@ -108,6 +114,8 @@
         self.upstreams = UpstreamList()
         self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
+        self._cold_settings = cold_starts
+        self._cold_sharing = ColdSharing(self.upstreams, entries, self.ejector, metrics)
         self._balancer = LeastLoadBalancer(
             self.upstreams, self.ejector, failure_domain, rng
         )
@@ -143,6 +151,11 @@
             ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
         )
 
+    def set_cold_starts(self, settings: ColdStarts | None) -> None:
+        """Change the settings of the bound on cold upstreams; None for no bound."""
+        self._cold_settings = settings
+        self._cold_sharing.configure(settings, self.routes, time.monotonic())
+
     def set_routes(self, routes: RouteTable) -> None:
         """Put routes in force unless their version is not newer.
 
@@ -155,6 +168,7 @@
         if routes.version <= before:
             return
         self.routes = routes
+        self._cold_sharing.configure(self._cold_settings, routes, time.monotonic())
         self._metrics.routes_version.set(routes.version)
         for route in routes.routes:
             for name, _ in route.services:
@@ -181,6 +195,7 @@
         if self.upstreams.expire(now):
             self.upstreams_changed()
         self.limit_sharing.update(now)
+        self._cold_sharing.update(now)
         entries = len(self._entries.live)
         self._budget.entries = entries
         self._balancer.set_tie_offset(self._entries.position)
@@ -191,7 +206,7 @@
                 continue
             adaptive_limit = stream_limit.adaptive_limit
             usable = sum(
-                adaptive_limit.usable_fraction(engine, upstream.limit.per_s)
+                adaptive_limit.usable_fraction(engine, upstream.per_s)
                 for upstream in wanting
             )
             others = self._entries.peer_streams(name, now)
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -2,13 +2,11 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
-import orjson
 import structlog
 
-from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
+from toucanspool.membership.entry_record import EntryRecord, decode_entry
 from toucanspool.membership.peer_reports import PeerReports
 
 ENTRY_PREFIX = "entry/"
@@ -17,48 +15,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True, frozen=True)
-class EntryRecord:
-    """Hold the record that an entry publishes in the table.
-
-    Parameters
-    ----------
-    name : str
-        Name of the entry's instance.
-    address : str
-        Host and port that callers connect to.
-    probe : str
-        Host and port of its readiness page.
-    """
-
-    name: str
-    address: str
-    probe: str
-
-    def encode(self) -> bytes:
-        """Return the record as JSON."""
-        return orjson.dumps(self)
-
-
-def decode_entry(row: Row) -> EntryRecord | None:
-    """Return the record in a row, or None if it can't be read.
-
-    Parameters
-    ----------
-    row : Row
-        Row of an entry.
-
-    Returns
-    -------
-    EntryRecord or None
-    """
-    return read_json(
-        row,
-        lambda data: EntryRecord(data["name"], data["address"], data["probe"]),
-        error_event="unreadable entry",
-    )
-
-
 class Entries:
     """Track which entries are listed and answer probes.
 
@@ -71,6 +27,8 @@
     ----------
     leaving : bool
         Whether this entry is stopping.
+    own_listed : bool
+        Whether the list has contained this entry, so that others can know it.
     reports : PeerReports
         What the other entries report.
     """
@@ -81,6 +39,7 @@
         "_missed_probes",
         "_own",
         "leaving",
+        "own_listed",
         "reports",
     )
 
@@ -90,6 +49,7 @@
         self._missed_probes: dict[str, int] = {}
         self._probe_queue: list[str] = []
         self.leaving = False
+        self.own_listed = False
         self.reports = PeerReports()
 
     @property
@@ -188,7 +148,7 @@
         dict of str to float or None
             None for entries without a recent report.
         """
-        names = self._live_names(now)
+        names = self.live_names(now)
         loads = {name: self.reports.load(service, name, now) for name in names}
         loads[self._own.name] = own_load
         return loads
@@ -201,9 +161,18 @@
         known = self.count(now)
         return known / max(known, self.reports.highest_count(now))
 
+    def live_names(self, now: float) -> set[str]:
+        """Return the names of the live entries, with those that send probes."""
+        names = {entry.name for entry in self.live} | self.reports.probers(now)
+        return names | {self._own.name}
+
+    def known_names(self, now: float) -> set[str]:
+        """Return the names of the live entries and of all listed ones."""
+        return self.live_names(now) | self._listed.keys()
+
     def count(self, now: float) -> int:
         """Return the number of live entries, with those that send probes."""
-        return len(self._live_names(now))
+        return len(self.live_names(now))
 
     def replace(self, rows: Iterable[Row]) -> None:
         """Replace the listed entries.
@@ -226,7 +195,10 @@
             New or changed row of an entry.
         """
         entry = decode_entry(row)
-        if entry is None or entry.name == self._own.name:
+        if entry is None:
+            return
+        if entry.name == self._own.name:
+            self.own_listed = True
             return
         if self._listed.get(entry.name) != entry:
             _log.info("entry listed", entry=entry.name, address=entry.address)
@@ -289,9 +261,5 @@
         elif self._missed_probes[name] == MISSED_PROBE_THRESHOLD:
             _log.warning("entry lost", entry=name, missed_probes=MISSED_PROBE_THRESHOLD)
 
-    def _live_names(self, now: float) -> set[str]:
-        names = {entry.name for entry in self.live} | self.reports.probers(now)
-        return names | {self._own.name}
-
     def _missed_by(self, entry: EntryRecord) -> int:
         return self._missed_probes.get(entry.name, 0)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -98,6 +98,7 @@
             metrics=self._metrics,
             max_reply_bytes=cfg.max_reply_bytes,
             on_crash=self._report_crash,
+            cold_starts=cfg.cold_starts,
         )
         self._crash_exchange = CrashExchange(
             self._store, self._cfg.instance, self._core.quarantine
@@ -160,6 +161,7 @@
         """Apply new settings; changed addresses need a restart."""
         self._cfg = cfg
         self._core.set_retry_budget(cfg.gateway.retries)
+        self._core.set_cold_starts(cfg.gateway.cold_starts)
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -8,6 +8,8 @@
 from toucanspool.wire.reply_parser import Header
 
 ATTEMPT_ID = "toucanspool-attempt-id"
+# Time for which the upstream stays cold, in health replies.
+COLD_MS = "toucanspool-cold-ms"
 DEADLINE_MS = "toucanspool-deadline-ms"
 EXPECT_INSTANCE = "toucanspool-expect-instance"
 LAST_EVENT_ID = "last-event-id"
@@ -28,6 +30,7 @@
 LENGTH_HINT = "toucanspool-length-hint"
 
 MISDIRECTED_REQUEST = 421
+MS_PER_S = 1000.0
 
 # Headers that concern one connection (RFC 9110, 7.6.1) or are generated for each hop.
 HOP_BY_HOP = frozenset(
@@ -148,6 +151,23 @@
     return tuple(part_id for part_id in ids if part_id)
 
 
+def parse_cold_s(headers: Mapping[str, str]) -> float | None:
+    """Parse for how long a health reply says that its upstream stays cold.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Headers by lower-case name.
+
+    Returns
+    -------
+    float or None
+        Seconds; None if it doesn't say, or the number can't be read.
+    """
+    cold_ms = parse_number(headers.get(COLD_MS, ""), math.nan)
+    return cold_ms / MS_PER_S if cold_ms < math.inf else None
+
+
 def parse_number(text: str, default: float) -> float:
     """Parse a non-negative number; return a default if the text is none."""
     try:
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -11,6 +11,9 @@
 TABLE = "servers"
 READY = "ready"
 STATES = frozenset({READY, "draining"})
+MS_PER_S = 1000.0
+# An upstream that stays cold for longer than a day is of no use.
+MAX_COLD_MS = 86_400_000.0
 
 _log = structlog.get_logger()
 
@@ -53,4 +56,17 @@
         ready=state == READY,
         slots=slots,
         started_ms=started_ms,
+        cold_remaining_s=_decode_cold(name, data.get("coldRemainingMs")),
     )
+
+
+def _decode_cold(name: str, cold_ms: Any) -> float | None:
+    """Return the seconds that an upstream stays cold; None if unknown or unreadable."""
+    if cold_ms is None:
+        return None
+    is_number = isinstance(cold_ms, int | float) and not isinstance(cold_ms, bool)
+    if not is_number or not 0.0 <= cold_ms < MAX_COLD_MS:
+        # The upstream itself is in order.
+        _log.warning("unreadable cold time", upstream=name, value=repr(cold_ms)[:40])
+        return None
+    return cold_ms / MS_PER_S
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -2,7 +2,6 @@
 
 import random
 import time
-from typing import Any
 from urllib.parse import urlencode
 
 import gevent
@@ -11,8 +10,9 @@
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.membership.entries import Entries, EntryRecord
+from toucanspool.platform.headers import MISDIRECTED_REQUEST, parse_cold_s
 from toucanspool.platform.pages import PEERS_PATH, PROBER_PARAMETER
-from toucanspool.platform.unpooled_client import UnpooledClient
+from toucanspool.platform.unpooled_client import JsonResponse, UnpooledClient
 from toucanspool.retries.ejection import AttemptResult
 
 TIMEOUT_S = 0.8
@@ -57,11 +57,11 @@
         path = PEERS_PATH
         if not self._entries.leaving:
             path += "?" + urlencode({PROBER_PARAMETER: self._entries.own_name})
-        status, peer_status = _send_probe(host, int(port), path)
-        peer_status = peer_status if isinstance(peer_status, dict) else {}
+        response = _send_probe(host, int(port), path)
+        peer_status = response.body if isinstance(response.body, dict) else {}
         self._entries.record_probe(
             entry.name,
-            ready=status == OK,
+            ready=response.status == OK,
             now=time.monotonic(),
             streams=peer_status.get("carried"),
             loads=peer_status.get("loads"),
@@ -79,19 +79,22 @@
         if upstream.wait_s(now) > 0.0:
             return
         # Health checks are requests too.
-        upstream.limit.count_request(now)
+        upstream.count_request(now)
         listing = upstream.listing
         path = self._core.routes.service(listing.service).health_path
-        status, _ = _send_probe(listing.host, listing.port, path)
-        result = AttemptResult.OK if status == OK else AttemptResult.FAILED
+        response = _send_probe(listing.host, listing.port, path)
+        result = AttemptResult.OK if response.status == OK else AttemptResult.FAILED
+        cold_s = parse_cold_s(response.headers)
+        if cold_s is not None and response.status != MISDIRECTED_REQUEST:
+            cold_starts = self._core.upstreams.cold_starts
+            cold_starts.read_health(upstream, cold_s, time.monotonic())
         if self._core.ejector.record_probe(name, result, time.monotonic()):
             _log.info("upstream returned", upstream=name)
 
 
-def _send_probe(host: str, port: int, path: str) -> tuple[int, Any]:
+def _send_probe(host: str, port: int, path: str) -> JsonResponse:
     try:
-        response = UnpooledClient(host, port, timeout_s=TIMEOUT_S).call("GET", path)
+        return UnpooledClient(host, port, timeout_s=TIMEOUT_S).call("GET", path)
     except (CallRefused, CallLost) as exc:
         _log.debug("probe failed", host=host, port=port, error=repr(exc))
-        return NO_RESPONSE, None
-    return response.status, response.body
+        return JsonResponse(NO_RESPONSE, {}, None)
--- a/toucanspool/retries/ejection.py
+++ b/toucanspool/retries/ejection.py
@@ -154,6 +154,12 @@
             return 1.0
         return SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * max(0.0, progress)
 
+    def start_slowly(self, upstream: str, now: float) -> None:
+        """Begin the slow start of an upstream, unless it is ejected."""
+        health = self._health.get(upstream)
+        if health is not None and health.ejected_until is None:
+            health.slow_start_at = now
+
     def record(self, upstream: str, result: AttemptResult, now: float) -> bool:
         """Record an attempt, which may eject the upstream.
 
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -11,6 +11,8 @@
 # Extra load, in requests, counted for an upstream in another failure domain.
 CROSS_DOMAIN_LOAD = 0.25
 MIN_WEIGHT = 0.01
+# Refused callers who are to come back once an upstream is warm come this far apart.
+WARM_SPACING_S = 0.05
 
 
 class LeastLoadBalancer:
@@ -114,14 +116,24 @@
             Seconds; 0 if an upstream wants requests now, or none is ready.
         """
         wait_s = self.next_available_s(service, (), now)
-        if wait_s == math.inf:
-            return 0.0
-        own_per_s = sum(self.limits(service))
-        unlimited = any(not u.limit.limited for u in self._upstreams.ready(service))
-        if wait_s and own_per_s and not unlimited:
-            reserved_at = self._reserved.get(service, -math.inf)
-            wait_s = max(wait_s, reserved_at + 1.0 / own_per_s - now)
-            self._reserved[service] = now + wait_s
+        ready = self._upstreams.ready(service)
+        if not wait_s or any(not upstream.bounded for upstream in ready):
+            return wait_s if wait_s < math.inf else 0.0
+        per_s = sum(upstream.own_per_s for upstream in ready)
+        # Entries without a part of cold upstreams spread their callers as if they had.
+        per_s = per_s or sum(u.cold.fair_per_s for u in ready if u.cold.bounded)
+        if not per_s:
+            return wait_s if wait_s < math.inf else 0.0
+        before = self._reserved.get(service, -math.inf)
+        at = before + 1.0 / per_s
+        warm_at = now + min(
+            (u.cold.remaining_s(now) for u in ready if not u.limit.limited),
+            default=math.inf,
+        )
+        if at > warm_at:
+            at = min(at, max(warm_at, before) + WARM_SPACING_S)
+        wait_s = max(wait_s if wait_s < math.inf else 1.0 / per_s, at - now)
+        self._reserved[service] = now + wait_s
         return wait_s
 
     def limits(self, service: str) -> list[float]:
@@ -138,7 +150,7 @@
             Requests a second, for each upstream that names a limit.
         """
         ready = self._upstreams.ready(service)
-        return [u.limit.own_per_s for u in ready if u.limit.limited]
+        return [u.own_per_s for u in ready if u.bounded]
 
     def choose(
         self, service: str, tried: Collection[str], now: float, *, prefer_local: bool
@@ -163,13 +175,17 @@
         available = self._upstreams.available(service, now)
         untried = [upstream for upstream in available if upstream.name not in tried]
         usable = [
-            (self._ejector.weight(upstream.name, now), position, upstream)
+            (self._weight(upstream, now), position, upstream)
             for position, upstream in enumerate(untried)
         ]
         # Where all are ejected, uses them anyway.
         usable = [option for option in usable if option[0] > 0.0] or usable
         if not usable:
             return None
+        # Cold upstreams get calls only while no warm one has a free slot.
+        warm = [option for option in usable if not option[2].cold.bounded]
+        if any(self._has_free_slot(upstream, now) for _, _, upstream in warm):
+            usable = warm
         first = int(self._tie_offset * len(untried))
 
         def cost(option: tuple[float, int, Upstream]) -> tuple[float, int]:
@@ -181,3 +197,11 @@
             return (load + 1.0) * penalty, (position - first) % len(untried)
 
         return min(usable, key=cost)[2]
+
+    def _weight(self, upstream: Upstream, now: float) -> float:
+        weight = self._ejector.weight(upstream.name, now)
+        # A cold upstream's rate is bounded already. Its slow start follows.
+        return 1.0 if weight and upstream.cold.bounded else weight
+
+    def _has_free_slot(self, upstream: Upstream, now: float) -> bool:
+        return self._upstreams.load(upstream, now) < upstream.listing.slots
--- a/toucanspool/routing/rendezvous.py
+++ b/toucanspool/routing/rendezvous.py
@@ -86,12 +86,7 @@
             hashes = [name_hashes[c.upstream] for c in candidates]
         except KeyError:
             hashes = self._hash_names(candidates)
-        hashed = np.fromiter(hashes, np.uint64, len(hashes))
-        scores = (
-            hashed ^ np.uint64(xxhash.xxh3_64_intdigest(key.encode()))
-        ) * HASH_MULTIPLIER
-        scores = (scores ^ (scores >> HASH_SHIFT_BITS)) * HASH_MULTIPLIER
-        best = np.argsort(scores)[: self._count]
+        best = _rank_hashes(key, hashes)[: self._count]
         return [candidates[index].upstream for index in best]
 
     def _hash_names(self, candidates: Sequence[Candidate]) -> list[int]:
@@ -101,3 +96,30 @@
             digest = xxhash.xxh3_64_intdigest(candidate.upstream.encode())
             self._name_hashes[candidate.upstream] = digest
         return [self._name_hashes[c.upstream] for c in candidates]
+
+
+def rank_names(key: str, names: Sequence[str]) -> list[str]:
+    """Return names in the order that a key gives them by rendezvous hashing.
+
+    Parameters
+    ----------
+    key : str
+        Key; each gives an order of its own.
+    names : sequence of str
+        Names; adding or removing one doesn't reorder the others.
+
+    Returns
+    -------
+    list of str
+    """
+    hashes = [xxhash.xxh3_64_intdigest(name.encode()) for name in names]
+    return [names[index] for index in _rank_hashes(key, hashes)]
+
+
+def _rank_hashes(key: str, hashes: Sequence[int]) -> np.ndarray:
+    hashed = np.fromiter(hashes, np.uint64, len(hashes))
+    scores = (
+        hashed ^ np.uint64(xxhash.xxh3_64_intdigest(key.encode()))
+    ) * HASH_MULTIPLIER
+    scores = (scores ^ (scores >> HASH_SHIFT_BITS)) * HASH_MULTIPLIER
+    return np.argsort(scores)
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -138,11 +138,18 @@
         Path of the health check.
     engine : EngineModel or None
         Timing model of the engines; None for services without engines.
+    cold_start_s : float
+        How long an upstream is cold after its start, in seconds.
+    cold_per_s : float
+        Requests a second that a cold upstream tolerates from all entries; 0 for no
+        bound.
     """
 
     name: str
     health_path: str = "/"
     engine: EngineModel | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from toucanspool.routing.cold_start import ColdStart
 from toucanspool.routing.request_limit import RequestLimit
 
 # Time constant by which a reported load decays.
@@ -35,6 +36,8 @@
     started_ms : int
         Start time by its own clock, in Unix milliseconds; 0 if unknown. A change
         means that the upstream has restarted.
+    cold_remaining_s : float or None
+        How long it stays cold, in seconds; None if the record doesn't say.
     """
 
     name: str
@@ -45,6 +48,7 @@
     ready: bool = True
     slots: int = 1
     started_ms: int = 0
+    cold_remaining_s: float | None = None
 
     @property
     def address(self) -> str:
@@ -70,6 +74,8 @@
         Whether it has said that it is leaving. It never takes that back.
     limit : RequestLimit
         The requests a second that it takes, and this entry's part of them.
+    cold : ColdStart
+        Whether it is cold, and this entry's part of the requests that it then takes.
     paused_until : float
         Time until which it wants no requests from this entry, in seconds on the
         monotonic clock.
@@ -78,6 +84,7 @@
     __slots__ = (
         "_other_requests",
         "_reported_at",
+        "cold",
         "in_flight",
         "leaving",
         "limit",
@@ -91,6 +98,7 @@
         self.leaving = not listing.ready
         self.paused_until = -math.inf
         self.limit = RequestLimit(math.inf, -math.inf, 0.0)
+        self.cold = ColdStart()
         self._other_requests = 0.0
         self._reported_at = -math.inf
 
@@ -104,6 +112,24 @@
         """Return what distinguishes it from all others: its name and start time."""
         return self.listing.name, self.listing.started_ms
 
+    @property
+    def bounded(self) -> bool:
+        """Return whether the rate of requests is bounded now."""
+        return self.limit.limited or self.cold.bounded
+
+    @property
+    def per_s(self) -> float:
+        """Return the requests a second from all entries; infinity for no bound."""
+        cold_per_s = self.cold.per_s if self.cold.bounded else math.inf
+        return min(self.limit.per_s, cold_per_s)
+
+    @property
+    def own_per_s(self) -> float:
+        """Return the requests a second of this entry; infinity for no bound."""
+        limit_per_s = self.limit.own_per_s if self.limit.limited else math.inf
+        cold_per_s = self.cold.own_per_s if self.cold.bounded else math.inf
+        return min(limit_per_s, cold_per_s)
+
     def leave(self) -> None:
         """Record that it has said that it is leaving."""
         if not self.leaving:
@@ -164,10 +190,15 @@
         Returns
         -------
         float
-            Seconds; 0 if it wants one now, infinity if this entry has no part of its
-            limit.
+            Seconds; 0 if it wants one now, infinity if this entry has no part of the
+            requests that it takes.
         """
-        return max(0.0, self.paused_until - now, self.limit.wait_s(now))
+        return max(
+            0.0,
+            self.paused_until - now,
+            self.limit.wait_s(now),
+            self.cold.wait_s(now),
+        )
 
     def start_request(self, now: float) -> None:
         """Count a request that this entry sends.
@@ -178,7 +209,18 @@
             Seconds on the monotonic clock.
         """
         self.in_flight += 1
+        self.count_request(now)
+
+    def count_request(self, now: float) -> None:
+        """Count a request against the bounds on the rate.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
         self.limit.count_request(now)
+        self.cold.count_request(now)
 
     def pause(self, now: float, duration_s: float) -> None:
         """Record that it wants no requests from this entry for a time.
--- a/toucanspool/routing/upstreams.py
+++ b/toucanspool/routing/upstreams.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from toucanspool.routing.cold_starts import ColdStarts
+from toucanspool.routing.slowdowns import Slowdowns
 from toucanspool.routing.upstream import Listing, Upstream
 
 # Upstreams that a list misses right after an outage of its store are kept for this
@@ -26,6 +28,13 @@
     from an older copy. So entries that are missing right after an outage are kept for
     a grace period, and an upstream that has left returns only once it is listed again
     after that.
+
+    Attributes
+    ----------
+    cold_starts : ColdStarts
+        Which upstreams are cold.
+    version : int
+        Version of the list.
     """
 
     __slots__ = (
@@ -33,20 +42,24 @@
         "_departed",
         "_grace_until",
         "_missing",
+        "_read",
         "_slowdowns",
         "_stale",
         "_usual_loads",
+        "cold_starts",
         "version",
     )
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
-        self._slowdowns: dict[str, float] = {}
+        self._slowdowns = Slowdowns()
         self._usual_loads: dict[str, float] = {}
         self._grace_until = -math.inf
         self._missing: set[str] = set()
+        self.cold_starts = ColdStarts()
         self._departed: dict[tuple[str, int], tuple[float, Upstream]] = {}
         self._stale: dict[str, tuple[float, Listing]] = {}
+        self._read = False
         self.version = 0
 
     def __len__(self) -> int:
@@ -60,23 +73,12 @@
         return self._by_name.get(name)
 
     def set_slowdowns(self, slowdowns: Mapping[str, float]) -> None:
-        """Replace the slowdown factors.
-
-        Parameters
-        ----------
-        slowdowns : mapping of str to float
-            By name, the factor by which requests take longer than normal; 1 for
-            upstreams that are missing.
-        """
-        for name in slowdowns.keys() | self._slowdowns.keys():
-            before, after = self._slowdowns.get(name, 1.0), slowdowns.get(name, 1.0)
-            if before != after:
-                _log.info("pace changed", upstream=name, pace=after, before=before)
-        self._slowdowns = dict(slowdowns)
+        """Replace the slowdown factors; see `Slowdowns.replace`."""
+        self._slowdowns.replace(slowdowns)
 
     def slowdown(self, upstream: Upstream) -> float:
         """Return the factor by which requests on an upstream take longer."""
-        return self._slowdowns.get(upstream.name, 1.0)
+        return self._slowdowns.factor(upstream.name)
 
     def set_usual_load(self, service: str, load: float) -> None:
         """Set the mean number of requests of other entries at a service's upstreams.
@@ -125,8 +127,8 @@
             if departed and now < self._grace_until:
                 self._stale[listing.name] = now + STALE_LISTING_S, listing
             else:
-                self._put(listing, version)
-        self.version = version
+                self._put(listing, version, now)
+        self.version, self._read = version, True
 
     def change(
         self, changes: Mapping[str, Listing | None], version: int, *, now: float
@@ -147,7 +149,7 @@
             if listing is None:
                 self._remove(name, version, now)
             else:
-                self._put(listing, version)
+                self._put(listing, version, now)
         self.version = version
 
     def expire(self, now: float) -> bool:
@@ -167,7 +169,7 @@
             self._remove(name, self.version, now)
         relisted = [n for n, (until, _) in self._stale.items() if now >= until]
         for name in relisted:
-            self._put(self._stale.pop(name)[1], self.version)
+            self._put(self._stale.pop(name)[1], self.version, now)
         for incarnation, (gone_at, _) in list(self._departed.items()):
             if now >= gone_at + MEMORY_S:
                 del self._departed[incarnation]
@@ -225,22 +227,43 @@
         """
         return [u for u in self.ready(service) if u.wait_s(now) <= 0.0]
 
-    def _put(self, listing: Listing, version: int) -> None:
+    def take_back(self, failure_domain: str, now: float) -> None:
+        """Presume that the upstreams of a failure domain are cold.
+
+        Called when the failure domain gets calls again after it got none.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Name of the failure domain.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        for upstream in self:
+            if upstream.listing.failure_domain == failure_domain:
+                self.cold_starts.take_back(upstream, now)
+
+    def _put(self, listing: Listing, version: int, now: float) -> None:
         self._missing.discard(listing.name)
         known = self._by_name.get(listing.name)
         if known is None or known.listing.started_ms != listing.started_ms:
-            self._add(listing, version)
+            self._add(listing, version, now)
             return
         if not listing.ready and not known.leaving:
             known.leaving = True
             _log.info("upstream draining", upstream=listing.name, version=version)
         known.listing = listing
-
-    def _add(self, listing: Listing, version: int) -> None:
-        _, upstream = self._departed.pop(
-            (listing.name, listing.started_ms), (0.0, Upstream(listing))
-        )
+        old = now < self._grace_until
+        self.cold_starts.read_row(known, now, started=False, old=old)
+
+    def _add(self, listing: Listing, version: int, now: float) -> None:
+        incarnation = listing.name, listing.started_ms
+        # Upstreams of the first list have not started just now.
+        started = self._read and incarnation not in self._departed
+        _, upstream = self._departed.pop(incarnation, (0.0, Upstream(listing)))
         upstream.listing = listing
+        old = now < self._grace_until
+        self.cold_starts.read_row(upstream, now, started=started, old=old)
         upstream.leaving = upstream.leaving or not listing.ready
         self._by_name[listing.name] = upstream
         _log.info(
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -186,6 +186,17 @@
     extra: Annotated[float, Field(ge=0)] = 0.0
 
 
+class ColdStarts(Model):
+    """Bound the requests in any one second to upstreams that have just started.
+
+    A cold upstream gets at most its service's rate times ``overrun``, and ``slack``
+    requests more.
+    """
+
+    overrun: Annotated[float, Field(gt=0, le=1000)]
+    slack: Annotated[float, Field(ge=0, le=1_000_000)] = 0.0
+
+
 class Gateway(Model):
     """Configure the gateway role, which sends calls by route to upstreams."""
 
@@ -195,6 +206,8 @@
     metrics: Address | None = None
     store: RowStore
     retries: RetryBudget = RetryBudget()
+    # Without it, requests to cold upstreams have no bound.
+    cold_starts: ColdStarts | None = None
     address_ttl_s: Seconds = 2.0
     # Replies that are no streams are held in memory until they are complete.
     max_reply_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 8 * 1024 * 1024
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -18,6 +18,8 @@
         Version of the routes in force.
     store_age : Gauge
         Seconds since the store's last answer, by table.
+    cold_upstreams : Gauge
+        Upstreams that are cold, by service.
     """
 
     __slots__ = (
@@ -27,6 +29,7 @@
         "_first_byte_time",
         "_refusals",
         "_registry",
+        "cold_upstreams",
         "routes_version",
         "store_age",
         "stream_limit",
@@ -72,6 +75,12 @@
             ["table"],
             registry=registry,
         )
+        self.cold_upstreams = Gauge(
+            "toucanspool_cold_upstreams",
+            "Upstreams that are cold.",
+            ["service"],
+            registry=registry,
+        )
 
     def record_first_event(self, seconds: float) -> None:
         """Record the time from the request to the first event of a stream."""
