--- a/tests/platform/test_listings.py
+++ b/tests/platform/test_listings.py
@@ -55,3 +55,16 @@
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[1]", b"7"])
 def test_a_row_that_is_no_json_object_is_no_listing(value):
     assert decode_listing(Row("i-1", value, 3)) is None
+
+
+def test_a_listing_says_how_long_its_upstream_stays_cold():
+    assert listing().cold_remaining_s is None
+    assert listing(coldRemainingMs=0).cold_remaining_s == 0.0
+    assert listing(coldRemainingMs=2500.5).cold_remaining_s == 2.5005
+
+
+@pytest.mark.parametrize("value", ["soon", -1, True, [3], 1e30, {}])
+def test_a_cold_time_that_cannot_be_read_leaves_the_upstream_listed(value):
+    found = listing(coldRemainingMs=value)
+    assert found.ready
+    assert found.cold_remaining_s is None
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -99,3 +99,13 @@
 def test_an_invalid_configuration_is_an_error(value):
     with pytest.raises(BadConfiguration):
         decode_configuration(value)
+
+
+def test_a_service_says_what_its_cold_upstreams_tolerate():
+    plain = decode_with().services["a"]
+    assert (plain.cold_start_s, plain.cold_per_s) == (0.0, 0.0)
+    cold = {"name": "a", "coldStartS": 20, "coldPerS": 2.5}
+    service = decode_with(services=[cold]).services["a"]
+    assert (service.cold_start_s, service.cold_per_s) == (20.0, 2.5)
+    unbounded = {"name": "a", "coldStartS": None, "coldPerS": 0}
+    assert decode_with(services=[unbounded]).services["a"].cold_per_s == 0.0
