--- a/toucanspool/gateway/cold_sharing.py
+++ b/toucanspool/gateway/cold_sharing.py
@@ -107,7 +107,11 @@
         for upstream in self._upstreams:
             if upstream.cold.expire(now):
                 self._ejector.start_slowly(upstream.name, now)
-                _log.info("upstream warm", upstream=upstream.name)
+                _log.info(
+                    "upstream warm",
+                    upstream=upstream.name,
+                    service=upstream.listing.service,
+                )
             elif upstream.cold.bounded:
                 cold.append(upstream)
         if cold and self._bound is not None:
--- a/toucanspool/routing/cold_starts.py
+++ b/toucanspool/routing/cold_starts.py
@@ -54,7 +54,7 @@
         """
         self._rules = rules
         for upstream in upstreams:
-            self.update(upstream, "rule", now)
+            self.update(upstream, "configuration", now)
 
     def read_row(
         self, upstream: Upstream, now: float, *, started: bool, old: bool
