--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -184,7 +184,9 @@
             return None
         # Cold upstreams get calls only while no warm one has a free slot.
         warm = [option for option in usable if not option[2].cold.bounded]
-        if any(self._has_free_slot(upstream, now) for _, _, upstream in warm):
+        if len(warm) < len(usable) and any(
+            self._has_free_slot(upstream, now) for _, _, upstream in warm
+        ):
             usable = warm
         first = int(self._tie_offset * len(untried))
 
