--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -30,6 +30,8 @@
     ----------
     leaving : bool
         Whether this entry is stopping.
+    own_listed : bool
+        Whether the list has contained this entry, so that others can know it.
     reports : PeerReports
         What the other entries report.
     """
@@ -40,6 +42,7 @@
         "_missed_probes",
         "_own",
         "leaving",
+        "own_listed",
         "reports",
     )
 
@@ -49,6 +52,7 @@
         self._missed_probes: dict[str, int] = {}
         self._probe_queue: list[str] = []
         self.leaving = False
+        self.own_listed = False
         self.reports = PeerReports()
 
     @property
@@ -147,7 +151,7 @@
         dict of str to float or None
             None for entries without a recent report.
         """
-        names = self._live_names(now)
+        names = self.live_names(now)
         loads = {name: self.reports.load(service, name, now) for name in names}
         loads[self._own.name] = own_load
         return loads
@@ -160,9 +164,18 @@
         known = self.count(now)
         return known / max(known, self.reports.highest_count(now))
 
+    def live_names(self, now: float) -> set[str]:
+        """Return the names of the live entries, with those that send probes."""
+        names = {entry.name for entry in self.live} | self.reports.probers(now)
+        return names | {self._own.name}
+
+    def known_names(self, now: float) -> set[str]:
+        """Return the names of the live entries and of all listed ones."""
+        return self.live_names(now) | self._listed.keys()
+
     def count(self, now: float) -> int:
         """Return the number of live entries, with those that send probes."""
-        return len(self._live_names(now))
+        return len(self.live_names(now))
 
     def replace(self, rows: Iterable[Row]) -> None:
         """Replace the listed entries.
@@ -185,7 +198,10 @@
             New or changed row of an entry.
         """
         entry = decode_entry(row)
-        if entry is None or entry.name == self._own.name:
+        if entry is None:
+            return
+        if entry.name == self._own.name:
+            self.own_listed = True
             return
         if self._listed.get(entry.name) != entry:
             _log.info("entry listed", entry=entry.name, address=entry.address)
@@ -248,9 +264,5 @@
         elif self._missed_probes[name] == MISSED_PROBE_THRESHOLD:
             _log.warning("entry lost", entry=name, missed_probes=MISSED_PROBE_THRESHOLD)
 
-    def _live_names(self, now: float) -> set[str]:
-        names = {entry.name for entry in self.live} | self.reports.probers(now)
-        return names | {self._own.name}
-
     def _missed_by(self, entry: EntryRecord) -> int:
         return self._missed_probes.get(entry.name, 0)
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -105,6 +105,7 @@
             metrics=self._metrics,
             max_reply_bytes=cfg.max_reply_bytes,
             on_crash=self._report_crash,
+            cold_starts=cfg.cold_starts,
         )
         self._set_regions()
         self._crash_exchange = CrashExchange(
@@ -176,6 +177,7 @@
         self._cfg = cfg
         self._core.set_retry_budget(cfg.gateway.retries)
         self._set_regions()
+        self._core.set_cold_starts(cfg.gateway.cold_starts)
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -20,6 +20,8 @@
         Version of the routes in force.
     store_age : Gauge
         Seconds since the store's last answer, by table.
+    cold_upstreams : Gauge
+        Upstreams that are cold, by service.
     """
 
     __slots__ = (
@@ -29,6 +31,7 @@
         "_first_byte_time",
         "_refusals",
         "_registry",
+        "cold_upstreams",
         "evacuated_domains",
         "routes_version",
         "store_age",
@@ -80,6 +83,12 @@
             ["table"],
             registry=registry,
         )
+        self.cold_upstreams = Gauge(
+            "toucanspool_cold_upstreams",
+            "Upstreams that are cold.",
+            ["service"],
+            registry=registry,
+        )
 
     def record_first_event(self, seconds: float) -> None:
         """Record the time from the request to the first event of a stream."""
