Send each request of the JSON client on a connection of its own

Callers would have seen a commit of the table, or an order to an engine, taken for accepted on the strength of a reply to an earlier request: where a server repeats a reply on a kept connection after the next request was sent, the pooled client read the copy as that request's reply. The pool drops connections on which bytes wait when it hands them out, but not ones on which they arrive a moment later.

Connections of `JsonClient` now serve one request each, so there is no next request that a copy could answer. Reads of a rank's engine, several a second, still reuse connections because each new one costs the engine time: a copy of a read is an older state, which the coordinator expects anyway. Orders to engines use a new connection.

--- a/tests/backing/test_http_client.py
+++ b/tests/backing/test_http_client.py
@@ -1,9 +1,10 @@
-"""The pooled JSON client bounds replies, and takes none that was cut for whole."""
+"""The JSON client bounds replies, and takes no cut or foreign one for its own."""
 
 from contextlib import contextmanager
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from standins.raw_upstream import RawUpstream, answering, without_end
 from toucanspool.backing import bounded_client
@@ -76,3 +77,42 @@
 def test_a_json_body_without_framing_is_whole():
     with client_of(answering(b'{"a": 1}', headers=JSON, framed=False)) as (client, _):
         assert client.call("GET", "/x") == (200, {"a": 1})
+
+
+class Copying:
+    """Serve JSON on kept connections; repeat the first reply before the second."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    def serve(self, sock, address) -> None:
+        """Serve one connection."""
+        first = b""
+        while True:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                block = sock.recv(65536)
+                if not block:
+                    return
+                data += block
+            self.requests += 1
+            body = b"%d" % self.requests
+            answer = OK + b"Content-Type: application/json\r\nContent-Length: 1\r\n\r\n"
+            sock.sendall(first + answer + body)
+            first = first or answer + body
+
+
+@contextmanager
+def copying_server():
+    server = StreamServer(("127.0.0.1", 0), Copying().serve)
+    server.start()
+    yield server.server_port
+    server.stop(timeout=0)
+
+
+def test_a_late_copy_of_a_reply_answers_no_other_request():
+    """Guards against taking the reply to one commit for the reply to the next."""
+    with copying_server() as port:
+        client = JsonClient("127.0.0.1", port, timeout_s=1.0)
+        assert [client.call("POST", "/x", {})[1] for _ in range(3)] == [1, 2, 3]
+        client.close()
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import gevent
 import numpy as np
 import orjson
 import pytest
+from gevent.server import StreamServer
 
 from standins.raw_upstream import RawUpstream
 from toucanspool.groups.expert_map import EMPTY
@@ -154,3 +156,32 @@
 def test_an_invalid_state_is_an_error(report):
     with serve_engine(report=report) as (client, _), pytest.raises(RankEngineError):
         client.state()
+
+
+def test_a_late_copy_of_a_reply_accepts_no_order():
+    """Guards against an order that counts as accepted though it was refused."""
+    head = (
+        b"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+    )
+    report = orjson.dumps(REPORT)
+    copy = head % (b"200 OK", len(report)) + report
+
+    def serve(sock, address):
+        sent = b""
+        while data := sock.recv(65536):
+            sock.sendall(copy if data.startswith(b"GET") else sent)
+            gevent.sleep(0.02)
+            if data.startswith(b"POST"):
+                sock.sendall(head % (b"409 Conflict", 0))
+            sent = copy
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client = PlatformEngine("127.0.0.1", server.server_port)
+    client.state()
+    try:
+        with pytest.raises(OrderRefused):
+            client.hold(60, 2)
+    finally:
+        client.close()
+        server.stop(timeout=0)
--- a/toucanspool/backing/bounded_client.py
+++ b/toucanspool/backing/bounded_client.py
@@ -46,6 +46,14 @@
         return BoundedSocket(family, socktype, protocol)
 
 
+class SingleUsePool(BoundedPool):
+    """Open connections that serve one request each."""
+
+    def return_socket(self, sock: socket.socket) -> None:
+        """Close a connection whose reply is complete; overrides `ConnectionPool`."""
+        self.release_socket(sock)
+
+
 class BoundedClient(HTTPClient):
     """Send requests to one server over a pool of connections with bounded replies.
 
@@ -61,6 +69,9 @@
         Time limit for opening a connection, in seconds.
     network_timeout : float or None
         Maximum wait for the next bytes, in seconds; None waits without limit.
+    reuse_connections : bool, default=False
+        Whether a connection serves several requests. A server that repeats a reply on
+        such a connection answers the next request with it.
     """
 
     def __init__(
@@ -71,9 +82,11 @@
         concurrency: int = 1,
         connection_timeout: float,
         network_timeout: float | None,
+        reuse_connections: bool = False,
     ) -> None:
         super().__init__(host, port)
-        self._connection_pool = BoundedPool(
+        pool_class = BoundedPool if reuse_connections else SingleUsePool
+        self._connection_pool = pool_class(
             host,
             port,
             host,
--- a/toucanspool/backing/http_client.py
+++ b/toucanspool/backing/http_client.py
@@ -1,4 +1,4 @@
-"""Pooled HTTP client for JSON, shared by the platform's adapters."""
+"""HTTP client for JSON with bounded concurrency, shared by the platform's adapters."""
 
 from typing import Any
 
@@ -22,7 +22,7 @@
 
 
 class JsonClient:
-    """Send JSON requests to one HTTP service over a pool of connections.
+    """Send JSON requests to one HTTP service, up to `POOL_SIZE` at the same time.
 
     Parameters
     ----------
@@ -33,11 +33,21 @@
     timeout_s : float or None
         Time limit of a request, in seconds. None waits as long as the connection is
         open, so that no abandoned request takes effect later.
+    reuse_connections : bool, default=False
+        Whether a connection serves several requests. A reply then may be a late copy of
+        an earlier one, so this suits only reads whose replies may be outdated.
     """
 
     __slots__ = ("_client", "_timeout_s")
 
-    def __init__(self, host: str, port: int, *, timeout_s: float | None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        timeout_s: float | None,
+        reuse_connections: bool = False,
+    ) -> None:
         self._timeout_s = timeout_s
         self._client = BoundedClient(
             host,
@@ -45,6 +55,7 @@
             concurrency=POOL_SIZE,
             connection_timeout=timeout_s or CONNECT_TIMEOUT_S,
             network_timeout=timeout_s,
+            reuse_connections=reuse_connections,
         )
 
     def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -42,9 +42,12 @@
     __slots__ = ("_pooled_client", "_unpooled_client", "_layer_sets")
 
     def __init__(self, host: str, port: int) -> None:
-        # New connections cost the engine time, so requests that are sent several
-        # times a second use a pool.
-        self._pooled_client = JsonClient(host, port, timeout_s=TIMEOUT_S)
+        # New connections cost the engine time, so reads that are sent several times a
+        # second reuse connections. Orders don't: a late copy of another reply would
+        # look as if the engine had accepted them.
+        self._pooled_client = JsonClient(
+            host, port, timeout_s=TIMEOUT_S, reuse_connections=True
+        )
         self._unpooled_client = UnpooledClient(host, port, timeout_s=TIMEOUT_S)
         self._layer_sets = 0
 
@@ -154,7 +157,7 @@
     def _send_order(self, operation: str, epoch: int, **fields: Any) -> None:
         body = {"operation": operation, "epoch": epoch, **fields}
         try:
-            status, _ = self._pooled_client.call("POST", "/order", body)
+            status = self._unpooled_client.call("POST", "/order", body).status
         except CallRefused as exc:
             raise OrderRefused(str(exc)) from exc
         except CallLost as exc:
