Answer all requests that have arrived before a gateway closes

Callers would have seen, during a planned stop: a request cut off without a reply while its body arrived; the end of a large reply cut off while they read it; a refused connection within the three TTLs for which they may use an address; connections reset that the kernel had accepted; and no `Connection: close` on kept connections until calls were refused.

The cause: the stop waited for calls in the dispatcher only. A call is there neither before its body has been read nor after its reply is complete in memory, and the port closed as soon as there was none.

The server now counts a request from its first byte to the last byte of its reply. Every reply after SIGTERM asks to close the connection. The port stays open for three TTLs, while calls are refused as not run in the second half of the grace period. Before the port closes, the accept queue is emptied, since only this process can answer what is in it. The server reads what is pipelined behind its last reply, because closing with unread bytes resets the connection and can destroy that reply.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -53,6 +53,8 @@
     ----------
     core : GatewayCore
         The gateway's state.
+    server : CallerServer
+        The server for callers.
     port : int
         TCP port for callers.
     upstreams : list of RawUpstream
@@ -60,10 +62,11 @@
     """
 
     def __init__(
-        self, core: GatewayCore, port: int, upstreams: list[RawUpstream]
+        self, core: GatewayCore, server: CallerServer, upstreams: list[RawUpstream]
     ) -> None:
         self.core = core
-        self.port = port
+        self.server = server
+        self.port = server.server_port
         self.upstreams = upstreams
 
     def connect(self) -> socket.socket:
@@ -162,4 +165,4 @@
         )
         server.start()
         closing.callback(server.stop, timeout=0)
-        yield Gateway(core, server.server_port, raw_upstreams)
+        yield Gateway(core, server, raw_upstreams)
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -85,3 +85,31 @@
     assert status == 400
     (line,) = [x for x in lines if x["event"] == "request not read"]
     assert "more than one length" in line["reason"]
+
+
+def test_connections_in_the_accept_queue_are_served_before_the_port_closes():
+    """Guards against resets of connections that the kernel has accepted."""
+    with gateway(answering()) as gw:
+        gw.server.stop_accepting()
+        waiting = [gw.send() for _ in range(3)]
+        gevent.sleep(0.05)
+        gw.server.finish_accepting()
+        for sock in waiting:
+            assert b"200 OK" in _read_all(sock)
+        with pytest.raises(ConnectionRefusedError):
+            gw.connect()
+
+
+def test_the_last_reply_is_not_lost_to_requests_that_are_pipelined_behind_it():
+    """Guards against a reset by unread bytes, which discards a reply in transit."""
+    ask = request("POST", body=b"x").replace(b"Connection: close\r\n", b"")
+    with gateway(answering()) as gw:
+        gw.server.closing = True
+        sock = gw.connect()
+        sock.sendall(ask)
+        gevent.spawn(sock.sendall, request("POST", body=b"y" * 1_000_000))
+        gevent.sleep(0.2)
+        data = _read_all(sock)
+        assert len(gw.upstreams[0].seen) == 1
+    assert data.count(b"200 OK") == 1
+    assert b"Connection: close" in data
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -9,6 +9,7 @@
 import structlog
 from gevent import socket
 
+from toucanspool.gateway.call import RefusalCause, Refused
 from toucanspool.gateway.caller import CallerLeft
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.wire.http_server import HttpServer, ReplyHandler
@@ -29,10 +30,17 @@
     """Report a request head that exceeds the time limit."""
 
 
+class Stopping(TimeoutError):
+    """Report that the server stops before a request head is complete."""
+
+
 class CallerHandler(ReplyHandler):
     """Handle requests, and give the application access to connection and headers."""
 
+    _greenlet: gevent.Greenlet | None = None
     _head_timer: gevent.Timeout | None = None
+    # Raised in the greenlet that reads a request if the server stops meanwhile.
+    _stop_error: Exception | None = None
     _head_error_status: HTTPStatus | None = None
 
     @property
@@ -52,6 +60,7 @@
             result = super().handle_one_request()
         finally:
             self._stop_head_timer()
+            self._stop_error = None
         if self._head_error_status is None:
             return result
         return str(self._head_error_status.value), _error_response(
@@ -63,6 +72,7 @@
         limits: RequestLimits = self.server.limits
         self.socket.settimeout(limits.idle_timeout_s)
         self.rfile.peek(1)
+        self._greenlet, self._stop_error = gevent.getcurrent(), Stopping()
         self._head_timer = gevent.Timeout.start_new(
             limits.header_timeout_s, HeadTooSlow
         )
@@ -75,6 +85,9 @@
         except (HeadTooLarge, http.client.HTTPException) as exc:
             self._head_error_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             raise self._reject(exc) from exc
+        except Stopping as exc:
+            self._head_error_status = HTTPStatus.SERVICE_UNAVAILABLE
+            raise self._reject(exc) from exc
         except TimeoutError as exc:
             self._head_error_status = HTTPStatus.REQUEST_TIMEOUT
             raise self._reject(exc) from exc
@@ -95,6 +108,41 @@
             raise BadFraming("the request has an unknown transfer coding")
         return headers
 
+    def read_body(self, max_bytes: int) -> bytes:
+        """Return the request's body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Limit on its size.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        Refused
+            The body is too large or arrives too slowly, or the server stops.
+        """
+        if (self.content_length or 0) > max_bytes:
+            raise Refused(RefusalCause.BODY_TOO_LARGE)
+        self._stop_error = Refused(RefusalCause.DRAINING)
+        try:
+            body = self.wsgi_input.read(max_bytes + 1)
+        except TimeoutError as exc:
+            raise Refused(RefusalCause.BODY_TOO_SLOW) from exc
+        finally:
+            self._stop_error = None
+        if len(body) > max_bytes:
+            raise Refused(RefusalCause.BODY_TOO_LARGE)
+        return body
+
+    def refuse_unread(self) -> None:
+        """Refuse the request on this connection if it has not arrived completely."""
+        if self._greenlet is not None and self._stop_error is not None:
+            self._greenlet.kill(self._stop_error, block=False)
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.close()
@@ -134,6 +182,11 @@
         super().__init__(host, port, app, idle_timeout_s=limits.idle_timeout_s)
         self.limits = limits
 
+    def refuse_unread(self) -> None:
+        """Refuse all requests that have not arrived completely."""
+        for handler in list(self.open_requests):
+            handler.refuse_unread()
+
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """Serve one connection; overrides the gevent server."""
         # `CallerLeft` may still be raised when the call has just ended.
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -93,7 +93,7 @@
         closing = ExitStack()
         call_id = handler.headers.get(platform_headers.ATTEMPT_ID, "")
         try:
-            call = self._build_call(handler, environ, arrived_at)
+            call = self._build_call(handler, arrived_at)
             closing.enter_context(CallerWatch(handler.sock))
             timeout = gevent.Timeout.start_new(call.deadline.left_s(arrived_at))
             closing.callback(timeout.close)
@@ -120,13 +120,11 @@
                 raise
             raise Refused(RefusalCause.DEADLINE, may_have_run=True) from exc
 
-    def _build_call(
-        self, handler: CallerHandler, environ: dict[str, Any], arrived_at: float
-    ) -> Call:
+    def _build_call(self, handler: CallerHandler, arrived_at: float) -> Call:
         table = self._routes()
         if table is None:
             raise Refused(RefusalCause.NO_CONFIG, retry_after_s=0.2)
-        body = _read_body(environ, table.limits.max_body_bytes)
+        body = handler.read_body(table.limits.max_body_bytes)
         request_headers = {name.lower(): value for name, value in handler.header_list}
         host = request_headers.get("host", "").partition(":")[0].lower()
         path = handler.path.partition("?")[0]
@@ -212,7 +210,6 @@
         framed = reply.framed and (whole or handler.request_version != "HTTP/1.0")
         if not framed:
             handler.begin_unframed_reply()
-        if self._dispatcher.draining or not framed:
             headers.append(("Connection", "close"))
         if whole:
             closing.close()
@@ -267,18 +264,6 @@
     handler.finish_unframed_reply()
 
 
-def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
-    if int(environ.get("CONTENT_LENGTH") or 0) > max_bytes:
-        raise Refused(RefusalCause.BODY_TOO_LARGE)
-    try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
-    except TimeoutError as exc:
-        raise Refused(RefusalCause.BODY_TOO_SLOW) from exc
-    if len(body) > max_bytes:
-        raise Refused(RefusalCause.BODY_TOO_LARGE)
-    return body
-
-
 def _authenticate(
     table: RouteTable, route: Route, request_headers: dict[str, str]
 ) -> tuple[str, int]:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -10,6 +10,7 @@
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.crash_watch import Crash
+from toucanspool.gateway.draining import drain
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.kernel.kernel import Kernel
@@ -37,7 +38,7 @@
 ROUTES_PAUSE_S = 0.5
 # Callers cache addresses for up to three times the TTL.
 ADDRESS_TTL_FACTOR = 3.0
-# Time left to finish responses before the process is killed.
+# Time left to close everything before the process is killed.
 SHUTDOWN_RESERVE_S = 0.6
 
 _log = structlog.get_logger()
@@ -163,23 +164,17 @@
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
-        started = time.monotonic()
-        end = started + self._cfg.drain.grace_s - SHUTDOWN_RESERVE_S
+        cfg = self._cfg
         self._entries.leaving = True
         gevent.spawn(self._registration.withdraw)
         # Callers with cached addresses still send requests.
-        linger_s = min(
-            ADDRESS_TTL_FACTOR * self._cfg.gateway.address_ttl_s,
-            self._cfg.drain.grace_s / 2,
-        )
-        gevent.sleep(linger_s)
-        self._core.dispatcher.draining = True
-        while self._core.dispatcher.running and time.monotonic() < end:
-            gevent.sleep(0.02)
-        _log.info(
-            "drained",
-            running=self._core.dispatcher.running,
-            took_s=round(time.monotonic() - started, 2),
+        address_life_s = ADDRESS_TTL_FACTOR * cfg.gateway.address_ttl_s
+        drain(
+            self._server,
+            self._core.dispatcher,
+            admit_s=min(address_life_s, cfg.drain.grace_s / 2),
+            address_life_s=address_life_s,
+            time_s=cfg.drain.grace_s - SHUTDOWN_RESERVE_S,
         )
         self._closing.close()
 
--- a/toucanspool/wire/http_server.py
+++ b/toucanspool/wire/http_server.py
@@ -1,8 +1,10 @@
 """A gevent HTTP server without Nagle's algorithm, whose replies may lack framing."""
 
+import contextlib
 import struct
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -10,13 +12,40 @@
 HANDLER_KEY = "toucanspool.handler"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CLOSE_NORMALLY = struct.pack("ii", 0, 0)
+# Time for a client to read the last reply before unread bytes of it reset the
+# connection.
+CLOSE_TIMEOUT_S = 0.5
+DISCARD_BLOCK_BYTES = 64 * 1024
 
 
 class ReplyHandler(WSGIHandler):
     """Handle requests whose replies may have neither a length nor chunks."""
 
+    _reply_complete = False
     _reply_framed = True
 
+    def handle_one_request(self) -> Any:
+        """Read and answer one request; overrides `WSGIHandler`."""
+        self._reply_complete = False
+        try:
+            result = super().handle_one_request()
+            if result is None and self._reply_complete:
+                self._wait_for_close()
+            return result
+        finally:
+            self.server.open_requests.discard(self)
+
+    def read_requestline(self) -> str:
+        """Wait for a request and read its request line; overrides `WSGIHandler`."""
+        if self.rfile.peek(1):
+            self.server.open_requests.add(self)
+        return super().read_requestline()
+
+    def process_result(self) -> None:
+        """Send the reply; overrides `WSGIHandler`."""
+        super().process_result()
+        self._reply_complete = True
+
     def begin_unframed_reply(self) -> None:
         """Send the next reply without framing: it ends with the connection.
 
@@ -37,6 +66,14 @@
         if not self._reply_framed and self.response_use_chunked:
             self.response_use_chunked = False
             self.response_headers.remove((b"Transfer-Encoding", b"chunked"))
+        if self.server.closing:
+            self.close_connection = True
+            self.response_headers = [
+                (name, value)
+                for name, value in self.response_headers
+                if name.lower() != b"connection"
+            ]
+            self.response_headers.append((b"Connection", b"close"))
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment; overrides `WSGIHandler`."""
@@ -44,6 +81,19 @@
         environ[HANDLER_KEY] = self
         return environ
 
+    def _wait_for_close(self) -> None:
+        """Discard what the client still sends, for as long as it may read the reply.
+
+        Closing a connection on which bytes are unread, such as those of a pipelined
+        request, resets it, and the client may lose the reply (RFC 9112, 9.6).
+        """
+        if self.headers.get("Connection", "").lower() == "close":
+            return
+        with contextlib.suppress(OSError), gevent.Timeout(CLOSE_TIMEOUT_S, False):
+            self.socket.shutdown(socket.SHUT_WR)
+            while self.socket.recv(DISCARD_BLOCK_BYTES):
+                pass
+
 
 class HttpServer(WSGIServer):
     """Serve a WSGI application.
@@ -59,6 +109,13 @@
     idle_timeout_s : float, default=60.0
         Time without sent or received bytes after which a connection is closed,
         in seconds.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether each reply asks its client to close the connection.
+    open_requests : set of ReplyHandler
+        Connections on which a request has begun to arrive and its reply has not ended.
     """
 
     handler_class = ReplyHandler
@@ -68,6 +125,19 @@
     ) -> None:
         super().__init__((host, port), app, log=None, error_log=None)
         self._idle_timeout_s = idle_timeout_s
+        self.closing = False
+        self.open_requests: set[ReplyHandler] = set()
+
+    def finish_accepting(self) -> None:
+        """Accept the connections that wait in the queue, and stop listening.
+
+        The kernel resets connections that are not accepted when the port closes.
+        """
+        self.stop_accepting()
+        with contextlib.suppress(OSError):
+            while accepted := self.do_read():
+                self.do_handle(*accepted)
+        self.close()
 
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """Serve one connection; called by gevent.
