End stalled streams that send comments, and keep slow ones that nobody can resume

Callers would have seen sound streams cut off: after 1.7 s without an event where no other upstream could resume them, although callers wait for 2 s; after this process had stood still, although events had arrived meanwhile; and large requests answered 502 because sending them took longer than 0.5 s. They would have waited for the whole time of their call where a stalled upstream sent a comment now and then.

The causes: one limit for all attempts; a reader that looked at the clock before it looked at the connection; the time limit of connecting, which also held for sending; and a limit that any event renewed, including comments, which applications never see.

Where an attempt is the last, the limit is 2.5 s, so that the caller decides. The reader returns what has arrived before it reports silence. Sending has until the end of the attempt. Only events with data renew the limit; the time in which the caller reads doesn't count.

Each of the five tests fails before, and passes now.

--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -219,3 +219,60 @@
     with gateway(streaming(EVENTS), routes=STREAM) as gw:
         ask = request("POST", body=b"ask").replace(b"HTTP/1.1", b"HTTP/1.0")
         assert gw.exchange(ask)[2] == ALL
+
+
+def test_a_stream_that_only_sends_comments_goes_on_elsewhere(monkeypatch):
+    """Guards against a stalled upstream that keeps its stream with comments."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.2)
+
+    def stalled(sock, seen):
+        streaming(EVENTS[:2], cut=True)(sock, seen)
+        for _ in range(100):
+            sock.sendall(b"4\r\n:a\n\n\r\n")
+            gevent.sleep(0.05)
+
+    with gateway(stalled, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        with gevent.Timeout(2.0):
+            body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body.replace(b":a\n\n", b"") == ALL + b"(end)"
+
+
+def test_a_slow_stream_that_can_not_go_on_elsewhere_is_not_given_up(monkeypatch):
+    """Guards against cutting off a sound stream before its caller would give it up."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.1)
+    slow = streaming(EVENTS[:3], gap_s=0.2)
+    with gateway(slow, streaming(EVENTS), routes=UNRESUMABLE) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:3]) + b"(end)"
+
+
+def test_a_silent_stream_that_can_not_go_on_elsewhere_ends(monkeypatch):
+    """Guards against streams that stall until the deadline of their call."""
+    monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 0.2)
+
+    def silent(sock, seen):
+        streaming(EVENTS[:2], cut=True)(sock, seen)
+        gevent.sleep(30)
+
+    with gateway(silent, routes=UNRESUMABLE) as gw, gevent.Timeout(1.0):
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:2]) + b"(cut)"
+
+
+def test_what_arrived_while_the_process_stood_still_is_read(monkeypatch):
+    """Guards against giving up all streams of a process that was stopped."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 0.2)
+
+    def freezing(sock, seen):
+        streaming(EVENTS[:3], cut=True)(sock, seen)
+        gevent.sleep(0.05)
+        sock.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENTS[3]), EVENTS[3]))
+        # This process stands still, as one that is stopped by a signal.
+        time.sleep(0.3)
+
+    with gateway(freezing, routes=UNRESUMABLE) as gw:
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b"".join(EVENTS[:4]) + b"(end)"
--- a/tests/wire/test_exchange_end.py
+++ b/tests/wire/test_exchange_end.py
@@ -6,6 +6,7 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from standins.raw_upstream import RawUpstream, answering
 from toucanspool.wire.exchange import MIN_RESTART_S, Exchange
@@ -59,3 +60,26 @@
 
     with RawUpstream(slow) as upstream:
         assert read(upstream.port) == b"whole"
+
+
+def test_a_large_body_is_sent_to_an_upstream_that_reads_slowly():
+    """Guards against a fixed time limit for sending, which cuts slow links off."""
+    # More than the connection's buffers hold.
+    size = 32 * 1024 * 1024
+
+    def serve(sock, address):
+        left = size
+        while left > 0:
+            left -= len(sock.recv(1 << 20))
+            gevent.sleep(0.025)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    until = time.monotonic() + 5.0
+    with closing(Exchange("127.0.0.1", server.server_port, "POST")) as exchange:
+        headers = [("Content-Length", str(size))]
+        exchange.send("/x", headers, b"x" * size, until=until)
+        exchange.read_head(until)
+        assert exchange.read_body(until, MAX_BYTES) == b"whole"
+    server.stop(timeout=0)
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -135,7 +135,8 @@
             *headers.items(),
         ]
         try:
-            exchange.send(path, all_headers, body)
+            until = time.monotonic() + self._timeout_s
+            exchange.send(path, all_headers, body, until=until)
             exchange.read_head(time.monotonic() + self._timeout_s)
         except Unreachable as exc:
             exchange.close()
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -106,7 +106,7 @@
             left_ms=call.deadline.left_ms(now),
             last_event_id=last_event_id,
         )
-        self._exchange.send(call.target, headers, call.body)
+        self._exchange.send(call.target, headers, call.body, until=until)
         self._exchange.read_head(until)
         parser = self._exchange.parser
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -240,7 +240,7 @@
     def _attempt_end(self, call: Call, progress: CallProgress) -> float:
         """Return the end of the next attempt, in seconds on the monotonic clock."""
         end = call.deadline.at
-        if not call.route.retryable or progress.runs + 1 >= call.route.max_attempts:
+        if not may_follow(call, progress):
             return end
         now = time.monotonic()
         return now + ATTEMPT_TIME_SHARE * max(0.0, end - now)
@@ -251,3 +251,24 @@
             self._ejector.record(upstream.name, AttemptResult.FAILED, time.monotonic())
         else:
             self.record_success(upstream)
+
+
+def may_follow(call: Call, progress: CallProgress) -> bool:
+    """Return whether another attempt may follow the present one if that runs.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    progress : CallProgress
+        Its attempts before the present one.
+
+    Returns
+    -------
+    bool
+    """
+    return (
+        call.route.retryable
+        and progress.runs + 1 < call.route.max_attempts
+        and progress.sends + 1 < MAX_SENDS
+    )
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -11,7 +11,7 @@
 from toucanspool.gateway.caller import ReplyCutOff
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.progress import CallProgress
-from toucanspool.gateway.relay import Relay
+from toucanspool.gateway.relay import Relay, may_follow
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.exchange import Unreachable
@@ -21,6 +21,9 @@
 # Callers abandon a stream after 2 s without an event. An upstream that stays silent is
 # abandoned a little earlier, so that another one can resume the stream.
 STREAM_IDLE_TIMEOUT_S = 1.7
+# Where no other upstream may resume the stream, the caller decides. The difference to
+# its 2 s covers delays on the way.
+LAST_ATTEMPT_IDLE_TIMEOUT_S = 2.5
 
 _log = structlog.get_logger()
 
@@ -102,7 +105,8 @@
             attempt = Attempt(call, upstream, self._dialect)
             attempt_stack.callback(attempt.close)
             try:
-                until = min(call.deadline.at, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
+                idle_until = time.monotonic() + _idle_timeout_s(call, progress)
+                until = min(call.deadline.at, idle_until)
                 attempt.begin(until, last_event_id=splitter.last_id)
                 failure_body = None
                 if attempt.status not in SUCCESS_STATUSES:
@@ -164,7 +168,7 @@
     ) -> Iterator[bytes]:
         last_at = 0.0
         for events in attempt.iter_events(
-            splitter, STREAM_IDLE_TIMEOUT_S, call.deadline.at
+            splitter, _idle_timeout_s(call, progress), call.deadline.at
         ):
             now = time.monotonic()
             if last_at:
@@ -179,6 +183,13 @@
             yield splitter.partial
 
 
+def _idle_timeout_s(call: Call, progress: CallProgress) -> float:
+    """Return how long the present attempt may be silent, in seconds."""
+    if may_follow(call, progress):
+        return STREAM_IDLE_TIMEOUT_S
+    return LAST_ATTEMPT_IDLE_TIMEOUT_S
+
+
 def _prepend(first: bytes, events: Iterator[bytes]) -> Iterator[bytes]:
     if first:
         yield first
--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -8,6 +8,7 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES = 4
+_EVENT_DATA = re.compile(rb"(?:^|[\r\n])data")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -25,13 +26,17 @@
         Id of the last event returned, or the initial one before.
     count : int
         Number of events returned.
+    data_returned : bool
+        Whether the last call of `feed` returned an event with data. Others, such as
+        comments, don't reach the application of the caller.
     """
 
-    __slots__ = ("_partial", "_searched_bytes", "count", "last_id")
+    __slots__ = ("_partial", "_searched_bytes", "count", "data_returned", "last_id")
 
     def __init__(self, *, last_id: str = "") -> None:
         self.last_id = last_id
         self.count = 0
+        self.data_returned = False
         self._partial = bytearray()
         self._searched_bytes = 0
 
@@ -64,6 +69,7 @@
             raise ExcessiveReply(f"an event has more than {MAX_EVENT_BYTES} bytes")
         # The bytes of an event's end may arrive apart.
         self._searched_bytes = max(0, len(self._partial) - _EVENT_END_BYTES + 1)
+        self.data_returned = _EVENT_DATA.search(events) is not None
         ids = _EVENT_ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -1,12 +1,14 @@
 """One HTTP request and its reply on a connection of its own."""
 
 import http.client
+import math
 import time
 from collections.abc import Iterable, Iterator
 
 from gevent import socket
 
 from toucanspool.wire.event_splitter import EventSplitter
+from toucanspool.wire.keepalive import enable_keepalive
 from toucanspool.wire.reachability import Reachability, check_reachability
 from toucanspool.wire.reply_parser import (
     BrokenReply,
@@ -17,6 +19,8 @@
 from toucanspool.wire.reply_reader import ReplyReader, Silent
 
 CONNECT_TIMEOUT_S = 0.5
+# Large bodies on slow links take longer; their senders set a limit of their own.
+SEND_TIMEOUT_S = 0.5
 END_CHECK_TIMEOUT_S = 0.5
 # Time from the first byte of a head to its end. Upstreams send a head at once; this
 # covers retransmissions.
@@ -78,7 +82,14 @@
         self.parser = ReplyParser(method)
         self.sent = False
 
-    def send(self, target: str, headers: Iterable[Header], body: bytes) -> None:
+    def send(
+        self,
+        target: str,
+        headers: Iterable[Header],
+        body: bytes,
+        *,
+        until: float = -math.inf,
+    ) -> None:
         """Connect and send the request.
 
         Parameters
@@ -89,6 +100,8 @@
             All headers.
         body : bytes
             The body.
+        until : float, optional
+            Time limit for sending; not before `SEND_TIMEOUT_S` from now.
 
         Raises
         ------
@@ -109,8 +122,9 @@
             conn.putheader(name, value)
         conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._keepalive_s:
-            _enable_keepalive(conn.sock, self._keepalive_s)
+            enable_keepalive(conn.sock, self._keepalive_s)
         self.sent = True
+        conn.sock.settimeout(max(SEND_TIMEOUT_S, until - time.monotonic()))
         try:
             conn.endheaders(body or None)
         except OSError as exc:
@@ -222,14 +236,14 @@
         splitter : EventSplitter
             Splits the stream.
         idle_timeout_s : float
-            Maximum time without a complete event, in seconds.
+            Maximum time without a complete event that has data, in seconds.
         until : float
             Time limit, in seconds on the monotonic clock.
 
         Yields
         ------
         bytes
-            One event or more.
+            One event or more, or comments.
 
         Raises
         ------
@@ -241,16 +255,22 @@
             An event is too large.
         """
         complete = False
+        idle_until = min(until, time.monotonic() + idle_timeout_s)
         while not complete:
             events = b""
-            idle_until = min(until, time.monotonic() + idle_timeout_s)
             while not events and not complete:
                 if not self.parser.complete and not self.parser.body_bytes:
                     self._receive(idle_until)
                 complete = self.parser.complete
                 events = splitter.feed(self.parser.take_body())
             if events:
+                began_at = time.monotonic()
                 yield events
+                now = time.monotonic()
+                # The time in which the caller reads is not the upstream's.
+                idle_until = min(until, idle_until + now - began_at)
+                if splitter.data_returned:
+                    idle_until = min(until, now + idle_timeout_s)
         self._check_end(until)
 
     def close(self) -> None:
@@ -280,10 +300,3 @@
                 "the connection was closed without an end of the reply, so long ago "
                 "that the upstream may have been restarted"
             )
-
-
-def _enable_keepalive(sock: socket.socket, keepalive_s: int) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, keepalive_s)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, keepalive_s)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
--- a/toucanspool/wire/reply_reader.py
+++ b/toucanspool/wire/reply_reader.py
@@ -43,6 +43,9 @@
     def read(self, until: float) -> bytes:
         """Return the next bytes; none if the peer has closed the connection.
 
+        Bytes that have arrived are returned even if the time limit has passed: this
+        process may have stood still, and the peer is not to blame for that.
+
         Parameters
         ----------
         until : float
@@ -60,11 +63,14 @@
             The connection broke.
         """
         began_at = time.monotonic()
-        while (now := time.monotonic()) < until:
+        while True:
+            now = time.monotonic()
             try:
                 data = self._sock._sock.recv(READ_BLOCK_BYTES)
             except BlockingIOError:
                 self._open_at = now
+                if now >= until:
+                    break
                 self._wait(min(until - now, OPEN_CHECK_INTERVAL_S))
                 continue
             self._share_time(len(data))
