--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -64,14 +64,7 @@
         Whether the upstream may have received a part of the request.
     """
 
-    __slots__ = (
-        "_conn",
-        "_keepalive_s",
-        "_method",
-        "_reader",
-        "parser",
-        "sent",
-    )
+    __slots__ = ("_conn", "_keepalive_s", "_method", "_reader", "parser", "sent")
 
     def __init__(
         self, host: str, port: int, method: str, *, keepalive_s: int = 0
@@ -111,9 +104,10 @@
             The connection was lost while the request was sent.
         """
         conn = self._conn
-        address = (conn.host, conn.port)
         try:
-            conn.sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
+            conn.sock = socket.create_connection(
+                (conn.host, conn.port), timeout=CONNECT_TIMEOUT_S
+            )
         except OSError as exc:
             raise Unreachable(str(exc)) from exc
         self._reader = ReplyReader(conn.sock)
@@ -255,22 +249,21 @@
             An event is too large.
         """
         complete = False
-        idle_until = min(until, time.monotonic() + idle_timeout_s)
+        idle_until = time.monotonic() + idle_timeout_s
         while not complete:
             events = b""
             while not events and not complete:
                 if not self.parser.complete and not self.parser.body_bytes:
-                    self._receive(idle_until)
+                    self._receive(min(until, idle_until))
                 complete = self.parser.complete
                 events = splitter.feed(self.parser.take_body())
             if events:
                 began_at = time.monotonic()
                 yield events
-                now = time.monotonic()
                 # The time in which the caller reads is not the upstream's.
-                idle_until = min(until, idle_until + now - began_at)
+                idle_until += time.monotonic() - began_at
                 if splitter.data_returned:
-                    idle_until = min(until, now + idle_timeout_s)
+                    idle_until = time.monotonic() + idle_timeout_s
         self._check_end(until)
 
     def close(self) -> None:
