Trust a rejection only if it answers the call itself

Callers would have seen a call that may run at most once run twice, or answered 503 "not run" after it had run: a reply that names another call and says that this other call was not run counted as a rejection of the present call, which was then sent to the next upstream. The id was compared only after that.

The id is compared first now, so such a reply leaves open whether the call has run, as any other foreign reply does. Loads, limits and leave notices of the head still count, since they are about the upstream.

The new case was answered 503 after two requests before; now 502, outcome unknown, one request. A connection that is reset after the request was sent was answered so already; the test has that case now, and looks at the outcome in the body.

--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -1,5 +1,7 @@
 """Calls with a complete reply, as seen by callers and upstreams."""
 
+from socket import SO_LINGER, SOL_SOCKET
+
 import gevent
 import gevent.event
 import pytest
@@ -7,6 +9,7 @@
 from standins.raw_upstream import answering, reply
 from tests.gateway.gateways import HOST, gateway, route
 from toucanspool.routing.routes import CallKind, KeyHolder
+from toucanspool.wire.http_server import RESET_ON_CLOSE
 
 AT_MOST_ONCE_ROUTES = [route(CallKind.AT_MOST_ONCE, max_attempts=1)]
 
@@ -35,6 +38,18 @@
     )
 
 
+def resetting(sock, seen):
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
+def rejecting_another_call(sock, seen):
+    rejection = reply(
+        seen, b"", status="503 Full", headers="Toucanspool-Not-Executed: 1"
+    )
+    sock.sendall(rejection.replace(b"a1", b"zz"))
+
+
 def reply_to_another_call(sock, seen):
     sock.sendall(reply(seen).replace(b"a1", b"zz"))
 
@@ -124,12 +139,20 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [truncated_reply, closing_without_reply, reply_to_another_call]
+    "fault",
+    [
+        truncated_reply,
+        closing_without_reply,
+        resetting,
+        reply_to_another_call,
+        rejecting_another_call,
+    ],
 )
 def test_a_call_that_may_have_run_once_is_not_sent_again_nor_called_not_run(fault):
     with gateway(fault, fault, routes=AT_MOST_ONCE_ROUTES) as gw:
-        status, _, _ = gw.call("POST", body=b"book")
+        status, _, body = gw.call("POST", body=b"book")
         assert status in (502, 504)
+        assert b'"unknown"' in body
         assert request_count(gw.upstreams) == 1
 
 
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -111,10 +111,11 @@
         parser = self._exchange.parser
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
         self._update_upstream()
-        if self.reply_head.not_run:
-            raise TurnedAway(parser.status)
+        # That another call was not run says nothing about this one.
         if self.reply_head.call_id and self.reply_head.call_id != call.id:
             raise BrokenReply("the reply belongs to another call")
+        if self.reply_head.not_run:
+            raise TurnedAway(parser.status)
         if parser.status in SUCCESS_STATUSES and not self.reply_head.signed:
             raise BrokenReply("the reply has no server signature")
 
