Withdraw an entry's record until the store has deleted it

A restarted entry would have told callers the address of one that had left: the record was deleted with one try, so it stayed if the store refused just then, and a write that was under way could be carried out after the deletion. Running entries leave such an entry out once it misses probes; one that has just started has probed nobody.

--- a/toucanspool/membership/own_row.py
+++ b/toucanspool/membership/own_row.py
@@ -80,10 +80,17 @@
             self.check([])
 
     def withdraw(self) -> None:
-        """Delete the row; a failure is logged."""
+        """Delete the row, and try again until that succeeds; failures are logged.
+
+        A row that stays is read by processes that start later, which don't know that
+        this one has left.
+        """
         self._withdrawn = True
-        self.stop()
-        self._try_write(None)
+        if self._task is not None:
+            # The table may carry out a write that is under way after the deletion.
+            self._task.join()
+        while not self._try_write(None):
+            gevent.sleep(RETRY_S)
 
     def _start_writing(self) -> None:
         writing = self._task is not None and not self._task.ready()
@@ -92,11 +99,11 @@
 
     def _write_until_done(self) -> None:
         written = None
-        while written != self.value:
+        while written != self.value and not self._withdrawn:
             value = self.value
             if self._try_write(value):
                 written = value
-            else:
+            elif not self._withdrawn:
                 gevent.sleep(RETRY_S)
 
     def _try_write(self, value: bytes | None) -> bool:
