Keep background tasks and calls running through malformed input

Callers would have seen an entry that goes on with an old configuration, old upstreams or old limits without telling anybody: one row with a field of a wrong type ended the follower of its table, as did a response of the store without its fields; a timeout ended a ticker; an entry's answer to a probe with a text for a number made every tick fail; an unreadable probe address kept a dead entry in the directory. They would have seen an upstream unused for ever after `Retry-After: inf`, all responses of the store refused after one impossible era, and 500 for a path with bytes that are not ASCII, for infinite token counts, and for all calls of a route with a number as its prefix.

The causes: decoders checked that fields exist but not their types and sizes, the failures then showed up in whatever used the values, and followers and tickers ended at errors that they didn't expect.

Values from JSON now pass `backing/checked_values.py`: texts, finite numbers and integers within bounds, addresses that can be connected to. Rows are decoded one by one, so that a bad one keeps no other out; a malformed response is an outage. Numbers in headers end at 1e9, pauses at 60 s. Requests that can't be forwarded are answered 400, before anything is sent. An agent's call that fails unexpectedly tells the entry so.

--- /dev/null
+++ b/tests/platform/test_malformed_input.py
@@ -0,0 +1,186 @@
+"""Malformed rows, headers and requests are refused where they are read."""
+
+import orjson
+import pytest
+
+from standins.raw_upstream import answering
+from tests.gateway.gateways import HOST, gateway, route
+from tests.platform.test_listings import listing
+from tests.platform.test_operator_configuration import ROUTE, decode_with
+from toucanspool.backing.table import Row
+from toucanspool.groups.rank_record import RankRecord, decode_rank
+from toucanspool.membership.entries import EntryRecord, decode_entry
+from toucanspool.platform.configuration import BadConfiguration
+from toucanspool.platform.headers import PlatformDialect, parse_token_counts
+from toucanspool.retries.crash_reports import decode_report
+from toucanspool.routing.routes import CallKind
+from toucanspool.routing.upstream import MAX_PAUSE_S
+
+JUNK = [None, 5, -1, 1e300, "x", "", [], {}, [[]], {"a": 1}, True]
+DEEP = b"[" * 3000
+ENTRY = orjson.loads(EntryRecord("e", "10.0.0.1:1", "10.0.0.1:2").encode())
+RANK = orjson.loads(
+    RankRecord("r", "10.0.0.1", 1, "g", 0, "u", "10.0.0.1:2", 1.0).encode()
+)
+REPORT = {
+    "crashes": [
+        {"upstream": "u", "started_ms": 1, "number": 1, "prompts": [["p"]], "at_s": 1.0}
+    ],
+    "blocked": {"p": 1.0},
+    "sound": {"p": 1.0},
+}
+
+
+@pytest.mark.parametrize(
+    ("row", "decode"),
+    [(ENTRY, decode_entry), (RANK, decode_rank), (REPORT, decode_report)],
+)
+def test_own_rows_with_a_value_of_another_type_are_ignored(row, decode):
+    """Guards against a row that ends the feed follower of its table."""
+    assert decode(Row("k", orjson.dumps(row), 1)) is not None
+    for junk in JUNK:
+        assert decode(Row("k", orjson.dumps(junk), 1)) is None
+        for field, value in row.items():
+            if type(junk) is not type(value) and not (field == "pace" and junk == 5):
+                data = orjson.dumps({**row, field: junk})
+                assert decode(Row("k", data, 1)) is None, (field, junk)
+
+
+@pytest.mark.parametrize(
+    ("row", "decode", "change"),
+    [
+        (RANK, decode_rank, {"pace": 0.0}),
+        (RANK, decode_rank, {"pace": -1.0}),
+        (RANK, decode_rank, {"pace": 1e300}),
+        (RANK, decode_rank, {"rank": -1}),
+        (RANK, decode_rank, {"port": 70000}),
+        (RANK, decode_rank, {"engine": "nowhere"}),
+    ],
+)
+def test_own_rows_with_an_impossible_value_are_ignored(row, decode, change):
+    """Guards against probes, placements and orders that fail because of one row."""
+    assert decode(Row("k", orjson.dumps({**row, **change}), 1)) is None
+
+
+@pytest.mark.parametrize("field", list(REPORT["crashes"][0]))
+@pytest.mark.parametrize("value", [None, "nan", "inf", [], {}, [[[]]], "x"])
+def test_a_crash_with_a_wrong_value_is_ignored(field, value):
+    """Guards against evidence that counts for ever, or ends the feed follower."""
+    crash = {**REPORT["crashes"][0], field: value}
+    report = decode_report(Row("k", orjson.dumps({**REPORT, "crashes": [crash]}), 1))
+    if report is not None:
+        assert isinstance(report.crashes[0].upstream, str)
+        assert abs(report.crashes[0].at_s) < 1e12
+
+
+@pytest.mark.parametrize("raw", [b"", b"\xff", DEEP, b"{", b'{"name": "\xff"}'])
+def test_rows_that_are_no_json_are_ignored(raw):
+    for decode in (decode_entry, decode_rank, decode_report):
+        assert decode(Row("k", raw, 1)) is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "10.0.0.9:70000"},
+        {"address": "10.0.0.9:-1"},
+        {"address": "a..b:80"},
+        {"slots": -1},
+        {"slots": True},
+        {"born": 1.5},
+    ],
+)
+def test_a_listing_that_no_request_can_use_is_ignored(changes):
+    """Guards against addresses for which connecting raises no `OSError`."""
+    assert listing(**changes) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("prefix", 5),
+        ("prefix", None),
+        ("hostname", 5),
+        ("timeoutMs", -1),
+        ("timeoutMs", "x"),
+        ("timeoutMs", 0),
+        ("priority", [1]),
+        ("backends", [{"service": 5, "weight": 1}]),
+        ("backends", [{"service": "a", "weight": -1}]),
+        ("backends", [{"service": "a", "weight": 0}]),
+        ("name", []),
+    ],
+)
+def test_a_route_that_no_call_can_use_makes_the_configuration_invalid(field, value):
+    """Guards against a configuration in force with which every call fails."""
+    with pytest.raises(BadConfiguration):
+        decode_with(routes=[{**ROUTE, field: value}])
+
+
+@pytest.mark.parametrize(
+    "tenant",
+    [
+        {"name": "t", "apiKeys": "abc"},
+        {"name": "t", "apiKeys": [5]},
+        {"name": 5, "apiKeys": ["k"]},
+        {"name": "t", "apiKeys": ["k"], "priority": "high"},
+    ],
+)
+def test_a_tenant_with_a_wrong_value_makes_the_configuration_invalid(tenant):
+    """Guards against keys of one letter, which a string of keys would give."""
+    with pytest.raises(BadConfiguration):
+        decode_with(tenants=[tenant])
+
+
+@pytest.mark.parametrize(
+    "value", ["inf", "nan", "-1", "1e999", "9" * 5000, "\xff", "x"]
+)
+def test_headers_with_impossible_numbers(value):
+    """Guards against an upstream that is out for ever, and failures of sound calls."""
+    head = PlatformDialect().parse_reply_head(
+        503,
+        [("Retry-After", value), ("Toucanspool-Server-Load", f"{value},{value},1")],
+    )
+    assert 0.0 <= head.retry_after_s < float("inf")
+    assert head.running is None or head.running < 1 << 31
+    counts = parse_token_counts(
+        {
+            "toucanspool-token-count": f"{value},{value}",
+            "toucanspool-length-hint": value,
+        }
+    )
+    assert all(0 <= count < 1 << 31 for count in counts)
+
+
+def test_an_upstream_can_not_pause_for_ever():
+    """Guards against a reply that takes an upstream out until this entry restarts."""
+    script = answering(
+        status="503 Full", headers="Toucanspool-Not-Executed: 1\r\nRetry-After: 1e8"
+    )
+    with gateway(script) as gw:
+        gw.call()
+        upstream = gw.core.upstreams.find("u0")
+        assert upstream.paused_until < 1e7
+        assert 0.0 < upstream.wait_s(upstream.paused_until - MAX_PAUSE_S) <= MAX_PAUSE_S
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/p/\xff", ""),
+        ("/p/\x01", ""),
+        ("/p/x", "X-\xff: 1"),
+        ("/p/x", "Toucanspool-Token-Count: inf,inf"),
+        ("/p/x", "Toucanspool-Deadline-Ms: nan"),
+        ("/p/x", "X-Value: \xff\xfe"),
+    ],
+)
+def test_a_request_with_unusual_bytes_is_answered_or_refused(path, headers):
+    """Guards against requests that are answered 500, as if the gateway had failed."""
+    raw = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+    raw += f"Toucanspool-Attempt-Id: a1\r\n{headers}\r\n" if headers else ""
+    with gateway(answering(), routes=[route(CallKind.AT_MOST_ONCE)]) as gw:
+        status, _, _ = gw.exchange(f"{raw}\r\n".encode("latin-1"))
+        assert status in (200, 400)
+        assert gw.call()[0] == 200
+        assert gw.core.upstreams.find("u0").in_flight == 0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The client of the row store, against a stand-in on loopback."""
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -11,10 +12,12 @@
 )
 
 import gevent
+import orjson
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
 
+from standins.raw_upstream import RawUpstream, answering
 from standins.row_store import RowStore as RowStoreStandin
 from toucanspool.backing.table import (
     Check,
@@ -223,3 +226,57 @@
     standin.pages.silent = True
     with gevent.Timeout(1.0), pytest.raises(TableUnavailable):
         store.changes("op", version, 0.2)
+
+
+@contextmanager
+def scripted_store(body: bytes, header: str = "") -> Iterator[RowStoreClient]:
+    """Yield a client of a store whose responses all have the same body."""
+    answer = answering(body, headers=f"Content-Type: application/json{header}")
+    with RawUpstream(answer) as upstream:
+        yield RowStoreClient("127.0.0.1", upstream.port)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[]",
+        b"null",
+        b"5",
+        b"{}",
+        b'{"rows": 5}',
+        b'{"rows": [], "ver": "x"}',
+        b'{"rows": [], "ver": 1e300, "hasMore": true}',
+        b'{"rows": [' + b"[" * 900 + b"]" * 900 + b'], "hasMore": true, "ver": []}',
+        b"[" * 5000,
+        b'{"rows": ["\xff"]}',
+    ],
+)
+def test_a_malformed_response_is_an_outage(body):
+    """Guards against responses that end the follower of a table, or a writer."""
+    with scripted_store(body) as store:
+        with pytest.raises(TableUnavailable):
+            store.snapshot("t")
+        with pytest.raises(TableUnavailable):
+            store.changes("t", 0, 0.0)
+        with pytest.raises(TableUncertain):
+            store.commit([], [Write("k", b"v")])
+
+
+def test_malformed_rows_keep_no_other_row_out():
+    """Guards against one malformed row that hides its table."""
+    bad = [5, {}, {"key": 5}, {"key": "a", "ver": 1, "value": "%"}, {"key": ["a"]}]
+    bad += [{"key": "b", "ver": 1, "value": 5}, {"tombstone": True, "key": {}}]
+    good = {"key": "k", "ver": 1, "value": "dg=="}
+    body = orjson.dumps({"rows": [*bad, good], "ver": 2})
+    with scripted_store(body) as store:
+        assert [row.key for row in store.snapshot("t").rows] == ["k"]
+        changes = store.changes("t", 0, 0.0)
+        assert ([row.key for row in changes.rows], changes.deleted) == (["k"], [])
+
+
+@pytest.mark.parametrize("era", ["9" * 5000, "9" * 30, "-1", "x", "1e9"])
+def test_an_impossible_era_is_none(era):
+    """Guards against a header after which all later responses look outdated."""
+    with scripted_store(b'{"rows": [], "ver": 2}', f"\r\nStore-Era: {era}") as store:
+        assert store.snapshot("t").rows == []
+        assert store.era == 0
--- a/tests/recovery/test_feed.py
+++ b/tests/recovery/test_feed.py
@@ -6,6 +6,7 @@
 from gevent.event import Event
 
 from toucanspool.backing.table import Row, TableUnavailable
+from toucanspool.recovery import feed as recovery_feed
 from toucanspool.recovery.feed import (
     Changes,
     FeedFollower,
@@ -32,6 +33,8 @@
         return self._next()
 
     def _next(self) -> Changes:
+        if not self._results:
+            gevent.sleep(60)
         result = self._results.pop(0)
         if isinstance(result, Exception):
             raise result
@@ -169,3 +172,60 @@
     follower.start()
     assert updated.wait(timeout=0.2)
     follower.stop()
+
+
+class FaultyReader:
+    """Collect the rows of changes, and fail at one key."""
+
+    def __init__(self, bad_key: str) -> None:
+        self.keys: list[str] = []
+        self._bad_key = bad_key
+
+    def __call__(self, changes: Changes) -> None:
+        """Store the keys, or fail."""
+        for key in [*(row.key for row in changes.rows), *changes.deleted]:
+            if key == self._bad_key:
+                raise ValueError(key)
+            self.keys.append(key)
+
+
+def rows_at(version: int, *keys: str) -> Changes:
+    return Changes([Row(key, b"v", version) for key in keys], (), version)
+
+
+def run_follower(feed, on_snapshot, on_changes) -> None:
+    follower = FeedFollower(
+        feed, "t", on_snapshot, on_changes, wait_s=0.0, rng=random.Random(1)
+    )
+    follower.start()
+    gevent.sleep(0.1)
+    follower.stop()
+
+
+def test_a_row_that_can_not_be_applied_keeps_no_other_row_out():
+    """Guards against one malformed row that ends the follower of its table."""
+    reader = FaultyReader("bad")
+    feed = ScriptedFeed(rows_at(1), rows_at(2, "a", "bad", "b"), rows_at(3, "c"))
+    run_follower(feed, lambda _: None, reader)
+    assert feed.requested[:4] == [None, 1, 2, 3]
+    assert set(reader.keys) == {"a", "b", "c"}
+
+
+def test_a_snapshot_that_can_not_be_applied_is_read_again(monkeypatch):
+    """Guards against a follower that ends, or skips a table, at an unexpected error."""
+    monkeypatch.setattr(recovery_feed, "FAILED_SNAPSHOT_RETRY_S", 0.01)
+    reader = FaultyReader("bad")
+    feed = ScriptedFeed(rows_at(1, "bad"), rows_at(2, "a"), rows_at(3))
+    run_follower(feed, reader, lambda _: None)
+    assert feed.requested[:3] == [None, None, 2]
+    assert reader.keys == ["a"]
+
+
+def test_an_unexpected_error_of_the_store_client_is_an_outage(monkeypatch):
+    """Guards against a malformed response that ends the follower."""
+    monkeypatch.setattr(recovery_feed, "MEAN_RETRY_S", 0.01)
+    feed = ScriptedFeed(rows_at(1), KeyError("rows"), rows_at(2, "a"), rows_at(3))
+    reader = FaultyReader("")
+    run_follower(feed, lambda _: None, reader)
+    assert feed.requested[:4] == [None, 1, 1, 2]
+    assert reader.keys == ["a"]
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -8,7 +8,7 @@
 from gevent.lock import Semaphore
 
 from toucanspool.agent._call_hash import call_hash
-from toucanspool.agent.gate import CallFailed, Gate
+from toucanspool.agent.gate import CallFailed, Gate, incomplete_reply, late_reply
 from toucanspool.agent.upstream_client import (
     Reply,
     UpstreamBroken,
@@ -34,6 +34,8 @@
 # Limit for the reply of a claimed call, which is read to its end and recorded even if
 # the caller has disconnected.
 REPLY_TIMEOUT_S = 120.0
+# More than the window of any entry.
+MAX_CREDIT = 4096
 MAX_CHUNK_BYTES = 16 * 1024
 MAX_RECORDED_BYTES = 8 * 1024 * 1024
 
@@ -122,7 +124,7 @@
         chunks : int
             Number of additional chunks.
         """
-        for _ in range(chunks):
+        for _ in range(min(chunks, MAX_CREDIT)):
             self._credit.release()
 
     def cancel(self) -> None:
@@ -136,11 +138,15 @@
             with gevent.Timeout(None if self.guarded else remaining_s):
                 self._handle()
         except gevent.Timeout:
-            self._fail_at_deadline()
+            self._fail(Refusal.DEADLINE, "The time was over.")
         except CallFailed as exc:
             self._send_failure(exc)
         except ConnectionLost:
             _log.info("entry left", request_id=self._request.request_id)
+        except Exception:
+            # Without a last message, the entry would wait for the call's whole time.
+            _log.exception("call failed", request_id=self._request.request_id)
+            self._fail(Refusal.BROKEN, "The agent failed at this call.")
 
     def _handle(self) -> None:
         self._gate.check(self._request)
@@ -177,7 +183,7 @@
             # The first check may be out of date, as claiming the call can take long.
             self._gate.check(self._request)
             with (
-                gevent.Timeout(REPLY_TIMEOUT_S, _late_reply()),
+                gevent.Timeout(REPLY_TIMEOUT_S, late_reply()),
                 closing(self._forward()) as reply,
             ):
                 body = self._read_body(reply)
@@ -203,20 +209,20 @@
                 Outcome.NOT_RUN, Refusal.UNREACHABLE, "The upstream did not answer."
             ) from exc
         except UpstreamBroken as exc:
-            raise _incomplete_reply() from exc
+            raise incomplete_reply() from exc
 
     def _iter_body(self, reply: Reply) -> Iterator[bytes]:
         try:
             yield from reply.iter_body()
         except UpstreamBroken as exc:
-            raise _incomplete_reply() from exc
+            raise incomplete_reply() from exc
 
     def _read_body(self, reply: Reply) -> bytes:
         body = bytearray()
         for piece in self._iter_body(reply):
             body += piece
             if len(body) > MAX_RECORDED_BYTES:
-                raise _incomplete_reply()
+                raise incomplete_reply()
         return bytes(body)
 
     def _relay(self, reply: Reply) -> None:
@@ -266,9 +272,9 @@
         )
         self._conn.send(Frame(end=end))
 
-    def _fail_at_deadline(self) -> None:
+    def _fail(self, refusal: Refusal, detail: str) -> None:
         outcome = Outcome.UNKNOWN if self._forwarded else Outcome.NOT_RUN
-        self._send_failure(CallFailed(outcome, Refusal.DEADLINE, "The time was over."))
+        self._send_failure(CallFailed(outcome, refusal, detail))
 
     def _send_failure(self, exc: CallFailed) -> None:
         end = End(
@@ -283,15 +289,3 @@
             self._conn.send(Frame(end=end))
         except ConnectionLost:
             _log.info("entry left", request_id=self._request.request_id)
-
-
-def _incomplete_reply() -> CallFailed:
-    return CallFailed(
-        Outcome.UNKNOWN, Refusal.BROKEN, "The upstream's reply did not come whole."
-    )
-
-
-def _late_reply() -> CallFailed:
-    return CallFailed(
-        Outcome.UNKNOWN, Refusal.DEADLINE, "The upstream's reply did not come in time."
-    )
--- a/toucanspool/agent/gate.py
+++ b/toucanspool/agent/gate.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from toucanspool.wire.gen.messages.ttypes import Open
+from toucanspool.wire.gen.messages.ttypes import Open, Outcome, Refusal
 
 RETRY_AFTER_MS = 1000
 
@@ -54,3 +54,17 @@
             The call must not be sent to the upstream.
         """
         ...
+
+
+def incomplete_reply() -> CallFailed:
+    """Return the failure of a call whose reply was cut off."""
+    return CallFailed(
+        Outcome.UNKNOWN, Refusal.BROKEN, "The upstream's reply did not come whole."
+    )
+
+
+def late_reply() -> CallFailed:
+    """Return the failure of a call whose reply took too long."""
+    return CallFailed(
+        Outcome.UNKNOWN, Refusal.DEADLINE, "The upstream's reply did not come in time."
+    )
--- /dev/null
+++ b/toucanspool/backing/checked_values.py
@@ -0,0 +1,63 @@
+"""Checks of values from JSON, whose types and sizes other processes decide."""
+
+import math
+from typing import Any
+
+MAX_PORT = 65535
+MAX_HOST_CHARS = 253
+MAX_LABEL_CHARS = 63
+
+
+def text(value: Any) -> str:
+    """Return a value that must be a string and not empty."""
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"not a text: {value!r:.80}")
+    return value
+
+
+def number(value: Any, low: float = 0.0, high: float = 1e15) -> float:
+    """Return a value that must be a finite number within bounds, as a float."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"not a number: {value!r:.80}")
+    if not (math.isfinite(value) and low <= value <= high):
+        raise ValueError(f"not between {low:g} and {high:g}: {value:g}")
+    return float(value)
+
+
+def integer(value: Any, low: int = 0, high: int = 1 << 53) -> int:
+    """Return a value that must be an integer within bounds."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not an integer: {value!r:.80}")
+    if not low <= value <= high:
+        raise ValueError(f"not between {low} and {high}: {value}")
+    return value
+
+
+def address(value: Any) -> tuple[str, int]:
+    """Return host and port of a value that must have the form ``HOST:PORT``.
+
+    Connecting to a host with empty or long labels raises no `OSError`.
+    """
+    host, _, port = text(value).rpartition(":")
+    labels = host.split(".")
+    if len(host) > MAX_HOST_CHARS or not all(
+        0 < len(label) <= MAX_LABEL_CHARS for label in labels
+    ):
+        raise ValueError(f"not a host: {host!r:.80}")
+    if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
+        raise ValueError(f"not a port: {port!r:.80}")
+    return host, integer(int(port), 1, MAX_PORT)
+
+
+def numbers(value: Any) -> dict[str, float]:
+    """Return a value that must be a mapping of texts to numbers."""
+    if not isinstance(value, dict):
+        raise TypeError(f"not a mapping: {value!r:.80}")
+    return {text(key): number(item) for key, item in value.items()}
+
+
+def list_of(value: Any) -> list[Any]:
+    """Return a value that must be a list."""
+    if not isinstance(value, list):
+        raise TypeError(f"not a list: {value!r:.80}")
+    return value
--- a/toucanspool/backing/json_row.py
+++ b/toucanspool/backing/json_row.py
@@ -34,6 +34,6 @@
     """
     try:
         return decode(orjson.loads(row.value))
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, LookupError, TypeError, AttributeError) as exc:
         _log.warning(error_event, key=row.key, error=repr(exc))
         return None
--- a/toucanspool/gateway/limit_sharing.py
+++ b/toucanspool/gateway/limit_sharing.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from toucanspool.backing.checked_values import integer, number, text
 from toucanspool.limits._ewma import ewma_weight
 from toucanspool.membership.entries import Entries
 from toucanspool.routing.limit_parts import divide_limits, weigh_entries
@@ -120,7 +121,11 @@
         """
         try:
             statements = [
-                ((str(name), int(started_ms)), _decode_limit(limit), float(age_s))
+                (
+                    (text(name), integer(started_ms)),
+                    math.inf if limit is None else number(limit),
+                    number(age_s),
+                )
                 for name, started_ms, limit, age_s in report[:MAX_REPORTED_LIMITS]
             ]
         except (TypeError, ValueError) as exc:
@@ -133,7 +138,7 @@
                 continue
             # An age counts from the question. Otherwise, with each exchange, a limit
             # that has ended would seem to have been named a little later.
-            named_at = asked_at - max(0.0, age_s)
+            named_at = asked_at - age_s
             upstream.name_limit(per_s, named_at, now, told_by=told_by)
 
     def _update_loads(self, now: float) -> None:
@@ -154,10 +159,3 @@
         parts = divide_limits(weights, self._entries.own_name, len(upstreams))
         for upstream, part in zip(upstreams, parts, strict=True):
             upstream.limit.set_part(known * part, now)
-
-
-def _decode_limit(limit: Any) -> float:
-    per_s = math.inf if limit is None else float(limit)
-    if not per_s >= 0.0:
-        raise ValueError(f"invalid limit {limit!r}")
-    return per_s
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -173,7 +173,7 @@
             started = time.monotonic()
             try:
                 self._run_once()
-            except Exception:
+            except (Exception, gevent.Timeout):
                 _log.exception("coordination failed")
             passed_s = time.monotonic() - started
             gevent.sleep(max(0.01, COORDINATION_INTERVAL_S - passed_s))
--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -1,13 +1,23 @@
 """The row with which a rank agent registers itself in the table."""
 
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 
+from toucanspool.backing.checked_values import (
+    MAX_PORT,
+    address,
+    integer,
+    number,
+    text,
+)
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 
 PREFIX = "rank/"
+# Slowdown factors beyond these are mistakes.
+MIN_PACE, MAX_PACE = 0.01, 1000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +70,18 @@
     -------
     RankRecord or None
     """
-    return read_json(
-        row, lambda data: RankRecord(**data), error_event="unreadable rank record"
+    return read_json(row, _decode_fields, error_event="unreadable rank record")
+
+
+def _decode_fields(data: Any) -> RankRecord:
+    address(data["engine"])
+    return RankRecord(
+        name=text(data["name"]),
+        host=text(data["host"]),
+        port=integer(data["port"], 1, MAX_PORT),
+        group=text(data["group"]),
+        rank=integer(data["rank"]),
+        upstream=text(data["upstream"]),
+        engine=data["engine"],
+        pace=number(data["pace"], MIN_PACE, MAX_PACE),
     )
--- a/toucanspool/kernel/ticker.py
+++ b/toucanspool/kernel/ticker.py
@@ -22,7 +22,7 @@
     interval_s : float
         Mean pause before each call, in seconds; jittered by `JITTER_RATIO`.
     func : callable
-        Function to call. An exception is logged, and the calls continue.
+        Function to call. An exception or timeout is logged, and the calls continue.
     rng : random.Random
         Random source of the jitter.
     """
@@ -60,5 +60,5 @@
             )
             try:
                 self._func()
-            except Exception as exc:
+            except (Exception, gevent.Timeout) as exc:
                 _log.warning("tick failed", task=self._name, error=repr(exc))
--- a/toucanspool/membership/entries.py
+++ b/toucanspool/membership/entries.py
@@ -7,6 +7,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.checked_values import text
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 from toucanspool.membership.peer_reports import PeerReports
@@ -54,7 +55,9 @@
     """
     return read_json(
         row,
-        lambda data: EntryRecord(data["name"], data["address"], data["probe"]),
+        lambda data: EntryRecord(
+            text(data["name"]), text(data["address"]), text(data["probe"])
+        ),
         error_event="unreadable entry",
     )
 
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -5,6 +5,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.checked_values import integer, number, text
 from toucanspool.recovery.feed import Changes
 from toucanspool.routing.routes import (
     CallKind,
@@ -19,6 +20,8 @@
 TABLE = "op"
 KEY = "config"
 MS_PER_S = 1000.0
+MIN_TIMEOUT_MS = 1.0
+MAX_PRIORITY = 1000
 BITS_PER_MBIT = 1e6
 BITS_PER_MB = 8e6
 
@@ -55,14 +58,14 @@
     try:
         data = orjson.loads(value)
         return RouteTable(
-            version=int(data["version"]),
+            version=int(number(data["version"])),
             routes=[_decode_route(route) for route in data["routes"]],
             services={s["name"]: _decode_service(s) for s in data.get("services", ())},
             keys=_decode_keys(data),
             keys_required="tenants" in data,
             limits=_decode_limits(data.get("limits") or {}),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except (ValueError, LookupError, TypeError, AttributeError) as exc:
         raise BadConfiguration(repr(exc)) from exc
 
 
@@ -93,19 +96,21 @@
     # A route has either a single service or weighted backends.
     backends = route.get("backends") or [{"service": route["service"], "weight": 1}]
     weighted = tuple(
-        (b["service"], float(b["weight"])) for b in backends if b["weight"]
+        (text(b["service"]), number(b["weight"])) for b in backends if b["weight"]
     )
+    if not weighted:
+        raise ValueError("a route without a service")
     return Route(
-        name=route["name"],
-        host=route["hostname"].lower(),
-        prefix=route["prefix"],
+        name=text(route["name"]),
+        host=text(route["hostname"]).lower(),
+        prefix=text(route["prefix"]),
         kind=_CALL_KINDS[route["routeType"]],
         services=weighted,
-        timeout_s=route["timeoutMs"] / MS_PER_S,
-        objective_s=route["objectiveMs"] / MS_PER_S,
-        gap_target_s=(route.get("gapTargetMs") or 0) / MS_PER_S,
-        priority=int(route.get("priority") or 0),
-        max_attempts=int(route.get("maxAttempts") or 1),
+        timeout_s=number(route["timeoutMs"], MIN_TIMEOUT_MS) / MS_PER_S,
+        objective_s=number(route["objectiveMs"]) / MS_PER_S,
+        gap_target_s=number(route.get("gapTargetMs") or 0) / MS_PER_S,
+        priority=int(number(route.get("priority") or 0, -MAX_PRIORITY, MAX_PRIORITY)),
+        max_attempts=int(number(route.get("maxAttempts") or 1)),
         public=bool(route.get("public")),
         resumable=bool(route.get("resumable")),
     )
@@ -114,24 +119,24 @@
 def _decode_service(service: dict[str, Any]) -> ServiceModel:
     engine = service.get("engine")
     return ServiceModel(
-        name=service["name"],
-        health_path=service.get("healthPath") or "/",
+        name=text(service["name"]),
+        health_path=text(service.get("healthPath") or "/"),
         engine=_decode_engine(engine) if engine else None,
     )
 
 
 def _decode_engine(engine: dict[str, Any]) -> EngineModel:
     mean_tokens = engine.get("usual") or {}
-    link_mbit_per_s = engine.get("linkMbps") or 0.0
-    expert_mb = engine.get("expertMb") or 0.0
+    link_mbit_per_s = number(engine.get("linkMbps") or 0.0)
+    expert_mb = number(engine.get("expertMb") or 0.0)
     return EngineModel(
-        slots=int(engine["slots"]),
-        step_base_s=engine["step_ms"] / MS_PER_S,
-        step_per_request_s=engine.get("per_seq_ms", 0.0) / MS_PER_S,
-        prefill_tokens_per_s=engine.get("read_per_s") or 1.0,
+        slots=integer(engine["slots"], 1),
+        step_base_s=number(engine["step_ms"]) / MS_PER_S,
+        step_per_request_s=number(engine.get("per_seq_ms", 0.0)) / MS_PER_S,
+        prefill_tokens_per_s=number(engine.get("read_per_s") or 1.0),
         steps_per_pass=int(engine.get("stride") or 1),
-        mean_prompt_tokens=mean_tokens.get("prompt") or 0.0,
-        mean_answer_tokens=mean_tokens.get("answer") or 0.0,
+        mean_prompt_tokens=number(mean_tokens.get("prompt") or 0.0),
+        mean_answer_tokens=number(mean_tokens.get("answer") or 0.0),
         layer_sets=int(engine.get("sets") or 0),
         experts=int(engine.get("experts") or 0),
         expert_slots=int(engine.get("placements") or 0),
@@ -145,18 +150,27 @@
 def _decode_keys(data: dict[str, Any]) -> dict[str, KeyHolder]:
     keys = {}
     for tenant in data.get("tenants") or ():
-        holder = KeyHolder(name=tenant["name"], priority=tenant.get("priority"))
-        keys.update(dict.fromkeys(tenant["apiKeys"], holder))
+        priority = tenant.get("priority")
+        if priority is not None:
+            priority = int(number(priority, -MAX_PRIORITY, MAX_PRIORITY))
+        holder = KeyHolder(name=text(tenant["name"]), priority=priority)
+        if not isinstance(tenant["apiKeys"], list):
+            raise TypeError("apiKeys must be a list")
+        keys.update({text(key): holder for key in tenant["apiKeys"]})
     return keys
 
 
 def _decode_limits(limits: dict[str, Any]) -> RequestLimits:
     default = RequestLimits()
     return RequestLimits(
-        max_header_bytes=int(limits.get("maxHeaderBytes") or default.max_header_bytes),
-        max_body_bytes=int(limits.get("maxBodyBytes") or default.max_body_bytes),
-        header_timeout_s=(limits.get("headerTimeoutMs") or 0) / MS_PER_S
+        max_header_bytes=int(
+            number(limits.get("maxHeaderBytes") or 0) or default.max_header_bytes
+        ),
+        max_body_bytes=int(
+            number(limits.get("maxBodyBytes") or 0) or default.max_body_bytes
+        ),
+        header_timeout_s=number(limits.get("headerTimeoutMs") or 0) / MS_PER_S
         or default.header_timeout_s,
-        idle_timeout_s=(limits.get("idleTimeoutMs") or 0) / MS_PER_S
+        idle_timeout_s=number(limits.get("idleTimeoutMs") or 0) / MS_PER_S
         or default.idle_timeout_s,
     )
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -1,5 +1,6 @@
 """WSGI application that turns callers' requests into calls, and replies into HTTP."""
 
+import re
 import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import ExitStack
@@ -49,6 +50,7 @@
 }
 # Replacements for statuses that would promise that the call was not run.
 STATUS_IF_MAY_HAVE_RUN = {503: 504}
+_VISIBLE = re.compile(r"[!-~]+")
 
 StartResponse = Callable[[str, list[Header]], Any]
 
@@ -125,6 +127,8 @@
         if table is None:
             raise Refused(RefusalCause.NO_CONFIG, retry_after_s=0.2)
         body = handler.read_body(table.limits.max_body_bytes)
+        if not _forwardable(handler):
+            raise Refused(RefusalCause.BAD_REQUEST)
         request_headers = {name.lower(): value for name, value in handler.header_list}
         host = request_headers.get("host", "").partition(":")[0].lower()
         path = handler.path.partition("?")[0]
@@ -264,6 +268,12 @@
     handler.finish_unframed_reply()
 
 
+def _forwardable(handler: CallerHandler) -> bool:
+    """Return whether the target and the header names have only visible characters."""
+    texts = [handler.path, *(name for name, _ in handler.header_list)]
+    return all(_VISIBLE.fullmatch(text) for text in texts)
+
+
 def _authenticate(
     table: RouteTable, route: Route, request_headers: dict[str, str]
 ) -> tuple[str, int]:
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -28,6 +28,8 @@
 LENGTH_HINT = "toucanspool-length-hint"
 
 MISDIRECTED_REQUEST = 421
+# Larger numbers in headers are mistakes; the longest time is some days in milliseconds.
+MAX_NUMBER = 1e9
 
 # Headers that concern one connection (RFC 9110, 7.6.1) or are generated for each hop.
 HOP_BY_HOP = frozenset(
@@ -149,24 +151,23 @@
 
 
 def parse_number(text: str, default: float) -> float:
-    """Parse a non-negative number; return a default if the text is none."""
+    """Parse a number from 0 to `MAX_NUMBER`; return a default if the text is none."""
     try:
         value = float(text)
     except ValueError:
         return default
-    return value if value >= 0.0 else default
+    return value if 0.0 <= value <= MAX_NUMBER else default
 
 
 def _parse_request_limit(text: str | None) -> float:
     if text is None:
         return math.inf
-    limit = parse_number(text, math.nan)
-    return limit if limit < math.inf else math.nan
+    return parse_number(text, math.nan)
 
 
 def _parse_load(text: str) -> tuple[int | None, int | None]:
-    parts = text.split(",")
-    try:
-        return int(parts[0]), int(parts[1])
-    except (ValueError, IndexError):
+    running, _, rest = text.partition(",")
+    loads = [parse_number(part, math.nan) for part in (running, rest.partition(",")[0])]
+    if any(math.isnan(load) for load in loads):
         return None, None
+    return int(loads[0]), int(loads[1])
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -5,6 +5,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.checked_values import address, integer, text
 from toucanspool.backing.table import Row
 from toucanspool.routing.upstream import Listing
 
@@ -36,21 +37,17 @@
 
 
 def _decode_fields(name: str, data: dict[str, Any]) -> Listing:
-    host, _, port = data["address"].rpartition(":")
-    state, service = data["state"], data["service"]
-    if state not in STATES or not isinstance(service, str) or not host:
-        raise ValueError(f"invalid address, state {state!r} or service {service!r}")
-    started_ms = data.get("born", 0)
-    slots = data.get("slots", 1)
-    if not isinstance(slots, int) or not isinstance(started_ms, int):
-        raise TypeError("slots and born must be integers")
+    host, port = address(data["address"])
+    state = data["state"]
+    if state not in STATES:
+        raise ValueError(f"invalid state {state!r}")
     return Listing(
         name=name,
-        service=service,
+        service=text(data["service"]),
         host=host,
-        port=int(port),
+        port=port,
         failure_domain=str(data.get("zone", "")),
         ready=state == READY,
-        slots=slots,
-        started_ms=started_ms,
+        slots=integer(data.get("slots", 1)),
+        started_ms=integer(data.get("born", 0)),
     )
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -8,10 +8,12 @@
 import gevent
 import structlog
 
+from toucanspool.backing.checked_values import address
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.membership.entries import Entries, EntryRecord
 from toucanspool.platform.pages import PEERS_PATH, PROBER_PARAMETER
+from toucanspool.platform.peer_status import decode_peer_status
 from toucanspool.platform.unpooled_client import UnpooledClient
 from toucanspool.retries.ejection import AttemptResult
 
@@ -52,24 +54,26 @@
             gevent.spawn(self._probe_upstream, name)
 
     def _probe_entry(self, entry: EntryRecord) -> None:
-        host, _, port = entry.probe.rpartition(":")
         asked_at = time.monotonic()
         path = PEERS_PATH
         if not self._entries.leaving:
             path += "?" + urlencode({PROBER_PARAMETER: self._entries.own_name})
-        status, peer_status = _send_probe(host, int(port), path)
-        peer_status = peer_status if isinstance(peer_status, dict) else {}
+        status, peer_status = NO_RESPONSE, None
+        try:
+            status, peer_status = _send_probe(*address(entry.probe), path)
+        except (TypeError, ValueError) as exc:
+            _log.warning("entry not probed", entry=entry.name, error=str(exc))
+        peer = decode_peer_status(peer_status, told_by=entry.name)
         self._entries.record_probe(
             entry.name,
             ready=status == OK,
             now=time.monotonic(),
-            streams=peer_status.get("carried"),
-            loads=peer_status.get("loads"),
-            count=peer_status.get("count") or 0,
-            lost=peer_status.get("lost") or (),
+            streams=peer.streams,
+            loads=peer.loads,
+            count=peer.count,
+            lost=peer.lost,
         )
-        limits = peer_status.get("limits") or ()
-        self._core.limit_sharing.adopt(limits, entry.name, asked_at)
+        self._core.limit_sharing.adopt(peer.limits, entry.name, asked_at)
 
     def _probe_upstream(self, name: str) -> None:
         upstream = self._core.upstreams.find(name)
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -1,12 +1,15 @@
 """Client of the platform's row store; implements `Table` and `Feed`."""
 
 import base64
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from typing import Any
 from urllib.parse import urlencode
 
 import gevent
+import structlog
 
+from toucanspool.backing.checked_values import integer, text
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.backing.table import (
     Check,
@@ -18,7 +21,7 @@
     TableUncertain,
     Write,
 )
-from toucanspool.platform.store_era import ERA_HEADER, StoreEra
+from toucanspool.platform.store_era import ERA_HEADER, VERSIONS_PER_ERA, StoreEra
 from toucanspool.platform.unpooled_client import JsonResponse, UnpooledClient
 from toucanspool.recovery.feed import Changes, HistoryGone, StoreLapsed
 
@@ -39,8 +42,12 @@
 # Idle time before a TCP keepalive probe, by which a feed finds a dead host.
 FEED_KEEPALIVE_S = 1
 
+_DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+
 OK, CONFLICT, GONE, THROTTLED, UNAVAILABLE = 200, 412, 410, 429, 503
 
+_log = structlog.get_logger()
+
 
 class RowStoreClient:
     """Read and write rows; implements `Table` for own rows, and `Feed`.
@@ -143,7 +150,8 @@
             # Either the checks compared versions of another era, or the store may have
             # lost the commit since.
             raise TableUncertain("the store came back from an older copy meanwhile")
-        return self._era.encode_version(int(response.body["ver"]))
+        with _decoding(TableUncertain):
+            return self._decode_version(response.body)
 
     def snapshot(self, table: str) -> Changes:
         """Return all rows of a table; see `Feed`."""
@@ -159,14 +167,15 @@
         }
         response = self._wait_for_changes(query, wait_s)
         rows, deleted = {}, {}
-        for row in response["rows"]:
-            if row.get("tombstone"):
-                rows.pop(row["key"], None)
-                deleted[row["key"]] = None
-            else:
-                deleted.pop(row["key"], None)
-                rows[row["key"]] = self._decode_row(row)
-        version = self._era.encode_version(int(response["ver"]))
+        with _decoding(TableUnavailable):
+            for key, row in self._decode_rows(response["rows"]):
+                if row is None:
+                    rows.pop(key, None)
+                    deleted[key] = None
+                else:
+                    deleted.pop(key, None)
+                    rows[key] = row
+            version = self._decode_version(response)
         return Changes(list(rows.values()), list(deleted), version)
 
     def _wait_for_changes(self, query: Mapping[str, Any], wait_s: float) -> Any:
@@ -197,17 +206,19 @@
         version = None
         while True:
             response = self._read(self._client, "/rows-get", params)
-            rows += [self._decode_row(row) for row in response["rows"]]
-            # Later pages may contain newer rows. Following changes from the first
-            # page's version repeats some of these and misses none.
-            if version is None:
-                era = self.era
-                version = self._era.encode_version(int(response["ver"]))
-            if self.era != era:
-                raise TableUnavailable("the store came back from an older copy")
-            if not response.get("hasMore"):
-                return rows, version
-            params["from"] = rows[-1].key + "\0"
+            with _decoding(TableUnavailable):
+                page = self._decode_rows(response["rows"])
+                rows += [row for _, row in page if row is not None]
+                # Later pages may contain newer rows. Following changes from the first
+                # page's version repeats some of these and misses none.
+                if version is None:
+                    era = self.era
+                    version = self._decode_version(response)
+                if self.era != era:
+                    raise TableUnavailable("the store came back from an older copy")
+                if not response.get("hasMore"):
+                    return rows, version
+                params["from"] = page[-1][0] + "\0"
 
     def _read(
         self,
@@ -231,9 +242,23 @@
     def _observe_era(self, response: JsonResponse) -> int:
         return self._era.observe(response.headers.get(ERA_HEADER, ""))
 
-    def _decode_row(self, row: Mapping[str, Any]) -> Row:
-        version = self._era.encode_version(int(row["ver"]))
-        return Row(row["key"], base64.b64decode(row["value"]), version)
+    def _decode_version(self, data: Mapping[str, Any]) -> int:
+        return self._era.encode_version(integer(data["ver"], high=VERSIONS_PER_ERA - 1))
+
+    def _decode_rows(self, rows: Sequence[Any]) -> list[tuple[str, Row | None]]:
+        """Return keys and rows, None for deleted ones; unreadable ones are logged."""
+        decoded: list[tuple[str, Row | None]] = []
+        for row in rows:
+            try:
+                key = text(row["key"])
+                if row.get("tombstone"):
+                    decoded.append((key, None))
+                    continue
+                value = base64.b64decode(row["value"], validate=True)
+                decoded.append((key, Row(key, value, self._decode_version(row))))
+            except _DECODING_ERRORS as exc:
+                _log.warning("unreadable row", row=repr(row)[:200], error=repr(exc))
+        return decoded
 
 
 def table_of(key: str) -> str:
@@ -252,6 +277,15 @@
     return TABLE_PREFIX + TABLE_BY_KIND.get(kind, kind)
 
 
+@contextmanager
+def _decoding(error: type[TableError]) -> Iterator[None]:
+    """Report a malformed response as an error of the table."""
+    try:
+        yield
+    except _DECODING_ERRORS as exc:
+        raise error(f"malformed response: {exc!r:.200}") from exc
+
+
 def _raise_unless_ok(status: int) -> None:
     if status == OK:
         return
--- a/toucanspool/platform/store_era.py
+++ b/toucanspool/platform/store_era.py
@@ -13,6 +13,8 @@
 ERA_HEADER = "store-era"
 # The store issues fewer versions than this in all its eras together.
 VERSIONS_PER_ERA = 1 << 48
+# A malformed era that is too high would make all later responses look outdated.
+MAX_ERA_DIGITS = 9
 
 
 class StoreEra:
@@ -43,9 +45,9 @@
         Returns
         -------
         int
-            The latest era if the header is missing or no number.
+            The latest era if the header is missing or no possible number.
         """
-        if not header.isdecimal():
+        if not header.isdecimal() or len(header) > MAX_ERA_DIGITS:
             return self.number
         era = int(header)
         if era > self.number:
--- a/toucanspool/recovery/feed.py
+++ b/toucanspool/recovery/feed.py
@@ -13,6 +13,9 @@
 
 # Mean retry delay while the store is unreachable.
 MEAN_RETRY_S = 0.6
+# Mean delay before a snapshot that could not be applied is read again. Its rows fail
+# again until one of them changes, and reading a whole table is expensive.
+FAILED_SNAPSHOT_RETRY_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -105,7 +108,8 @@
     table : str
         The table.
     on_snapshot, on_changes : callable
-        Take `Changes` with all rows, or with the changed ones.
+        Take `Changes` with all rows, or with the changed ones. If one fails on changes,
+        it gets each of them alone, so that one row keeps no other out.
     wait_s : float
         Longest time that one call waits for a change, in seconds. Calls don't wait
         during an outage, so that its end is noticed at once.
@@ -193,7 +197,7 @@
                 wait_s = self._wait_s if self._reachable else 0.0
                 changes = self._feed.changes(self._table, self._version, wait_s)
                 self._mark_reachable(changes)
-                self._on_changes(changes)
+                self._apply(changes)
         except StoreLapsed as exc:
             self._mark_unreachable(exc)
             self._version = None
@@ -211,13 +215,40 @@
     def _run(self) -> None:
         while True:
             before = self._version, self._reachable
-            if self.step():
+            try:
+                succeeded = self.step()
+            except (Exception, gevent.Timeout):
+                _log.exception("feed failed", table=self._table, version=self._version)
+                retry_s = MEAN_RETRY_S
+                if self._version is None:
+                    retry_s = FAILED_SNAPSHOT_RETRY_S
+                gevent.sleep(retry_s * self._rng.uniform(0.5, 1.5))
+                continue
+            if succeeded:
                 gevent.sleep(self._pause_s)
             elif before == (self._version, self._reachable):
                 # The first retry is immediate: it may be just one connection that
                 # failed, or the history.
                 gevent.sleep(MEAN_RETRY_S * self._rng.uniform(0.5, 1.5))
 
+    def _apply(self, changes: Changes) -> None:
+        """Pass changes on, each one alone if they can't be applied together."""
+        try:
+            self._on_changes(changes)
+            return
+        except Exception:
+            _log.exception("changes failed", table=self._table, version=changes.version)
+        single = [Changes([row], (), changes.version) for row in changes.rows]
+        single += [Changes((), [key], changes.version) for key in changes.deleted]
+        for change in single:
+            try:
+                self._on_changes(change)
+            except Exception as exc:
+                key = change.rows[0].key if change.rows else change.deleted[0]
+                _log.warning(
+                    "change ignored", table=self._table, key=key, error=repr(exc)
+                )
+
     def _mark_reachable(self, changes: Changes) -> None:
         self.answered_at = time.monotonic()
         if not self._reachable:
--- a/toucanspool/retries/crash_reports.py
+++ b/toucanspool/retries/crash_reports.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from toucanspool.backing.checked_values import integer, list_of, number, numbers, text
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 from toucanspool.retries.crash_evidence import EVIDENCE_S, CrashId, Traits
@@ -170,16 +171,16 @@
         lambda data: EntryReport(
             tuple(
                 CrashReport(
-                    crash["upstream"],
-                    int(crash["started_ms"]),
-                    int(crash.get("number", 1)),
-                    tuple(tuple(map(str, call)) for call in crash["prompts"]),
-                    float(crash["at_s"]),
+                    text(crash["upstream"]),
+                    integer(crash["started_ms"]),
+                    integer(crash.get("number", 1)),
+                    tuple(tuple(map(str, call)) for call in list_of(crash["prompts"])),
+                    number(crash["at_s"]),
                 )
-                for crash in data["crashes"]
+                for crash in list_of(data["crashes"])
             ),
-            {str(trait): float(at_s) for trait, at_s in data["blocked"].items()},
-            {str(trait): float(at_s) for trait, at_s in data["sound"].items()},
+            numbers(data["blocked"]),
+            numbers(data["sound"]),
         ),
         error_event="unreadable crash report",
     )
--- a/toucanspool/routing/upstream.py
+++ b/toucanspool/routing/upstream.py
@@ -9,6 +9,8 @@
 
 # Time constant by which a reported load decays.
 REPORT_DECAY_S = 1.0
+# Longest pause that one reply can ask for. Upstreams that need more ask again.
+MAX_PAUSE_S = 60.0
 _log = structlog.get_logger()
 
 
@@ -188,8 +190,9 @@
         now : float
             Seconds on the monotonic clock.
         duration_s : float
-            Length of that time, in seconds.
+            Length of that time, in seconds; at most `MAX_PAUSE_S` count.
         """
+        duration_s = min(duration_s, MAX_PAUSE_S)
         self.paused_until = max(self.paused_until, now + duration_s)
         _log.info("upstream paused", upstream=self.name, duration_s=duration_s)
 
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -265,7 +265,7 @@
         data = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
     except OSError as exc:
         raise SettingsError(path, [f"can't be read: {exc.strerror}"]) from exc
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, UnicodeError, RecursionError) as exc:
         raise SettingsError(path, [f"is not YAML: {exc}"]) from exc
     try:
         return Settings.model_validate(data)
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -108,7 +108,7 @@
             conn.sock = socket.create_connection(
                 (conn.host, conn.port), timeout=CONNECT_TIMEOUT_S
             )
-        except OSError as exc:
+        except (OSError, UnicodeError) as exc:
             raise Unreachable(str(exc)) from exc
         self._reader = ReplyReader(conn.sock)
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
--- a/toucanspool/wire/reachability.py
+++ b/toucanspool/wire/reachability.py
@@ -37,7 +37,7 @@
         socket.create_connection((host, port), timeout=timeout_s).close()
     except ConnectionRefusedError:
         return Reachability.REFUSES
-    except OSError as exc:
+    except (OSError, UnicodeError) as exc:
         _log.debug("reachability unknown", host=host, port=port, error=repr(exc))
         return Reachability.UNKNOWN
     return Reachability.ACCEPTS
