Bound the memory held for slow readers, and disconnect callers that don't read

Callers and upstreams may read slowly, and each request and reply then stays in memory for as long as a connection may be idle (60 s by default). Thirty callers that don't read replies of 7 MiB hold 210 MiB, as much as the smallest instances have.

`gateway.max_held_bytes` bounds what is held for all bodies, replies and events together. A request beyond three quarters of it is refused at once, before its body is read, with 503, "not run" and a retry time; the rest is for replies to calls that were admitted. A reply beyond the bound is given up as "may have run". `gateway.caller_stall_s` disconnects a caller that reads nothing for that long, or less than 64 KiB/s on average, so that a stream ends at its upstream before that cuts it off. Metrics: toucanspool_held_bytes, toucanspool_slow_readers, and refusals by cause NO_MEMORY.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -125,6 +125,7 @@
     routes: list[Route] | None = None,
     keys: dict[str, KeyHolder] | None = None,
     limits: RequestLimits | None = None,
+    **server_options: object,
 ) -> Iterator[Gateway]:
     """Run a gateway with one upstream for each script."""
     with ExitStack() as closing:
@@ -161,7 +162,11 @@
         core.tick()
         frontend = Frontend(core.dispatcher, lambda: core.routes, rng, metrics)
         server = CallerServer(
-            "127.0.0.1", 0, frontend, limits=limits or RequestLimits()
+            "127.0.0.1",
+            0,
+            frontend,
+            limits=limits or RequestLimits(),
+            **server_options,
         )
         server.start()
         closing.callback(server.stop, timeout=0)
--- a/tests/wire/test_exchange_end.py
+++ b/tests/wire/test_exchange_end.py
@@ -9,7 +9,8 @@
 from gevent.server import StreamServer
 
 from standins.raw_upstream import RawUpstream, answering
-from toucanspool.wire.exchange import MIN_RESTART_S, Exchange
+from toucanspool.wire.exchange import Exchange
+from toucanspool.wire.reply_end import MIN_RESTART_S
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import OPEN_CHECK_INTERVAL_S
 
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -3,11 +3,13 @@
 import math
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 
 import structlog
 
-from toucanspool.gateway.call import Call
+from toucanspool.gateway.call import Call, RefusalCause, Refused
 from toucanspool.gateway.dialect import Dialect, ReplyHead
+from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryExceeded
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.exchange import Exchange
@@ -53,14 +55,24 @@
         Parsed head of the reply; set by `begin`.
     """
 
-    __slots__ = ("_call", "_dialect", "_exchange", "_upstream", "reply_head")
+    __slots__ = (
+        "_call",
+        "_dialect",
+        "_exchange",
+        "_held",
+        "_upstream",
+        "reply_head",
+    )
 
     def __init__(self, call: Call, upstream: Upstream, dialect: Dialect) -> None:
         self._call = call
         self._dialect = dialect
         self._upstream = upstream
         listing = upstream.listing
-        self._exchange = Exchange(listing.host, listing.port, call.method)
+        self._held = call.memory.part()
+        self._exchange = Exchange(
+            listing.host, listing.port, call.method, on_held=self._held.resize
+        )
         self.reply_head: ReplyHead
         upstream.start_request(time.monotonic())
 
@@ -121,7 +133,8 @@
 
     def read_body(self, until: float, max_bytes: int) -> bytes:
         """Return the complete body; see `Exchange.read_body`."""
-        body = self._exchange.read_body(until, max_bytes)
+        with self._memory_bounded():
+            body = self._exchange.read_body(until, max_bytes)
         self._log_end()
         return body
 
@@ -129,14 +142,26 @@
         self, splitter: EventSplitter, idle_timeout_s: float, until: float
     ) -> Iterator[bytes]:
         """Yield a stream in complete events; see `Exchange.iter_events`."""
-        yield from self._exchange.iter_events(splitter, idle_timeout_s, until)
+        with self._memory_bounded():
+            yield from self._exchange.iter_events(splitter, idle_timeout_s, until)
         self._log_end()
 
     def close(self) -> None:
         """Close the connection, at which the upstream stops its work."""
         self._exchange.close()
+        self._held.close()
         self._upstream.in_flight -= 1
 
+    @contextmanager
+    def _memory_bounded(self) -> Iterator[None]:
+        """Refuse the call, which may have run, if its reply can't be held."""
+        try:
+            yield
+        except MemoryExceeded as exc:
+            raise Refused(
+                RefusalCause.NO_MEMORY, may_have_run=True, retry_after_s=RETRY_AFTER_S
+            ) from exc
+
     def _log_end(self) -> None:
         if self._exchange.parser.ended_by_close:
             _log.info(
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -1,9 +1,10 @@
 """A call that is matched by route, and the reply to it."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.retries.crash_evidence import Traits, request_trait
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route
@@ -46,6 +47,8 @@
         Ids of the parts of the prompt that other calls may share, in order.
     fingerprint : str
         Digest by which the same request is known again; see `fingerprint`.
+    memory : MemoryBudget
+        Counts what is held for the reply.
     """
 
     id: str
@@ -65,6 +68,7 @@
     last_event_id: str = ""
     prompt: tuple[str, ...] = ()
     fingerprint: str = ""
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
 
     @property
     def traits(self) -> Traits:
@@ -92,6 +96,7 @@
     BAD_REQUEST = "The request is malformed."
     BODY_TOO_LARGE = "The body is too large."
     BODY_TOO_SLOW = "The body came too slowly."
+    NO_MEMORY = "This entry holds as much for slow connections as it may."
 
 
 class Refused(Exception):
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, BinaryIO
 
@@ -10,11 +11,16 @@
 from gevent import socket
 
 from toucanspool.gateway.call import RefusalCause, Refused
-from toucanspool.gateway.caller import CallerLeft
+from toucanspool.gateway.caller import CallerLeft, ReplyCutOff
+from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryBudget, MemoryPart
+from toucanspool.gateway.slow_reader import SEND_BUFFER_BYTES, SlowReader, send_all
 from toucanspool.routing.routes import RequestLimits
-from toucanspool.wire.http_server import HttpServer, ReplyHandler
+from toucanspool.wire.http_server import RESET_ON_CLOSE, HttpServer, ReplyHandler
 from toucanspool.wire.reply_parser import Header
 
+# Bodies are read and counted in blocks of this size.
+BODY_BLOCK_BYTES = 64 * 1024
+
 _log = structlog.get_logger()
 
 
@@ -42,6 +48,8 @@
     # Raised in the greenlet that reads a request if the server stops meanwhile.
     _stop_error: Exception | None = None
     _head_error_status: HTTPStatus | None = None
+    # What is held for the request or the complete reply.
+    held: MemoryPart
 
     @property
     def header_list(self) -> list[Header]:
@@ -56,9 +64,11 @@
     def handle_one_request(self) -> Any:
         """Read and answer one request; overrides `WSGIHandler`."""
         self._head_error_status = None
+        self.held = self.server.memory.part()
         try:
             result = super().handle_one_request()
         finally:
+            self.held.close()
             self._stop_head_timer()
             self._stop_error = None
         if self._head_error_status is None:
@@ -127,16 +137,51 @@
         """
         if (self.content_length or 0) > max_bytes:
             raise Refused(RefusalCause.BODY_TOO_LARGE)
+        memory = self.server.memory
+        if not memory.admits(self.content_length or 0):
+            raise self._refuse_for_memory()
         self._stop_error = Refused(RefusalCause.DRAINING)
+        body = bytearray()
         try:
-            body = self.wsgi_input.read(max_bytes + 1)
+            while block := self.wsgi_input.read(BODY_BLOCK_BYTES):
+                body += block
+                if len(body) > max_bytes:
+                    raise Refused(RefusalCause.BODY_TOO_LARGE)
+                if not memory.admits(len(block)):
+                    raise self._refuse_for_memory()
+                self.held.replace(len(body))
         except TimeoutError as exc:
             raise Refused(RefusalCause.BODY_TOO_SLOW) from exc
         finally:
             self._stop_error = None
-        if len(body) > max_bytes:
-            raise Refused(RefusalCause.BODY_TOO_LARGE)
-        return body
+        return bytes(body)
+
+    def _refuse_for_memory(self) -> Refused:
+        memory = self.server.memory
+        fields = {"held_bytes": memory.held_bytes, "max_bytes": memory.max_bytes}
+        return Refused(
+            RefusalCause.NO_MEMORY, retry_after_s=RETRY_AFTER_S, log_fields=fields
+        )
+
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of a reply; overrides `WSGIHandler`."""
+        stall_s = self.server.caller_stall_s
+        if stall_s is None:
+            super()._sendall(data)
+            return
+        try:
+            send_all(self.socket, data, stall_s)
+        except SlowReader as exc:
+            _log.info(
+                "caller reads too slowly",
+                caller=self.client_address[0],
+                unsent_bytes=exc.unsent_bytes,
+            )
+            self.server.on_slow_reader()
+            # Also drops what the kernel still holds for this caller.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            raise ReplyCutOff from exc
+        self.response_length += len(data)
 
     def refuse_unread(self) -> None:
         """Refuse the request on this connection if it has not arrived completely."""
@@ -172,15 +217,33 @@
         The WSGI application.
     limits : RequestLimits
         Limits on requests; may be replaced while the server runs.
+    memory : MemoryBudget, optional
+        Bounds what is held for all requests and replies; no bound by default.
+    caller_stall_s : float, optional
+        Time in which a caller may read nothing before it is disconnected, in seconds;
+        as for idle connections by default.
+    on_slow_reader : callable, optional
+        Called for each caller that is disconnected for that.
     """
 
     handler_class = CallerHandler
 
     def __init__(
-        self, host: str, port: int, app: Any, *, limits: RequestLimits
+        self,
+        host: str,
+        port: int,
+        app: Any,
+        *,
+        limits: RequestLimits,
+        memory: MemoryBudget | None = None,
+        caller_stall_s: float | None = None,
+        on_slow_reader: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(host, port, app, idle_timeout_s=limits.idle_timeout_s)
         self.limits = limits
+        self.memory = memory or MemoryBudget()
+        self.caller_stall_s = caller_stall_s
+        self.on_slow_reader = on_slow_reader
 
     def refuse_unread(self) -> None:
         """Refuse all requests that have not arrived completely."""
@@ -189,6 +252,8 @@
 
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """Serve one connection; overrides the gevent server."""
+        if self.caller_stall_s is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         # `CallerLeft` may still be raised when the call has just ended.
         with contextlib.suppress(CallerLeft):
             super().handle(sock, address)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -132,6 +132,10 @@
                 yield from self._read_events(call, progress, splitter, attempt)
                 self._relay.record_success(upstream)
                 return
+            except Refused as exc:
+                if splitter.count:
+                    raise ReplyCutOff from exc
+                raise
             except (Silent, BrokenReply) as exc:
                 splitter.drop_partial()
                 try:
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -47,6 +47,7 @@
     RefusalCause.BAD_REQUEST: 400,
     RefusalCause.BODY_TOO_LARGE: 413,
     RefusalCause.BODY_TOO_SLOW: 408,
+    RefusalCause.NO_MEMORY: 503,
 }
 # Replacements for statuses that would promise that the call was not run.
 STATUS_IF_MAY_HAVE_RUN = {503: 504}
@@ -160,6 +161,7 @@
             answer_tokens=answer_tokens,
             last_event_id=request_headers.get(platform_headers.LAST_EVENT_ID, ""),
             prompt=platform_headers.parse_shared_prompt(request_headers),
+            memory=handler.server.memory,
             fingerprint=fingerprint(team, host, handler.command, handler.path, body),
         )
 
@@ -216,6 +218,7 @@
             handler.begin_unframed_reply()
             headers.append(("Connection", "close"))
         if whole:
+            handler.held.replace(len(reply.body))
             closing.close()
             if framed and call.method != "HEAD":
                 headers.append(("Content-Length", str(len(reply.body))))
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -11,6 +11,7 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.crash_watch import Crash
 from toucanspool.gateway.draining import drain
+from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.kernel.kernel import Kernel
@@ -131,8 +132,16 @@
         frontend = Frontend(
             self._core.dispatcher, lambda: self._core.routes, rng, self._metrics
         )
+        memory = MemoryBudget(cfg.max_held_bytes)
+        self._metrics.held_bytes.set_function(lambda: memory.held_bytes)
         self._server = CallerServer(
-            cfg.callers.host, cfg.callers.port, frontend, limits=RequestLimits()
+            cfg.callers.host,
+            cfg.callers.port,
+            frontend,
+            limits=RequestLimits(),
+            memory=memory,
+            caller_stall_s=cfg.caller_stall_s,
+            on_slow_reader=self._metrics.record_slow_reader,
         )
         self._start_server(self._server)
         readiness = pages.readiness_page(
@@ -161,6 +170,8 @@
         """Apply new settings; changed addresses need a restart."""
         self._cfg = cfg
         self._core.set_retry_budget(cfg.gateway.retries)
+        self._server.memory.max_bytes = cfg.gateway.max_held_bytes
+        self._server.caller_stall_s = cfg.gateway.caller_stall_s
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -198,6 +198,11 @@
     address_ttl_s: Seconds = 2.0
     # Replies that are no streams are held in memory until they are complete.
     max_reply_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 8 * 1024 * 1024
+    # Bound on what is held for all requests and replies together; 0 for none.
+    max_held_bytes: Annotated[int, Field(ge=0, le=1 << 36)] = 0
+    # Callers that read nothing for this long are disconnected; None leaves them the
+    # time of idle connections.
+    caller_stall_s: Seconds | None = None
 
 
 class RankAgent(Model):
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -18,6 +18,8 @@
         Version of the routes in force.
     store_age : Gauge
         Seconds since the store's last answer, by table.
+    held_bytes : Gauge
+        Bytes held for requests and replies under way.
     """
 
     __slots__ = (
@@ -27,6 +29,8 @@
         "_first_byte_time",
         "_refusals",
         "_registry",
+        "_slow_readers",
+        "held_bytes",
         "routes_version",
         "store_age",
         "stream_limit",
@@ -73,6 +77,21 @@
             registry=registry,
         )
 
+        self.held_bytes = Gauge(
+            "toucanspool_held_bytes",
+            "Bytes held for requests and replies under way.",
+            registry=registry,
+        )
+        self._slow_readers = Counter(
+            "toucanspool_slow_readers",
+            "Callers that were disconnected because they read too slowly.",
+            registry=registry,
+        )
+
+    def record_slow_reader(self) -> None:
+        """Count a caller that was disconnected because it read too slowly."""
+        self._slow_readers.inc()
+
     def record_first_event(self, seconds: float) -> None:
         """Record the time from the request to the first event of a stream."""
         self._first_byte_time.record(seconds)
--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -80,6 +80,11 @@
         self._partial.clear()
         self._searched_bytes = 0
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._partial)
+
     @property
     def partial(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -3,13 +3,13 @@
 import http.client
 import math
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from gevent import socket
 
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.keepalive import enable_keepalive
-from toucanspool.wire.reachability import Reachability, check_reachability
+from toucanspool.wire.reply_end import check_end
 from toucanspool.wire.reply_parser import (
     BrokenReply,
     ExcessiveReply,
@@ -21,12 +21,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # Large bodies on slow links take longer; their senders set a limit of their own.
 SEND_TIMEOUT_S = 0.5
-END_CHECK_TIMEOUT_S = 0.5
 # Time from the first byte of a head to its end. Upstreams send a head at once; this
 # covers retransmissions.
 HEAD_TIMEOUT_S = 1.0
-# An upstream that crashed does not accept connections again within this time.
-MIN_RESTART_S = 0.5
 
 
 class Unreachable(Exception):
@@ -55,6 +52,8 @@
     keepalive_s : int, default=0
         Idle time before a TCP keepalive probe, in seconds. The connection is closed
         if the probe isn't answered within the same time. 0 sends no probes.
+    on_held : callable, optional
+        Called with the bytes of the body that are held, as they arrive; may raise.
 
     Attributes
     ----------
@@ -64,11 +63,26 @@
         Whether the upstream may have received a part of the request.
     """
 
-    __slots__ = ("_conn", "_keepalive_s", "_method", "_reader", "parser", "sent")
+    __slots__ = (
+        "_conn",
+        "_keepalive_s",
+        "_method",
+        "_on_held",
+        "_reader",
+        "parser",
+        "sent",
+    )
 
     def __init__(
-        self, host: str, port: int, method: str, *, keepalive_s: int = 0
+        self,
+        host: str,
+        port: int,
+        method: str,
+        *,
+        keepalive_s: int = 0,
+        on_held: Callable[[int], None] = lambda _: None,
     ) -> None:
+        self._on_held = on_held
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
@@ -186,6 +200,7 @@
             if max(parser.body_bytes, parser.content_length) > max_bytes:
                 raise ExcessiveReply(f"the body has more than {max_bytes} bytes")
             self._receive(until)
+            self._on_held(parser.body_bytes)
         self._check_end(until)
         return parser.take_body()
 
@@ -257,6 +272,7 @@
                     self._receive(min(until, idle_until))
                 complete = self.parser.complete
                 events = splitter.feed(self.parser.take_body())
+                self._on_held(len(events) + splitter.partial_bytes)
             if events:
                 began_at = time.monotonic()
                 yield events
@@ -278,18 +294,5 @@
         self.parser.receive(data)
 
     def _check_end(self, until: float) -> None:
-        if not self.parser.ended_by_close:
-            return
-        conn = self._conn
-        timeout_s = min(END_CHECK_TIMEOUT_S, max(0.0, until - time.monotonic()))
-        reachability = check_reachability(conn.host, conn.port, timeout_s)
-        if reachability is not Reachability.ACCEPTS:
-            raise BrokenReply(
-                "the connection was closed without an end of the reply, and the "
-                f"reachability of the upstream is: {reachability.value}"
-            )
-        if self._reader.max_close_age_s > MIN_RESTART_S:
-            raise BrokenReply(
-                "the connection was closed without an end of the reply, so long ago "
-                "that the upstream may have been restarted"
-            )
+        if self.parser.ended_by_close:
+            check_end(self._conn.host, self._conn.port, self._reader, until)
