--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -54,6 +54,8 @@
     ----------
     core : GatewayCore
         The gateway's state.
+    server : CallerServer
+        The server for callers.
     port : int
         TCP port for callers.
     upstreams : list of RawUpstream
@@ -65,13 +67,14 @@
     def __init__(
         self,
         core: GatewayCore,
-        port: int,
+        server: CallerServer,
         upstreams: list[RawUpstream],
         metrics: CallMetrics,
     ) -> None:
         self.core = core
         self.metrics = metrics
-        self.port = port
+        self.server = server
+        self.port = server.server_port
         self.upstreams = upstreams
 
     def connect(self) -> socket.socket:
@@ -130,6 +133,7 @@
     routes: list[Route] | None = None,
     keys: dict[str, KeyHolder] | None = None,
     limits: RequestLimits | None = None,
+    **server_options: object,
 ) -> Iterator[Gateway]:
     """Run a gateway with one upstream for each script."""
     with ExitStack() as closing:
@@ -166,8 +170,12 @@
         core.tick()
         frontend = Frontend(core.dispatcher, lambda: core.routes, rng, metrics)
         server = CallerServer(
-            "127.0.0.1", 0, frontend, limits=limits or RequestLimits()
+            "127.0.0.1",
+            0,
+            frontend,
+            limits=limits or RequestLimits(),
+            **server_options,
         )
         server.start()
         closing.callback(server.stop, timeout=0)
-        yield Gateway(core, server.server_port, raw_upstreams, metrics)
+        yield Gateway(core, server, raw_upstreams, metrics)
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -1,9 +1,10 @@
 """A call that is matched by route, and the reply to it."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.retries.crash_evidence import Traits, request_trait
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import Route
@@ -51,6 +52,8 @@
         Digest by which the same request is known again; see `fingerprint`.
     regions : frozenset of str or None
         Regions in which the call may run; None for any upstream.
+    memory : MemoryBudget
+        Counts what is held for the reply.
     """
 
     id: str
@@ -72,6 +75,7 @@
     prompt: tuple[str, ...] = ()
     fingerprint: str = ""
     regions: frozenset[str] | None = None
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
 
     @property
     def tolerance(self) -> float | None:
@@ -110,6 +114,7 @@
     BAD_REQUEST = "The request is malformed."
     BODY_TOO_LARGE = "The body is too large."
     BODY_TOO_SLOW = "The body came too slowly."
+    NO_MEMORY = "This entry holds as much for slow connections as it may."
 
 
 class Refused(Exception):
--- a/toucanspool/membership/entry_record.py
+++ b/toucanspool/membership/entry_record.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from toucanspool.backing.checked_values import text
 from toucanspool.backing.json_row import read_json
 from toucanspool.backing.table import Row
 
@@ -63,9 +64,9 @@
 def _decode_fields(data: Mapping[str, Any]) -> EntryRecord:
     region = data.get("region")
     return EntryRecord(
-        data["name"],
-        data["address"],
-        data["probe"],
+        text(data["name"]),
+        text(data["address"]),
+        text(data["probe"]),
         region if isinstance(region, str) else "",
     )
 
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -1,5 +1,6 @@
 """WSGI application that turns callers' requests into calls, and replies into HTTP."""
 
+import re
 import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import ExitStack
@@ -29,6 +30,8 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 PROBLEM_JSON = "application/problem+json"
 
+_VISIBLE = re.compile(r"[!-~]+")
+
 StartResponse = Callable[[str, list[Header]], Any]
 
 _log = structlog.get_logger()
@@ -72,7 +75,7 @@
         closing = ExitStack()
         call_id = handler.headers.get(platform_headers.ATTEMPT_ID, "")
         try:
-            call = self._build_call(handler, environ, arrived_at)
+            call = self._build_call(handler, arrived_at)
             closing.enter_context(CallerWatch(handler.sock))
             timeout = gevent.Timeout.start_new(call.deadline.left_s(arrived_at))
             closing.callback(timeout.close)
@@ -99,13 +102,13 @@
                 raise
             raise Refused(RefusalCause.DEADLINE, may_have_run=True) from exc
 
-    def _build_call(
-        self, handler: CallerHandler, environ: dict[str, Any], arrived_at: float
-    ) -> Call:
+    def _build_call(self, handler: CallerHandler, arrived_at: float) -> Call:
         table = self._routes()
         if table is None:
             raise Refused(RefusalCause.NO_CONFIG, retry_after_s=0.2)
-        body = _read_body(environ, table.limits.max_body_bytes)
+        body = handler.read_body(table.limits.max_body_bytes)
+        if not _forwardable(handler):
+            raise Refused(RefusalCause.BAD_REQUEST)
         request_headers = {name.lower(): value for name, value in handler.header_list}
         host = request_headers.get("host", "").partition(":")[0].lower()
         path = handler.path.partition("?")[0]
@@ -144,6 +147,7 @@
                 team.name, host, handler.command, handler.path, body
             ),
             regions=combine_regions(route.allowed_regions, team.allowed_regions),
+            memory=handler.server.memory,
         )
 
     def _refuse(
@@ -188,9 +192,9 @@
         framed = reply.framed and (whole or handler.request_version != "HTTP/1.0")
         if not framed:
             handler.begin_unframed_reply()
-        if self._dispatcher.draining or not framed:
             headers.append(("Connection", "close"))
         if whole:
+            handler.held.replace(len(reply.body))
             closing.close()
             if framed and call.method != "HEAD":
                 headers.append(("Content-Length", str(len(reply.body))))
@@ -243,16 +247,10 @@
     handler.finish_unframed_reply()
 
 
-def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
-    if int(environ.get("CONTENT_LENGTH") or 0) > max_bytes:
-        raise Refused(RefusalCause.BODY_TOO_LARGE)
-    try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
-    except TimeoutError as exc:
-        raise Refused(RefusalCause.BODY_TOO_SLOW) from exc
-    if len(body) > max_bytes:
-        raise Refused(RefusalCause.BODY_TOO_LARGE)
-    return body
+def _forwardable(handler: CallerHandler) -> bool:
+    """Return whether the target and the header names have only visible characters."""
+    texts = [handler.path, *(name for name, _ in handler.header_list)]
+    return all(_VISIBLE.fullmatch(text) for text in texts)
 
 
 def _authenticate(
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -10,6 +10,8 @@
 from toucanspool.gateway.caller_server import CallerServer
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.crash_watch import Crash
+from toucanspool.gateway.draining import drain
+from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
@@ -44,7 +46,7 @@
 ROUTES_PAUSE_S = 0.5
 # Callers cache addresses for up to three times the TTL.
 ADDRESS_TTL_FACTOR = 3.0
-# Time left to finish responses before the process is killed.
+# Time left to close everything before the process is killed.
 SHUTDOWN_RESERVE_S = 0.6
 
 _log = structlog.get_logger()
@@ -146,8 +148,16 @@
         frontend = Frontend(
             self._core.dispatcher, lambda: self._core.routes, rng, self._metrics
         )
+        memory = MemoryBudget(cfg.max_held_bytes)
+        self._metrics.held_bytes.set_function(lambda: memory.held_bytes)
         self._server = CallerServer(
-            cfg.callers.host, cfg.callers.port, frontend, limits=RequestLimits()
+            cfg.callers.host,
+            cfg.callers.port,
+            frontend,
+            limits=RequestLimits(),
+            memory=memory,
+            caller_stall_s=cfg.caller_stall_s,
+            on_slow_reader=self._metrics.record_slow_reader,
         )
         self._start_server(self._server)
         readiness = pages.readiness_page(
@@ -178,26 +188,22 @@
         self._core.set_retry_budget(cfg.gateway.retries)
         self._set_regions()
         self._core.set_cold_starts(cfg.gateway.cold_starts)
+        self._server.memory.max_bytes = cfg.gateway.max_held_bytes
+        self._server.caller_stall_s = cfg.gateway.caller_stall_s
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
-        started = time.monotonic()
-        end = started + self._cfg.drain.grace_s - SHUTDOWN_RESERVE_S
+        cfg = self._cfg
         self._entries.leaving = True
         gevent.spawn(self._registration.withdraw)
         # Callers with cached addresses still send requests.
-        linger_s = min(
-            ADDRESS_TTL_FACTOR * self._cfg.gateway.address_ttl_s,
-            self._cfg.drain.grace_s / 2,
-        )
-        gevent.sleep(linger_s)
-        self._core.dispatcher.draining = True
-        while self._core.dispatcher.running and time.monotonic() < end:
-            gevent.sleep(0.02)
-        _log.info(
-            "drained",
-            running=self._core.dispatcher.running,
-            took_s=round(time.monotonic() - started, 2),
+        address_life_s = ADDRESS_TTL_FACTOR * cfg.gateway.address_ttl_s
+        drain(
+            self._server,
+            self._core.dispatcher,
+            admit_s=min(address_life_s, cfg.drain.grace_s / 2),
+            address_life_s=address_life_s,
+            time_s=cfg.drain.grace_s - SHUTDOWN_RESERVE_S,
         )
         self._closing.close()
 
--- a/toucanspool/platform/refusals.py
+++ b/toucanspool/platform/refusals.py
@@ -24,6 +24,7 @@
     RefusalCause.BAD_REQUEST: 400,
     RefusalCause.BODY_TOO_LARGE: 413,
     RefusalCause.BODY_TOO_SLOW: 408,
+    RefusalCause.NO_MEMORY: 503,
 }
 # Replacements for statuses that would promise that the call was not run.
 _STATUS_IF_MAY_HAVE_RUN = {503: 504}
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -1,13 +1,15 @@
 """One HTTP request and its reply on a connection of its own."""
 
 import http.client
+import math
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from gevent import socket
 
 from toucanspool.wire.event_splitter import EventSplitter
-from toucanspool.wire.reachability import Reachability, check_reachability
+from toucanspool.wire.keepalive import enable_keepalive
+from toucanspool.wire.reply_end import check_end
 from toucanspool.wire.reply_parser import (
     BrokenReply,
     ExcessiveReply,
@@ -17,12 +19,11 @@
 from toucanspool.wire.reply_reader import ReplyReader, Silent
 
 CONNECT_TIMEOUT_S = 0.5
-END_CHECK_TIMEOUT_S = 0.5
+# Large bodies on slow links take longer; their senders set a limit of their own.
+SEND_TIMEOUT_S = 0.5
 # Time from the first byte of a head to its end. Upstreams send a head at once; this
 # covers retransmissions.
 HEAD_TIMEOUT_S = 1.0
-# An upstream that crashed does not accept connections again within this time.
-MIN_RESTART_S = 0.5
 
 
 class Unreachable(Exception):
@@ -51,6 +52,8 @@
     keepalive_s : int, default=0
         Idle time before a TCP keepalive probe, in seconds. The connection is closed
         if the probe isn't answered within the same time. 0 sends no probes.
+    on_held : callable, optional
+        Called with the bytes of the body that are held, as they arrive; may raise.
 
     Attributes
     ----------
@@ -64,21 +67,36 @@
         "_conn",
         "_keepalive_s",
         "_method",
+        "_on_held",
         "_reader",
         "parser",
         "sent",
     )
 
     def __init__(
-        self, host: str, port: int, method: str, *, keepalive_s: int = 0
+        self,
+        host: str,
+        port: int,
+        method: str,
+        *,
+        keepalive_s: int = 0,
+        on_held: Callable[[int], None] = lambda _: None,
     ) -> None:
+        self._on_held = on_held
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
         self.parser = ReplyParser(method)
         self.sent = False
 
-    def send(self, target: str, headers: Iterable[Header], body: bytes) -> None:
+    def send(
+        self,
+        target: str,
+        headers: Iterable[Header],
+        body: bytes,
+        *,
+        until: float = -math.inf,
+    ) -> None:
         """Connect and send the request.
 
         Parameters
@@ -89,6 +107,8 @@
             All headers.
         body : bytes
             The body.
+        until : float, optional
+            Time limit for sending; not before `SEND_TIMEOUT_S` from now.
 
         Raises
         ------
@@ -98,10 +118,11 @@
             The connection was lost while the request was sent.
         """
         conn = self._conn
-        address = (conn.host, conn.port)
         try:
-            conn.sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
-        except OSError as exc:
+            conn.sock = socket.create_connection(
+                (conn.host, conn.port), timeout=CONNECT_TIMEOUT_S
+            )
+        except (OSError, UnicodeError) as exc:
             raise Unreachable(str(exc)) from exc
         self._reader = ReplyReader(conn.sock)
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
@@ -109,8 +130,9 @@
             conn.putheader(name, value)
         conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._keepalive_s:
-            _enable_keepalive(conn.sock, self._keepalive_s)
+            enable_keepalive(conn.sock, self._keepalive_s)
         self.sent = True
+        conn.sock.settimeout(max(SEND_TIMEOUT_S, until - time.monotonic()))
         try:
             conn.endheaders(body or None)
         except OSError as exc:
@@ -178,6 +200,7 @@
             if max(parser.body_bytes, parser.content_length) > max_bytes:
                 raise ExcessiveReply(f"the body has more than {max_bytes} bytes")
             self._receive(until)
+            self._on_held(parser.body_bytes)
         self._check_end(until)
         return parser.take_body()
 
@@ -222,14 +245,14 @@
         splitter : EventSplitter
             Splits the stream.
         idle_timeout_s : float
-            Maximum time without a complete event, in seconds.
+            Maximum time without a complete event that has data, in seconds.
         until : float
             Time limit, in seconds on the monotonic clock.
 
         Yields
         ------
         bytes
-            One event or more.
+            One event or more, or comments.
 
         Raises
         ------
@@ -241,16 +264,22 @@
             An event is too large.
         """
         complete = False
+        idle_until = time.monotonic() + idle_timeout_s
         while not complete:
             events = b""
-            idle_until = min(until, time.monotonic() + idle_timeout_s)
             while not events and not complete:
                 if not self.parser.complete and not self.parser.body_bytes:
-                    self._receive(idle_until)
+                    self._receive(min(until, idle_until))
                 complete = self.parser.complete
                 events = splitter.feed(self.parser.take_body())
+                self._on_held(len(events) + splitter.partial_bytes)
             if events:
+                began_at = time.monotonic()
                 yield events
+                # The time in which the caller reads is not the upstream's.
+                idle_until += time.monotonic() - began_at
+                if splitter.data_returned:
+                    idle_until = time.monotonic() + idle_timeout_s
         self._check_end(until)
 
     def close(self) -> None:
@@ -265,25 +294,5 @@
         self.parser.receive(data)
 
     def _check_end(self, until: float) -> None:
-        if not self.parser.ended_by_close:
-            return
-        conn = self._conn
-        timeout_s = min(END_CHECK_TIMEOUT_S, max(0.0, until - time.monotonic()))
-        reachability = check_reachability(conn.host, conn.port, timeout_s)
-        if reachability is not Reachability.ACCEPTS:
-            raise BrokenReply(
-                "the connection was closed without an end of the reply, and the "
-                f"reachability of the upstream is: {reachability.value}"
-            )
-        if self._reader.max_close_age_s > MIN_RESTART_S:
-            raise BrokenReply(
-                "the connection was closed without an end of the reply, so long ago "
-                "that the upstream may have been restarted"
-            )
-
-
-def _enable_keepalive(sock: socket.socket, keepalive_s: int) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, keepalive_s)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, keepalive_s)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+        if self.parser.ended_by_close:
+            check_end(self._conn.host, self._conn.port, self._reader, until)
