Send second attempts at calls that are slow to answer

Change: with section gateway.hedging, a repeatable call that takes longer than the percentile of recent calls like it is also sent to a free upstream; the first answer (or first event of a stream) wins. retries/hedging.py decides, retries/latency.py estimates, routing/second_choice.py chooses, and gateway/hedged_attempt.py runs the attempts. The results of attempts are recorded by gateway/attempt_results.py, moved out of the relay. may_hedge is removed.

--- a/tests/retries/test_decision.py
+++ b/tests/retries/test_decision.py
@@ -6,12 +6,7 @@
 
 from toucanspool.retries.budget import RetryBudget
 from toucanspool.retries.deadline import Deadline
-from toucanspool.retries.decision import (
-    RequestState,
-    RetryDecision,
-    may_hedge,
-    may_retry,
-)
+from toucanspool.retries.decision import RequestState, RetryDecision, may_retry
 from toucanspool.wire.gen.messages.ttypes import Outcome
 
 FLAGS = (True, False)
@@ -64,22 +59,6 @@
     assert budget.retries == 0
 
 
-@pytest.mark.parametrize(
-    ("idempotent", "started", "decision"),
-    [
-        (True, False, RetryDecision.ALLOWED),
-        (True, True, RetryDecision.RESPONSE_STARTED),
-        (False, False, RetryDecision.MAY_HAVE_RUN),
-        (False, True, RetryDecision.MAY_HAVE_RUN),
-    ],
-)
-def test_only_what_is_idempotent_and_not_started_is_hedged(
-    idempotent, started, decision
-):
-    state = request_state(idempotent=idempotent)
-    assert may_hedge(state, RetryBudget(0.0), 0.0, started=started) is decision
-
-
 def test_a_deadline_is_sent_to_other_processes_as_time_left():
     sent = Deadline.after(2.0, now=100.0)
     received = Deadline.from_ms(sent.left_ms(now=100.5), now=7.0)
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -6,7 +6,7 @@
 
 from toucanspool.retries.crash_evidence import Traits, request_trait
 from toucanspool.retries.deadline import Deadline
-from toucanspool.routing.routes import Route
+from toucanspool.routing.routes import CallKind, Route
 from toucanspool.wire.reply_parser import Header
 
 
@@ -71,6 +71,18 @@
         """Return what the call has in common with others that may crash upstreams."""
         return (*self.prompt, request_trait(self.fingerprint))
 
+    @property
+    def work_size(self) -> int:
+        """Return a measure of the work before the first event, or the whole answer.
+
+        The first event of a stream comes after its prompt has been read, a whole
+        answer after its last token. Other calls are told apart by their bodies.
+        """
+        tokens = self.prompt_tokens
+        if self.route.kind is not CallKind.STREAM:
+            tokens += self.answer_tokens
+        return tokens or len(self.body)
+
 
 class RefusalCause(Enum):
     """Name the reasons for refusing a call; values are titles for callers."""
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -91,6 +91,7 @@
         try:
             closing.enter_context(gate.hold(call.team, 1.0, -call.priority))
         except Shed as exc:
+            self._relay.runner.record_scarcity(call.service)
             left_s = max(0.0, call.deadline.left_s(now))
             retry_s = min(exc.retry_after_s, left_s / 4.0)
             admission = gate.admission
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -19,11 +19,14 @@
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
+from toucanspool.retries.hedging import HedgePolicy
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
 from toucanspool.routing.routes import Route, RouteTable
+from toucanspool.routing.second_choice import SecondChoice
 from toucanspool.routing.upstreams import UpstreamList
+from toucanspool.settings.hedging import Hedging
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
@@ -74,8 +77,10 @@
         "_balancer",
         "_budget",
         "_entries",
+        "_hedging",
         "_metrics",
         "_on_crash",
+        "_relay",
         "_rng",
         "_stream_limits",
         "dispatcher",
@@ -103,6 +108,7 @@
         self._entries = entries
         self._rng = rng
         self._metrics = metrics
+        self._hedging: Hedging | None = None
         self._stream_limits: dict[str, StreamLimiter] = {}
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamList()
@@ -119,7 +125,7 @@
         )
         self.quarantine = Quarantine()
         guard = CrashGuard(self.quarantine, CrashWatch(self._count_crash))
-        relay = Relay(
+        self._relay = relay = Relay(
             UpstreamChooser(self._balancer, guard),
             self.ejector,
             self._budget,
@@ -143,6 +149,27 @@
             ratio=retries.ratio, window_s=retries.window_s, extra=retries.extra
         )
 
+    def set_hedging(self, hedging: Hedging | None) -> None:
+        """Put settings of second attempts in force.
+
+        Parameters
+        ----------
+        hedging : Hedging or None
+            The settings; None for no second attempts.
+        """
+        if hedging == self._hedging:
+            return
+        self._hedging = hedging
+        runner = self._relay.runner
+        runner.policy = None
+        if hedging is not None and hedging.ratio > 0.0:
+            runner.enable(
+                HedgePolicy(hedging),
+                SecondChoice(self.upstreams, self.ejector),
+                self._is_full,
+                self._metrics.hedging,
+            )
+
     def set_routes(self, routes: RouteTable) -> None:
         """Put routes in force unless their version is not newer.
 
@@ -230,6 +257,10 @@
         stream_limit = self._stream_limits.get(service)
         return stream_limit.gate if stream_limit else None
 
+    def _is_full(self, service: str) -> bool:
+        stream_limit = self._stream_limits.get(service)
+        return stream_limit is not None and stream_limit.full
+
     def _set_stream_limit(self, service: str, route: Route) -> None:
         stream_limit = self._stream_limits.get(service)
         if stream_limit is None:
--- a/toucanspool/gateway/crash_guard.py
+++ b/toucanspool/gateway/crash_guard.py
@@ -52,6 +52,10 @@
                 retry_after_s=blocked_s,
             )
 
+    def blocks(self, call: Call) -> bool:
+        """Return whether the call, or a part of its prompt, crashes upstreams."""
+        return self._quarantine.remaining_s(call.traits, time.monotonic()) > 0.0
+
     def record_call(self, call: Call) -> None:
         """Record a new call."""
         self._quarantine.record_call(call.traits)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -6,20 +6,20 @@
 import structlog
 
 from toucanspool.gateway.attempt import Attempt, TurnedAway
+from toucanspool.gateway.attempt_race import SERVER_ERROR_STATUSES
+from toucanspool.gateway.attempt_results import AttemptResults
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.dialect import Dialect
+from toucanspool.gateway.hedged_attempt import AttemptRunner
 from toucanspool.gateway.limit_sharing import LimitSharing
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
-from toucanspool.retries.ejection import AttemptResult, Ejector
+from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.exchange import Unreachable
-from toucanspool.wire.reply_parser import BrokenReply
-from toucanspool.wire.reply_reader import Silent
 
-SERVER_ERROR_STATUSES = range(500, 600)
 MAX_SENDS = 3
 # Share of the remaining time for an attempt that may be retried. It leaves another
 # upstream time to answer within the caller's deadline.
@@ -47,16 +47,23 @@
         Refuses calls that crash upstreams.
     max_reply_bytes : int
         Limit on the size of a reply that is not a stream.
+
+    Attributes
+    ----------
+    results : AttemptResults
+        Records how attempts ended.
+    runner : AttemptRunner
+        Runs attempts, and second ones where these are configured.
     """
 
     __slots__ = (
         "_budget",
-        "_dialect",
-        "_ejector",
         "_limit_sharing",
         "chooser",
         "guard",
         "max_reply_bytes",
+        "results",
+        "runner",
     )
 
     def __init__(
@@ -71,11 +78,12 @@
     ) -> None:
         self.max_reply_bytes = max_reply_bytes
         self.chooser = chooser
-        self._ejector = ejector
         self._budget = budget
         self._limit_sharing = limit_sharing
-        self._dialect = dialect
         self.guard = guard
+        self.results = AttemptResults(ejector, guard)
+        self.runner = AttemptRunner(dialect, guard, budget, self.results)
+        chooser.on_scarce = self.runner.record_scarcity
 
     def forward(self, call: Call) -> Reply:
         """Forward a call and return the complete reply.
@@ -98,18 +106,21 @@
         while True:
             upstream = self.chooser.choose(call, progress)
             with ExitStack() as closing:
-                attempt = Attempt(call, upstream, self._dialect)
-                closing.callback(attempt.close)
-                until = self._attempt_end(call, progress)
-                try:
-                    attempt.begin(until)
-                    body = attempt.read_body(until, self.max_reply_bytes)
-                except (Unreachable, TurnedAway, Silent, BrokenReply) as exc:
+                outcome = self.runner.run(
+                    call,
+                    progress,
+                    upstream,
+                    self._read_whole,
+                    lambda runs: self._attempt_end(call, runs),
+                    closing,
+                )
+                attempt, upstream = outcome.attempt, outcome.upstream
+                if outcome.error is not None:
                     self.handle_failure(
-                        call, progress, upstream, exc, sent=attempt.sent
+                        call, progress, upstream, outcome.error, sent=attempt.sent
                     )
                     continue
-                self._record_status(call, upstream, attempt.status)
+                self.results.record_status(call, upstream, attempt.status)
                 self.guard.record_answer(call, progress, complete=True)
                 progress.runs += 1
                 progress.sends += 1
@@ -119,7 +130,9 @@
                     if wanted and self._may_retry(call, progress):
                         continue
                 headers = list(attempt.reply_head.headers)
-                return Reply(attempt.status, headers, body, framed=attempt.framed)
+                return Reply(
+                    attempt.status, headers, outcome.value, framed=attempt.framed
+                )
 
     def start_call(self, call: Call) -> CallProgress:
         """Count a new call for the retry budget and return its progress.
@@ -135,6 +148,7 @@
         """
         self._budget.record_request(call.service, time.monotonic())
         self._limit_sharing.record_call(call.service)
+        self.runner.record_call(call)
         self.guard.record_call(call)
         return CallProgress()
 
@@ -167,32 +181,15 @@
         Refused
             No further attempt may be made.
         """
-        turned_away = isinstance(exc, TurnedAway)
-        unreachable = isinstance(exc, Unreachable)
-        progress.tried.add(upstream.name)
-        progress.sends += sent
-        progress.connect_failures += not sent
-        progress.runs += sent and not turned_away
-        if not turned_away:
-            result = AttemptResult.UNREACHABLE if unreachable else AttemptResult.FAILED
-            self._ejector.record(upstream.name, result, time.monotonic())
-        if isinstance(exc, BrokenReply):
-            self.guard.record_break(call, progress, upstream)
-        _log.info(
-            "attempt failed",
-            request_id=call.id,
-            upstream=upstream.name,
-            error=type(exc).__name__,
-            detail=str(exc),
-            may_have_run=bool(sent and not turned_away),
-            attempt=progress.sends,
-        )
+        self.results.record_failure(call, progress, upstream, exc, sent=sent)
         if call.deadline.passed(time.monotonic()):
             raise Refused(
                 RefusalCause.DEADLINE, may_have_run=progress.runs > 0
             ) from exc
         if progress.runs and not call.route.retryable:
             raise Refused(RefusalCause.MAYBE_RUN, may_have_run=True) from exc
+        turned_away = isinstance(exc, TurnedAway)
+        unreachable = isinstance(exc, Unreachable)
         if unreachable and progress.connect_failures < MAX_SENDS:
             return
         if self._may_retry(call, progress):
@@ -206,15 +203,9 @@
             retry_after_s=self.chooser.retry_after_s(call.service),
         ) from exc
 
-    def record_success(self, upstream: Upstream) -> None:
-        """Record a successful attempt.
-
-        Parameters
-        ----------
-        upstream : Upstream
-            Upstream of the attempt.
-        """
-        self._ejector.record(upstream.name, AttemptResult.OK, time.monotonic())
+    def _read_whole(self, attempt: Attempt, until: float) -> bytes:
+        attempt.begin(until)
+        return attempt.read_body(until, self.max_reply_bytes)
 
     def _may_retry(self, call: Call, progress: CallProgress) -> bool:
         """Return whether the call may be retried; log the reason if not."""
@@ -237,17 +228,10 @@
             )
         return not reason
 
-    def _attempt_end(self, call: Call, progress: CallProgress) -> float:
-        """Return the end of the next attempt, in seconds on the monotonic clock."""
+    def _attempt_end(self, call: Call, runs: int) -> float:
+        """Return the end of an attempt, in seconds on the monotonic clock."""
         end = call.deadline.at
-        if not call.route.retryable or progress.runs + 1 >= call.route.max_attempts:
+        if not call.route.retryable or runs + 1 >= call.route.max_attempts:
             return end
         now = time.monotonic()
         return now + ATTEMPT_TIME_SHARE * max(0.0, end - now)
-
-    def _record_status(self, call: Call, upstream: Upstream, status: int) -> None:
-        failed = status in SERVER_ERROR_STATUSES and not call.route.retryable
-        if failed:
-            self._ejector.record(upstream.name, AttemptResult.FAILED, time.monotonic())
-        else:
-            self.record_success(upstream)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -3,10 +3,11 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from dataclasses import dataclass
 
 import structlog
 
-from toucanspool.gateway.attempt import SUCCESS_STATUSES, Attempt, TurnedAway
+from toucanspool.gateway.attempt import SUCCESS_STATUSES, Attempt
 from toucanspool.gateway.call import Call, Refused, Reply
 from toucanspool.gateway.caller import ReplyCutOff
 from toucanspool.gateway.dialect import Dialect
@@ -14,7 +15,6 @@
 from toucanspool.gateway.relay import Relay
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
-from toucanspool.wire.exchange import Unreachable
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
 
@@ -24,7 +24,30 @@
 
 _log = structlog.get_logger()
 
-_ATTEMPT_ERRORS = (Unreachable, TurnedAway, Silent, BrokenReply)
+
+@dataclass(slots=True)
+class _Source:
+    """Hold what a stream is read from: an attempt whose reply has begun.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        The attempt.
+    splitter : EventSplitter
+        Splits its stream.
+    events : iterator of bytes
+        Its complete events.
+    failure_body : bytes or None
+        Body of a reply that is a failure; None if there are events.
+    upstream : Upstream or None
+        Upstream of the attempt.
+    """
+
+    attempt: Attempt
+    splitter: EventSplitter
+    events: Iterator[bytes]
+    failure_body: bytes | None = None
+    upstream: Upstream | None = None
 
 
 class StreamRelay:
@@ -75,16 +98,13 @@
         progress = self._relay.start_call(call)
         splitter = EventSplitter(last_id=call.last_event_id)
         attempt_stack = closing.enter_context(ExitStack())
-        attempt, upstream, failure_body = self._open_stream(
-            call, progress, splitter, attempt_stack
-        )
+        source = self._open_stream(call, progress, splitter, attempt_stack)
+        attempt = source.attempt
         headers = list(attempt.reply_head.headers)
-        if failure_body is not None:
-            return Reply(attempt.status, headers, failure_body, framed=attempt.framed)
-        events = self._relay_events(
-            call, progress, splitter, attempt_stack, attempt, upstream
-        )
         framed = attempt.framed
+        if source.failure_body is not None:
+            return Reply(attempt.status, headers, source.failure_body, framed=framed)
+        events = self._relay_events(call, progress, source, attempt_stack)
         first = next(events, b"")
         return Reply(attempt.status, headers, _prepend(first, events), framed=framed)
 
@@ -94,49 +114,89 @@
         progress: CallProgress,
         splitter: EventSplitter,
         attempt_stack: ExitStack,
-    ) -> tuple[Attempt, Upstream, bytes | None]:
-        """Return an attempt after the reply's head, and the body if it is a failure."""
+    ) -> _Source:
+        """Return a stream, or a failure, after the reply's head.
+
+        Where a second attempt may be made, it is returned after the first event.
+        """
         while True:
             attempt_stack.close()
             upstream = self._relay.chooser.choose(call, progress)
-            attempt = Attempt(call, upstream, self._dialect)
-            attempt_stack.callback(attempt.close)
-            try:
-                until = min(call.deadline.at, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
-                attempt.begin(until, last_event_id=splitter.last_id)
-                failure_body = None
-                if attempt.status not in SUCCESS_STATUSES:
-                    failure_body = attempt.read_body(until, self._relay.max_reply_bytes)
-            except _ATTEMPT_ERRORS as exc:
+            hedged = self._relay.runner.hedges(call, progress)
+
+            def work(attempt: Attempt, until: float, hedged: bool = hedged) -> _Source:
+                if hedged:
+                    return self._open_with_event(call, attempt, until)
+                return self._open(call, attempt, until, splitter)
+
+            outcome = self._relay.runner.run(
+                call,
+                progress,
+                upstream,
+                work,
+                lambda _: min(
+                    call.deadline.at, time.monotonic() + STREAM_IDLE_TIMEOUT_S
+                ),
+                attempt_stack,
+            )
+            if outcome.error is not None:
                 self._relay.handle_failure(
-                    call, progress, upstream, exc, sent=attempt.sent
+                    call,
+                    progress,
+                    outcome.upstream,
+                    outcome.error,
+                    sent=outcome.attempt.sent,
                 )
                 continue
-            return attempt, upstream, failure_body
+            source = outcome.value
+            source.upstream = outcome.upstream
+            return source
+
+    def _open(
+        self, call: Call, attempt: Attempt, until: float, splitter: EventSplitter
+    ) -> _Source:
+        attempt.begin(until, last_event_id=splitter.last_id)
+        events = attempt.iter_events(splitter, STREAM_IDLE_TIMEOUT_S, call.deadline.at)
+        source = _Source(attempt, splitter, events)
+        if attempt.status not in SUCCESS_STATUSES:
+            source.failure_body = attempt.read_body(until, self._relay.max_reply_bytes)
+        return source
+
+    def _open_with_event(self, call: Call, attempt: Attempt, until: float) -> _Source:
+        """Open a stream with a splitter of its own, and wait for its first event."""
+        splitter = EventSplitter(last_id=call.last_event_id)
+        source = self._open(call, attempt, until, splitter)
+        if source.failure_body is None:
+            first = next(source.events, b"")
+            if not first and not attempt.framed:
+                raise BrokenReply("the stream ended inside an event")
+            source.events = _prepend(first, source.events)
+        return source
 
     def _relay_events(
         self,
         call: Call,
         progress: CallProgress,
-        splitter: EventSplitter,
+        source: _Source,
         attempt_stack: ExitStack,
-        attempt: Attempt,
-        upstream: Upstream,
     ) -> Iterator[bytes]:
+        splitter = source.splitter
         while True:
             try:
-                yield from self._read_events(call, progress, splitter, attempt)
-                self._relay.record_success(upstream)
+                yield from self._read_events(call, progress, source)
+                self._relay.results.record_success(source.upstream)
                 return
             except (Silent, BrokenReply) as exc:
                 splitter.drop_partial()
                 try:
-                    self._relay.handle_failure(call, progress, upstream, exc, sent=True)
-                    attempt, upstream, failure_body = self._open_stream(
-                        call, progress, splitter, attempt_stack
+                    self._relay.handle_failure(
+                        call, progress, source.upstream, exc, sent=True
                     )
-                    if failure_body is not None:
-                        raise BrokenReply(f"resumed with status {attempt.status}")
+                    source = self._open_stream(call, progress, splitter, attempt_stack)
+                    if source.failure_body is not None:
+                        raise BrokenReply(
+                            f"resumed with status {source.attempt.status}"
+                        )
                 except (Refused, BrokenReply) as cause:
                     # Without an event sent yet, the caller can still be refused.
                     if not splitter.count and isinstance(cause, Refused):
@@ -151,21 +211,16 @@
                 _log.info(
                     "stream resumed",
                     request_id=call.id,
-                    upstream=upstream.name,
+                    upstream=source.upstream.name,
                     last_event_id=splitter.last_id,
                 )
 
     def _read_events(
-        self,
-        call: Call,
-        progress: CallProgress,
-        splitter: EventSplitter,
-        attempt: Attempt,
+        self, call: Call, progress: CallProgress, source: _Source
     ) -> Iterator[bytes]:
+        attempt, splitter = source.attempt, source.splitter
         last_at = 0.0
-        for events in attempt.iter_events(
-            splitter, STREAM_IDLE_TIMEOUT_S, call.deadline.at
-        ):
+        for events in source.events:
             now = time.monotonic()
             if last_at:
                 self._on_event_gap(call.service, now - last_at)
--- a/toucanspool/gateway/upstream_chooser.py
+++ b/toucanspool/gateway/upstream_chooser.py
@@ -1,6 +1,7 @@
 """Choice of the upstream for the next attempt at a call."""
 
 import time
+from collections.abc import Callable
 
 import gevent
 import structlog
@@ -30,13 +31,19 @@
         Compares upstreams.
     guard : CrashGuard
         Refuses calls that crash upstreams.
+
+    Attributes
+    ----------
+    on_scarce : callable
+        Called with the service of a call that no upstream wants at once.
     """
 
-    __slots__ = ("_balancer", "_guard")
+    __slots__ = ("_balancer", "_guard", "on_scarce")
 
     def __init__(self, balancer: LeastLoadBalancer, guard: CrashGuard) -> None:
         self._balancer = balancer
         self._guard = guard
+        self.on_scarce: Callable[[str], None] = _ignore
 
     def choose(self, call: Call, progress: CallProgress) -> Upstream:
         """Return the upstream of the next attempt.
@@ -59,6 +66,7 @@
         """
         upstream = self._find(call, progress)
         if upstream is None:
+            self.on_scarce(call.service)
             wait_s = self._wait_s(call, progress)
             if wait_s:
                 gevent.sleep(wait_s)
@@ -142,3 +150,7 @@
             retry_after_s=retry_after_s,
             log_fields=fields if limits else None,
         )
+
+
+def _ignore(service: str) -> None:
+    pass
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -59,6 +59,12 @@
         """Return the moving average of the number of running streams."""
         return self._spare_capacity.mean_running
 
+    @property
+    def full(self) -> bool:
+        """Return whether streams wait, or one more than now would have to."""
+        admission = self.gate.admission
+        return admission.waiting > 0 or admission.running + 1 > admission.capacity
+
     def adapt(
         self,
         engine: EngineModel,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -99,6 +99,7 @@
             max_reply_bytes=cfg.max_reply_bytes,
             on_crash=self._report_crash,
         )
+        self._core.set_hedging(cfg.hedging)
         self._crash_exchange = CrashExchange(
             self._store, self._cfg.instance, self._core.quarantine
         )
@@ -160,6 +161,7 @@
         """Apply new settings; changed addresses need a restart."""
         self._cfg = cfg
         self._core.set_retry_budget(cfg.gateway.retries)
+        self._core.set_hedging(cfg.gateway.hedging)
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
--- a/toucanspool/retries/decision.py
+++ b/toucanspool/retries/decision.py
@@ -1,4 +1,4 @@
-"""Decides whether a request may be retried or hedged."""
+"""Decides whether a request may be retried."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -12,7 +12,7 @@
 
 
 class RetryDecision(Enum):
-    """Name the decision on a retry or hedge, with its reason.
+    """Name the decision on a retry, with its reason.
 
     Each value is the reason as written to the log.
     """
@@ -87,40 +87,6 @@
     return _check_limits(state, budget, now, max_attempts)
 
 
-def may_hedge(
-    state: RequestState,
-    budget: RetryBudget,
-    now: float,
-    *,
-    started: bool,
-    max_attempts: int = MAX_ATTEMPTS,
-) -> RetryDecision:
-    """Decide whether to send a second copy while the first is pending.
-
-    Parameters
-    ----------
-    state : RequestState
-        State of the request.
-    budget : RetryBudget
-        Retry budget of this process; a hedge withdraws from it as a retry does.
-    now : float
-        Seconds on the monotonic clock.
-    started : bool
-        Whether the first copy is known to have started.
-    max_attempts : int, default=3
-        Largest number of attempts, including the first.
-
-    Returns
-    -------
-    RetryDecision
-    """
-    if not state.idempotent:
-        return RetryDecision.MAY_HAVE_RUN
-    if started or state.bytes_relayed:
-        return RetryDecision.RESPONSE_STARTED
-    return _check_limits(state, budget, now, max_attempts)
-
-
 def _check_limits(
     state: RequestState, budget: RetryBudget, now: float, max_attempts: int
 ) -> RetryDecision:
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -4,7 +4,10 @@
 from typing import Annotated, Any, Literal
 
 import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, model_validator
+
+from toucanspool.settings.hedging import Hedging
+from toucanspool.settings.model import Model
 
 ROLES = ("entry", "agent", "gateway", "rank_agent")
 # Roles that use a table, an object store and an instance list (section `platform`).
@@ -38,12 +41,6 @@
         self.errors = errors
 
 
-class Model(BaseModel):
-    """Reject unknown keys and be immutable; the base of all sections."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
-
-
 class Address(Model):
     """Hold a host and port; can also be written as a string ``HOST:PORT``."""
 
@@ -195,6 +192,7 @@
     metrics: Address | None = None
     store: RowStore
     retries: RetryBudget = RetryBudget()
+    hedging: Hedging | None = None
     address_ttl_s: Seconds = 2.0
     # Replies that are no streams are held in memory until they are complete.
     max_reply_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 8 * 1024 * 1024
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from toucanspool.telemetry.hedging_metrics import HedgingMetrics
 from toucanspool.telemetry.metrics import LatencySummary
 
 
@@ -25,6 +26,7 @@
         "_answers",
         "_crashes",
         "_first_byte_time",
+        "_hedging",
         "_refusals",
         "_registry",
         "routes_version",
@@ -35,6 +37,7 @@
 
     def __init__(self) -> None:
         registry = self._registry = CollectorRegistry()
+        self._hedging: HedgingMetrics | None = None
         self._first_byte_time = LatencySummary(
             "toucanspool_first_byte_seconds", "Time to the first event of streams."
         )
@@ -73,6 +76,13 @@
             registry=registry,
         )
 
+    @property
+    def hedging(self) -> HedgingMetrics:
+        """Return the metrics of second attempts; exported only once they are used."""
+        if self._hedging is None:
+            self._hedging = HedgingMetrics(self._registry)
+        return self._hedging
+
     def record_first_event(self, seconds: float) -> None:
         """Record the time from the request to the first event of a stream."""
         self._first_byte_time.record(seconds)
