Test second attempts over connections and with real processes

Cause: the two attempts share one call's progress, crash evidence and load, and a connection that the gateway closes must not look like one that broke off.

Change: tests at the gateway and with a process and one slow upstream. An attempt that ended by itself just as it was told to end was not closed, and its upstream kept one request too many; such attempts are closed now (seen red in tests/gateway/test_attempt_race.py).

Each of these makes tests fail: no policy, a loser that is not closed, a break dated by the other attempt, a hung upstream that is not ejected, runs of the loser not counted, refusals not recorded.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -21,6 +21,7 @@
     RouteTable,
 )
 from toucanspool.routing.upstream import Listing
+from toucanspool.settings.hedging import Hedging
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
@@ -122,6 +123,7 @@
     routes: list[Route] | None = None,
     keys: dict[str, KeyHolder] | None = None,
     limits: RequestLimits | None = None,
+    hedging: Hedging | None = None,
 ) -> Iterator[Gateway]:
     """Run a gateway with one upstream for each script."""
     with ExitStack() as closing:
@@ -155,6 +157,7 @@
             keys_required=bool(keys),
         )
         core.set_routes(table)
+        core.set_hedging(hedging)
         core.tick()
         frontend = Frontend(core.dispatcher, lambda: core.routes, rng, metrics)
         server = CallerServer(
--- a/toucanspool/gateway/attempt_race.py
+++ b/toucanspool/gateway/attempt_race.py
@@ -46,10 +46,13 @@
         What its work returned.
     error : Exception or None
         Why it failed.
+    abandoned : bool
+        Whether nobody waits for it any more.
     """
 
     __slots__ = (
         "_closed",
+        "abandoned",
         "attempt",
         "ended_at",
         "error",
@@ -60,6 +63,7 @@
 
     def __init__(self, upstream: Upstream, attempt: Attempt) -> None:
         self._closed = False
+        self.abandoned = False
         self.upstream = upstream
         self.attempt = attempt
         self.started_at = time.monotonic()
@@ -177,6 +181,7 @@
         """End the attempts that are still running, and return them."""
         running = [option for option in self._started if not option[0].ended_at]
         for outcome, task in running:
+            outcome.abandoned = True
             task.kill(block=False)
             if task.ready():
                 # It had not begun to run, and never will.
@@ -199,7 +204,8 @@
         except Exception as exc:  # raised again where the outcome is taken
             outcome.error = exc
         outcome.ended_at = time.monotonic()
-        if outcome.error is not None:
+        # It may end by itself between being told to and the exception that ends it.
+        if outcome.error is not None or outcome.abandoned:
             outcome.close()
         self._finished.append(outcome)
         self._ended.set()
