--- a/tests/retries/hedging_load.py
+++ b/bench/hedging_load.py
@@ -5,10 +5,13 @@
 
 import heapq
 import itertools
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import structlog
+
 from toucanspool.retries.ejection import AttemptResult, Ejector
 from toucanspool.retries.hedging import HedgedCall, HedgeDecision, HedgePolicy
 from toucanspool.retries.shared_budget import SharedBudget
@@ -276,6 +279,7 @@
 
 
 def percentile_delay(play: "Play", policy: HedgePolicy) -> float | None:
+    """Return the delay that the gateway uses."""
     return policy.delay_s(KIND, play.now)
 
 
@@ -343,6 +347,7 @@
 
 
 def settings(ratio: float = 0.05, **more: object) -> Hedging:
+    """Return settings of second attempts."""
     return Hedging(ratio=ratio, **more)
 
 
@@ -392,6 +397,9 @@
 
 def main() -> None:
     """Print the figures."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
     for load, fleet in FLEETS.items():
         for way, (cfg, delay) in WAYS.items():
             result = Play(fleet, cfg, delay=delay).run()
--- a/tests/retries/test_hedging.py
+++ b/tests/retries/test_hedging.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.retries.hedging_load import (
+from bench.hedging_load import (
     KIND,
     SERVICE,
     Fleet,
--- a/toucanspool/gateway/hedged_attempt.py
+++ b/toucanspool/gateway/hedged_attempt.py
@@ -132,10 +132,8 @@
 
         Parameters
         ----------
-        call : Call
-            The call.
-        progress : CallProgress
-            Its attempts so far.
+        call, progress
+            The call, and its attempts so far.
         upstream : Upstream
             Upstream of the attempt.
         work : callable
