--- a/tests/limits/test_stream_limiter.py
+++ b/tests/limits/test_stream_limiter.py
@@ -1,6 +1,7 @@
-"""Checks that streams count while a service changes from fair shares to urgency."""
+"""Checks when a stream limiter is full, and that it counts streams of both orders."""
 
 import random
+from contextlib import ExitStack
 
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
 from toucanspool.limits.stream_limiter import StreamLimiter
@@ -17,9 +18,14 @@
 )
 
 
-def test_running_streams_count_after_priorities_are_configured():
+def make():
     limiter = StreamLimiter(random.Random(1), AdaptiveLimit(0.12, 8.0))
     limiter.adapt(ENGINE, 4, 1, (), 1.0)
+    return limiter
+
+
+def test_running_streams_count_after_priorities_are_configured():
+    limiter = make()
     with limiter.hold("a", 0):
         limiter.by_urgency = True
         with limiter.hold("a", 1):
@@ -27,3 +33,14 @@
             limiter.by_urgency = False
             assert limiter.running == 2
     assert limiter.running == 0
+
+
+def test_it_is_full_once_a_further_stream_would_wait():
+    limiter, full = make(), []
+    with ExitStack() as streams:
+        for _ in range(int(limiter.capacity) + 1):
+            full.append(limiter.full)
+            if not limiter.full:
+                streams.enter_context(limiter.hold("t", 0))
+    assert full == [False] * (len(full) - 1) + [True]
+    assert not limiter.full
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -19,13 +19,15 @@
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
+from toucanspool.retries.hedging import HedgePolicy
 from toucanspool.retries.quarantine import Quarantine
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.balancer import LeastLoadBalancer
-from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.regions import Regions
 from toucanspool.routing.routes import Route, RouteTable
+from toucanspool.routing.second_choice import SecondChoice
 from toucanspool.routing.upstreams import UpstreamList
+from toucanspool.settings.hedging import Hedging
 from toucanspool.settings.settings import ColdStarts, RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
 
@@ -68,8 +70,6 @@
         Regions of the upstreams; none is known at first.
     ejector : Ejector
         Health of the upstreams.
-    group_health : GroupHealth
-        Stalls of the upstreams' lock-step groups.
     quarantine : Quarantine
         Prompts that crash upstreams.
     limit_sharing : LimitSharing
@@ -84,13 +84,14 @@
         "_cold_settings",
         "_cold_sharing",
         "_entries",
+        "_hedging",
         "_metrics",
         "_on_crash",
+        "_relay",
         "_rng",
         "_stream_limits",
         "dispatcher",
         "ejector",
-        "group_health",
         "limit_sharing",
         "quarantine",
         "regions",
@@ -116,13 +117,13 @@
         self._entries = entries
         self._rng = rng
         self._metrics = metrics
+        self._hedging: Hedging | None = None
         self._stream_limits: dict[str, StreamLimiter] = {}
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamList()
         self.regions = Regions()
         self.limit_sharing = LimitSharing(self.upstreams, entries)
         self.ejector = Ejector(rng)
-        self.group_health = GroupHealth()
         self._cold_settings = cold_starts
         self._cold_sharing = ColdSharing(self.upstreams, entries, self.ejector, metrics)
         self._balancer = LeastLoadBalancer(
@@ -131,7 +132,6 @@
             failure_domain,
             rng,
             regions=self.regions,
-            group_health=self.group_health,
         )
         self._budget = SharedBudget(
             ratio=retries.ratio,
@@ -141,7 +141,7 @@
         )
         self.quarantine = Quarantine()
         guard = CrashGuard(self.quarantine, CrashWatch(self._count_crash))
-        relay = Relay(
+        self._relay = relay = Relay(
             UpstreamChooser(self._balancer, guard),
             self.ejector,
             self._budget,
@@ -150,7 +150,7 @@
             guard,
             max_reply_bytes,
         )
-        streams = StreamRelay(relay, dialect, self._record_gap, self.group_health)
+        streams = StreamRelay(relay, dialect, self._record_gap)
         self.dispatcher = CallDispatcher(relay, streams, self._stream_limits.get)
 
     def set_retry_budget(self, retries: RetryBudget) -> None:
@@ -170,6 +170,27 @@
         self._cold_settings = settings
         self._cold_sharing.configure(settings, self.routes, time.monotonic())
 
+    def set_hedging(self, hedging: Hedging | None) -> None:
+        """Put settings of second attempts in force.
+
+        Parameters
+        ----------
+        hedging : Hedging or None
+            The settings; None for no second attempts.
+        """
+        if hedging == self._hedging:
+            return
+        self._hedging = hedging
+        runner = self._relay.runner
+        runner.policy = None
+        if hedging is not None and hedging.ratio > 0.0:
+            runner.enable(
+                HedgePolicy(hedging),
+                SecondChoice(self.upstreams, self.ejector),
+                self._is_full,
+                self._metrics.hedging,
+            )
+
     def set_routes(self, routes: RouteTable) -> None:
         """Put routes in force unless their version is not newer.
 
@@ -188,7 +209,6 @@
             for name, _ in route.services:
                 if routes.service(name).engine and route.gap_target_s:
                     self._set_stream_limit(name, route)
-                    self.group_health.max_pause_s = route.gap_target_s
         for name, stream_limit in self._stream_limits.items():
             stream_limit.by_urgency = routes.urgency(name).levels > 1
         _log.info(
@@ -259,6 +279,10 @@
     def _record_crash(self, crash: Crash) -> None:
         self.quarantine.record_crash(crash.id, crash.calls, time.monotonic())
 
+    def _is_full(self, service: str) -> bool:
+        stream_limit = self._stream_limits.get(service)
+        return stream_limit is not None and stream_limit.full
+
     def _set_stream_limit(self, service: str, route: Route) -> None:
         stream_limit = self._stream_limits.get(service)
         if stream_limit is None:
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -104,6 +104,11 @@
             return self._fair_gate.hold(team, 1.0, -urgency)
         return self._urgency_gate.hold(team, 1.0, urgency)
 
+    @property
+    def full(self) -> bool:
+        """Return whether streams wait, or one more than now would have to."""
+        return self.waiting > 0 or self.running + 1 > self.capacity
+
     def adapt(
         self,
         engine: EngineModel,
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -110,6 +110,7 @@
             cold_starts=cfg.cold_starts,
         )
         self._set_regions()
+        self._core.set_hedging(cfg.hedging)
         self._crash_exchange = CrashExchange(
             self._store, self._cfg.instance, self._core.quarantine
         )
@@ -135,9 +136,7 @@
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
         entry_rows = EntryRows(self._entries, self._registration, self._crash_exchange)
-        rank_rows = RankRows(
-            self._core.upstreams.set_slowdowns, self._core.group_health.set_groups
-        )
+        rank_rows = RankRows(self._core.upstreams.set_slowdowns)
         for prefix, on_snapshot, on_changes in (
             (ENTRY_PREFIX, entry_rows.replace, entry_rows.update),
             (RANK_PREFIX, rank_rows.replace, rank_rows.update),
@@ -190,6 +189,7 @@
         self._core.set_cold_starts(cfg.gateway.cold_starts)
         self._server.memory.max_bytes = cfg.gateway.max_held_bytes
         self._server.caller_stall_s = cfg.gateway.caller_stall_s
+        self._core.set_hedging(cfg.gateway.hedging)
 
     def stop(self) -> None:
         """Deregister, drain calls within the grace period, and close; see `Service`."""
--- a/toucanspool/routing/balancer.py
+++ b/toucanspool/routing/balancer.py
@@ -5,7 +5,6 @@
 from collections.abc import Collection
 
 from toucanspool.retries.ejection import Ejector
-from toucanspool.routing.group_health import GroupHealth
 from toucanspool.routing.regions import Regions
 from toucanspool.routing.upstream import Upstream
 from toucanspool.routing.upstreams import UpstreamList
@@ -35,8 +34,6 @@
         Failure domain of this entry.
     rng : random.Random
         Draws the initial tie offset.
-    group_health : GroupHealth, optional
-        Stalls of the upstreams' groups, which count for calls that differ in urgency.
     regions : Regions, optional
         Regions of the upstreams; by default, none is known.
 
@@ -45,7 +42,6 @@
     """
 
     __slots__ = (
-        "_group_health",
         "_ejector",
         "_failure_domain",
         "_regions",
@@ -62,9 +58,7 @@
         rng: random.Random,
         *,
         regions: Regions | None = None,
-        group_health: GroupHealth | None = None,
     ) -> None:
-        self._group_health = group_health or GroupHealth()
         self._upstreams = upstreams
         self._regions = regions or Regions()
         self._ejector = ejector
@@ -230,7 +224,6 @@
         *,
         prefer_local: bool,
         regions: AllowedRegions = None,
-        tolerance: float | None = None,
     ) -> Upstream | None:
         """Return the upstream for a call, or None where none is left to try.
 
@@ -246,9 +239,6 @@
             Whether to prefer the entry's own failure domain among equals.
         regions : frozenset of str or None
             Regions in which the call may run.
-        tolerance : float, optional
-            Where calls differ in priority, how little urgent this one is, from 0 to 1.
-            The more urgent, the more it avoids groups that have lately stalled.
 
         Returns
         -------
@@ -274,17 +264,13 @@
             usable = warm
         first = int(self._tie_offset * len(untried))
 
-        def cost(option: tuple[float, int, Upstream]) -> tuple[bool, float, int]:
+        def cost(option: tuple[float, int, Upstream]) -> tuple[float, int]:
             weight, position, upstream = option
-            full = False
             load = self._upstreams.load(upstream, now)
             if prefer_local and upstream.listing.failure_domain != self._failure_domain:
                 load += CROSS_DOMAIN_LOAD
             penalty = self._upstreams.slowdown(upstream) / max(weight, MIN_WEIGHT)
-            if tolerance is not None:
-                full = load >= upstream.listing.slots
-                penalty *= self._group_health.penalty(upstream.name, tolerance, now)
-            return full, (load + 1.0) * penalty, (position - first) % len(untried)
+            return (load + 1.0) * penalty, (position - first) % len(untried)
 
         return min(usable, key=cost)[2]
 
