Answer requests that are half read when an entry closes

Callers of the older role `entry` would have seen their connection closed without a reply, if the body of their request was still arriving as the entry stopped: the stop waited for dispatched requests only, and reset connections in the accept queue.

The entry empties the accept queue before it closes its port, and waits for requests from their first byte on, as the gateway does; `drain.grace_s` bounds that as before.

The test got an empty reply before, and 200 now.

--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -4,7 +4,9 @@
 one that the stop refuses.
 """
 
+import json
 import signal
+import socket
 import threading
 import time
 
@@ -113,3 +115,22 @@
             except (DemoFailed, OSError):
                 time.sleep(0.2)
     assert served == [True, True]
+
+
+def test_stopping_entry_answers_a_request_that_is_half_read(caller):
+    """Guards against closing the connection of a request whose body still arrives."""
+    body = json.dumps({"model": "guide", "messages": MESSAGES, "max_tokens": 2})
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"Authorization: Bearer {caller.system.keys.teams['members']}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection(("127.0.0.1", caller.port(0)), timeout=10.0) as sock:
+        sock.sendall((head + body[:-5]).encode())
+        time.sleep(0.1)
+        caller.system.signal("entry-1", signal.SIGTERM)
+        # The address is used for 0.5 s more, and bodies may take 1 s.
+        time.sleep(0.8)
+        sock.sendall(body[-5:].encode())
+        assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+    assert caller.system.wait("entry-1") == 0
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -33,6 +33,7 @@
 from toucanspool.wire.http_server import HttpServer
 
 REQUEST_ID_HEADER = "X-Request-Id"
+FIRST_BYTES_S = 0.2
 DRAIN_POLL_INTERVAL_S = 0.02
 TABLE_RETRY_S = 5.0
 
@@ -122,9 +123,11 @@
         _log.info("leaving", keep_for_s=self._cfg.entry.address_ttl_s)
         # Callers keep using this entry's address until its TTL expires.
         gevent.sleep(self._cfg.entry.address_ttl_s)
-        self._server.close()
+        self._server.finish_accepting()
+        # Connections accepted last have sent their request by then.
+        gevent.sleep(FIRST_BYTES_S)
         with gevent.Timeout(self._cfg.drain.grace_s, False):
-            while self._dispatcher.running:
+            while self._dispatcher.running or self._server.open_requests:
                 gevent.sleep(DRAIN_POLL_INTERVAL_S)
         self._closing.close()
 
