Refuse calls of a route without weights, and keep reading what was readable

Callers of a route whose services all have the weight 0 got 500; the checks of values would have refused the whole configuration for it. Such a route now refuses its calls with 503, as it has no upstream. Versions of rows may be texts, and slots of engines whole floats, as before the checks. The list of decoding errors has one place.

--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -1,11 +1,24 @@
 """Checks of values from JSON, whose types and sizes other processes decide."""
 
 import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 MAX_PORT = 65535
 MAX_HOST_CHARS = 253
 MAX_LABEL_CHARS = 63
+# What decoding raises if a value has another type or form, or is missing.
+DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+
+
+@contextmanager
+def decoding(error: type[Exception]) -> Iterator[None]:
+    """Raise an error of the caller's kind in place of `DECODING_ERRORS`."""
+    try:
+        yield
+    except DECODING_ERRORS as exc:
+        raise error(f"malformed response: {exc!r:.200}") from exc
 
 
 def text(value: Any) -> str:
--- a/toucanspool/backing/json_row.py
+++ b/toucanspool/backing/json_row.py
@@ -6,6 +6,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.checked_values import DECODING_ERRORS
 from toucanspool.backing.table import Row
 
 Record = TypeVar("Record")
@@ -34,6 +35,6 @@
     """
     try:
         return decode(orjson.loads(row.value))
-    except (ValueError, LookupError, TypeError, AttributeError) as exc:
+    except DECODING_ERRORS as exc:
         _log.warning(error_event, key=row.key, error=repr(exc))
         return None
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -5,7 +5,7 @@
 import orjson
 import structlog
 
-from toucanspool.backing.checked_values import integer, number, text
+from toucanspool.backing.checked_values import DECODING_ERRORS, number, text
 from toucanspool.recovery.feed import Changes
 from toucanspool.routing.routes import (
     CallKind,
@@ -65,7 +65,7 @@
             keys_required="tenants" in data,
             limits=_decode_limits(data.get("limits") or {}),
         )
-    except (ValueError, LookupError, TypeError, AttributeError) as exc:
+    except DECODING_ERRORS as exc:
         raise BadConfiguration(repr(exc)) from exc
 
 
@@ -98,8 +98,6 @@
     weighted = tuple(
         (text(b["service"]), number(b["weight"])) for b in backends if b["weight"]
     )
-    if not weighted:
-        raise ValueError("a route without a service")
     return Route(
         name=text(route["name"]),
         host=text(route["hostname"]).lower(),
@@ -130,7 +128,7 @@
     link_mbit_per_s = number(engine.get("linkMbps") or 0.0)
     expert_mb = number(engine.get("expertMb") or 0.0)
     return EngineModel(
-        slots=integer(engine["slots"], 1),
+        slots=int(number(engine["slots"], 1)),
         step_base_s=number(engine["step_ms"]) / MS_PER_S,
         step_per_request_s=number(engine.get("per_seq_ms", 0.0)) / MS_PER_S,
         prefill_tokens_per_s=number(engine.get("read_per_s") or 1.0),
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -1,15 +1,19 @@
 """Client of the platform's row store; implements `Table` and `Feed`."""
 
 import base64
-from collections.abc import Iterator, Mapping, Sequence
-from contextlib import contextmanager
+from collections.abc import Mapping, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
 import gevent
 import structlog
 
-from toucanspool.backing.checked_values import integer, text
+from toucanspool.backing.checked_values import (
+    DECODING_ERRORS,
+    decoding,
+    integer,
+    text,
+)
 from toucanspool.backing.http_client import CallLost, CallRefused
 from toucanspool.backing.table import (
     Check,
@@ -42,7 +46,6 @@
 # Idle time before a TCP keepalive probe, by which a feed finds a dead host.
 FEED_KEEPALIVE_S = 1
 
-_DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 
 OK, CONFLICT, GONE, THROTTLED, UNAVAILABLE = 200, 412, 410, 429, 503
 
@@ -150,7 +153,7 @@
             # Either the checks compared versions of another era, or the store may have
             # lost the commit since.
             raise TableUncertain("the store came back from an older copy meanwhile")
-        with _decoding(TableUncertain):
+        with decoding(TableUncertain):
             return self._decode_version(response.body)
 
     def snapshot(self, table: str) -> Changes:
@@ -167,7 +170,7 @@
         }
         response = self._wait_for_changes(query, wait_s)
         rows, deleted = {}, {}
-        with _decoding(TableUnavailable):
+        with decoding(TableUnavailable):
             for key, row in self._decode_rows(response["rows"]):
                 if row is None:
                     rows.pop(key, None)
@@ -206,7 +209,7 @@
         version = None
         while True:
             response = self._read(self._client, "/rows-get", params)
-            with _decoding(TableUnavailable):
+            with decoding(TableUnavailable):
                 page = self._decode_rows(response["rows"])
                 rows += [row for _, row in page if row is not None]
                 # Later pages may contain newer rows. Following changes from the first
@@ -243,7 +246,8 @@
         return self._era.observe(response.headers.get(ERA_HEADER, ""))
 
     def _decode_version(self, data: Mapping[str, Any]) -> int:
-        return self._era.encode_version(integer(data["ver"], high=VERSIONS_PER_ERA - 1))
+        version = int(data["ver"])
+        return self._era.encode_version(integer(version, high=VERSIONS_PER_ERA - 1))
 
     def _decode_rows(self, rows: Sequence[Any]) -> list[tuple[str, Row | None]]:
         """Return keys and rows, None for deleted ones; unreadable ones are logged."""
@@ -254,9 +258,9 @@
                 if row.get("tombstone"):
                     decoded.append((key, None))
                     continue
-                value = base64.b64decode(row["value"], validate=True)
+                value = base64.b64decode(row["value"])
                 decoded.append((key, Row(key, value, self._decode_version(row))))
-            except _DECODING_ERRORS as exc:
+            except DECODING_ERRORS as exc:
                 _log.warning("unreadable row", row=repr(row)[:200], error=repr(exc))
         return decoded
 
@@ -277,15 +281,6 @@
     return TABLE_PREFIX + TABLE_BY_KIND.get(kind, kind)
 
 
-@contextmanager
-def _decoding(error: type[TableError]) -> Iterator[None]:
-    """Report a malformed response as an error of the table."""
-    try:
-        yield
-    except _DECODING_ERRORS as exc:
-        raise error(f"malformed response: {exc!r:.200}") from exc
-
-
 def _raise_unless_ok(status: int) -> None:
     if status == OK:
         return
--- a/toucanspool/routing/routes.py
+++ b/toucanspool/routing/routes.py
@@ -67,7 +67,7 @@
         return self.kind is CallKind.IDEMPOTENT
 
     def service(self, rng: random.Random) -> str:
-        """Return a service, chosen at random by weight.
+        """Return a service, chosen at random by weight; an empty name without one.
 
         Parameters
         ----------
@@ -78,8 +78,8 @@
         -------
         str
         """
-        if len(self.services) == 1:
-            return self.services[0][0]
+        if len(self.services) <= 1:
+            return self.services[0][0] if self.services else ""
         names = [name for name, _ in self.services]
         return rng.choices(names, [weight for _, weight in self.services])[0]
 
