Leave sets without counts alone in the search for few slots

Cause: found by reading. A set without counts has times of 0, its relative times are no numbers, and a gain that is no number passed the comparison with the least gain.

Change: the search takes only sets with demand.

Test: test_a_set_without_counts_is_left_alone failed with a division by zero before; 28 tests of tests/groups/few_slots pass.

--- a/tests/groups/few_slots/test_slot_search.py
+++ b/tests/groups/few_slots/test_slot_search.py
@@ -126,6 +126,19 @@
     assert np.array_equal(planned.held, first_copies(size).held)
 
 
+def test_a_set_without_counts_is_left_alone():
+    """Guards against moves by times that are no numbers."""
+    size = SIZES[1]
+    world, copies = sampled(size, 1), first_copies(size)
+    demand = world.shares.copy()
+    demand[3] = 0.0
+    with np.errstate(all="raise"):
+        planned = plan(size, copies, demand, world.slowdowns)
+    changed = (planned.held != copies.held).any(axis=(1, 2))
+    assert not changed[3]
+    assert changed.sum() == size.sets - 1
+
+
 def test_experts_are_exchanged_where_no_slot_is_spare():
     """Guards against a search that needs empty slots or dropped copies."""
     size = Size(ranks=8, experts=32, slots=4, max_per_rank=24, aim=1.5)
--- a/toucanspool/groups/few_slots/slot_search.py
+++ b/toucanspool/groups/few_slots/slot_search.py
@@ -81,8 +81,9 @@
         table = SlotTable(
             self._copies, max_per_rank=max_per_rank, max_per_set=max_per_set
         )
-        n_sets, slots, ranks = table.slots.shape
-        sets = np.arange(n_sets)
+        _, slots, ranks = table.slots.shape
+        # A set without counts has no slowest rank.
+        sets = np.flatnonzero(self._demand.any(axis=1))
         moves = slots * slots * min(MAX_RECEIVERS, ranks)
         work = 0
         while sets.size and work < max_work:
