--- a/tests/platform/test_peer_status.py
+++ b/tests/platform/test_peer_status.py
@@ -10,6 +10,7 @@
 from toucanspool.platform import probes
 from toucanspool.platform.peer_status import decode_peer_status
 from toucanspool.platform.probes import Prober
+from toucanspool.platform.unpooled_client import JsonResponse
 
 JUNK = [5, -1, 1e300, "x", None, True, [], [[]], {}, {"s": "x"}, {"s": -1}, {"s": [1]}]
 FIELDS = ["carried", "loads", "limits", "count", "lost"]
@@ -26,7 +27,9 @@
 @pytest.mark.parametrize("body", JUNK + [{name: v} for name in FIELDS for v in JUNK])
 def test_a_malformed_answer_ends_neither_probes_nor_ticks(monkeypatch, body):
     """Guards against an answer that stops the limits or hides a lost entry."""
-    monkeypatch.setattr(probes, "_send_probe", lambda *args: (200, body))
+    monkeypatch.setattr(
+        probes, "_send_probe", lambda *args: JsonResponse(200, {}, body)
+    )
     entries = Entries(EntryRecord("e1", "10.0.0.1:1", "10.0.0.1:2"))
     record = EntryRecord("e2", "10.0.0.2:1", "10.0.0.2:2")
     entries.put(Row("entry/e2", record.encode(), 1))
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -3,9 +3,8 @@
 import pytest
 import yaml
 
+from toucanspool.settings.row_store import FEED_RECOVERY_S, RowStore
 from toucanspool.settings.settings import (
-    FEED_RECOVERY_S,
-    RowStore,
     SettingsError,
     load_settings,
 )
--- a/toucanspool/routing/second_choice.py
+++ b/toucanspool/routing/second_choice.py
@@ -68,7 +68,7 @@
 
     def _is_sound(self, upstream: Upstream, now: float) -> bool:
         return (
-            not upstream.limit.limited
+            not upstream.bounded
             and self._upstreams.slowdown(upstream) <= MAX_SLOWDOWN
             and self._ejector.weight(upstream.name, now) >= 1.0
         )
