Repeat lost orders of a switch sooner

A group waits while a pass is held, and an order whose answer was lost was repeated after 0.2 s. Orders to arm, hold and go are now given up after 0.1 s; engines answer their own machine within milliseconds.

--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -17,6 +17,7 @@
     OrderRefused,
     RankEngineError,
 )
+from toucanspool.platform import engine
 from toucanspool.platform.engine import PlatformEngine
 
 REPORT = {
@@ -185,3 +186,25 @@
     finally:
         client.close()
         server.stop(timeout=0)
+
+
+def test_an_order_that_holds_up_the_group_is_given_up_sooner(monkeypatch):
+    """Guards against a group that stands still for the whole time of a read."""
+    monkeypatch.setattr(engine, "TIMEOUT_S", 10.0)
+    monkeypatch.setattr(engine, "SWITCH_TIMEOUT_S", 0.05)
+
+    def serve(sock, address):
+        sock.recv(65536)
+        gevent.sleep(0.5)
+        sock.sendall(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client = PlatformEngine("127.0.0.1", server.server_port)
+    try:
+        client.prepare(4, np.array([[[0, 1]]]), 2)
+        with pytest.raises(OrderLost):
+            client.hold(60, 2)
+    finally:
+        client.close()
+        server.stop(timeout=0)
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -19,6 +19,10 @@
 
 # An engine answers requests from its own machine within milliseconds.
 TIMEOUT_S = 0.2
+# The whole group waits for these orders during a switch, so that a lost one is repeated
+# sooner. A repeated order is harmless.
+SWITCH_TIMEOUT_S = 0.1
+SWITCH_OPERATIONS = frozenset({"arm", "hold", "go"})
 INSTANCE_ID = "toucanspool-instance-id"
 GROUP_OPEN = "open"
 ACCEPTED_STATUSES = (200, 202)
@@ -39,7 +43,7 @@
         TCP port.
     """
 
-    __slots__ = ("_pooled_client", "_unpooled_client", "_layer_sets")
+    __slots__ = ("_layer_sets", "_pooled_client", "_switch_client", "_unpooled_client")
 
     def __init__(self, host: str, port: int) -> None:
         # New connections cost the engine time, so reads that are sent several times a
@@ -49,6 +53,7 @@
             host, port, timeout_s=TIMEOUT_S, reuse_connections=True
         )
         self._unpooled_client = UnpooledClient(host, port, timeout_s=TIMEOUT_S)
+        self._switch_client = UnpooledClient(host, port, timeout_s=SWITCH_TIMEOUT_S)
         self._layer_sets = 0
 
     def state(self) -> RankState:
@@ -156,8 +161,10 @@
 
     def _send_order(self, operation: str, epoch: int, **fields: Any) -> None:
         body = {"operation": operation, "epoch": epoch, **fields}
+        switches = operation in SWITCH_OPERATIONS
+        client = self._switch_client if switches else self._unpooled_client
         try:
-            status = self._unpooled_client.call("POST", "/order", body).status
+            status = client.call("POST", "/order", body).status
         except CallRefused as exc:
             raise OrderRefused(str(exc)) from exc
         except CallLost as exc:
