--- a/tests/gateway/test_attempt_race.py
+++ b/tests/gateway/test_attempt_race.py
@@ -31,7 +31,7 @@
         routes_version=1,
         service="desk",
         team="",
-        priority=0,
+        urgency=0,
         deadline=Deadline(now + 1.0),
         arrived_at=now,
     )
