Keep second attempts in the regions where their call may run

The choice of the second upstream ignored the regions of route and team, so a slow call that is bound to a region was also sent to upstreams outside of it.

--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -10,6 +10,7 @@
 from standins.raw_upstream import answering, event, reply, streaming
 from tests.gateway.gateways import Gateway, gateway, route
 from tests.gateway.test_calls import rejecting, truncated_reply
+from tests.gateway.test_evacuated_upstreams import place
 from tests.gateway.test_stream import ALL, EVENTS, decode_chunks
 from toucanspool.gateway import stream
 from toucanspool.gateway.crash_watch import CHECK_DELAY_S, CrashWatch
@@ -447,3 +448,14 @@
         gw.call("POST", body=b"ask")
         resumed = [u for u in gw.upstreams if u.seen[0].header("last-event-id") == "2"]
         assert len(resumed) == 1
+
+
+def test_a_second_attempt_stays_in_the_regions_of_its_call():
+    """Guards against a call that runs in a region where it must not."""
+    routes = [route(allowed_regions=frozenset({"north"}))]
+    slow = after(3 * DELAY_S, answering(b"first"))
+    with hedging_gateway(slow, answering(b"second"), routes=routes) as gw:
+        gw.core.regions.replace({"one": "north", "two": "south"})
+        place(gw, "one", "two")
+        assert gw.call()[2] == b"first"
+        assert seen(gw) == [1, 0]
--- a/tests/routing/test_second_choice.py
+++ b/tests/routing/test_second_choice.py
@@ -5,6 +5,7 @@
 import pytest
 
 from toucanspool.retries.ejection import AttemptResult, Ejector
+from toucanspool.routing.regions import Regions
 from toucanspool.routing.second_choice import SecondChoice
 from toucanspool.routing.upstream import Listing
 from toucanspool.routing.upstreams import UpstreamList
@@ -84,3 +85,19 @@
     assert choose(upstreams, ejector) == "u1"
     obstacle(upstreams, ejector)
     assert choose(upstreams, ejector) is None
+
+
+def test_a_call_that_is_bound_to_regions_gets_none_outside_of_them():
+    """Guards against a call that runs in a region where it must not."""
+    upstreams, ejector = fleet("a", "b", "c")
+    regions = Regions({"a": "north", "b": "south", "c": "north"})
+    second_choice, first = (
+        SecondChoice(upstreams, ejector, regions),
+        upstreams.find("u0"),
+    )
+    upstreams.find("u2").in_flight = 1
+    assert second_choice.choose(first, NOW).name == "u1"
+    north = frozenset({"north"})
+    assert second_choice.choose(first, NOW, regions=north).name == "u2"
+    upstreams.find("u2").leave()
+    assert second_choice.choose(first, NOW, regions=north) is None
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -176,7 +176,7 @@
         if hedging is not None and hedging.ratio > 0.0:
             runner.enable(
                 HedgePolicy(hedging),
-                SecondChoice(self.upstreams, self.ejector),
+                SecondChoice(self.upstreams, self.ejector, self.regions),
                 self._is_full,
                 self._metrics.hedging,
             )
--- a/toucanspool/gateway/hedged_attempt.py
+++ b/toucanspool/gateway/hedged_attempt.py
@@ -239,7 +239,7 @@
     ) -> Upstream | None:
         """Return the upstream of a second attempt, or None if none is sent."""
         now = time.monotonic()
-        upstream = self._second_choice.choose(first, now)
+        upstream = self._second_choice.choose(first, now, regions=call.regions)
         decision = policy.decide(
             HedgedCall(
                 service=call.service,
--- a/toucanspool/routing/second_choice.py
+++ b/toucanspool/routing/second_choice.py
@@ -1,6 +1,9 @@
 """Choice of the upstream for the second attempt at a call."""
 
+from collections.abc import Collection
+
 from toucanspool.retries.ejection import Ejector
+from toucanspool.routing.regions import Regions
 from toucanspool.routing.upstream import Upstream
 from toucanspool.routing.upstreams import UpstreamList
 
@@ -24,15 +27,29 @@
         Upstreams to choose from.
     ejector : Ejector
         Provides the weight of each upstream by its health.
+    regions : Regions, optional
+        Regions of the upstreams; by default, none is known.
     """
 
-    __slots__ = ("_ejector", "_upstreams")
+    __slots__ = ("_ejector", "_regions", "_upstreams")
 
-    def __init__(self, upstreams: UpstreamList, ejector: Ejector) -> None:
+    def __init__(
+        self,
+        upstreams: UpstreamList,
+        ejector: Ejector,
+        regions: Regions | None = None,
+    ) -> None:
         self._upstreams = upstreams
         self._ejector = ejector
+        self._regions = regions or Regions()
 
-    def choose(self, first: Upstream, now: float) -> Upstream | None:
+    def choose(
+        self,
+        first: Upstream,
+        now: float,
+        *,
+        regions: Collection[str] | None = None,
+    ) -> Upstream | None:
         """Return the upstream for a second attempt.
 
         Parameters
@@ -41,15 +58,20 @@
             Upstream of the first attempt.
         now : float
             Seconds on the monotonic clock.
+        regions : collection of str or None
+            Regions in which the call may run; None for any upstream.
 
         Returns
         -------
         Upstream or None
             None if no other one is free.
         """
+        available = self._regions.select(
+            self._upstreams.available(first.listing.service, now), regions
+        )
         free = [
             (self._upstreams.load(upstream, now), upstream)
-            for upstream in self._upstreams.available(first.listing.service, now)
+            for upstream in available
             if upstream is not first and self._is_sound(upstream, now)
         ]
         free = [option for option in free if option[0] + 1.0 <= option[1].listing.slots]
