Close an attempt that has lost as soon as another one answers

Attempts that had already ended with a server error, or with an answer that came second, kept their connection and counted as load of their upstream until the winning stream ended.

--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -459,3 +459,15 @@
         place(gw, "one", "two")
         assert gw.call()[2] == b"first"
         assert seen(gw) == [1, 0]
+
+
+def test_a_loser_that_has_ended_is_closed_before_the_winning_stream_ends():
+    """Guards against counting an ended attempt as long as the winning stream runs."""
+    error = answering(b"no", status="500 Failed")
+    slow = after(2 * DELAY_S, streaming(EVENTS, gap_s=1.5 * DELAY_S))
+    with hedging_gateway(slow, error, routes=STREAM) as gw:
+        call = gevent.spawn(gw.call, "POST", body=b"ask")
+        gevent.sleep(4.5 * DELAY_S)
+        assert seen(gw) == [1, 1]
+        assert [gw.core.upstreams.find(u).in_flight for u in ("u0", "u1")] == [1, 0]
+        assert decode_chunks(call.get()[2]) == ALL + b"(end)"
--- a/toucanspool/gateway/attempt_race.py
+++ b/toucanspool/gateway/attempt_race.py
@@ -177,8 +177,22 @@
             raise outcome.error
         return outcome
 
-    def end_running(self) -> list[Outcome]:
-        """End the attempts that are still running, and return them."""
+    def end_others(self, kept: Outcome | None) -> list[Outcome]:
+        """End all attempts but one and close their connections.
+
+        Parameters
+        ----------
+        kept : Outcome or None
+            Attempt that has ended and stays open; None for none.
+
+        Returns
+        -------
+        list of Outcome
+            The attempts that were still running.
+        """
+        for outcome, _ in self._started:
+            if outcome.ended_at and outcome is not kept:
+                outcome.close()
         running = [option for option in self._started if not option[0].ended_at]
         for outcome, task in running:
             outcome.abandoned = True
@@ -190,10 +204,7 @@
 
     def close(self) -> None:
         """End all attempts and close their connections."""
-        self.end_running()
-        for outcome, _ in self._started:
-            if outcome.ended_at:
-                outcome.close()
+        self.end_others(None)
 
     def _run(self, outcome: Outcome, until: float) -> None:
         try:
--- a/toucanspool/gateway/hedged_attempt.py
+++ b/toucanspool/gateway/hedged_attempt.py
@@ -204,7 +204,7 @@
             outcome = other
         while (lost := race.take_ended()) is not None:
             self._record_lost(call, progress, lost)
-        for lost in race.end_running():
+        for lost in race.end_others(outcome):
             self._results.record_outrun(progress, lost, first=lost is first)
         progress.start_attempt(outcome.started_at)
         return outcome
