Answer a call although its other attempt could not be held in memory

An error that is not one of the upstream ended the call even if the other attempt had answered or was still running. It now ends the call only if no attempt answers.

--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -14,6 +14,7 @@
 from tests.gateway.test_stream import ALL, EVENTS, decode_chunks
 from toucanspool.gateway import stream
 from toucanspool.gateway.crash_watch import CHECK_DELAY_S, CrashWatch
+from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.retries.ejection import FAILURES_TO_EJECT
 from toucanspool.retries.hedging import HedgePolicy
 from toucanspool.routing.routes import CallKind
@@ -461,6 +462,18 @@
         assert seen(gw) == [1, 0]
 
 
+@pytest.mark.parametrize("excess", [0, 1])
+def test_a_reply_that_can_not_be_held_leaves_the_call_to_the_other_attempt(excess):
+    """Guards against a refusal while an answer is ready or may still come."""
+    scripts = [after(3 * DELAY_S, answering(b"small"))] * 2
+    scripts[excess] = after(1.5 * DELAY_S, answering(b"x" * 100_000))
+    with hedging_gateway(*scripts, memory=MemoryBudget(50_000)) as gw:
+        status, _, body = gw.call()
+        assert seen(gw) == [1, 1]
+        assert not gw.core.ejector.ejected
+    assert (status, body) == (200, b"small")
+
+
 def test_a_loser_that_has_ended_is_closed_before_the_winning_stream_ends():
     """Guards against counting an ended attempt as long as the winning stream runs."""
     error = answering(b"no", status="500 Failed")
--- a/toucanspool/gateway/attempt_race.py
+++ b/toucanspool/gateway/attempt_race.py
@@ -81,6 +81,11 @@
         """Return whether nothing of an answer has arrived."""
         return not self.attempt.status
 
+    def raise_unexpected(self) -> None:
+        """Raise its error unless that is one by which attempts usually fail."""
+        if self.error is not None and not isinstance(self.error, ATTEMPT_ERRORS):
+            raise self.error
+
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
         if not self._closed:
@@ -173,8 +178,6 @@
         self.pending -= 1
         if not self._finished:
             self._ended.clear()
-        if outcome.error is not None and not isinstance(outcome.error, ATTEMPT_ERRORS):
-            raise outcome.error
         return outcome
 
     def end_others(self, kept: Outcome | None) -> list[Outcome]:
@@ -212,7 +215,7 @@
         except gevent.GreenletExit:
             outcome.close()
             return
-        except Exception as exc:  # raised again where the outcome is taken
+        except Exception as exc:  # raised again if no other attempt answers
             outcome.error = exc
         outcome.ended_at = time.monotonic()
         # It may end by itself between being told to and the exception that ends it.
--- a/toucanspool/gateway/attempt_results.py
+++ b/toucanspool/gateway/attempt_results.py
@@ -5,7 +5,11 @@
 import structlog
 
 from toucanspool.gateway.attempt import TurnedAway
-from toucanspool.gateway.attempt_race import SERVER_ERROR_STATUSES, Outcome
+from toucanspool.gateway.attempt_race import (
+    ATTEMPT_ERRORS,
+    SERVER_ERROR_STATUSES,
+    Outcome,
+)
 from toucanspool.gateway.call import Call
 from toucanspool.gateway.crash_guard import CrashGuard
 from toucanspool.gateway.progress import CallProgress
@@ -120,12 +124,21 @@
         """
         # Crashes are told apart by when the attempt at the upstream in question began.
         progress.start_attempt(lost.started_at)
-        if lost.error is not None:
+        if isinstance(lost.error, ATTEMPT_ERRORS):
             self.record_failure(
                 call, progress, lost.upstream, lost.error, sent=lost.attempt.sent
             )
             return
-        self.record_status(call, lost.upstream, lost.attempt.status)
+        if lost.error is None:
+            self.record_status(call, lost.upstream, lost.attempt.status)
+        else:
+            # Says nothing about the upstream, as where its reply can't be held.
+            _log.warning(
+                "attempt given up",
+                request_id=call.id,
+                upstream=lost.upstream.name,
+                error=repr(lost.error),
+            )
         self._count_run(progress, lost)
 
     def record_outrun(
--- a/toucanspool/gateway/hedged_attempt.py
+++ b/toucanspool/gateway/hedged_attempt.py
@@ -182,6 +182,7 @@
                 if other is not None:
                     second = race.start(other, attempt_end(progress.runs + 1))
                 outcome = self._settle(call, progress, race, first)
+            outcome.raise_unexpected()
             if outcome.answers:
                 winner = "second" if outcome is second else "first"
         finally:
