--- a/toucanspool/gateway/attempt_race.py
+++ b/toucanspool/gateway/attempt_race.py
@@ -81,6 +81,11 @@
         """Return whether nothing of an answer has arrived."""
         return not self.attempt.status
 
+    def raise_unexpected(self) -> None:
+        """Raise its error unless that is one by which attempts usually fail."""
+        if self.error is not None and not isinstance(self.error, ATTEMPT_ERRORS):
+            raise self.error
+
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
         if not self._closed:
@@ -173,12 +178,24 @@
         self.pending -= 1
         if not self._finished:
             self._ended.clear()
-        if outcome.error is not None and not isinstance(outcome.error, ATTEMPT_ERRORS):
-            raise outcome.error
         return outcome
 
-    def end_running(self) -> list[Outcome]:
-        """End the attempts that are still running, and return them."""
+    def end_others(self, kept: Outcome | None) -> list[Outcome]:
+        """End all attempts but one and close their connections.
+
+        Parameters
+        ----------
+        kept : Outcome or None
+            Attempt that has ended and stays open; None for none.
+
+        Returns
+        -------
+        list of Outcome
+            The attempts that were still running.
+        """
+        for outcome, _ in self._started:
+            if outcome.ended_at and outcome is not kept:
+                outcome.close()
         running = [option for option in self._started if not option[0].ended_at]
         for outcome, task in running:
             outcome.abandoned = True
@@ -190,10 +207,7 @@
 
     def close(self) -> None:
         """End all attempts and close their connections."""
-        self.end_running()
-        for outcome, _ in self._started:
-            if outcome.ended_at:
-                outcome.close()
+        self.end_others(None)
 
     def _run(self, outcome: Outcome, until: float) -> None:
         try:
@@ -201,7 +215,7 @@
         except gevent.GreenletExit:
             outcome.close()
             return
-        except Exception as exc:  # raised again where the outcome is taken
+        except Exception as exc:  # raised again if no other attempt answers
             outcome.error = exc
         outcome.ended_at = time.monotonic()
         # It may end by itself between being told to and the exception that ends it.
--- a/toucanspool/gateway/hedged_attempt.py
+++ b/toucanspool/gateway/hedged_attempt.py
@@ -182,6 +182,7 @@
                 if other is not None:
                     second = race.start(other, attempt_end(progress.runs + 1))
                 outcome = self._settle(call, progress, race, first)
+            outcome.raise_unexpected()
             if outcome.answers:
                 winner = "second" if outcome is second else "first"
         finally:
@@ -204,7 +205,7 @@
             outcome = other
         while (lost := race.take_ended()) is not None:
             self._record_lost(call, progress, lost)
-        for lost in race.end_running():
+        for lost in race.end_others(outcome):
             self._results.record_outrun(progress, lost, first=lost is first)
         progress.start_attempt(outcome.started_at)
         return outcome
