--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -132,3 +132,11 @@
     assert (service.cold_start_s, service.cold_per_s) == (20.0, 2.5)
     unbounded = {"name": "a", "coldStartS": None, "coldPerS": 0}
     assert decode_with(services=[unbounded]).services["a"].cold_per_s == 0.0
+
+
+@pytest.mark.parametrize("field", ["coldStartS", "coldPerS"])
+@pytest.mark.parametrize("value", ["nan", "inf", 1e308, -1])
+def test_cold_starts_that_can_not_be_divided_are_refused(field, value):
+    """Guards against a rate at which each tick of the limits would raise."""
+    with pytest.raises(BadConfiguration):
+        decode_with(services=[{"name": "a", field: value}])
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -121,8 +121,8 @@
         name=text(service["name"]),
         health_path=text(service.get("healthPath") or "/"),
         engine=_decode_engine(engine) if engine else None,
-        cold_start_s=max(0.0, float(service.get("coldStartS") or 0.0)),
-        cold_per_s=max(0.0, float(service.get("coldPerS") or 0.0)),
+        cold_start_s=number(service.get("coldStartS") or 0.0),
+        cold_per_s=number(service.get("coldPerS") or 0.0),
     )
 
 
