Rank calls that are no streams by their own priority

The stream limit also holds for other calls of the service. Those whose priority no stream has were ranked as the most urgent, whatever their priority was.

--- a/tests/routing/test_urgency.py
+++ b/tests/routing/test_urgency.py
@@ -18,3 +18,10 @@
 def test_teams_without_a_priority_rank_by_the_route_alone():
     order = UrgencyOrder({(0, True), (3, False)}, {None})
     assert (order.rank(0, None), order.rank(3, None)) == (0, 1)
+
+
+def test_a_priority_that_no_stream_has_ranks_among_those_of_the_streams():
+    """Guards against other calls of the service that go before urgent streams."""
+    order = UrgencyOrder({(1, False), (3, False)}, {None})
+    assert [order.rank(route, None) for route in (0, 1, 2, 3, 7)] == [0, 0, 1, 1, 2]
+    assert order.levels == 2
--- a/toucanspool/routing/urgency.py
+++ b/toucanspool/routing/urgency.py
@@ -1,5 +1,6 @@
 """The order of urgency of streams, by the priorities of their teams and routes."""
 
+from bisect import bisect_left
 from collections.abc import Collection
 
 # The priority of a team and that of a route.
@@ -20,7 +21,7 @@
         Priorities of all teams; None stands for teams without one.
     """
 
-    __slots__ = ("_ranks",)
+    __slots__ = ("_priorities",)
 
     def __init__(
         self,
@@ -32,29 +33,29 @@
             for route, public in of_routes
             for team in ((None,) if public else of_teams or (None,))
         }
-        self._ranks = {p: rank for rank, p in enumerate(sorted(priorities))}
+        self._priorities = sorted(priorities)
 
     @property
     def levels(self) -> int:
         """Return the number of different priorities."""
-        return len(self._ranks)
+        return len(self._priorities)
 
     def rank(self, route: int, team: int | None) -> int:
-        """Return the rank of a stream's priority.
+        """Return the number of streams' priorities that go before one.
 
         Parameters
         ----------
         route : int
-            Priority of its route.
+            Priority of the route of a stream or another call.
         team : int or None
             Priority of its team; None if the route's alone counts.
 
         Returns
         -------
         int
-            0 for the most urgent streams, and for services of a single priority.
+            0 for the most urgent calls.
         """
-        return self._ranks.get(_combine(route, team), 0)
+        return bisect_left(self._priorities, _combine(route, team))
 
 
 def _combine(route: int, team: int | None) -> Priority:
