--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -175,6 +175,27 @@
         assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
 
 
+def test_a_comment_without_an_event_does_not_win():
+    """Guards against a stalled stream whose upstream sends comments."""
+
+    def comments(sock, seen):
+        streaming([b": wait\n\n"], cut=True)(sock, seen)
+        Hanging()(sock, seen)
+
+    with (
+        hedging_gateway(comments, streaming(EVENTS), routes=STREAM) as gw,
+        gevent.Timeout(SOON_S),
+    ):
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+def test_a_comment_before_the_first_event_is_passed_on():
+    begun = streaming([b": wait\n\n", *EVENTS])
+    with hedging_gateway(begun, streaming(EVENTS), routes=STREAM) as gw:
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b": wait\n\n" + ALL + b"(end)"
+
+
 def test_a_stream_whose_events_have_begun_gets_no_second_attempt():
     slow = streaming(EVENTS, gap_s=0.04)
     with hedging_gateway(slow, streaming(EVENTS), routes=STREAM) as gw:
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -14,7 +14,7 @@
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay, may_follow
 from toucanspool.routing.upstream import Upstream
-from toucanspool.wire.event_splitter import EventSplitter
+from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
 
@@ -179,11 +179,18 @@
     def _open_with_event(
         self, call: Call, attempt: Attempt, until: float, idle_timeout_s: float
     ) -> _Source:
-        """Open a stream with a splitter of its own, and wait for its first event."""
+        """Open a stream with a splitter of its own, and wait for its first event.
+
+        Comments and other events without data don't count as one.
+        """
         splitter = EventSplitter(last_id=call.last_event_id)
         source = self._open(call, attempt, until, idle_timeout_s, splitter)
         if source.failure_body is None:
-            first = next(source.events, b"")
+            first = b""
+            for events in source.events:
+                first += events
+                if splitter.data_returned or len(first) > MAX_EVENT_BYTES:
+                    break
             if not first and not attempt.framed:
                 raise BrokenReply("the stream ended inside an event")
             source.events = _prepend(first, source.events)
