Keep slow streams whose second attempt was their last one

The winner kept the idle time of a first attempt, 1.7 s, after which another upstream could resume it. With both attempts used none may, so the stream now gets the idle time of a last attempt, 2.5 s.

--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -462,6 +462,23 @@
         assert sum(seen(gw)) == 2
 
 
+def test_a_slow_stream_that_nobody_can_resume_any_more_is_kept(monkeypatch):
+    """Guards against cutting off the winner after the time of a first attempt."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 1.0)
+
+    def slow(sock, request):
+        streaming(EVENTS[:1], cut=True)(sock, request)
+        gevent.sleep(0.5)
+        rest = b"".join(EVENTS[1:])
+        sock.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+
+    with hedging_gateway(Hanging(), slow, routes=STREAM) as gw:
+        body = gw.call("POST", body=b"ask")[2]
+        assert seen(gw) == [1, 1]
+    assert decode_chunks(body) == ALL + b"(end)"
+
+
 def test_events_are_numbered_as_the_caller_expects():
     # The last event's id is the winner's, so that a later break resumes after it.
     broken = streaming([event(1), event(2)], cut=True)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -135,7 +135,7 @@
                 idle_timeout_s: float = idle_timeout_s,
             ) -> _Source:
                 if hedged:
-                    return self._open_with_event(call, attempt, until, idle_timeout_s)
+                    return self._open_with_event(call, progress, attempt, until)
                 return self._open(call, attempt, until, idle_timeout_s, splitter)
 
             outcome = self._relay.runner.run(
@@ -177,23 +177,27 @@
         return source
 
     def _open_with_event(
-        self, call: Call, attempt: Attempt, until: float, idle_timeout_s: float
+        self, call: Call, progress: CallProgress, attempt: Attempt, until: float
     ) -> _Source:
         """Open a stream with a splitter of its own, and wait for its first event.
 
         Comments and other events without data don't count as one.
         """
         splitter = EventSplitter(last_id=call.last_event_id)
+        idle_timeout_s = _idle_timeout_s(call, progress)
         source = self._open(call, attempt, until, idle_timeout_s, splitter)
         if source.failure_body is None:
             first = b""
             for events in source.events:
                 first += events
                 if splitter.data_returned or len(first) > MAX_EVENT_BYTES:
-                    break
+                    source.events = _after_first(
+                        first, call, progress, attempt, splitter
+                    )
+                    return source
             if not first and not attempt.framed:
                 raise BrokenReply("the stream ended inside an event")
-            source.events = _prepend(first, source.events)
+            source.events = iter([first] if first else [])
         return source
 
     def _relay_events(
@@ -268,6 +272,22 @@
     return LAST_ATTEMPT_IDLE_TIMEOUT_S
 
 
+def _after_first(
+    first: bytes,
+    call: Call,
+    progress: CallProgress,
+    attempt: Attempt,
+    splitter: EventSplitter,
+) -> Iterator[bytes]:
+    """Yield the first events, and the others as long as they may take then.
+
+    If there was a second attempt, it may have been the last one.
+    """
+    yield first
+    idle_timeout_s = _idle_timeout_s(call, progress)
+    yield from attempt.iter_events(splitter, idle_timeout_s, call.deadline.at)
+
+
 def _prepend(first: bytes, events: Iterator[bytes]) -> Iterator[bytes]:
     if first:
         yield first
