--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -175,6 +175,27 @@
         assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
 
 
+def test_a_comment_without_an_event_does_not_win():
+    """Guards against a stalled stream whose upstream sends comments."""
+
+    def comments(sock, seen):
+        streaming([b": wait\n\n"], cut=True)(sock, seen)
+        Hanging()(sock, seen)
+
+    with (
+        hedging_gateway(comments, streaming(EVENTS), routes=STREAM) as gw,
+        gevent.Timeout(SOON_S),
+    ):
+        assert decode_chunks(gw.call("POST", body=b"ask")[2]) == ALL + b"(end)"
+
+
+def test_a_comment_before_the_first_event_is_passed_on():
+    begun = streaming([b": wait\n\n", *EVENTS])
+    with hedging_gateway(begun, streaming(EVENTS), routes=STREAM) as gw:
+        body = decode_chunks(gw.call("POST", body=b"ask")[2])
+    assert body == b": wait\n\n" + ALL + b"(end)"
+
+
 def test_a_stream_whose_events_have_begun_gets_no_second_attempt():
     slow = streaming(EVENTS, gap_s=0.04)
     with hedging_gateway(slow, streaming(EVENTS), routes=STREAM) as gw:
@@ -441,6 +462,23 @@
         assert sum(seen(gw)) == 2
 
 
+def test_a_slow_stream_that_nobody_can_resume_any_more_is_kept(monkeypatch):
+    """Guards against cutting off the winner after the time of a first attempt."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 1.0)
+
+    def slow(sock, request):
+        streaming(EVENTS[:1], cut=True)(sock, request)
+        gevent.sleep(0.5)
+        rest = b"".join(EVENTS[1:])
+        sock.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+
+    with hedging_gateway(Hanging(), slow, routes=STREAM) as gw:
+        body = gw.call("POST", body=b"ask")[2]
+        assert seen(gw) == [1, 1]
+    assert decode_chunks(body) == ALL + b"(end)"
+
+
 def test_events_are_numbered_as_the_caller_expects():
     # The last event's id is the winner's, so that a later break resumes after it.
     broken = streaming([event(1), event(2)], cut=True)
