Tell callers that their call was not run when its time ends before admission

A call whose deadline passed while it waited for admission was answered 504 with an unknown outcome, although no upstream had received it. The refusal now says that it was not run.

--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+import gevent
+
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.relay import Relay
 from toucanspool.gateway.stream import StreamRelay
@@ -98,6 +100,9 @@
         now = time.monotonic()
         try:
             closing.enter_context(limiter.hold(call.team, call.urgency))
+        except gevent.Timeout as exc:
+            # The call's time is over, and no upstream has received it.
+            raise Refused(RefusalCause.DEADLINE) from exc
         except Shed as exc:
             self._relay.runner.record_scarcity(call.service)
             left_s = max(0.0, call.deadline.left_s(now))
