Count streams of the other order against the limit

After the streams of a service got a second priority, both gates admitted up to the whole limit, so that an entry could run twice as many for the length of one stream. Each gate now leaves room for the streams of the other. The test failed before: full room was left.

--- a/tests/limits/test_stream_limiter.py
+++ b/tests/limits/test_stream_limiter.py
@@ -35,6 +35,16 @@
     assert limiter.running == 0
 
 
+def test_streams_of_the_other_order_take_room():
+    """Guards against twice the limit while a service changes its order."""
+    limiter = make()
+    before = limiter.capacity
+    with limiter.hold("a", 0), limiter.hold("a", 0):
+        limiter.by_urgency = True
+        limiter.adapt(ENGINE, 4, 1, (), 1.1)
+        assert limiter.capacity <= before - 1.5
+
+
 def test_it_is_full_once_a_further_stream_would_wait():
     limiter, full = make(), []
     limiter.by_urgency = True
--- a/toucanspool/limits/stream_limiter.py
+++ b/toucanspool/limits/stream_limiter.py
@@ -134,8 +134,12 @@
             engine, upstreams, entries, mean_running, now, usable=usable
         )
         limit = self._spare_capacity.limit(equal_limit, others)
-        self._fair_gate.admission.resize(limit, now)
-        self._urgency_gate.admission.resize(limit, now)
+        # Streams of the other order run on after the service has changed its order.
+        for gate, other in (
+            (self._fair_gate, self._urgency_gate),
+            (self._urgency_gate, self._fair_gate),
+        ):
+            gate.admission.resize(max(0.0, limit - other.admission.running), now)
 
     def log_fields(self, others: Sequence[float]) -> dict[str, float]:
         """Return the limit and its inputs, as fields of a log event.
