Tell callers that all upstreams turn away to come back after the outage

The more of a service's calls are turned away, the later their callers now return, up to 0.3 of the time that they have left.

--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -16,6 +16,7 @@
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
 from toucanspool.retries.ejection import Ejector
+from toucanspool.retries.return_time import ReturnTimes
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.exchange import Unreachable
@@ -63,6 +64,7 @@
         "guard",
         "max_reply_bytes",
         "results",
+        "returns",
         "runner",
     )
 
@@ -77,6 +79,7 @@
         max_reply_bytes: int,
     ) -> None:
         self.max_reply_bytes = max_reply_bytes
+        self.returns = ReturnTimes()
         self.chooser = chooser
         self._budget = budget
         self._limit_sharing = limit_sharing
@@ -121,6 +124,7 @@
                     )
                     continue
                 self.results.record_status(call, upstream, attempt.status)
+                self.returns.record(call.service, turned_away=False)
                 self.guard.record_answer(call, progress, complete=True)
                 progress.runs += 1
                 progress.sends += 1
@@ -197,10 +201,13 @@
         cause = RefusalCause.TURNED_AWAY if turned_away else RefusalCause.BROKEN
         if unreachable:
             cause = RefusalCause.UNREACHABLE
+        retry_after_s = self.chooser.retry_after_s(call)
+        if turned_away:
+            self.returns.record(call.service, turned_away=True)
+            left_s = call.deadline.left_s(time.monotonic())
+            retry_after_s = self.returns.return_s(call.service, retry_after_s, left_s)
         raise Refused(
-            cause,
-            may_have_run=progress.runs > 0,
-            retry_after_s=self.chooser.retry_after_s(call),
+            cause, may_have_run=progress.runs > 0, retry_after_s=retry_after_s
         ) from exc
 
     def _read_whole(self, attempt: Attempt, until: float) -> bytes:
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -159,6 +159,7 @@
                 continue
             source = outcome.value
             source.upstream = outcome.upstream
+            self._relay.returns.record(call.service, turned_away=False)
             return source
 
     def _open(
