Evacuate failure domains and bring upstreams back cold in the soak

The soak had one failure domain and no cold upstream, so that neither the evacuation rows nor the bound on cold upstreams was checked beside other faults. The upstreams now stand in two domains. The operator evacuates and takes back domains beside restarts, outages and restores of the store, and upstreams return cold after crashes, restarts and evacuations. soak/evacuation_watch.py and soak/cold_watch.py check what reaches them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,7 +39,8 @@
         failed_runs += bool(oracle.violations)
         print(
             f"seed {seed}: {oracle.answers} answers, {oracle.refusals} refusals, "
-            f"{len(system.fault_log)} faults, {system.group.step} passes, "
+            f"{len(system.fault_log)} faults, "
+            f"{system.cold_requests} to cold upstreams, {system.group.step} passes, "
             f"{len(oracle.violations)} broken, "
             f"stood still {sum(seconds for _, seconds in oracle.stalls):.1f} s"
         )
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -5,7 +5,9 @@
 import orjson
 
 from soak.callers import HOST, KEY, ROUTE_TIMEOUT_S
+from soak.cold_watch import COLD_PER_S, COLD_START_S
 from soak.config_watch import version_prefix
+from soak.process import GRACE_S
 
 LAYER_SETS, EXPERTS, PLACES = 2, 12, 6
 ROUTE_TYPES = {
@@ -63,8 +65,22 @@
         }
         for prefix, route_type in route_types.items()
     ]
-    services = [{"name": "desk"}, {"name": "ranks", "engine": ENGINE}]
+    cold = {"coldStartS": COLD_START_S, "coldPerS": COLD_PER_S}
+    services = [{"name": "desk"} | cold, {"name": "ranks", "engine": ENGINE}]
     tenants = [{"name": "clerks", "apiKeys": [KEY]}]
     config = {"version": version, "routes": routes}
     config |= {"services": services, "tenants": tenants}
     return orjson.dumps(config)
+
+
+def build_settings(name: str, role: str, section: dict, *, port: int) -> dict:
+    """Return the settings of a process without the address of the store."""
+    return {
+        "role": role,
+        "instance": name,
+        "failure_domain": "one",
+        "host": "127.0.0.1",
+        "port": port,
+        "drain": {"grace_s": GRACE_S},
+        role: section,
+    }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from soak.system import SoakSystem
+    from soak.upstreams import SoakUpstream
 
 
 def _kill(system: "SoakSystem") -> None:
@@ -114,6 +115,7 @@
         pages.silent = True
         gevent.sleep(system.rng.uniform(0.2, 1.0))
         if copied_at <= pages.version:
+            system.evacuations.record_restore()
             pages.lapse(copied_at)
         pages.silent = False
         if system.rng.random() < 0.5:
@@ -156,6 +158,54 @@
         upstream.return_after_crash(system.store.pages, number)
 
 
+def _evacuate(system: "SoakSystem") -> None:
+    """Evacuate a failure domain beside other faults; it comes back cold."""
+    domain = system.rng.choice(sorted({u.domain for u in system.upstreams}))
+    system.start_fault(system.rng.choice(BESIDE_EVACUATIONS))
+    gevent.sleep(system.rng.uniform(0.0, 2.0))
+    if not system.evacuations.evacuate(domain):
+        return
+    gevent.sleep(system.rng.uniform(1.0, 7.0))
+    system.start_fault(system.rng.choice(BESIDE_EVACUATIONS))
+    gevent.sleep(system.rng.uniform(3.0, 6.0))
+    told = system.evacuations.take_back(domain)
+    for upstream in system.upstreams:
+        if upstream.domain != domain or upstream.crashed:
+            continue
+        if upstream.draining_since is None and system.rng.random() < 0.5:
+            upstream.restart(system.store.pages, system.next_upstream_number())
+        else:
+            upstream.turn_cold(told)
+
+
+def _crash_domains(system: "SoakSystem") -> None:
+    """Crash all upstreams, or those of one failure domain; they return cold."""
+    domain = system.rng.choice((*sorted({u.domain for u in system.upstreams}), ""))
+    crashed = [
+        upstream
+        for upstream in system.upstreams
+        if domain in ("", upstream.domain)
+        and upstream.draining_since is None
+        and not upstream.crashed
+    ]
+    for upstream in crashed:
+        upstream.crash()
+    gevent.sleep(system.rng.uniform(0.5, 2.0))
+    for upstream in crashed:
+        upstream.return_after_crash(system.store.pages, system.next_upstream_number())
+
+
+def crash_under(system: "SoakSystem", upstream: "SoakUpstream", body: bytes) -> None:
+    """Crash an upstream under a deadly request; it returns after some time."""
+    gevent.sleep(system.rng.uniform(0.0, 0.1))
+    if upstream.crashed:
+        return
+    system.deadly_requests.record_crash(body)
+    upstream.crash()
+    gevent.sleep(system.rng.uniform(0.5, 2.0))
+    upstream.return_after_crash(system.store.pages, system.next_upstream_number())
+
+
 def _send_deadly_request(system: "SoakSystem") -> None:
     prefix = system.rng.choice(("/book/", "/read/", "/stream/"))
     system.deadly_requests.send(prefix, system.rng.uniform(6.0, 12.0))
@@ -183,6 +233,15 @@
         gevent.sleep(system.rng.uniform(0.0, 0.2))
 
 
+BESIDE_EVACUATIONS = (
+    "kill",
+    "term",
+    "bad link to the store",
+    "store down",
+    "store restored",
+    "store silent",
+    "store forgets",
+)
 FAULTS: dict[str, Callable[["SoakSystem"], None]] = {
     "kill": _kill,
     "kill the coordinator": _kill_coordinator,
@@ -195,6 +254,8 @@
     "store silent": _silence_store,
     "store loses answers": _lose_store_answers,
     "store forgets": _truncate_store_history,
+    "domain evacuated": _evacuate,
+    "domains crash": _crash_domains,
     "deadly request": _send_deadly_request,
     "upstream crashes": _crash_upstream,
     "upstream fails": _fail_upstream,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -210,6 +210,18 @@
         detail = f"{upstream} takes {limit:.1f} a second, got {dict(requests)}"
         self._report("limits are kept", "", detail)
 
+    def record_cold_excess(self, upstream: str, requests: Mapping[str, int]) -> None:
+        """Record that a cold upstream got more requests in a second than it takes."""
+        detail = f"{upstream} is cold, got {dict(requests)} within a second"
+        self._report("cold upstreams are spared", "", detail)
+
+    def record_evacuated(
+        self, call: str, gateway: str, upstream: str, late_s: float
+    ) -> None:
+        """Record that an upstream got a request though its domain was evacuated."""
+        detail = f"{gateway} sent to {upstream}, evacuated {late_s:.1f} s before"
+        self._report("evacuated domains get nothing", call, detail)
+
     def record_deadly(self, call: str, crashes: int) -> None:
         """Record that a request reached an upstream that it crashes, once too often."""
         detail = f"sent although {crashes} upstreams had crashed under it"
--- a/soak/process.py
+++ b/soak/process.py
@@ -13,6 +13,7 @@
 
 # Time that a process has for a graceful stop.
 GRACE_S = 4.0
+EVACUATE_MS = 5000
 
 
 class Process:
@@ -33,6 +34,8 @@
     ----------
     starts : int
         Number of times that the process was started.
+    started_at : float
+        When it was started last, in seconds on the monotonic clock.
     disturbed_at : float
         Time of the last signal, or of the end of the last fault of its link to the
         store, in seconds on the monotonic clock.
@@ -50,11 +53,13 @@
         section = settings[settings["role"]]
         address = f"127.0.0.1:{self.proxy.port}"
         section["store"] = {"address": address, "drain_ms": 600}
+        section["store"]["evacuate_ms"] = EVACUATE_MS
         self.log = folder / f"{self.name}.log"
         self._path = folder / f"{self.name}.yaml"
         self._path.write_text(yaml.safe_dump(settings))
         self._child: subprocess.Popen | None = None
         self._paused = False
+        self.started_at = 0.0
         self.disturbed_at = 0.0
         self.link_faults = 0
         self.starts = 0
@@ -70,7 +75,7 @@
         if self._child is not None and self._child.poll() is None:
             return
         self.starts += 1
-        self.disturbed_at = time.monotonic()
+        self.started_at = self.disturbed_at = time.monotonic()
         with self.log.open("ab") as out:
             self._child = subprocess.Popen(
                 [
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -20,6 +20,8 @@
 from toucanspool.platform import configuration, frontend, listings
 from toucanspool.recovery import election
 from toucanspool.retries.quarantine import Quarantine
+from toucanspool.routing.cold_start import ColdStart
+from toucanspool.routing.evacuation import Evacuations
 from toucanspool.routing.request_limit import RequestLimit
 from toucanspool.routing.routes import CallKind, Route, RouteTable
 from toucanspool.settings.settings import RowStore
@@ -152,6 +154,16 @@
     RequestLimit.limited = property(lambda self: False)
 
 
+def _ignore_cold_starts() -> None:
+    """Send cold upstreams as many requests as warm ones."""
+    ColdStart.update = lambda self, per_s, now: False
+
+
+def _ignore_evacuations() -> None:
+    """Evacuate nothing, whatever the rows say."""
+    Evacuations.change = lambda self, domain, evacuated, now: None
+
+
 def _ignore_crashes() -> None:
     """Block no calls, whatever crashes under them."""
     Quarantine.record_crash = lambda self, crash_id, calls, at: []
@@ -171,6 +183,8 @@
     "a cut stream does not look complete": _trust_closed_connections,
     "replies are bounded": _read_without_limit,
     "deadly requests are refused": _ignore_crashes,
+    "cold upstreams are spared": _ignore_cold_starts,
+    "evacuated domains get nothing": _ignore_evacuations,
     "limits are kept": _ignore_limits,
     "leaving": _ignore_draining,
     "held no longer than its route's time": _extend_timeouts,
--- a/soak/system.py
+++ b/soak/system.py
@@ -14,28 +14,36 @@
 
 from demo.launcher import PortAllocator
 from soak.callers import SoakCaller
+from soak.cold_watch import OVERRUN, SLACK, ColdWatch
 from soak.config_watch import ConfigWatch
-from soak.configuration import EXPERTS, LAYER_SETS, PLACES, build_configuration
+from soak.configuration import (
+    EXPERTS,
+    LAYER_SETS,
+    PLACES,
+    build_configuration,
+    build_settings,
+)
 from soak.deadly_requests import DeadlyRequests
-from soak.faults import FAULTS
+from soak.evacuation_watch import EvacuationWatch
+from soak.faults import FAULTS, crash_under
 from soak.group_watch import GroupWatch
 from soak.limit_watch import LimitWatch
 from soak.oracle import Oracle
-from soak.process import GRACE_S, Process
+from soak.process import Process
 from soak.proxy import LinkMode
+from soak.stalls import record_stalls
 from soak.upstreams import SoakUpstream
 from standins.engine_pages import EnginePages, serve_engine
 from standins.pass_group import MixedMaps, PassGroup
 from standins.row_store import RowStore
 
 GATEWAYS, RANKS, UPSTREAMS = 3, 3, 4
+DOMAINS = ("one", "two")
+# Upstreams write their rows again at this interval.
+HEARTBEAT_S = 1.2
 CALLERS_PER_GATEWAY = 2
 START_S = 3.0
 TICK_S = 0.02
-STALL_CHECK_S = 0.05
-# A busy event loop is late by a few hundredths of a second. A longer delay means that
-# the process got no processor time.
-STALL_S = 0.2
 ADDRESS_TTL_S = 0.3
 # Between series of faults there are calm spells, in which connected processes must have
 # caught up.
@@ -99,7 +107,12 @@
         for row in self.group.rows:
             row.counts = np.ones((LAYER_SETS, EXPERTS), dtype=int)
         self.upstreams = []
+        self.gateways: list[Process] = []
         limit_watch = LimitWatch(self.oracle, self._find_gateway)
+        self.evacuations = EvacuationWatch(
+            self.oracle, self.store.pages, self.gateways, self._find_gateway
+        )
+        self._cold_watch = ColdWatch(self.oracle)
         rng = random.Random(self.rng.random())
         self.deadly_requests = DeadlyRequests(
             self.oracle, self._addresses, self._find_gateway, rng
@@ -108,8 +121,12 @@
             rng = random.Random(self.rng.random())
             upstream = SoakUpstream(
                 f"u{number}",
+                DOMAINS[number % len(DOMAINS)],
                 self.oracle,
                 limit_watch,
+                self.evacuations,
+                self._cold_watch,
+                self._find_gateway,
                 self.deadly_requests,
                 self._crash_upstream,
                 rng,
@@ -117,7 +134,6 @@
             self._cleanup.enter_context(upstream.server)
             upstream.list(self.store.pages)
             self.upstreams.append(upstream)
-        self.gateways = []
         rng = random.Random(self.rng.random())
         self._config_watch = ConfigWatch(self.gateways, self.oracle, rng)
         self.configure()
@@ -150,8 +166,9 @@
         self._started_at = time.monotonic()
         until = self._started_at + seconds
         tasks = [gevent.spawn(self._tick)]
+        beat_task = gevent.spawn(self._beat)
         watch_task = gevent.spawn(self._config_watch.run)
-        stall_task = gevent.spawn(self._record_stalls)
+        stall_task = gevent.spawn(record_stalls, self.oracle)
         for number in range(CALLERS_PER_GATEWAY * self._gateway_count):
             rng = random.Random(self.rng.random())
             caller = SoakCaller(f"c{number}", self._addresses, self.oracle, rng)
@@ -166,7 +183,8 @@
         if isinstance(tasks[0].exception, MixedMaps):
             self.oracle.record_mixed_maps(str(tasks[0].exception))
         tasks[0].kill()
-        gevent.killall([stall_task, watch_task])
+        gevent.killall([stall_task, watch_task, beat_task])
+        self.cold_requests = self._cold_watch.check()
 
     def configure(self) -> None:
         """Write a configuration of a newer version to the store."""
@@ -179,23 +197,14 @@
     def rewrite_store(self) -> None:
         """Write again what a store from an older copy lacks."""
         self.store.pages.put("op", "config", self._config)
+        self.evacuations.rewrite(DOMAINS)
         for upstream in self.upstreams:
             upstream.list(self.store.pages)
         for name, value in self._rank_rows.items():
             self.store.pages.put("servers", name, value)
 
     def _crash_upstream(self, upstream: SoakUpstream, body: bytes) -> None:
-        self._fault_tasks.spawn(self._crash_and_return, upstream, body)
-
-    def _crash_and_return(self, upstream: SoakUpstream, body: bytes) -> None:
-        gevent.sleep(self.rng.uniform(0.0, 0.1))
-        if upstream.crashed:
-            return
-        self.deadly_requests.record_crash(body)
-        upstream.crash()
-        gevent.sleep(self.rng.uniform(0.5, 2.0))
-        number = self.next_upstream_number()
-        upstream.return_after_crash(self.store.pages, number)
+        self._fault_tasks.spawn(crash_under, self, upstream, body)
 
     def _find_gateway(self, call: str) -> Process | None:
         port = self.oracle.call_ports.get(call)
@@ -211,9 +220,10 @@
             "readiness": f"127.0.0.1:{readiness}",
             "directory": f"127.0.0.1:{directory}",
             "address_ttl_s": ADDRESS_TTL_S,
+            "cold_starts": {"overrun": OVERRUN, "slack": SLACK},
             "retries": {"ratio": 0.2, "window_s": 10.0, "extra": 40.0},
         }
-        cfg = self._settings(f"gateway-{number}", "gateway", section, port=1)
+        cfg = build_settings(f"gateway-{number}", "gateway", section, port=1)
         process = Process(cfg, folder, self.store.port, switched_off=self._off)
         process.callers = callers
         self._cleanup.enter_context(process.proxy)
@@ -230,22 +240,11 @@
         self.store.pages.put("servers", name, self._rank_rows[name])
         section = {"engine": engine, "service": "ranks"}
         port = self._ports.next()
-        cfg = self._settings(name, "rank_agent", section, port=port)
+        cfg = build_settings(name, "rank_agent", section, port=port)
         process = Process(cfg, folder, self.store.port, switched_off=self._off)
         self._cleanup.enter_context(process.proxy)
         return process
 
-    def _settings(self, name: str, role: str, section: dict, *, port: int) -> dict:
-        return {
-            "role": role,
-            "instance": name,
-            "failure_domain": "one",
-            "host": "127.0.0.1",
-            "port": port,
-            "drain": {"grace_s": GRACE_S},
-            role: section,
-        }
-
     def _tick(self) -> None:
         hot = 0
         while True:
@@ -256,19 +255,20 @@
                 row.counts[:, hot] += 300
             self.group.tick(busy=self.rng.random() < 0.9)
             self._group_watch.check_held()
+            self.evacuations.update()
             gevent.sleep(TICK_S)
 
-    def _record_stalls(self) -> None:
-        """Record the stalls of this process."""
+    def _beat(self) -> None:
         while True:
-            before = time.monotonic()
-            gevent.sleep(STALL_CHECK_S)
-            late_s = time.monotonic() - before - STALL_CHECK_S
-            if late_s > STALL_S:
-                self.oracle.stalls.append((time.monotonic(), late_s))
+            gevent.sleep(HEARTBEAT_S)
+            for upstream in self.upstreams:
+                upstream.beat(self.store.pages, HEARTBEAT_S)
 
     def _inject_fault(self) -> None:
-        name = self.rng.choice(sorted(FAULTS))
+        self.start_fault(self.rng.choice(sorted(FAULTS)))
+
+    def start_fault(self, name: str) -> None:
+        """Inject a fault that goes on beside others."""
         self.fault_log.append(f"{time.monotonic() - self._started_at:.1f} {name}")
         self._fault_tasks.spawn(FAULTS[name], self)
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams of the soak test, which report the calls they run and fail at random."""
 
+import math
 import random
 import struct
 import time
@@ -9,9 +10,12 @@
 import orjson
 from gevent import socket
 
+from soak.cold_watch import COLD_START_S, ColdWatch
 from soak.deadly_requests import DeadlyRequests
+from soak.evacuation_watch import EvacuationWatch
 from soak.limit_watch import LimitWatch
 from soak.oracle import MAX_READ_BYTES, STREAM_EVENTS, Oracle
+from soak.process import Process
 from standins.raw_upstream import RawUpstream, ReceivedRequest, reply
 from standins.row_store import RowStorePages
 from toucanspool.platform import headers as names
@@ -32,10 +36,18 @@
     ----------
     name : str
         Name of the instance, which changes with each restart.
+    domain : str
+        Its failure domain.
     oracle : Oracle
         Told of each call that runs.
     limit_watch : LimitWatch
         Told of each request.
+    evacuation_watch : EvacuationWatch
+        Told of each request.
+    cold_watch : ColdWatch
+        Told of each request while the upstream is cold.
+    find_gateway : callable
+        Takes the id of a call and returns the gateway that it was sent to, or None.
     deadly_requests : DeadlyRequests
         Tells which requests crash the upstream.
     on_deadly : callable
@@ -59,13 +71,24 @@
     def __init__(
         self,
         name: str,
+        domain: str,
         oracle: Oracle,
         limit_watch: LimitWatch,
+        evacuation_watch: EvacuationWatch,
+        cold_watch: ColdWatch,
+        find_gateway: Callable[[str], Process | None],
         deadly_requests: DeadlyRequests,
         on_deadly: Callable[["SoakUpstream", bytes], None],
         rng: random.Random,
     ) -> None:
         self.name = name
+        self.domain = domain
+        self._evacuation_watch = evacuation_watch
+        self._cold_watch = cold_watch
+        self._find_gateway = find_gateway
+        self._cold_until = -math.inf
+        # Gateways that have to know that it is cold; None for all of them.
+        self._told: set[tuple[str, int]] | None = None
         self.fail_share = 0.0
         self.draining_since: float | None = None
         self.crashed = False
@@ -82,22 +105,40 @@
         fields = {
             "service": "desk",
             "address": f"127.0.0.1:{self.server.port}",
-            "zone": "one",
+            "zone": self.domain,
+            "coldRemainingMs": 1000.0 * max(0.0, self._cold_until - time.monotonic()),
             "slots": 8,
             "state": "ready" if self.draining_since is None else "draining",
         }
         pages.put("servers", self.name, orjson.dumps(fields))
 
+    def beat(self, pages: RowStorePages, interval_s: float) -> None:
+        """Write the row again while the upstream is cold, and once afterwards."""
+        if not self.crashed and time.monotonic() < self._cold_until + interval_s:
+            self.list(pages)
+
+    def turn_cold(self, told: set[tuple[str, int]] | None = None) -> None:
+        """Become cold; the list says so with the next heartbeat.
+
+        Parameters
+        ----------
+        told : set of (str, int), optional
+            Names and starts of the gateways that have to know at once. None for all.
+        """
+        self._cold_until = time.monotonic() + COLD_START_S
+        self._told = told
+
     def drain(self, pages: RowStorePages) -> None:
         """List the upstream as draining."""
         self.draining_since = time.monotonic()
         self.list(pages)
 
     def restart(self, pages: RowStorePages, number: int) -> None:
-        """Replace the instance by one of another name at the same address."""
+        """Replace the instance by a cold one of another name at the same address."""
         pages.drop("servers", self.name)
         self.name = f"{self.name.partition('.')[0]}.{number}"
         self.draining_since = None
+        self.turn_cold()
         self.list(pages)
 
     def crash(self) -> None:
@@ -116,6 +157,8 @@
             sock.sendall(reply(request, b"", status="421 Other", signed=False))
             return
         call = request.header(names.ATTEMPT_ID)
+        self._evacuation_watch.record_request(self.name, self.domain, call)
+        self._record_cold(call)
         self._limit_watch.record_request(self.name, call, self.limit)
         if self._deadly_requests.is_deadly(request.body):
             self._deadly_requests.record_arrival(call, request.body)
@@ -155,6 +198,14 @@
         if fault and not framed:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
+    def _record_cold(self, call: str) -> None:
+        now = time.monotonic()
+        gateway = self._find_gateway(call)
+        if gateway is None or now >= self._cold_until:
+            return
+        if self._told is None or (gateway.name, gateway.starts) in self._told:
+            self._cold_watch.record_request(self.name, gateway.name, now)
+
     def _send_without_end(self, sock: socket.socket, call: str) -> None:
         """Send a head, or the body of a reply or a stream, until it is not read."""
         start = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {call}\r\n{names.SIGNATURE}: s"
--- a/tests/soak/doubles.py
+++ b/tests/soak/doubles.py
@@ -5,7 +5,7 @@
     """Stand for a gateway that was left alone for a time."""
 
     def __init__(self, undisturbed_s: float = 100.0) -> None:
-        self.name, self.starts = "g", 1
+        self.name, self.starts, self.started_at = "g", 1, 0.0
         self._undisturbed_s = undisturbed_s
 
     def undisturbed_s(self) -> float:
