--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from pathlib import Path
 
 import gevent
 from absl import app, flags
@@ -15,6 +16,7 @@
 GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=1)
 RANKS = flags.DEFINE_integer("ranks", 3, "Rank agents.", lower_bound=2)
 START_S = flags.DEFINE_float("start_s", 3.0, "Time that the processes have to start.")
+LOGS = flags.DEFINE_string("logs", "", "Folder for the logs of seeds that failed.")
 PART = flags.DEFINE_integer("part", 0, "Part of the ports, 0 to 7.")
 
 
@@ -35,11 +37,14 @@
             start_s=START_S.value,
         ) as system:
             system.run(SECONDS.value)
+            if LOGS.value and system.oracle.violations:
+                system.keep_logs(Path(LOGS.value) / str(seed))
         oracle = system.oracle
         failed_runs += bool(oracle.violations)
         print(
             f"seed {seed}: {oracle.answers} answers, {oracle.refusals} refusals, "
             f"{len(system.fault_log)} faults, "
+            f"{system.evacuations.checked} evacuations, "
             f"{system.cold_requests} to cold upstreams, {system.group.step} passes, "
             f"{len(oracle.violations)} broken, "
             f"stood still {sum(seconds for _, seconds in oracle.stalls):.1f} s"
--- a/soak/evacuation_watch.py
+++ b/soak/evacuation_watch.py
@@ -29,6 +29,11 @@
         The gateways.
     find_gateway : callable
         Takes the id of a call and returns the gateway that it was sent to, or None.
+
+    Attributes
+    ----------
+    checked : int
+        Number of evacuations that a gateway must have read.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         self._acked_at: dict[str, float] = {}
         self._informed: dict[str, set[tuple[str, int]]] = {}
         self._restored_at = -math.inf
+        self.checked = 0
 
     def evacuate(self, domain: str) -> bool:
         """Write the row of a failure domain; return whether it was not there yet."""
@@ -86,6 +92,7 @@
                 incarnation = gateway.name, gateway.starts
                 alone_s = min(gateway.undisturbed_s(), store_s)
                 if min(now - acked_at, alone_s) > EVACUATE_S:
+                    self.checked += not informed
                     informed.add(incarnation)
                 elif self._may_forget(gateway, acked_at, now):
                     informed.discard(incarnation)
--- a/soak/system.py
+++ b/soak/system.py
@@ -1,6 +1,7 @@
 """The system under test: real processes, stand-ins around them, and injected faults."""
 
 import random
+import shutil
 import signal
 import tempfile
 import time
@@ -8,7 +9,6 @@
 from pathlib import Path
 
 import gevent
-import numpy as np
 import orjson
 from gevent.pool import Group
 
@@ -17,13 +17,12 @@
 from soak.cold_watch import OVERRUN, SLACK, ColdWatch
 from soak.config_watch import ConfigWatch
 from soak.configuration import (
-    EXPERTS,
-    LAYER_SETS,
     PLACES,
     build_configuration,
     build_settings,
 )
 from soak.deadly_requests import DeadlyRequests
+from soak.demand import ExpertDemand
 from soak.evacuation_watch import EvacuationWatch
 from soak.faults import FAULTS, crash_under
 from soak.group_watch import GroupWatch
@@ -41,6 +40,8 @@
 DOMAINS = ("one", "two")
 # Upstreams write their rows again at this interval.
 HEARTBEAT_S = 1.2
+# Share of the series of faults with an evacuation from their start.
+EVACUATION_SHARE = 0.5
 CALLERS_PER_GATEWAY = 2
 START_S = 3.0
 TICK_S = 0.02
@@ -104,8 +105,7 @@
         folder = Path(self._cleanup.enter_context(tempfile.TemporaryDirectory()))
         self.store = self._cleanup.enter_context(RowStore())
         self.group = PassGroup(self._rank_count, random.Random(self.rng.random()))
-        for row in self.group.rows:
-            row.counts = np.ones((LAYER_SETS, EXPERTS), dtype=int)
+        self._demand = ExpertDemand(self.group, self.rng)
         self.upstreams = []
         self.gateways: list[Process] = []
         limit_watch = LimitWatch(self.oracle, self._find_gateway)
@@ -174,6 +174,9 @@
             caller = SoakCaller(f"c{number}", self._addresses, self.oracle, rng)
             tasks.append(gevent.spawn(caller.run, until))
         while time.monotonic() < until - CALM_S:
+            # It lasts for most of a series, and is checked only from its sixth second.
+            if self.rng.random() < EVACUATION_SHARE:
+                self.start_fault("domain evacuated")
             for _ in range(self.rng.randrange(3, 9)):
                 gevent.sleep(self.rng.uniform(0.1, 1.0))
                 self._inject_fault()
@@ -246,13 +249,8 @@
         return process
 
     def _tick(self) -> None:
-        hot = 0
         while True:
-            if self.rng.random() < 0.01:
-                hot = self.rng.randrange(EXPERTS)
-            for row in self.group.rows:
-                row.counts = row.counts + 5
-                row.counts[:, hot] += 300
+            self._demand.grow()
             self.group.tick(busy=self.rng.random() < 0.9)
             self._group_watch.check_held()
             self.evacuations.update()
@@ -282,6 +280,10 @@
         for process in self.gateways + self.agents:
             process.proxy.mode = LinkMode.GOOD
 
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of the processes to a folder."""
+        shutil.copytree(self.gateways[0].log.parent, folder, dirs_exist_ok=True)
+
     def find_coordinator(self) -> Process | None:
         """Return the rank agent that was elected last, or None before any election."""
         name = self._group_watch.coordinator
