--- a/soak/faults.py
+++ b/soak/faults.py
@@ -167,7 +167,7 @@
         return
     gevent.sleep(system.rng.uniform(1.0, 7.0))
     system.start_fault(system.rng.choice(BESIDE_EVACUATIONS))
-    gevent.sleep(system.rng.uniform(3.0, 6.0))
+    gevent.sleep(system.rng.uniform(5.0, 9.0))
     told = system.evacuations.take_back(domain)
     for upstream in system.upstreams:
         if upstream.domain != domain or upstream.crashed:
