--- a/toucanspool/limits/priority_admission.py
+++ b/toucanspool/limits/priority_admission.py
@@ -31,9 +31,10 @@
 
     Answers the load in which less urgent callers flood a service while urgent ones
     come. Waiting requests that can still be answered on time go before late ones. Among
-    each of them, the more urgent go first, and teams take fair turns. A request is admitted only if room stays for the more urgent ones that arrive
-    meanwhile, as many as have lately arrived; where none do, no room is kept. A level
-    of which too few requests are admitted goes before all others, so that none starves.
+    each of them, the more urgent go first, and teams take fair turns. A request is
+    admitted only if room stays for those that go before it and arrive meanwhile, as
+    many as have lately arrived; where none do, no room is kept. A level of which too
+    few requests are admitted goes before all others, so that none starves.
 
     Requests that can no longer be answered on time go on waiting, as they would only
     lose by coming back. If more waits than can be served in time, the excess is shed at
