Order admission by priority only where routes differ in it

Where the routes of a service have one priority, teams now share the limit as before, with their priorities for shedding.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -55,7 +55,7 @@
 
 def test_engines_are_told_the_urgency_only_where_calls_differ_in_it():
     assert "toucanspool-request-priority" not in headers_of(call())
-    headers = headers_of(call(urgency_levels=13, urgency=12))
+    headers = headers_of(call(ordered=True, urgency=12))
     assert headers["toucanspool-request-priority"] == "9"
 
 
--- a/tests/routing/test_urgency.py
+++ b/tests/routing/test_urgency.py
@@ -7,11 +7,19 @@
     order = UrgencyOrder({(0, False), (2, False)}, {0, 1})
     ranks = [order.rank(route, team) for team in (0, 1) for route in (0, 2)]
     assert ranks == [0, 1, 2, 3]
+    assert order.routes_differ
+
+
+def test_priorities_of_teams_alone_do_not_change_the_order_of_admission():
+    order = UrgencyOrder({(1, False)}, {0, 1})
+    assert order.levels == 2
+    assert not order.routes_differ
 
 
 def test_streams_of_one_priority_have_no_order():
     order = UrgencyOrder({(1, False), (1, True)}, {None, 1})
     assert order.levels == 1
+    assert not order.routes_differ
     assert order.rank(1, None) == 0
 
 
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -36,8 +36,8 @@
     urgency : int
         Rank of its priority among those that the service's streams may have; 0 is the
         most urgent.
-    urgency_levels : int
-        Number of those priorities; more than 1 if the service's streams differ in them.
+    ordered : bool
+        Whether the service's streams are served in that order.
     deadline : Deadline
         End of the caller's or the route's time limit, whichever comes first.
     arrived_at : float
@@ -68,7 +68,7 @@
     urgency: int
     deadline: Deadline
     arrived_at: float
-    urgency_levels: int = 1
+    ordered: bool = False
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str = ""
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -200,7 +200,7 @@
                 if routes.service(name).engine and route.gap_target_s:
                     self._set_stream_limit(name, route)
         for name, stream_limit in self._stream_limits.items():
-            stream_limit.by_urgency = routes.urgency(name).levels > 1
+            stream_limit.by_urgency = routes.urgency(name).routes_differ
         _log.info(
             "routes in force",
             version=routes.version,
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -136,7 +136,7 @@
             service=service,
             team=team.name,
             urgency=urgency.rank(route.priority, team.priority),
-            urgency_levels=urgency.levels,
+            ordered=urgency.routes_differ,
             deadline=Deadline.after(left_s, arrived_at),
             arrived_at=arrived_at,
             prompt_tokens=prompt_tokens,
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -73,7 +73,7 @@
         headers.append(("Connection", "close"))
         if call.team:
             headers.append((TENANT, call.team))
-        if call.urgency_levels > 1:
+        if call.ordered:
             headers.append((PRIORITY, str(min(call.urgency, MAX_PRIORITY))))
         if last_event_id:
             headers.append((LAST_EVENT_ID, last_event_id))
--- a/toucanspool/routing/urgency.py
+++ b/toucanspool/routing/urgency.py
@@ -19,9 +19,15 @@
         Priorities of the service's routes for streams, and whether each is public.
     of_teams : collection of int or None
         Priorities of all teams; None stands for teams without one.
+
+    Attributes
+    ----------
+    routes_differ : bool
+        Whether the routes differ in priority. Only then streams are admitted in this
+        order. Where just teams differ, their priorities decide about shedding.
     """
 
-    __slots__ = ("_priorities",)
+    __slots__ = ("_priorities", "routes_differ")
 
     def __init__(
         self,
@@ -34,6 +40,7 @@
             for team in ((None,) if public else of_teams or (None,))
         }
         self._priorities = sorted(priorities)
+        self.routes_differ = len({route for route, _ in of_routes}) > 1
 
     @property
     def levels(self) -> int:
