--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases of the review share: settings, processes, stand-ins, a record."""
