Review: a new coordinator takes a switch that goes on for one that was left

Cause: a coordinator waits for late states after its own switches only. One that is elected during a switch sees a rank whose agent is away as of 0.2 s ago, not armed, and disarms the others while their pass begins. Change: case 3, a script with twelve rank agents and a stand-in of their engines; the stopped machine is case 4 now.

--- /dev/null
+++ b/review/4/__init__.py
@@ -0,0 +1,1 @@
+"""A machine is stopped while streams are still admitted."""
--- a/review/harness/engines.py
+++ b/review/harness/engines.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,7 +18,9 @@
 SETS, EXPERTS, PLACES, SPARE = 3, 96, 11, 4
 EXPERT_MB, LINK_MBPS = 2200.0, 44_000.0
 COPY_S = EXPERT_MB * 8.0 / LINK_MBPS
-PASS_S = 0.025
+# Ranks tell their state to other machines as of this long ago: `report_lag_ms`.
+REPORT_LAG_S = 0.2
+SAMPLE_S = 0.005
 TOKENS_PER_PASS = 600
 # An order that is left unanswered keeps its connection open for this long.
 UNANSWERED_S = 3.0
@@ -62,6 +65,8 @@
         Random source of the demand and of late orders.
     write : callable
         Writes a line to the record.
+    pass_s : float, default=0.025
+        Time from one pass to the next, in seconds.
 
     Attributes
     ----------
@@ -73,6 +78,8 @@
         Passes that began while two ranks had different maps.
     switches : int
         Number of passes at which the first rank switched its map.
+    far : set of int
+        Ranks whose agent is away, so that only other machines ask for their state.
     orders, unanswered : int
         Number of orders, and of those that were left unanswered.
     late_s : callable
@@ -81,8 +88,17 @@
     """
 
     def __init__(
-        self, size: int, service: str, rng: random.Random, write: Callable[[str], None]
+        self,
+        size: int,
+        service: str,
+        rng: random.Random,
+        write: Callable[[str], None],
+        *,
+        pass_s: float = 0.025,
     ) -> None:
+        self._pass_s = pass_s
+        self._samples: deque[tuple[float, list[dict[str, Any]]]] = deque()
+        self.far: set[int] = set()
         first: Lists = [
             [[e for e in range(EXPERTS) if e % size == rank] for rank in range(size)]
             for _ in range(SETS)
@@ -116,7 +132,7 @@
     def run(self) -> None:
         """Begin passes while there is work and none is held."""
         while True:
-            gevent.sleep(PASS_S)
+            gevent.sleep(self._pass_s)
             now = time.monotonic()
             for rank in self.ranks:
                 if rank.copying is not None and now >= rank.copying[2]:
@@ -125,6 +141,16 @@
             if self.busy and not held:
                 self._begin_pass()
 
+    def sample(self) -> None:
+        """Keep the states of all ranks for those who ask from other machines."""
+        while True:
+            now = time.monotonic()
+            states = [self._state(rank.number) for rank in self.ranks]
+            self._samples.append((now, states))
+            while len(self._samples) > 1 and self._samples[1][0] < now - REPORT_LAG_S:
+                self._samples.popleft()
+            gevent.sleep(SAMPLE_S)
+
     def _begin_pass(self) -> None:
         self.step += 1
         for rank in self.ranks:
@@ -233,6 +259,11 @@
 
     def report(self, number: int) -> dict[str, Any]:
         """Return what `GET /report` says."""
+        if number in self.far and self._samples:
+            return self._samples[0][1][number]
+        return self._state(number)
+
+    def _state(self, number: int) -> dict[str, Any]:
         rank = self.ranks[number]
         group = {"name": "g", "epoch": self.epoch, "rank": number, "state": "open"}
         return {
