--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 import os
 import random
 import signal
-import sys
 import time
 from pathlib import Path
 
@@ -17,6 +16,7 @@
     Site,
     gateway_ready,
     page,
+    run_case,
     wait_until,
 )
 from standins.raw_upstream import RawUpstream, event, streaming
@@ -213,4 +213,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/harness/system.py
+++ b/review/harness/system.py
@@ -4,9 +4,11 @@
 import shlex
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -41,7 +43,7 @@
     "passMs": 120,
 }
 LINK_MBPS = {"gateway": 1000.0, "rank-agent": 10.0}
-HEARTBEAT_S = 1.2
+COULD_NOT_RUN = 2
 
 
 class Record:
@@ -157,6 +159,8 @@
 
     def __enter__(self) -> "Site":
         self._store.__enter__()
+        # Also where the time limit of `run.sh` ends the case.
+        gevent.signal_handler(signal.SIGTERM, self._abort)
         return self
 
     def __exit__(self, *exc: object) -> None:
@@ -165,6 +169,12 @@
         self._store.__exit__(*exc)
         self._temporary.cleanup()
 
+    def _abort(self) -> None:
+        for machine in self.machines:
+            machine.end()
+        self._temporary.cleanup()
+        os._exit(COULD_NOT_RUN)
+
     @property
     def store_address(self) -> str:
         """Return the address of the store."""
@@ -210,6 +220,16 @@
         self.store.put("servers", name, orjson.dumps(entry))
 
 
+def run_case(main: Callable[[], int]) -> None:
+    """Run a case and exit with its status, or 2 if it ends with an error."""
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = COULD_NOT_RUN
+    sys.exit(status)
+
+
 def free_port() -> int:
     """Return a loopback port that is free now."""
     with socket.socket() as sock:
