--- a/review/harness/system.py
+++ b/review/harness/system.py
@@ -1,6 +1,8 @@
 """The system under test as separate processes, and stand-ins of its surroundings."""
 
+import contextlib
 import os
+import random
 import shlex
 import signal
 import socket
@@ -44,6 +46,9 @@
 }
 LINK_MBPS = {"gateway": 1000.0, "rank-agent": 10.0}
 COULD_NOT_RUN = 2
+# Below those that the kernel gives to connections, which could take one meanwhile.
+PORTS = range(20_000, 32_000)
+_given: set[int] = set()
 
 
 class Record:
@@ -231,10 +236,15 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a loopback port that is free now, and that no connection is given."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind((HOST, port))
+            return port
 
 
 def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
