--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+import sys
 import time
 from pathlib import Path
 
@@ -10,7 +11,7 @@
 import orjson
 from gevent import socket
 
-from review.harness.system import (
+from review.system import (
     HOST,
     Record,
     Site,
@@ -21,7 +22,7 @@
 )
 from standins.raw_upstream import RawUpstream, event, streaming
 
-FOLDER = Path(__file__).resolve().parent
+RECORD = Path(sys.argv[1])
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOSTNAME, KEY = "guide.example", "key-of-a-club"
 DEADLINE_MS = 8000
@@ -131,7 +132,7 @@
 
 def main() -> int:
     """Run the case; return its exit status."""
-    record = Record(FOLDER)
+    record = Record(RECORD)
     runs: dict[str, tuple[float, int]] = {}
     results = []
     with Site() as site, RawUpstream(_script(record, runs)) as runner:
--- a/review/harness/system.py
+++ b/review/system.py
@@ -19,10 +19,10 @@
 import orjson
 from gevent import subprocess
 
-from review.harness.template import render
+from review.template import render
 from standins.row_store import RowStore
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 ZONES = ("auckland", "wellington", "christchurch")
 # As on the sheet of kettlewell-rail.
@@ -52,16 +52,16 @@
 
 
 class Record:
-    """Write what was sent, answered and run to `record.txt` of a case.
+    """Write what was sent, answered and run to the record of a case.
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case.
+    path : Path
+        The file to write.
     """
 
-    def __init__(self, folder: Path) -> None:
-        self._out = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self._out = path.open("w")
         self._started = time.monotonic()
 
     def now(self) -> float:
