Accept calls of a stopping gateway only if they can end in time

Cause: a stopping gateway accepted all calls for half of the grace period, whatever time they may take. Nothing asked whether a call ends before the process does, neither on arrival nor after a wait or a rejection.

Evidence: the cut streams are exactly those accepted late that last beyond 7.4 s.

Why it works: after a quarter of the grace period a call is accepted only if its time limit ends before the process does, so the process never ends first. The check is repeated after the wait for admission and after an upstream has turned the call away. Calls without an answer at the end get 504 instead of a closed connection.

--- a/tests/gateway/test_call_dispatcher.py
+++ b/tests/gateway/test_call_dispatcher.py
@@ -9,6 +9,8 @@
 
 from toucanspool.gateway.call import RefusalCause, Refused
 from toucanspool.gateway.call_dispatcher import CallDispatcher
+from toucanspool.limits.graceful_stop import GracefulStop
+from toucanspool.retries.deadline import Deadline
 
 
 class NoRoom:
@@ -23,8 +25,12 @@
 
 def test_a_call_whose_time_ends_before_admission_has_not_run():
     """Guards against "unknown" for a call that no upstream has received."""
-    dispatcher = CallDispatcher(Mock(), Mock(), lambda service: NoRoom())
-    call = SimpleNamespace(service="s", team="t", urgency=0)
+    dispatcher = CallDispatcher(
+        Mock(), Mock(), lambda service: NoRoom(), GracefulStop()
+    )
+    call = SimpleNamespace(
+        service="s", team="t", urgency=0, deadline=Deadline.after(1.0, 0.0)
+    )
     with (
         ExitStack() as closing,
         gevent.Timeout(0.01),
--- a/toucanspool/gateway/call_dispatcher.py
+++ b/toucanspool/gateway/call_dispatcher.py
@@ -7,14 +7,13 @@
 import gevent
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
-from toucanspool.gateway.relay import Relay
+from toucanspool.gateway.relay import DRAIN_RETRY_AFTER_S, Relay
 from toucanspool.gateway.stream import StreamRelay
+from toucanspool.limits.graceful_stop import GracefulStop, StopTimeUp
 from toucanspool.limits.shed import Shed, ShedCause
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.routing.routes import CallKind
 
-DRAIN_RETRY_AFTER_S = 0.05
-
 _REFUSAL_CAUSES = {
     ShedCause.FULL: RefusalCause.NO_ROOM,
     ShedCause.WAITED: RefusalCause.WAITED,
@@ -33,11 +32,15 @@
     find_limiter : callable
         Takes the name of a service and returns its `StreamLimiter`, or None if calls to
         the service aren't limited.
+    graceful_stop : GracefulStop
+        Decides which calls are accepted once this entry stops.
 
     Attributes
     ----------
     draining : bool
-        Whether new calls are refused.
+        Whether all new calls are refused.
+    graceful_stop : GracefulStop
+        As the parameter.
     running : int
         Calls in progress.
     """
@@ -47,6 +50,7 @@
         "_relay",
         "_streams",
         "draining",
+        "graceful_stop",
         "running",
     )
 
@@ -55,7 +59,9 @@
         relay: Relay,
         streams: StreamRelay,
         find_limiter: Callable[[str], StreamLimiter | None],
+        graceful_stop: GracefulStop,
     ) -> None:
+        self.graceful_stop = graceful_stop
         self._relay = relay
         self._streams = streams
         self._find_limiter = find_limiter
@@ -81,17 +87,30 @@
         Refused
             There is no reply to return.
         """
-        if self.draining:
-            raise Refused(RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S)
+        self._check_stop(call)
         self._relay.guard.check(call)
         # Calls that no upstream may take don't wait for admission.
         self._relay.chooser.check_excluded(call)
         self.running += 1
         closing.callback(self._finish_call)
-        self._admit(call, closing)
-        if call.route.kind is CallKind.STREAM:
-            return self._streams.begin(call, closing)
-        return self._relay.forward(call)
+        with self.graceful_stop.answering():
+            self._admit(call, closing)
+            # The stop may have begun while the call waited.
+            self._check_stop(call)
+            return self._forward(call, closing)
+
+    def _check_stop(self, call: Call) -> None:
+        accepted = self.graceful_stop.accepts(call.deadline, time.monotonic())
+        if self.draining or not accepted:
+            raise Refused(RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S)
+
+    def _forward(self, call: Call, closing: ExitStack) -> Reply:
+        try:
+            if call.route.kind is CallKind.STREAM:
+                return self._streams.begin(call, closing)
+            return self._relay.forward(call)
+        except StopTimeUp as exc:
+            raise Refused(RefusalCause.DRAINING, may_have_run=True) from exc
 
     def _admit(self, call: Call, closing: ExitStack) -> None:
         limiter = self._find_limiter(call.service)
@@ -103,6 +122,10 @@
         except gevent.Timeout as exc:
             # The call's time is over, and no upstream has received it.
             raise Refused(RefusalCause.DEADLINE) from exc
+        except StopTimeUp as exc:
+            raise Refused(
+                RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S
+            ) from exc
         except Shed as exc:
             self._relay.runner.record_scarcity(call.service)
             left_s = max(0.0, call.deadline.left_s(now))
--- a/toucanspool/gateway/core.py
+++ b/toucanspool/gateway/core.py
@@ -16,6 +16,7 @@
 from toucanspool.gateway.stream import StreamRelay
 from toucanspool.gateway.upstream_chooser import UpstreamChooser
 from toucanspool.limits.adaptive_limit import AdaptiveLimit
+from toucanspool.limits.graceful_stop import GracefulStop
 from toucanspool.limits.stream_limiter import StreamLimiter
 from toucanspool.membership.entries import Entries
 from toucanspool.retries.ejection import Ejector
@@ -137,6 +138,7 @@
         )
         self.quarantine = Quarantine()
         guard = CrashGuard(self.quarantine, CrashWatch(self._count_crash))
+        graceful_stop = GracefulStop()
         self._relay = relay = Relay(
             UpstreamChooser(self._balancer, guard),
             self.ejector,
@@ -145,9 +147,12 @@
             dialect,
             guard,
             max_reply_bytes,
+            graceful_stop,
         )
         streams = StreamRelay(relay, dialect, self._record_gap)
-        self.dispatcher = CallDispatcher(relay, streams, self._stream_limits.get)
+        self.dispatcher = CallDispatcher(
+            relay, streams, self._stream_limits.get, graceful_stop
+        )
 
     def set_retry_budget(self, retries: RetryBudget) -> None:
         """Change the settings of the retry budget.
--- a/toucanspool/gateway/draining.py
+++ b/toucanspool/gateway/draining.py
@@ -9,6 +9,15 @@
 from toucanspool.gateway.caller_server import CallerServer
 
 POLL_INTERVAL_S = 0.02
+# Calls that begin in this part of the grace period have most of it to end.
+OPEN_SHARE = 0.25
+# Callers expect that a call sent 3 s after the signal, or later, isn't cut off. The
+# difference covers its way here.
+MAX_OPEN_S = 2.5
+# Calls that end in time are served in this part of it.
+ADMISSION_SHARE = 0.5
+# Time left to close everything before the process is killed.
+SHUTDOWN_RESERVE_S = 0.6
 # Connections accepted last have sent their request by then.
 FIRST_BYTES_S = 0.2
 # Time to write the refusals of requests that have not arrived completely.
@@ -21,16 +30,16 @@
     server: CallerServer,
     dispatcher: CallDispatcher,
     *,
-    admit_s: float,
     address_life_s: float,
-    time_s: float,
+    grace_s: float,
 ) -> None:
     """Serve until no caller can still rely on this entry, or the time is over.
 
-    Calls are served first, and refused as not run later. All replies ask callers to
-    close their connections. The port stays open as long as callers may use the address.
-    Then the connections that wait in the accept queue are served, and requests that
-    have not arrived completely by the end are refused.
+    Calls are served first, and refused as not run later; those that may outlast this
+    process are refused sooner. All replies ask callers to close their connections. The
+    port stays open as long as callers may use the address. Then the connections that
+    wait in the accept queue are served. At the end, requests that have not arrived
+    completely are refused, and calls whose reply has not begun are given up.
 
     Parameters
     ----------
@@ -38,23 +47,26 @@
         Serves the callers.
     dispatcher : CallDispatcher
         Runs their calls.
-    admit_s : float
-        Time for which calls are still served, in seconds.
     address_life_s : float
         Time for which callers may use this entry's address, in seconds.
-    time_s : float
-        Time until this function must return, in seconds.
+    grace_s : float
+        Time until the process is killed, in seconds; this function returns
+        `SHUTDOWN_RESERVE_S` before.
     """
     started = time.monotonic()
-    end = started + time_s - REFUSAL_S
+    time_s = grace_s - SHUTDOWN_RESERVE_S - REFUSAL_S
+    end = started + time_s
     server.closing = True
-    gevent.sleep(min(admit_s, time_s))
+    open_s = min(OPEN_SHARE * grace_s, MAX_OPEN_S)
+    dispatcher.graceful_stop.begin(started, open_s=open_s, time_s=time_s)
+    gevent.sleep(min(address_life_s, ADMISSION_SHARE * grace_s, max(0.0, time_s)))
     dispatcher.draining = True
     unused_at = min(started + address_life_s, end - FIRST_BYTES_S)
     _wait_until_idle(server, unused_at, end - FIRST_BYTES_S)
     server.finish_accepting()
     _wait_until_idle(server, time.monotonic() + FIRST_BYTES_S, end)
     server.refuse_unread()
+    dispatcher.graceful_stop.end_unanswered()
     _wait_until_idle(server, 0.0, end + REFUSAL_S)
     _log.info(
         "drained",
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -15,6 +15,7 @@
 from toucanspool.gateway.limit_sharing import LimitSharing
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
+from toucanspool.limits.graceful_stop import GracefulStop
 from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.return_time import ReturnTimes
 from toucanspool.retries.shared_budget import SharedBudget
@@ -25,6 +26,8 @@
 # Share of the remaining time for an attempt that may be retried. It leaves another
 # upstream time to answer within the caller's deadline.
 ATTEMPT_TIME_SHARE = 0.5
+# Another entry can serve the callers of one that stops at once.
+DRAIN_RETRY_AFTER_S = 0.05
 
 _log = structlog.get_logger()
 
@@ -48,6 +51,8 @@
         Refuses calls that crash upstreams.
     max_reply_bytes : int
         Limit on the size of a reply that is not a stream.
+    graceful_stop : GracefulStop
+        Decides which calls may still be sent once this entry stops.
 
     Attributes
     ----------
@@ -59,6 +64,7 @@
 
     __slots__ = (
         "_budget",
+        "_graceful_stop",
         "_limit_sharing",
         "chooser",
         "guard",
@@ -77,7 +83,9 @@
         dialect: Dialect,
         guard: CrashGuard,
         max_reply_bytes: int,
+        graceful_stop: GracefulStop,
     ) -> None:
+        self._graceful_stop = graceful_stop
         self.max_reply_bytes = max_reply_bytes
         self.returns = ReturnTimes()
         self.chooser = chooser
@@ -192,6 +200,12 @@
             ) from exc
         if progress.runs and not call.route.retryable:
             raise Refused(RefusalCause.MAYBE_RUN, may_have_run=True) from exc
+        now = time.monotonic()
+        if not progress.runs and not self._graceful_stop.accepts(call.deadline, now):
+            # It can still run elsewhere; one that may have run can't be sent back.
+            raise Refused(
+                RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S
+            ) from exc
         turned_away = isinstance(exc, TurnedAway)
         unreachable = isinstance(exc, Unreachable)
         if unreachable and progress.connect_failures < MAX_SENDS:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -46,8 +46,6 @@
 ROUTES_PAUSE_S = 0.5
 # Callers cache addresses for up to three times the TTL.
 ADDRESS_TTL_FACTOR = 3.0
-# Time left to close everything before the process is killed.
-SHUTDOWN_RESERVE_S = 0.6
 
 _log = structlog.get_logger()
 
@@ -197,13 +195,11 @@
         self._entries.leaving = True
         gevent.spawn(self._registration.withdraw)
         # Callers with cached addresses still send requests.
-        address_life_s = ADDRESS_TTL_FACTOR * cfg.gateway.address_ttl_s
         drain(
             self._server,
             self._core.dispatcher,
-            admit_s=min(address_life_s, cfg.drain.grace_s / 2),
-            address_life_s=address_life_s,
-            time_s=cfg.drain.grace_s - SHUTDOWN_RESERVE_S,
+            address_life_s=ADDRESS_TTL_FACTOR * cfg.gateway.address_ttl_s,
+            grace_s=cfg.drain.grace_s,
         )
         self._closing.close()
 
