Accept requests of a stopping entry only if they can end in time

What callers saw: a stream that was sent on a kept connection, after the entry's port had closed, was accepted and cut off as the process ended.

Cause: kept connections bring requests until the process ends, and the entry accepted all of them, whatever time they may take.

Why it works: after a quarter of the grace period a request is accepted only if its time limit ends before the process does. It is checked on arrival, after the wait for admission and before another attempt at a request that has not run. Replies ask callers to close their connections also where the request had come before the signal.

--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
-import structlog
-
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.attempt import Attempt, AttemptFailed
 from toucanspool.entry.caller_request import CallerRequest
@@ -16,42 +14,27 @@
     resume_body,
 )
 from toucanspool.entry.decision_log import DecisionLog
-from toucanspool.entry.problems import Problem, from_refusal
+from toucanspool.entry.failures import FailureHandler
+from toucanspool.entry.problems import Problem
 from toucanspool.entry.progress import Progress
 from toucanspool.entry.reply import Reply
 from toucanspool.entry.router import Router
+from toucanspool.entry.stopping import answering, check_accepted
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.limits.admission import Admission
 from toucanspool.limits.gate import Gate, wake
+from toucanspool.limits.graceful_stop import GracefulStop
 from toucanspool.limits.shed import Shed
 from toucanspool.limits.ticket import engine_priority
 from toucanspool.protected.clock import MonotonicClock
-from toucanspool.retries import decision
 from toucanspool.retries.budget import RetryBudget
-from toucanspool.retries.decision import RetryDecision, may_retry
 from toucanspool.settings.settings import Entry
 from toucanspool.wire.events import DONE_EVENT
 from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
-MAX_REROUTES = 4
 MIN_SERVER_ERROR_STATUS = 500
 PRIORITY_HEADER = "x-priority"
 
-# Refused at once by a healthy upstream: rerouting does not amplify load.
-REROUTABLE = frozenset({Refusal.DRAINING, Refusal.WRONG_UPSTREAM, Refusal.NO_CONFIG})
-FINAL = frozenset(
-    {
-        Refusal.TABLE_DOWN,
-        Refusal.IN_PROGRESS,
-        Refusal.KEY_REUSED,
-        Refusal.UNCERTAIN,
-        Refusal.CANCELLED,
-        Refusal.DEADLINE,
-    }
-)
-
-_log = structlog.get_logger()
-
 
 class Dispatcher:
     """Send requests to upstreams and relay the replies.
@@ -62,6 +45,11 @@
         Settings of the entry role.
     decision_log : DecisionLog
         Log for the results of requests.
+
+    Attributes
+    ----------
+    graceful_stop : GracefulStop
+        Decides which requests are accepted once this entry stops.
     """
 
     __slots__ = (
@@ -70,9 +58,11 @@
         "_clock",
         "_config",
         "_decision_log",
+        "_failures",
         "_gate",
         "_router",
         "_running_requests",
+        "graceful_stop",
     )
 
     def __init__(self, cfg: Entry, decision_log: DecisionLog) -> None:
@@ -80,6 +70,7 @@
         self._clock = MonotonicClock()
         self._decision_log = decision_log
         self._running_requests: dict[str, tuple[str, Progress]] = {}
+        self.graceful_stop = GracefulStop()
 
     @property
     def running(self) -> int:
@@ -94,6 +85,13 @@
         admission = Admission(float(self._cfg.max_in_flight), rng, on_settled=wake)
         self._gate = Gate(admission)
         self._budget = RetryBudget(self._clock.now(), fraction=self._cfg.retry_ratio)
+        self._failures = FailureHandler(
+            self._router,
+            self._budget,
+            self._clock,
+            self._decision_log,
+            self.graceful_stop,
+        )
 
     def stop(self) -> None:
         """Do nothing: the HTTP service waits for requests; see `Service`."""
@@ -115,13 +113,17 @@
         Problem
             The request was shed or failed.
         """
+        self._check_stop(req)
+        progress = Progress()
         with ExitStack() as closing:
-            self._admit(req, closing)
-            progress = Progress()
-            closing.callback(progress.close)
-            closing.enter_context(self._track(req, progress))
-            self._budget.record_request(self._clock.now())
-            body = self._start_reply(req, progress)
+            with answering(self.graceful_stop, req, progress, self._decision_log):
+                self._admit(req, closing)
+                # The stop may have begun while the request waited.
+                self._check_stop(req)
+                closing.callback(progress.close)
+                closing.enter_context(self._track(req, progress))
+                self._budget.record_request(self._clock.now())
+                body = self._start_reply(req, progress)
             attempt, head = progress.attempt, progress.attempt.head
             if body is None:
                 chunks = self._relay(req, progress)
@@ -161,6 +163,10 @@
             found[1].attempt.cancel()
         return True
 
+    def _check_stop(self, req: CallerRequest) -> None:
+        now = self._clock.now()
+        check_accepted(self.graceful_stop, req, now, self._decision_log)
+
     @contextmanager
     def _track(self, req: CallerRequest, progress: Progress) -> Iterator[None]:
         self._running_requests[req.request_id] = (req.team.name, progress)
@@ -192,7 +198,7 @@
                 self._router.record_success(progress.target)
                 return body
             except AttemptFailed as exc:
-                self._handle_failure(req, progress, exc)
+                self._failures.handle(req, progress, exc)
             except Problem as exc:
                 raise progress.with_outcome(exc) from exc
 
@@ -210,40 +216,6 @@
                 1.0,
             )
 
-    def _handle_failure(
-        self, req: CallerRequest, progress: Progress, exc: AttemptFailed
-    ) -> None:
-        """Record a failed attempt; return if another may be made, else raise."""
-        progress.close()
-        progress.may_have_run |= exc.outcome != Outcome.NOT_RUN
-        self._router.record_failure(progress.target, exc)
-        progress.excluded.add(progress.target.instance.upstream)
-        if exc.refusal in REROUTABLE and progress.reroutes < MAX_REROUTES:
-            progress.reroutes += 1
-            return
-        if exc.refusal not in FINAL:
-            retry = self._decide_retry(req, progress, exc)
-            if retry is RetryDecision.ALLOWED:
-                return
-            _log.info("retry denied", request_id=req.request_id, reason=retry.value)
-        self._decision_log.record_result(req.request_id, req.team.name, exc.detail)
-        problem = from_refusal(
-            exc.refusal, exc.outcome, exc.detail, retry_after_s=exc.retry_after_s
-        )
-        raise progress.with_outcome(problem) from exc
-
-    def _decide_retry(
-        self, req: CallerRequest, progress: Progress, exc: AttemptFailed
-    ) -> RetryDecision:
-        request_state = decision.RequestState(
-            attempts=progress.attempts - progress.reroutes,
-            idempotent=req.idempotent,
-            deadline=req.deadline,
-            bytes_relayed=len(progress.relayed_chunks),
-            resumable=True,
-        )
-        return may_retry(exc.outcome, request_state, self._budget, self._clock.now())
-
     def _relay(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
         result = "The caller left before the end."
         try:
@@ -277,7 +249,7 @@
     ) -> bytes | None:
         """Resume a broken stream; return its end if no text is missing."""
         while True:
-            self._handle_failure(req, progress, exc)
+            self._failures.handle(req, progress, exc)
             try:
                 relayed = b"".join(progress.relayed_chunks)
                 text, tokens, finished = generated_text(relayed)
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -1,5 +1,6 @@
 """The HTTP service of an entry, with its graceful shutdown."""
 
+import time
 from contextlib import ExitStack
 from typing import Any
 
@@ -34,6 +35,10 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 FIRST_BYTES_S = 0.2
+# Requests that come in this part of the grace period have most of it to end.
+OPEN_SHARE = 0.25
+# Time to tell callers of requests without an answer that this entry ends.
+REFUSAL_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.02
 TABLE_RETRY_S = 5.0
 
@@ -119,17 +124,29 @@
 
     def stop(self) -> None:
         """Leave the address list, serve for its TTL, drain and stop; see `Service`."""
-        self._lifecycle.leaving = True
-        _log.info("leaving", keep_for_s=self._cfg.entry.address_ttl_s)
+        ttl_s, grace_s = self._cfg.entry.address_ttl_s, self._cfg.drain.grace_s
+        self._lifecycle.leaving = self._server.closing = True
+        _log.info("leaving", keep_for_s=ttl_s)
+        # Kept connections bring requests after the port has closed.
+        self._dispatcher.graceful_stop.begin(
+            time.monotonic(),
+            open_s=ttl_s + OPEN_SHARE * grace_s,
+            time_s=ttl_s + FIRST_BYTES_S + grace_s,
+        )
         # Callers keep using this entry's address until its TTL expires.
-        gevent.sleep(self._cfg.entry.address_ttl_s)
+        gevent.sleep(ttl_s)
         self._server.finish_accepting()
         # Connections accepted last have sent their request by then.
         gevent.sleep(FIRST_BYTES_S)
-        with gevent.Timeout(self._cfg.drain.grace_s, False):
+        self._wait_until_idle(grace_s)
+        self._dispatcher.graceful_stop.end_unanswered()
+        self._wait_until_idle(REFUSAL_S)
+        self._closing.close()
+
+    def _wait_until_idle(self, timeout_s: float) -> None:
+        with gevent.Timeout(timeout_s, False):
             while self._dispatcher.running or self._server.open_requests:
                 gevent.sleep(DRAIN_POLL_INTERVAL_S)
-        self._closing.close()
 
     def _make_app(self, kernel: Kernel) -> falcon.App:
         config: ConfigService = kernel.find("config")
