Refuse calls at a stopping agent before waiting for a configuration

Cause: the wait for the configuration came before the check of the stop.

Evidence: test_a_stopping_agent_refuses_all_calls_at_once fails on the code before for agents without a configuration. With one, agents refuse all calls at once and none reaches the upstream, so they accept nothing that they cut off.

--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -5,11 +5,12 @@
 from contextlib import contextmanager
 
 import gevent
+import pytest
 
 from standins.memory import MemoryObjects, MemoryTable
 from standins.raw_upstream import RawUpstream, answering
 from tests.agent.messages import make_open
-from toucanspool.agent.agent import Agent
+from toucanspool.agent.agent import CONFIG_WAIT_S, Agent
 from toucanspool.config.match import Match
 from toucanspool.config.records import Selector, Upstream, encode
 from toucanspool.config.service import ConfigService
@@ -62,10 +63,10 @@
     def flush(self, timeout_s: float) -> None:
         """Do nothing: frames are delivered at once."""
 
-    def call(self) -> None:
+    def call(self, *, guarded: bool = False) -> None:
         """Announce revision 1 and open a call, in one go."""
         self._agent.received(self, Frame(hello=Hello(instance="e", revision=1)))
-        self._agent.received(self, Frame(open=make_open(guarded=False)))
+        self._agent.received(self, Frame(open=make_open(guarded=guarded)))
 
     def wait(self) -> Frame:
         """Return the last frame of the call."""
@@ -137,3 +138,19 @@
         end = entry.wait().end
         assert (end.outcome, end.refusal) == (Outcome.NOT_RUN, Refusal.NO_CONFIG)
         assert not upstream.seen
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+@pytest.mark.parametrize("records", [RECORDS, None])
+def test_a_stopping_agent_refuses_all_calls_at_once(guarded, records):
+    """Guards against calls that are accepted late, or wait for a configuration."""
+    with RawUpstream(answering()) as upstream, running_agent(upstream) as agent:
+        stop = gevent.spawn(agent.stop)
+        gevent.sleep(0)
+        entry = Entry(agent, records)
+        entry.call(guarded=guarded)
+        with gevent.Timeout(CONFIG_WAIT_S / 2):
+            end = entry.wait().end
+        assert (end.outcome, end.refusal) == (Outcome.NOT_RUN, Refusal.DRAINING)
+        stop.get()
+        assert not upstream.seen
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -148,16 +148,21 @@
         """Raise if a call must not be sent to the upstream; see `Gate`."""
         if request.upstream != self._cfg.agent.upstream:
             raise _not_run(Refusal.WRONG_UPSTREAM, "This is another upstream.")
+        self._check_stopping()
         # Whoever sent the call has the configuration and has been asked for it.
         if not self._config.wait(min(CONFIG_WAIT_S, request.deadline_ms / MS_PER_S)):
             raise _not_run(Refusal.NO_CONFIG, "The agent has no configuration yet.")
-        if self._stopping:
-            raise _not_run(Refusal.DRAINING, "The upstream's instance is stopping.")
+        # The stop may have begun meanwhile.
+        self._check_stopping()
         if self._state == DRAIN:
             raise _not_run(Refusal.DRAINING, "The upstream drains by a selector.")
         if len(self._calls) > self._cfg.agent.max_running:
             raise _not_run(Refusal.BUSY, "The upstream has all the calls it may have.")
 
+    def _check_stopping(self) -> None:
+        if self._stopping:
+            raise _not_run(Refusal.DRAINING, "The upstream's instance is stopping.")
+
     def _open_call(self, conn: Connection, request: Open) -> None:
         key = (id(conn), request.call)
         if key in self._calls:
