Detect a reply whose head goes on with the head of another one

What callers saw: an upstream that stops inside a head and then writes another reply on the same connection gave one reply made up of both: the status of the first with the headers, id and body of the second. So a call that an upstream was running was taken for refused, or an answer got another status.

Cause: the parser accepts a status line as part of a header's value or of a reason phrase, where the first head was cut off.

Evidence: test_cut_heads.py cuts heads of 14 statuses at each byte, for four media types and three framings; all 14 tests of joined heads fail on the code before. A head that is cut off and followed by nothing was no reply before either: the other 43 tests pass there.

Why it works: a status line inside the head breaks the reply, which may have run. Values that only name the protocol, such as Via, are left alone.

--- /dev/null
+++ b/tests/wire/test_cut_heads.py
@@ -0,0 +1,85 @@
+"""A reply whose head is cut off, alone or before the next reply, is never a reply.
+
+Guards against replies that are made up of parts of two, and against a head that was cut
+off taken for a complete one.
+"""
+
+import itertools
+
+import pytest
+
+from toucanspool.wire.reply_parser import BrokenReply, ReplyParser
+
+STATUSES = [
+    "200 OK",
+    "201 Created",
+    "204 No Content",
+    "206 Partial Content",
+    "302 Found",
+    "304 Not Modified",
+    "400 Bad Request",
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "500 Internal Server Error",
+    "502 Bad Gateway",
+    "503 Service Unavailable",
+    "504 Gateway Timeout",
+]
+MEDIA_TYPES = ["", "application/json", "text/event-stream", "text/plain"]
+FRAMINGS = ["Content-Length: 12", "Transfer-Encoding: chunked", ""]
+METHODS = ["GET", "POST", "HEAD"]
+REPLIES = list(itertools.product(STATUSES, MEDIA_TYPES, FRAMINGS))
+NEXT = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Id: next\r\n"
+    b"Content-Length: 4\r\n\r\nnext"
+)
+
+
+def head(status: str, media_type: str, framing: str) -> bytes:
+    """Return a complete head."""
+    lines = [f"HTTP/1.1 {status}", "X-Id: first", "X-Refused: 1"]
+    lines += [f"Content-Type: {media_type}"] if media_type else []
+    lines += [framing] if framing else []
+    return ("\r\n".join([*lines, "Date: Fri, 04 Dec 2026"]) + "\r\n\r\n").encode()
+
+
+def parse(method: str, *parts: bytes) -> ReplyParser | None:
+    """Return the parser after all parts and the end of the connection; None if broken.
+
+    A reply that is complete ends the exchange, and nothing more is read.
+    """
+    parser = ReplyParser(method)
+    try:
+        for part in (*parts, b""):
+            if not parser.complete:
+                parser.receive(part)
+    except BrokenReply:
+        return None
+    return parser
+
+
+@pytest.mark.parametrize("method", METHODS)
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_head_that_is_cut_off_anywhere_is_no_reply(method, status):
+    for media_type, framing in itertools.product(MEDIA_TYPES, FRAMINGS):
+        whole = head(status, media_type, framing)
+        for cut in range(len(whole)):
+            assert parse(method, whole[:cut]) is None, whole[:cut]
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_head_that_is_cut_off_does_not_join_the_next_reply(status):
+    for media_type, framing in itertools.product(MEDIA_TYPES, FRAMINGS):
+        whole = head(status, media_type, framing)
+        for cut in range(1, len(whole)):
+            for parts in ([whole[:cut] + NEXT], [whole[:cut], NEXT]):
+                assert parse("POST", *parts) is None, whole[:cut]
+
+
+def test_values_that_name_a_protocol_are_no_reply():
+    """Guards against taking every mention of HTTP for another reply."""
+    parser = parse(
+        "GET", b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 edge\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert parser.status == 200
--- a/toucanspool/wire/reply_parser.py
+++ b/toucanspool/wire/reply_parser.py
@@ -1,5 +1,7 @@
 """Incremental parsing of an upstream's reply."""
 
+import re
+
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
 Header = tuple[str, str]
@@ -9,6 +11,8 @@
 MAX_INTERIM_REPLIES = 16
 BODILESS_STATUSES = (204, 304)
 
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}(?![0-9])")
+
 
 class BrokenReply(Exception):
     """Report an invalid or truncated reply."""
@@ -48,6 +52,7 @@
         self.ended_by_close = False
         self.interim_replies = 0
         self._head_bytes = 0
+        self._joined = False
         self._is_head_request = method == "HEAD"
         self._header_name = ""
         self._header_value: str | None = None
@@ -108,6 +113,8 @@
             raise BrokenReply("the connection was closed before the reply's end")
         if not data:
             self.ended_by_close = not was_complete
+        if self._joined:
+            raise BrokenReply("another reply begins inside the head")
         if not self.complete:
             self._check_limits(len(data) if self.body_bytes == body_bytes else 0)
 
@@ -147,7 +154,8 @@
             raise ExcessiveReply(f"more than {MAX_INTERIM_REPLIES} interim replies")
 
     def _on_status(self, text: str) -> None:
-        """Ignore the reason phrase; called by `HTTPResponseParser`."""
+        """Check the reason phrase; called by `HTTPResponseParser`."""
+        self._check_joined(text)
 
     def _on_message_begin(self) -> None:
         if not self.complete:
@@ -179,6 +187,12 @@
 
     def _store_header(self) -> None:
         if self._header_name and not self.complete:
+            self._check_joined(self._header_value or "")
             self.headers.append((self._header_name, self._header_value or ""))
         self._header_name = ""
         self._header_value = None
+
+    def _check_joined(self, text: str) -> None:
+        """Detect a head that was cut off and goes on with that of another reply."""
+        if not self.complete and "HTTP/1." in text and _STATUS_LINE.search(text):
+            self._joined = True
