Count a rejection only if it names its call

What callers saw: "not run, try again" for a call that an upstream was running, or the call ran at a second upstream.

Cause: an upstream that writes an earlier rejection once more, before the answer to this call, was believed if the copy had no id.

Copies behind the answer belonged to no call before either.

Why it works: upstreams name the call in all their replies, so a rejection without that name is no statement on this call, which then may have run.

--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -131,6 +131,9 @@
         # That another call was not run says nothing about this one.
         if self.reply_head.call_id and self.reply_head.call_id != call.id:
             raise BrokenReply("the reply belongs to another call")
+        if self.reply_head.not_run and self.reply_head.call_id != call.id:
+            # It may be the rejection of an earlier call, sent once more.
+            raise BrokenReply("the rejection does not name its call")
         if self.reply_head.not_run:
             raise TurnedAway(parser.status)
         if parser.status in SUCCESS_STATUSES and not self.reply_head.signed:
