Pass on a status that promises "not run" only if the upstream says so

What callers saw: 503, 429 or 408 for a call that may run only once and that its upstream had run. Callers take these for "not run" and send it again.

Cause: the status of an upstream's complete answer was passed on, though only an upstream that says so has not run the call.

Why it works: without that statement the caller of such a call gets 502 with an unknown outcome. Calls that may be repeated get the answer as it is.

--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -11,7 +11,7 @@
 import pytest
 
 from standins.raw_upstream import ReceivedRequest, event, reply, streaming
-from tests.gateway.gateways import Gateway, gateway, route
+from tests.gateway.gateways import RESET, Gateway, gateway, route
 from toucanspool.platform import headers as names
 from toucanspool.routing.routes import CallKind
 
@@ -91,8 +91,8 @@
             gevent.sleep(0.01)
             sock.sendall(answer(seen))
 
-        if not not_run and not call_id:
-            # It does not state that the call was not run.
+        if not not_run and not call_id and int(status[:3]) not in PROMISES:
+            # It promises nothing, and may be passed on.
             continue
         with gateway(script, script, routes=[KINDS[kind]]) as gw:
             check(gw, copy)
@@ -127,6 +127,31 @@
             assert gw.call("POST", body=b"next")[0] == 200
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [s for s in STATUSES if "421" not in s])
+def test_a_status_that_promises_not_run_is_only_passed_on_with_that_statement(
+    status, kind
+):
+    """Guards against an upstream's own 503 for a call that it has run.
+
+    A 421 that names its call is that statement.
+    """
+
+    def script(sock, seen):
+        sock.sendall(reply(seen, b"failed", status=status))
+
+    with gateway(script, script, routes=[KINDS[kind]]) as gw:
+        got, head, body = gw.call("POST", body=b"book")
+        assert sum(len(upstream.seen) for upstream in gw.upstreams) == 1
+    if int(status[:3]) in PROMISES:
+        assert got == 502
+        assert b'"unknown"' in body
+        assert "Signature" not in head
+    else:
+        assert (got, body) == (int(status[:3]), b"failed")
+    assert RESET not in body
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("status", STATUSES)
 def test_a_calls_own_refusal_sends_it_elsewhere(status, kind):
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from toucanspool.gateway.call import Call, RefusalCause, Refused
+from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.dialect import Dialect, ReplyHead
 from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryExceeded
 from toucanspool.routing.upstream import Upstream
@@ -146,6 +146,32 @@
         self._log_end()
         return body
 
+    def complete_reply(self, body: bytes) -> Reply:
+        """Return the upstream's complete reply, unless the caller would misread it.
+
+        Parameters
+        ----------
+        body : bytes
+            Body of the reply.
+
+        Returns
+        -------
+        Reply
+
+        Raises
+        ------
+        Refused
+            Its status would tell the caller that the call, which may have run, has not.
+        """
+        head = self.reply_head
+        if head.promises_not_run and not self._call.route.retryable:
+            raise Refused(
+                RefusalCause.MAYBE_RUN,
+                may_have_run=True,
+                log_fields={"upstream_status": self.status},
+            )
+        return Reply(self.status, list(head.headers), body, framed=self.framed)
+
     def iter_events(
         self, splitter: EventSplitter, idle_timeout_s: float, until: float
     ) -> Iterator[bytes]:
--- a/toucanspool/gateway/dialect.py
+++ b/toucanspool/gateway/dialect.py
@@ -21,6 +21,8 @@
         Whether it has a server signature.
     not_run : bool
         Whether the upstream states that it did not run the call.
+    promises_not_run : bool
+        Whether callers take its status for the statement that the call was not run.
     misdirected : bool
         Whether it comes from another instance, which has the address now.
     retry_after_s : float
@@ -39,6 +41,7 @@
     call_id: str
     signed: bool
     not_run: bool
+    promises_not_run: bool = False
     misdirected: bool = False
     retry_after_s: float = 0.0
     leaving: bool = False
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -141,10 +141,7 @@
                     wanted = self.chooser.wanted(call, progress)
                     if wanted and self._may_retry(call, progress):
                         continue
-                headers = list(attempt.reply_head.headers)
-                return Reply(
-                    attempt.status, headers, outcome.value, framed=attempt.framed
-                )
+                return attempt.complete_reply(outcome.value)
 
     def start_call(self, call: Call) -> CallProgress:
         """Count a new call for the retry budget and return its progress.
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -103,10 +103,10 @@
         attempt_stack = closing.enter_context(ExitStack())
         source = self._open_stream(call, progress, splitter, attempt_stack)
         attempt = source.attempt
+        if source.failure_body is not None:
+            return attempt.complete_reply(source.failure_body)
         headers = list(attempt.reply_head.headers)
         framed = attempt.framed
-        if source.failure_body is not None:
-            return Reply(attempt.status, headers, source.failure_body, framed=framed)
         events = self._relay_events(call, progress, source, attempt_stack)
         first = next(events, b"")
         return Reply(attempt.status, headers, _prepend(first, events), framed=framed)
--- a/toucanspool/platform/headers.py
+++ b/toucanspool/platform/headers.py
@@ -32,6 +32,8 @@
 LENGTH_HINT = "toucanspool-length-hint"
 
 MISDIRECTED_REQUEST = 421
+# Callers send a call again that got one of these, even if it may run only once.
+NOT_RUN_STATUSES = (408, MISDIRECTED_REQUEST, 429, 503)
 MS_PER_S = 1000.0
 # Larger numbers in headers are mistakes; the longest time is some days in milliseconds.
 MAX_NUMBER = 1e9
@@ -89,6 +91,7 @@
             call_id=values.get(ATTEMPT_ID, ""),
             signed=SIGNATURE in values,
             not_run=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
+            promises_not_run=status in NOT_RUN_STATUSES,
             misdirected=status == MISDIRECTED_REQUEST,
             retry_after_s=parse_number(values.get("retry-after", ""), 0.0),
             leaving=values.get(LEAVING) == "1",
