Detect another reply that is written into a stream

What callers saw: the head and text of an error, as events or inside one, where an upstream broke off inside a stream and wrote another reply on the same connection. With chunks this breaks the framing; with a length, without framing or inside a chunk it was taken for events.

Cause: events are split at empty lines, and nothing checked what they hold.

Why it works: in an event stream each line begins with a field's name, so a status line that begins a line, or that stands at the end of one and is followed by another name, is the head of a reply. The stream then counts as broken and goes on elsewhere after the last whole event.

--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -14,7 +14,7 @@
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay, may_follow
 from toucanspool.routing.upstream import Upstream
-from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter, check_events
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
 
@@ -261,6 +261,7 @@
             yield events
         if not attempt.framed and (splitter.partial or not last_at):
             raise BrokenReply("the stream ended inside an event")
+        check_events(splitter.partial)
         self._relay.guard.record_answer(call, progress, complete=attempt.framed)
         if splitter.partial:
             yield splitter.partial
--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -2,13 +2,21 @@
 
 import re
 
-from toucanspool.wire.reply_parser import ExcessiveReply
+from toucanspool.wire.reply_parser import BrokenReply, ExcessiveReply
 
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES = 4
 _EVENT_DATA = re.compile(rb"(?:^|[\r\n])data")
+# A status line that begins a line, or inside one that is followed by a header. A line
+# that is cut off goes on with what is written next. Text about replies has a field's
+# name before each line.
+_REPLY_HEAD = re.compile(
+    rb"(?:^|[\r\n])HTTP/1\.[01] [0-9]{3}(?![0-9])"
+    rb"|HTTP/1\.[01] [0-9]{3}(?![0-9])[^\r\n]*\r?\n"
+    rb"(?!data|id|event|retry)[A-Za-z]"
+)
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -57,6 +65,8 @@
         ------
         ExcessiveReply
             An event is too large.
+        BrokenReply
+            Another reply begins inside the stream.
         """
         self._partial += data
         end = 0
@@ -64,6 +74,7 @@
             end = match.end()
             self.count += 1
         events = bytes(self._partial[:end])
+        check_events(events)
         del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ExcessiveReply(f"an event has more than {MAX_EVENT_BYTES} bytes")
@@ -89,3 +100,22 @@
     def partial(self) -> bytes:
         """Return the bytes after the last complete event."""
         return bytes(self._partial)
+
+
+def check_events(data: bytes) -> None:
+    """Check that no other reply begins inside a stream.
+
+    An upstream that breaks a stream off may write another reply on its connection.
+
+    Parameters
+    ----------
+    data : bytes
+        Whole events, or what stands after the last one as the stream ends.
+
+    Raises
+    ------
+    BrokenReply
+        The data contains the head of another reply.
+    """
+    if b"HTTP/1." in data and _REPLY_HEAD.search(data):
+        raise BrokenReply("another reply begins inside the stream")
