Pass on the head of the upstream that answers a stream

What callers saw: where a stream broke off before its first event and another upstream answered, its events came under the first one's status, signature and headers; if it answered with an error, the connection was reset instead.

Cause: the head was taken from the first attempt, before an event had come.

Why it works: nothing has been sent before the first event, so the next attempt starts over, and its reply is passed on with its own head.

--- /dev/null
+++ b/tests/gateway/test_resumed_errors.py
@@ -0,0 +1,136 @@
+"""A stream has begun and breaks off, and the next upstream answers with an error.
+
+Guards against the error's text or head in the middle of the stream, against a stream
+that ends as if it were complete, and against one upstream's head on another's body.
+"""
+
+import itertools
+
+import pytest
+from gevent import socket
+
+from standins.raw_upstream import ReceivedRequest, Script, event, reply, streaming
+from tests.gateway.gateways import gateway, route
+from tests.gateway.test_stream import decode_body
+from toucanspool.platform import headers as names
+from toucanspool.routing.routes import CallKind
+
+EVENTS = [event(number) for number in range(1, 6)]
+BEGUN = b"".join(EVENTS[:2])
+ALL = b"".join(EVENTS)
+ROUTES = [route(CallKind.STREAM, resumable=True, max_attempts=3)]
+STATUSES = [
+    "200 OK",
+    "201 Created",
+    "202 Accepted",
+    "204 No Content",
+    "206 Partial Content",
+    "302 Found",
+    "304 Not Modified",
+    "400 Bad Request",
+    "404 Not Found",
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "500 Internal Server Error",
+    "502 Bad Gateway",
+    "503 Service Unavailable",
+    "504 Gateway Timeout",
+]
+MEDIA_TYPES = ["", "application/json", "text/html", "text/event-stream"]
+FRAMINGS = ["length", "chunks", "close"]
+MARKS = ["", names.NOT_EXECUTED]
+ERRORS = [
+    b'{"title":"broken"}',
+    b"<h1>broken</h1>\n\n",
+    b"id: 9\ndata: broken\n\n",
+    b"",
+]
+
+
+def error_reply(
+    request: ReceivedRequest,
+    body: bytes,
+    *,
+    status: str,
+    media_type: str,
+    framing: str,
+    mark: str = "",
+) -> bytes:
+    """Return the bytes of a signed answer."""
+    lines = [f"HTTP/1.1 {status}", f"{names.SIGNATURE}: s.2"]
+    lines.append(f"{names.ATTEMPT_ID}: {request.header(names.ATTEMPT_ID)}")
+    lines += [f"Content-Type: {media_type}"] if media_type else []
+    lines += [f"{mark}: 1"] if mark else []
+    bodiless = status[:3] in ("204", "304")
+    if bodiless:
+        body = b""
+    elif framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "chunks":
+        lines.append("Transfer-Encoding: chunked")
+        body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def breaking(framing: str, *, events: list[bytes], partial: bytes = b"") -> Script:
+    """Return a script whose stream breaks off after some events."""
+    if framing != "length":
+        return streaming(events, cut=True, partial=partial, framed=framing == "chunks")
+
+    def script(sock: socket.socket, request: ReceivedRequest) -> None:
+        whole = reply(request, ALL, headers="Content-Type: text/event-stream")
+        sent = b"".join(events) + partial
+        sock.sendall(whole[: len(whole) - len(ALL)] + sent)
+
+    return script
+
+
+def ask(*scripts: Script) -> tuple[int, str, bytes]:
+    """Return status, signature and decoded body; the first script is tried first."""
+    with gateway(*scripts, routes=ROUTES) as gw:
+        gw.core._balancer.set_tie_offset(0.0)
+        gw.upstreams[0].crashes = True
+        status, head, body = gw.call("POST", body=b"ask")
+    lines = head.lower().splitlines()
+    signatures = [line for line in lines if line.startswith(names.SIGNATURE)]
+    return status, "".join(signatures), decode_body(head, body)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", [s for s in STATUSES if s[:3] not in ("421",)])
+def test_an_error_that_comes_before_any_event_is_passed_on_as_it_is(status, framing):
+    """Guards against the first upstream's head on the second one's body."""
+    for media_type, error_framing in itertools.product(MEDIA_TYPES, FRAMINGS):
+
+        def fail(sock, seen, media_type=media_type, framing=error_framing):
+            sock.sendall(
+                error_reply(
+                    seen,
+                    b"broken\n\n",
+                    status=status,
+                    media_type=media_type,
+                    framing=framing,
+                )
+            )
+
+        got = ask(breaking(framing, events=[], partial=b"id: 1\nda"), fail)
+        what = (media_type, error_framing, got)
+        assert got[0] == int(status[:3]), what
+        assert got[1].endswith("s.2"), what
+        bodiless = status[:3] in ("204", "304")
+        assert got[2].startswith(b"" if bodiless else b"broken"), what
+
+
+def test_a_whole_stream_that_comes_before_any_event_has_its_own_head():
+    def second(sock, seen):
+        body = b"".join(EVENTS)
+        sock.sendall(
+            error_reply(
+                seen, body, status="200 OK", media_type="text/x", framing="length"
+            )
+        )
+
+    got = ask(breaking("chunks", events=[]), second)
+    assert got[1].endswith("s.2")
+    assert got[2] == ALL + b"(end)"
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -53,6 +53,10 @@
     upstream: Upstream | None = None
 
 
+class _NotBegun(Exception):
+    """Report a stream that broke before its first event: another reply may follow."""
+
+
 class StreamRelay:
     """Forward streams to upstreams and their events to callers.
 
@@ -101,15 +105,19 @@
         progress = self._relay.start_call(call)
         splitter = EventSplitter(last_id=call.last_event_id)
         attempt_stack = closing.enter_context(ExitStack())
-        source = self._open_stream(call, progress, splitter, attempt_stack)
-        attempt = source.attempt
-        if source.failure_body is not None:
-            return attempt.complete_reply(source.failure_body)
-        headers = list(attempt.reply_head.headers)
-        framed = attempt.framed
-        events = self._relay_events(call, progress, source, attempt_stack)
-        first = next(events, b"")
-        return Reply(attempt.status, headers, _prepend(first, events), framed=framed)
+        while True:
+            source = self._open_stream(call, progress, splitter, attempt_stack)
+            attempt = source.attempt
+            if source.failure_body is not None:
+                return attempt.complete_reply(source.failure_body)
+            status, framed = attempt.status, attempt.framed
+            headers = list(attempt.reply_head.headers)
+            events = self._relay_events(call, progress, source, attempt_stack)
+            try:
+                first = next(events, b"")
+            except _NotBegun:
+                continue
+            return Reply(status, headers, _prepend(first, events), framed=framed)
 
     def _open_stream(
         self,
@@ -224,6 +232,8 @@
                     self._relay.handle_failure(
                         call, progress, source.upstream, exc, sent=True
                     )
+                    if not splitter.count:
+                        raise _NotBegun from exc
                     source = self._open_stream(call, progress, splitter, attempt_stack)
                     if source.failure_body is not None:
                         raise BrokenReply(
