Resume streams only with replies that go on with them

What callers saw: the text of an error behind the events of a stream that had broken off, or a proper end, where the next upstream answered 2xx with another media type, with 204 or without a body. Other errors cut the stream off although a third upstream could go on with it.

Cause: any 2xx was taken for the rest of the stream, and any failure for its end.

Why it works: the reply must have the status, media type and content coding of the first one, which must have events. Any other is a failed attempt, without being one against its upstream, and a further attempt may follow.

--- a/tests/gateway/test_resumed_errors.py
+++ b/tests/gateway/test_resumed_errors.py
@@ -6,11 +6,12 @@
 
 import itertools
 
+import gevent
 import pytest
 from gevent import socket
 
 from standins.raw_upstream import ReceivedRequest, Script, event, reply, streaming
-from tests.gateway.gateways import gateway, route
+from tests.gateway.gateways import RESET, gateway, route
 from tests.gateway.test_stream import decode_body
 from toucanspool.platform import headers as names
 from toucanspool.routing.routes import CallKind
@@ -97,6 +98,59 @@
     return status, "".join(signatures), decode_body(head, body)
 
 
+@pytest.mark.parametrize("partial", [b"", b"id: 3\nda"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", STATUSES)
+def test_no_byte_of_an_error_gets_into_a_stream_that_has_begun(
+    status, framing, partial
+):
+    broken = breaking(framing, events=EVENTS[:2], partial=partial)
+    for media_type, error_framing, mark, text in itertools.product(
+        MEDIA_TYPES, FRAMINGS, MARKS, ERRORS
+    ):
+        if status == "200 OK" and media_type == "text/event-stream" and not mark:
+            # It goes on with the stream.
+            continue
+
+        def fail(
+            sock, seen, media_type=media_type, framing=error_framing, mark=mark, b=text
+        ):
+            sock.sendall(
+                error_reply(
+                    seen,
+                    b,
+                    status=status,
+                    media_type=media_type,
+                    framing=framing,
+                    mark=mark,
+                )
+            )
+
+        got = ask(broken, fail)
+        what = (media_type, error_framing, mark, text)
+        assert got[0] == 200, what
+        assert got[2] == BEGUN + b"(cut)", what
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_stream_goes_on_at_a_third_upstream_after_an_error(status):
+    """Guards against a stream that ends although another upstream could go on."""
+
+    def fail(sock, seen):
+        sock.sendall(
+            error_reply(
+                seen,
+                b"broken",
+                status=status,
+                media_type="application/json",
+                framing="length",
+            )
+        )
+
+    got = ask(breaking("chunks", events=EVENTS[:2]), fail, streaming(EVENTS))
+    assert got[2] == ALL + b"(end)"
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("status", [s for s in STATUSES if s[:3] not in ("421",)])
 def test_an_error_that_comes_before_any_event_is_passed_on_as_it_is(status, framing):
@@ -134,3 +188,73 @@
     got = ask(breaking("chunks", events=[]), second)
     assert got[1].endswith("s.2")
     assert got[2] == ALL + b"(end)"
+
+
+def test_an_answer_that_is_no_stream_is_not_joined_with_another():
+    """Guards against two whole answers in one."""
+
+    def answer(sock, seen, cut=0):
+        data = error_reply(
+            seen,
+            b"[1]\n\n[2]\n\n",
+            status="200 OK",
+            media_type="application/json",
+            framing="length",
+        )
+        sock.sendall(data[: len(data) - cut])
+
+    got = ask(lambda sock, seen: answer(sock, seen, cut=4), answer)
+    assert got[2] == b"[1]\n\n(cut)"
+
+
+def error_head(status: str) -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        "Content-Length: 6\r\n\r\nbroken"
+    ).encode()
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_reply_written_into_a_stream_is_no_part_of_it(status, framing):
+    """Guards against another reply's head among the events, at any place of a cut."""
+    for cut in range(len(EVENTS[2]) + 1):
+        part = EVENTS[2][:cut]
+        if cut == len(EVENTS[2]):
+            part = b""
+
+        def joined(sock, seen, part=part):
+            head = error_head(status)
+            if framing == "chunks":
+                streaming(EVENTS[:2], cut=True, partial=part + head)(sock, seen)
+                return
+            filler = b"x" * 200
+            breaking(framing, events=EVENTS[:2], partial=part + head + filler)(
+                sock, seen
+            )
+
+        got = ask(joined, streaming(EVENTS))
+        if framing == "close":
+            assert got[2] == ALL + b"(end)", part
+        else:
+            assert got[2] in (ALL + b"(end)", BEGUN + b"(cut)"), part
+
+
+def test_text_about_replies_stays_in_the_stream():
+    """Guards against taking every mention of a status line for another reply."""
+    events = [
+        b"id: 1\ndata: HTTP/1.1 200 OK\n\n",
+        b"id: 2\r\ndata: HTTP/1.1 503 No\r\ndata: Retry-After: 1\r\n\r\n",
+        b'id: 3\ndata: {"content":"HTTP/1.1 404 Not Found\\r\\nX: y"}\n\n',
+    ]
+    got = ask(streaming(events), streaming(events))
+    assert got[2] == b"".join(events) + b"(end)"
+
+
+def test_a_broken_stream_that_no_upstream_goes_on_with_is_cut_off():
+    def silent(sock, seen):
+        gevent.sleep(0.01)
+
+    got = ask(breaking("chunks", events=EVENTS[:2]), silent, silent)
+    assert got[2] == BEGUN + b"(cut)"
+    assert RESET not in got[2]
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -37,6 +37,24 @@
         self.status = status
 
 
+class NotContinued(Exception):
+    """Report a complete head that doesn't go on with the stream that had begun.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the reply.
+    media_type : str
+        Its media type.
+    """
+
+    def __init__(self, status: int, media_type: str) -> None:
+        super().__init__(
+            f"the upstream went on with status {status}, media type {media_type!r}"
+        )
+        self.status = status
+
+
 class Attempt:
     """Send a call to one upstream and read the reply; must be closed.
 
--- a/toucanspool/gateway/attempt_race.py
+++ b/toucanspool/gateway/attempt_race.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event
 
-from toucanspool.gateway.attempt import Attempt, TurnedAway
+from toucanspool.gateway.attempt import Attempt, NotContinued, TurnedAway
 from toucanspool.gateway.call import Call
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.routing.upstream import Upstream
@@ -16,7 +16,7 @@
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
 
-ATTEMPT_ERRORS = (Unreachable, TurnedAway, Silent, BrokenReply)
+ATTEMPT_ERRORS = (Unreachable, TurnedAway, NotContinued, Silent, BrokenReply)
 SERVER_ERROR_STATUSES = range(500, 600)
 
 # Uses an attempt until a time on the monotonic clock, and returns what it got.
--- a/toucanspool/gateway/attempt_results.py
+++ b/toucanspool/gateway/attempt_results.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from toucanspool.gateway.attempt import TurnedAway
+from toucanspool.gateway.attempt import NotContinued, TurnedAway
 from toucanspool.gateway.attempt_race import (
     ATTEMPT_ERRORS,
     SERVER_ERROR_STATUSES,
@@ -95,7 +95,9 @@
         progress.sends += sent
         progress.connect_failures += not sent
         progress.runs += sent and not turned_away
-        if not turned_away:
+        if isinstance(exc, NotContinued):
+            self.record_status(call, upstream, exc.status)
+        elif not turned_away:
             result = AttemptResult.UNREACHABLE if unreachable else AttemptResult.FAILED
             self._ejector.record(upstream.name, result, time.monotonic())
         if isinstance(exc, BrokenReply):
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -3,17 +3,16 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
-from dataclasses import dataclass
 
 import structlog
 
-from toucanspool.gateway.attempt import SUCCESS_STATUSES, Attempt
+from toucanspool.gateway.attempt import SUCCESS_STATUSES, Attempt, NotContinued
 from toucanspool.gateway.call import Call, Refused, Reply
 from toucanspool.gateway.caller import ReplyCutOff
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay, may_follow
-from toucanspool.routing.upstream import Upstream
+from toucanspool.gateway.stream_source import StreamForm, StreamSource
 from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter, check_events
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
@@ -28,31 +27,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Source:
-    """Hold what a stream is read from: an attempt whose reply has begun.
-
-    Parameters
-    ----------
-    attempt : Attempt
-        The attempt.
-    splitter : EventSplitter
-        Splits its stream.
-    events : iterator of bytes
-        Its complete events.
-    failure_body : bytes or None
-        Body of a reply that is a failure; None if there are events.
-    upstream : Upstream or None
-        Upstream of the attempt.
-    """
-
-    attempt: Attempt
-    splitter: EventSplitter
-    events: Iterator[bytes]
-    failure_body: bytes | None = None
-    upstream: Upstream | None = None
-
-
 class _NotBegun(Exception):
     """Report a stream that broke before its first event: another reply may follow."""
 
@@ -110,14 +84,15 @@
             attempt = source.attempt
             if source.failure_body is not None:
                 return attempt.complete_reply(source.failure_body)
-            status, framed = attempt.status, attempt.framed
+            form = StreamForm.of(attempt)
             headers = list(attempt.reply_head.headers)
-            events = self._relay_events(call, progress, source, attempt_stack)
+            events = self._relay_events(call, progress, source, form, attempt_stack)
             try:
                 first = next(events, b"")
             except _NotBegun:
                 continue
-            return Reply(status, headers, _prepend(first, events), framed=framed)
+            body = _prepend(first, events)
+            return Reply(form.status, headers, body, framed=form.framed)
 
     def _open_stream(
         self,
@@ -125,10 +100,12 @@
         progress: CallProgress,
         splitter: EventSplitter,
         attempt_stack: ExitStack,
-    ) -> _Source:
+        form: StreamForm | None = None,
+    ) -> StreamSource:
         """Return a stream, or a failure, after the reply's head.
 
-        Where a second attempt may be made, it is returned after the first event.
+        Where a second attempt may be made, it is returned after the first event. With a
+        `form`, a stream has begun, and only a reply that may go on with it is returned.
         """
         while True:
             attempt_stack.close()
@@ -141,10 +118,10 @@
                 until: float,
                 hedged: bool = hedged,
                 idle_timeout_s: float = idle_timeout_s,
-            ) -> _Source:
+            ) -> StreamSource:
                 if hedged:
                     return self._open_with_event(call, progress, attempt, until)
-                return self._open(call, attempt, until, idle_timeout_s, splitter)
+                return self._open(call, attempt, until, idle_timeout_s, splitter, form)
 
             outcome = self._relay.runner.run(
                 call,
@@ -177,17 +154,20 @@
         until: float,
         idle_timeout_s: float,
         splitter: EventSplitter,
-    ) -> _Source:
+        form: StreamForm | None = None,
+    ) -> StreamSource:
         attempt.begin(until, last_event_id=splitter.last_id)
+        if form is not None:
+            form.check_continued(StreamForm.of(attempt))
         events = attempt.iter_events(splitter, idle_timeout_s, call.deadline.at)
-        source = _Source(attempt, splitter, events)
+        source = StreamSource(attempt, splitter, events)
         if attempt.status not in SUCCESS_STATUSES:
             source.failure_body = attempt.read_body(until, self._relay.max_reply_bytes)
         return source
 
     def _open_with_event(
         self, call: Call, progress: CallProgress, attempt: Attempt, until: float
-    ) -> _Source:
+    ) -> StreamSource:
         """Open a stream with a splitter of its own, and wait for its first event.
 
         Comments and other events without data don't count as one.
@@ -213,7 +193,8 @@
         self,
         call: Call,
         progress: CallProgress,
-        source: _Source,
+        source: StreamSource,
+        form: StreamForm,
         attempt_stack: ExitStack,
     ) -> Iterator[bytes]:
         splitter = source.splitter
@@ -228,20 +209,20 @@
                 raise
             except (Silent, BrokenReply) as exc:
                 splitter.drop_partial()
+                begun = splitter.count > 0
                 try:
                     self._relay.handle_failure(
                         call, progress, source.upstream, exc, sent=True
                     )
-                    if not splitter.count:
+                    if not begun:
                         raise _NotBegun from exc
-                    source = self._open_stream(call, progress, splitter, attempt_stack)
-                    if source.failure_body is not None:
-                        raise BrokenReply(
-                            f"resumed with status {source.attempt.status}"
-                        )
-                except (Refused, BrokenReply) as cause:
+                    form.check_resumable()
+                    source = self._open_stream(
+                        call, progress, splitter, attempt_stack, form
+                    )
+                except (Refused, NotContinued) as cause:
                     # Without an event sent yet, the caller can still be refused.
-                    if not splitter.count and isinstance(cause, Refused):
+                    if not begun:
                         raise
                     _log.info(
                         "stream cut off",
@@ -258,7 +239,7 @@
                 )
 
     def _read_events(
-        self, call: Call, progress: CallProgress, source: _Source
+        self, call: Call, progress: CallProgress, source: StreamSource
     ) -> Iterator[bytes]:
         attempt, splitter = source.attempt, source.splitter
         last_at = 0.0
