Give a resumed stream no end that its upstream has not given

What callers saw: a last chunk, so a complete stream, where the reply that went on with their stream had no framing and its connection closed.

Cause: only the framing of the first reply was passed on. A reply without framing ends with its connection, which proves nothing.

Evidence: two cases of test_resumed_errors.py fail on the code before.

Why it works: such a stream is reset behind its last event, so that its caller asks for the rest.

--- a/tests/gateway/test_resumed_errors.py
+++ b/tests/gateway/test_resumed_errors.py
@@ -207,6 +207,13 @@
     assert got[2] == b"[1]\n\n(cut)"
 
 
+@pytest.mark.parametrize("framing", ["chunks", "length"])
+def test_an_end_without_framing_does_not_make_a_stream_complete(framing):
+    """Guards against the last chunk of a stream whose end no upstream has given."""
+    got = ask(breaking(framing, events=EVENTS[:2]), streaming(EVENTS[:4], framed=False))
+    assert got[2] == b"".join(EVENTS[:4]) + b"(cut)"
+
+
 def error_head(status: str) -> bytes:
     return (
         f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -202,6 +202,9 @@
             try:
                 yield from self._read_events(call, progress, source)
                 self._relay.results.record_success(source.upstream)
+                if form.framed and not source.attempt.framed:
+                    # The caller would be told of an end that no upstream has given.
+                    raise ReplyCutOff
                 return
             except Refused as exc:
                 if splitter.count:
