Resume chat streams only with successes of the same status

What callers saw: the text of a failure in the middle of a stream, where the entry's next upstream answered with an error as an event stream; and a stream behind the text of a failure with which the first one had answered.

Cause: the entry took every reply that is an event stream for a stream, whatever its status.

Why it works: only a success is a stream, and only one of the same status goes on with it. What else comes ends the stream with an error event, as before.

`ReplyCutOff` moves to the HTTP server, since both kinds of entry use it.

--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -30,7 +30,7 @@
 from toucanspool.retries.budget import RetryBudget
 from toucanspool.settings.settings import Entry
 from toucanspool.wire.events import DONE_EVENT
-from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
+from toucanspool.wire.gen.messages.ttypes import Head, Outcome, Refusal
 
 MIN_SERVER_ERROR_STATUS = 500
 PRIORITY_HEADER = "x-priority"
@@ -218,6 +218,7 @@
 
     def _relay(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
         result = "The caller left before the end."
+        head = progress.attempt.head
         try:
             while True:
                 try:
@@ -226,7 +227,7 @@
                 except AttemptFailed as exc:
                     if progress.is_complete:
                         break
-                    final_chunk = self._resume_stream(req, progress, exc)
+                    final_chunk = self._resume_stream(req, progress, exc, head)
                     if final_chunk is not None:
                         yield final_chunk
                         break
@@ -245,9 +246,16 @@
         self._router.record_success(progress.target)
 
     def _resume_stream(
-        self, req: CallerRequest, progress: Progress, exc: AttemptFailed
+        self,
+        req: CallerRequest,
+        progress: Progress,
+        exc: AttemptFailed,
+        head: Head,
     ) -> bytes | None:
-        """Resume a broken stream; return its end if no text is missing."""
+        """Resume a broken stream; return its end if no text is missing.
+
+        The caller has got `head`, so only replies with the same one may go on.
+        """
         while True:
             self._failures.handle(req, progress, exc)
             try:
@@ -256,8 +264,7 @@
                 if finished:
                     return DONE_EVENT
                 self._new_attempt(req, progress, resume_body(req.body, text, tokens))
-                if not progress.is_stream:
-                    raise CannotContinue("the answer is no stream")
+                _check_continued(head, progress)
                 return None
             except AttemptFailed as resume_failure:
                 exc = resume_failure
@@ -270,3 +277,10 @@
                     f"The stream broke and can't go on: {cause}.",
                     outcome=Outcome.UNKNOWN,
                 ) from exc
+
+
+def _check_continued(head: Head, progress: Progress) -> None:
+    """Raise unless the current reply may go on with a stream that began with a head."""
+    other = progress.attempt.head
+    if not progress.is_stream or other.status != head.status:
+        raise CannotContinue("the answer is no stream")
--- a/toucanspool/entry/progress.py
+++ b/toucanspool/entry/progress.py
@@ -6,6 +6,8 @@
 from toucanspool.wire.events import ends_stream, is_event_stream
 from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
+SUCCESS_STATUSES = range(200, 300)
+
 
 class Progress:
     """Track one request through its attempts.
@@ -49,8 +51,11 @@
 
     @property
     def is_stream(self) -> bool:
-        """Return whether the current reply is a stream."""
-        return is_event_stream(self.attempt.head.headers.get("content-type", ""))
+        """Return whether the current reply is a stream, and no failure."""
+        head = self.attempt.head
+        return head.status in SUCCESS_STATUSES and is_event_stream(
+            head.headers.get("content-type", "")
+        )
 
     @property
     def is_complete(self) -> bool:
--- a/toucanspool/gateway/caller.py
+++ b/toucanspool/gateway/caller.py
@@ -1,7 +1,6 @@
 """Detection of callers that disconnect while their call runs."""
 
 import contextlib
-import errno
 from types import TracebackType
 from typing import Self
 
@@ -19,13 +18,6 @@
     """
 
 
-class ReplyCutOff(ConnectionResetError):
-    """Abort a caller's connection, so that its reply doesn't look complete."""
-
-    def __init__(self) -> None:
-        super().__init__(errno.ECONNRESET, "the answer can't be completed")
-
-
 class CallerWatch:
     """Raise `CallerLeft` in the current greenlet when the caller disconnects.
 
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -11,11 +11,16 @@
 from gevent import socket
 
 from toucanspool.gateway.call import RefusalCause, Refused
-from toucanspool.gateway.caller import CallerLeft, ReplyCutOff
+from toucanspool.gateway.caller import CallerLeft
 from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryBudget, MemoryPart
 from toucanspool.gateway.slow_reader import SEND_BUFFER_BYTES, SlowReader, send_all
 from toucanspool.routing.routes import RequestLimits
-from toucanspool.wire.http_server import RESET_ON_CLOSE, HttpServer, ReplyHandler
+from toucanspool.wire.http_server import (
+    RESET_ON_CLOSE,
+    HttpServer,
+    ReplyCutOff,
+    ReplyHandler,
+)
 from toucanspool.wire.reply_parser import Header
 
 # Bodies are read and counted in blocks of this size.
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -8,12 +8,12 @@
 
 from toucanspool.gateway.attempt import SUCCESS_STATUSES, Attempt, NotContinued
 from toucanspool.gateway.call import Call, Refused, Reply
-from toucanspool.gateway.caller import ReplyCutOff
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay, may_follow
 from toucanspool.gateway.stream_source import StreamForm, StreamSource
 from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter, check_events
+from toucanspool.wire.http_server import ReplyCutOff
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
 
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -12,7 +12,7 @@
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.call_dispatcher import CallDispatcher
-from toucanspool.gateway.caller import CallerLeft, CallerWatch, ReplyCutOff
+from toucanspool.gateway.caller import CallerLeft, CallerWatch
 from toucanspool.gateway.caller_server import CallerHandler
 from toucanspool.gateway.fingerprint import fingerprint
 from toucanspool.platform import headers as platform_headers
@@ -21,7 +21,7 @@
 from toucanspool.routing.regions import combine_regions
 from toucanspool.routing.routes import KeyHolder, Route, RouteTable
 from toucanspool.telemetry.call_metrics import CallMetrics
-from toucanspool.wire.http_server import HANDLER_KEY
+from toucanspool.wire.http_server import HANDLER_KEY, ReplyCutOff
 from toucanspool.wire.reply_parser import Header
 
 MS_PER_S = 1000.0
--- a/toucanspool/wire/http_server.py
+++ b/toucanspool/wire/http_server.py
@@ -1,6 +1,7 @@
 """A gevent HTTP server without Nagle's algorithm, whose replies may lack framing."""
 
 import contextlib
+import errno
 import struct
 from typing import Any
 
@@ -18,6 +19,13 @@
 DISCARD_BLOCK_BYTES = 64 * 1024
 
 
+class ReplyCutOff(ConnectionResetError):
+    """Abort a caller's connection, so that its reply doesn't look complete."""
+
+    def __init__(self) -> None:
+        super().__init__(errno.ECONNRESET, "the answer can't be completed")
+
+
 class ReplyHandler(WSGIHandler):
     """Handle requests whose replies may have neither a length nor chunks."""
 
