Cut off streams of services that break instead of running them again

What callers saw: the events of two runs in one stream, where the stream of a service broke off behind its first events and the call may be repeated; or an error event of the entry's own in it, and a proper end.

Cause: what resumes chat streams was used for all streams. Without generated text it sends the request once more as it was.

Why it works: a stream of a service that has begun is reset as it breaks. Before its first event it may still run elsewhere, if the reply has the head that the caller got.

--- a/tests/entry/test_resumed_errors.py
+++ b/tests/entry/test_resumed_errors.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.entry.fakes import (
+    STREAM_HEAD,
     breaks_after,
     chunks,
     completed,
@@ -19,7 +20,9 @@
     streams,
 )
 from tests.entry.test_dispatcher import classify
+from toucanspool.entry.problems import Problem
 from toucanspool.wire.gen.messages.ttypes import Head, Outcome, Refusal
+from toucanspool.wire.http_server import ReplyCutOff
 
 STATUSES = [200, 201, 202, 204, 206, 302, 304]
 STATUSES += [400, 404, 408, 421, 429, 500, 502, 503, 504]
@@ -65,3 +68,46 @@
     assert reply.status == status
     assert b"".join(reply) == b"data: no\n\n"
     assert len(link.opened_calls) == 1
+
+
+@pytest.mark.parametrize("count", [0, 1])
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_services_stream_is_not_run_again_once_it_has_begun(count, framed):
+    """Guards against the events of two runs in one stream, and a proper end."""
+    head = Head(status=200, headers=STREAM_HEAD.headers, framed=framed)
+    broken = refused(Refusal.BROKEN, Outcome.UNKNOWN)
+
+    def breaks(message):
+        return [head, *chunks(SERVICE_EVENTS[: count + 1]), broken]
+
+    def whole(message):
+        return [head, *chunks(SERVICE_EVENTS), completed(SERVICE_EVENTS)]
+
+    dispatcher, link = make_dispatcher(breaks, whole)
+    data = b""
+    with pytest.raises(ReplyCutOff):
+        for chunk in dispatcher.dispatch(make_request(stream=False)):
+            data += chunk
+    assert data == b"".join(SERVICE_EVENTS[: count + 1])
+    assert len(link.opened_calls) == 1
+
+
+def test_a_services_stream_that_breaks_before_any_event_is_run_elsewhere():
+    def breaks(message):
+        return [STREAM_HEAD, refused(Refusal.BROKEN, Outcome.UNKNOWN)]
+
+    def whole(message):
+        return [STREAM_HEAD, *chunks(SERVICE_EVENTS), completed(SERVICE_EVENTS)]
+
+    dispatcher, _ = make_dispatcher(breaks, whole)
+    data = b"".join(dispatcher.dispatch(make_request(stream=False)))
+    assert data == b"".join(SERVICE_EVENTS)
+
+
+def test_a_services_stream_that_breaks_before_any_event_ends_in_no_proper_end():
+    def breaks(message):
+        return [STREAM_HEAD, refused(Refusal.BROKEN, Outcome.UNKNOWN)]
+
+    dispatcher, _ = make_dispatcher(breaks)
+    with pytest.raises((ReplyCutOff, Problem)):
+        b"".join(dispatcher.dispatch(make_request(stream=False)))
--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -31,6 +31,7 @@
 from toucanspool.settings.settings import Entry
 from toucanspool.wire.events import DONE_EVENT
 from toucanspool.wire.gen.messages.ttypes import Head, Outcome, Refusal
+from toucanspool.wire.http_server import ReplyCutOff
 
 MIN_SERVER_ERROR_STATUS = 500
 PRIORITY_HEADER = "x-priority"
@@ -234,6 +235,9 @@
             result = "It was answered."
         except Problem as exc:
             result = exc.detail
+            if not req.streamed:
+                # Only chat streams have events for errors.
+                raise ReplyCutOff from exc
             yield progress.with_outcome(exc).event(req.request_id)
         finally:
             self._decision_log.record_result(req.request_id, req.team.name, result)
@@ -260,11 +264,13 @@
             self._failures.handle(req, progress, exc)
             try:
                 relayed = b"".join(progress.relayed_chunks)
+                if relayed and not req.streamed:
+                    raise CannotContinue("it is no chat stream")
                 text, tokens, finished = generated_text(relayed)
                 if finished:
                     return DONE_EVENT
                 self._new_attempt(req, progress, resume_body(req.body, text, tokens))
-                _check_continued(head, progress)
+                _check_continued(head, progress, streamed=req.streamed)
                 return None
             except AttemptFailed as resume_failure:
                 exc = resume_failure
@@ -279,8 +285,13 @@
                 ) from exc
 
 
-def _check_continued(head: Head, progress: Progress) -> None:
-    """Raise unless the current reply may go on with a stream that began with a head."""
+def _check_continued(head: Head, progress: Progress, *, streamed: bool) -> None:
+    """Raise unless the current reply may go on with a stream that began with a head.
+
+    Chat streams have an end marker of their own; others need the same framing.
+    """
     other = progress.attempt.head
     if not progress.is_stream or other.status != head.status:
         raise CannotContinue("the answer is no stream")
+    if not streamed and bool(other.framed) != bool(head.framed):
+        raise CannotContinue("the answer is framed differently")
