Refuse requests whose head is cut off

What callers saw: a caller that stopped inside the head of its request and closed was served, without the headers that were missing or with an empty body. Calls at gateways ended as their caller had left, before they reached an upstream.

Cause: the parser of request heads takes the end of the connection for the end of the head.

Why it works: a head ends with an empty line. Where the connection ends before it, the request is malformed.

--- a/toucanspool/wire/http_server.py
+++ b/toucanspool/wire/http_server.py
@@ -17,6 +17,12 @@
 # connection.
 CLOSE_TIMEOUT_S = 0.5
 DISCARD_BLOCK_BYTES = 64 * 1024
+# The server refuses longer lines itself.
+MAX_LINE_BYTES = 8192
+
+
+class HeadCutOff(ValueError):
+    """Report a connection that was closed inside the head of a request."""
 
 
 class ReplyCutOff(ConnectionResetError):
@@ -49,6 +55,16 @@
             self.server.open_requests.add(self)
         return super().read_requestline()
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read a request's head; overrides `WSGIHandler`."""
+        if not raw_requestline.endswith("\n") and len(raw_requestline) < MAX_LINE_BYTES:
+            raise HeadCutOff("the connection was closed inside the request line")
+        return super().read_request(raw_requestline)
+
+    def MessageClass(self, file: Any, *args: Any) -> Any:  # noqa: N802
+        """Parse a request's headers; overrides `WSGIHandler`."""
+        return super().MessageClass(_HeadReader(file), *args)
+
     def process_result(self) -> None:
         """Send the reply; overrides `WSGIHandler`."""
         super().process_result()
@@ -162,3 +178,18 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self._idle_timeout_s)
         super().handle(sock, address)
+
+
+class _HeadReader:
+    """Read the lines of a head; its end is an empty line, not a closed connection."""
+
+    __slots__ = ("_file",)
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+
+    def readline(self, size: int = -1) -> bytes:
+        line = self._file.readline(size)
+        if not line.endswith(b"\n") and (size < 0 or len(line) < size):
+            raise HeadCutOff("the connection was closed inside the request's head")
+        return line
