Show that answers that are cut off are not taken for whole

The tests cut answers over statuses, media types, framings and places, at gateways, agents and the clients of store and table, and write earlier replies once more to agents and links.

--- a/tests/agent/test_upstream_client.py
+++ b/tests/agent/test_upstream_client.py
@@ -4,7 +4,16 @@
 
 import pytest
 
-from standins.raw_upstream import RawUpstream, answering, event, streaming
+from standins.raw_upstream import (
+    RawUpstream,
+    ReceivedRequest,
+    answering,
+    event,
+    reply,
+    streaming,
+)
+from tests.gateway.test_resumed_errors import FRAMINGS, MEDIA_TYPES, STATUSES
+from tests.gateway.test_resumed_errors import error_reply as answer
 from toucanspool.agent.upstream_client import UpstreamBroken, UpstreamClient
 from toucanspool.settings.settings import Address
 
@@ -46,3 +55,46 @@
     with replying(streaming(EVENTS)) as reply:
         assert reply.streamed
         assert b"".join(reply.iter_body()) == b"".join(EVENTS)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_reply_that_is_cut_off_is_broken(status, framing):
+    """Guards against a success with an empty or short body that looks whole."""
+    sent = b""
+
+    def script(sock, seen):
+        sock.sendall(sent)
+
+    body = b"".join(EVENTS)
+    with RawUpstream(script) as upstream:
+        address = Address(host="127.0.0.1", port=upstream.port)
+        client = UpstreamClient(address, timeout_s=2.0)
+        for media_type in MEDIA_TYPES:
+            options = {"status": status, "media_type": media_type, "framing": framing}
+            whole = answer(ReceivedRequest("x", b""), body, **options)
+            length = len(whole)
+            if framing == "close":
+                # The end of such a body is that of its connection.
+                length = whole.index(b"\r\n\r\n") + 4
+            for cut in range(length):
+                sent = whole[:cut]
+                with pytest.raises(UpstreamBroken):
+                    b"".join(client.send("POST", "/x", {}, b"ask").iter_body())
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_reply_to_an_earlier_request_is_no_reply_to_the_next(status):
+    """Guards against an earlier refusal that is written once more behind a reply."""
+
+    def script(sock, seen):
+        sock.sendall(reply(seen, b"to " + seen.body))
+        sock.sendall(reply(seen, b"late, to " + seen.body, status=status))
+
+    with RawUpstream(script) as upstream:
+        address = Address(host="127.0.0.1", port=upstream.port)
+        client = UpstreamClient(address, timeout_s=2.0)
+        for body in (b"one", b"two", b"three"):
+            answer_to = client.send("POST", "/x", {}, body)
+            assert answer_to.status == 200
+            assert b"".join(answer_to.iter_body()) == b"to " + body
--- a/tests/backing/test_http_client.py
+++ b/tests/backing/test_http_client.py
@@ -116,3 +116,24 @@
         client = JsonClient("127.0.0.1", port, timeout_s=1.0)
         assert [client.call("POST", "/x", {})[1] for _ in range(3)] == [1, 2, 3]
         client.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("status", ["200 OK", "204 No Content", "409 Conflict"])
+@pytest.mark.parametrize("framing", ["Content-Length: 8", "Transfer-Encoding: chunked"])
+def test_a_reply_that_is_cut_off_is_lost(method, status, framing):
+    """Guards against a reply whose head or body was cut taken for a whole one."""
+    body = b'{"a": 1}' if "Length" in framing else b'8\r\n{"a": 1}\r\n0\r\n\r\n'
+    if "204" in status:
+        body = b""
+    head = f"HTTP/1.1 {status}\r\n{JSON}\r\n{framing}\r\n\r\n".encode()
+    sent = b""
+
+    def script(sock, seen):
+        sock.sendall(sent)
+
+    with client_of(script) as (client, _):
+        for cut in range(len(head + body)):
+            sent = (head + body)[:cut]
+            with pytest.raises(CallLost):
+                client.call(method, "/x")
--- a/tests/entry/test_link.py
+++ b/tests/entry/test_link.py
@@ -157,3 +157,26 @@
 def test_no_agent_is_a_lost_connection():
     with pytest.raises(ConnectionLost):
         Link("127.0.0.1", 1, IgnoringHandler(), Hello).open(Open())
+
+
+@pytest.mark.parametrize("outcome", [Outcome.NOT_RUN, Outcome.UNKNOWN])
+def test_a_refusal_that_is_sent_once_more_ends_no_other_call(link_and_agent, outcome):
+    """Guards against "not run" for a call because of an earlier call's refusal."""
+    link, agent = link_and_agent
+    first = open_call(link, agent)
+    end = End(call=first.number, outcome=outcome, refusal=Refusal.BUSY, detail="No.")
+    send(agent, Frame(end=end))
+    assert first.next(WAIT_S).outcome == outcome
+    send(agent, Frame(end=end))
+    first.close()
+    second = open_call(link, agent)
+    send(agent, Frame(end=end))
+    with pytest.raises(CallTimeout):
+        second.next(0.05)
+    # Numbers go on across connections, too.
+    link.close()
+    assert second.next(WAIT_S).refusal == Refusal.BROKEN
+    third = open_call(link, agent)
+    send(agent, Frame(end=end))
+    with pytest.raises(CallTimeout):
+        third.next(0.05)
--- a/tests/platform/test_unpooled_client.py
+++ b/tests/platform/test_unpooled_client.py
@@ -46,3 +46,14 @@
     script = without_end(head, b"x" * 65536, limit_bytes=64 * 1024 * 1024)
     with gevent.Timeout(1.5), pytest.raises(CallLost):
         call(script)
+
+
+@pytest.mark.parametrize("status", ["200 OK", "204 No Content", "409 Conflict"])
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_response_that_is_cut_off_in_its_head_is_lost(status, framed):
+    """Guards against a response whose head was cut taken for an empty one."""
+    framing = "Content-Length: 0\r\n" if framed else ""
+    head = f"HTTP/1.1 {status}\r\n{JSON}\r\n{framing}\r\n".encode()
+    for cut in range(len(head)):
+        with pytest.raises(CallLost):
+            call(lambda sock, seen, cut=cut: sock.sendall(head[:cut]))
