Handle SIGHUP from the start of the daemon on

What callers saw: nothing in a test of ours; a SIGHUP that met a process between opening its ports and the end of its start ended it.

Cause: the handler was installed after the services had started.

Why it works: SIGHUP is ignored while the modules are imported, before the settings are read. Later ones are kept until the services have started, and the settings are then read again. An error in reloading doesn't end the task.

--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -310,3 +310,31 @@
             assert (status, orjson.loads(body)["outcome"]) == (503, "not_run")
         finally:
             process.close()
+
+
+def hang_ups_are_handled(pid: int) -> bool:
+    """Return whether SIGHUP doesn't end a process; see proc(5)."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.split(":\t", 1) for line in status.splitlines())
+    return any(int(fields[name], 16) & 1 for name in ("SigIgn", "SigCgt"))
+
+
+def test_a_request_to_read_the_settings_again_does_not_end_a_starting_process(tmp_path):
+    """Guards against SIGHUP ending a process that has no handler for it yet."""
+    with RowStore() as store:
+        process = GatewayProcess(store, tmp_path, answering(b"booked"))
+        try:
+            process.spawn()
+            # The interpreter itself has to start first.
+            while not hang_ups_are_handled(process.process.pid):
+                gevent.sleep(0.005)
+            # A process that serves already has callers to lose.
+            assert process.get(process.callers, "/")[0] == 0
+            for _ in range(40):
+                process.process.send_signal(signal.SIGHUP)
+                gevent.sleep(0.02)
+            process.wait_until_ready()
+            assert process.send(request("POST", path="/book/x"))[0] == 200
+            assert process.lines("settings reloaded")
+        finally:
+            process.close()
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -3,13 +3,17 @@
 ``--check`` only checks the settings. SIGTERM stops gracefully.
 """
 
+import signal
+
+# The default action would end the process. Settings are read after the imports.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
 
 import gc
 import os
-import signal
 import sys
 
 import gevent
@@ -68,6 +72,8 @@
     if not SETTINGS.value:
         print("--settings is due: the file with the settings", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    reload_requested = Event()
+    gevent.signal_handler(signal.SIGHUP, reload_requested.set)
     try:
         cfg = load_settings(SETTINGS.value)
     except SettingsError as exc:
@@ -82,7 +88,7 @@
         gevent.signal_handler(signum, stop_requested.set)
     kernel = build_kernel(cfg)
     kernel.start()
-    gevent.signal_handler(signal.SIGHUP, _reload, kernel, SETTINGS.value)
+    gevent.spawn(_reload_on_request, kernel, SETTINGS.value, reload_requested)
     # Objects that exist now live until exit; freezing spares full collections the scan.
     gc.collect()
     gc.freeze()
@@ -94,6 +100,17 @@
     return 0
 
 
+def _reload_on_request(kernel: Kernel, path: str, requested: Event) -> None:
+    """Reload the settings after each request, also one made while starting."""
+    while True:
+        requested.wait()
+        requested.clear()
+        try:
+            _reload(kernel, path)
+        except Exception:
+            _log.exception("settings not reloaded")
+
+
 def _reload(kernel: Kernel, path: str) -> None:
     """Reload the settings file; if it has errors, the current settings stay."""
     try:
