Let the soak's upstreams send refusals and failures that mislead

Upstreams of the soak write an earlier refusal before the answer, whole or cut off inside its head, answer with failures of their own where a call has run or a stream is to go on, and write another reply inside a stream.

--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -10,6 +10,7 @@
 import orjson
 from gevent import socket
 
+from soak import strange_replies
 from soak.cold_watch import COLD_START_S, ColdWatch
 from soak.deadly_requests import DeadlyRequests
 from soak.evacuation_watch import EvacuationWatch
@@ -25,6 +26,7 @@
 # Share of replies without length or chunks, which end with their connection.
 UNFRAMED_SHARE = 0.3
 FAULTS = ("full", "early", "late", "cut", "garbage", "hang", "endless")
+FAULTS += strange_replies.KINDS
 ENDLESS_BLOCK = b"x" * 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -188,8 +190,20 @@
         if fault and kind == "endless":
             self._send_without_end(sock, call)
             return
-        if " /stream/" in request.head:
-            self._stream(sock, request, call, limit, cut=fault, framed=framed)
+        streamed = " /stream/" in request.head
+        if fault and kind == "earlier refusal":
+            sock.sendall(strange_replies.earlier_refusal(self._rng, request))
+            fault = False
+        if fault and kind == "failure":
+            resumed = streamed and bool(request.header("last-event-id"))
+            data = strange_replies.failure(self._rng, request, resumed=resumed)
+            sock.sendall(data)
+            return
+        if streamed:
+            end = b"id: 9\nda"
+            if kind == "embedded":
+                end = strange_replies.embedded_reply(self._rng, request)
+            self._stream(sock, request, call, limit, cut=fault, framed=framed, end=end)
             return
         gevent.sleep(self._rng.uniform(0.0, 0.05))
         body = b"answer to " + call.encode()
@@ -228,6 +242,7 @@
         *,
         cut: bool,
         framed: bool,
+        end: bytes,
     ) -> None:
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -247,4 +262,4 @@
         if framed and not cut:
             sock.sendall(b"0\r\n\r\n")
         elif cut and not framed:
-            sock.sendall(b"id: 9\nda")
+            sock.sendall(end)
