--- a/tests/agent/test_upstream_client.py
+++ b/tests/agent/test_upstream_client.py
@@ -12,8 +12,7 @@
     reply,
     streaming,
 )
-from tests.gateway.test_resumed_errors import FRAMINGS, MEDIA_TYPES, STATUSES
-from tests.gateway.test_resumed_errors import error_reply as answer
+from tests.replies import FRAMINGS, MEDIA_TYPES, STATUSES, answer
 from toucanspool.agent.upstream_client import UpstreamBroken, UpstreamClient
 from toucanspool.settings.settings import Address
 
--- a/tests/entry/test_errors_in_streams.py
+++ b/tests/entry/test_errors_in_streams.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests import replies
 from tests.entry.fakes import (
     STREAM_HEAD,
     breaks_after,
@@ -24,9 +25,7 @@
 from toucanspool.wire.gen.messages.ttypes import Head, Outcome, Refusal
 from toucanspool.wire.http_server import ReplyCutOff
 
-STATUSES = [200, 201, 202, 204, 206, 302, 304]
-STATUSES += [400, 404, 408, 421, 429, 500, 502, 503, 504]
-MEDIA_TYPES = ["", "application/json", "text/html", "text/event-stream"]
+STATUSES = [int(status[:3]) for status in replies.STATUSES]
 TEXTS = [b'{"title":"broken"}', b'data: {"error":"broken"}\n\n', b"broken\n\n", b""]
 ENDS = ["whole", "broken"]
 SERVICE_EVENTS = [b'id: 1\ndata: {"seat":1}\n\n', b"id: 2\ndata: two\n\n"]
@@ -45,7 +44,7 @@
 @pytest.mark.parametrize("framed", [True, False])
 @pytest.mark.parametrize("status", STATUSES)
 def test_no_byte_of_an_error_gets_into_a_stream_that_has_begun(status, framed):
-    for media_type, text, end in itertools.product(MEDIA_TYPES, TEXTS, ENDS):
+    for media_type, text, end in itertools.product(replies.MEDIA_TYPES, TEXTS, ENDS):
         if status == 200 and media_type == "text/event-stream":
             # It goes on with the stream.
             continue
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -10,9 +10,8 @@
 
 from standins.raw_upstream import ReceivedRequest, event
 from tests.gateway.gateways import gateway, route
-from tests.gateway.test_resumed_errors import FRAMINGS, MEDIA_TYPES, STATUSES
-from tests.gateway.test_resumed_errors import error_reply as answer
 from tests.gateway.test_stream import decode_body
+from tests.replies import FRAMINGS, MEDIA_TYPES, STATUSES, answer
 from toucanspool.routing.routes import CallKind
 from toucanspool.wire.http_server import RESET_ON_CLOSE
 
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -10,30 +10,17 @@
 import gevent
 import pytest
 
-from standins.raw_upstream import ReceivedRequest, event, reply, streaming
+from standins.raw_upstream import ReceivedRequest, reply
 from tests.gateway.gateways import RESET, Gateway, gateway, route
+from tests.replies import FAILURES, FRAMINGS, MEDIA_TYPES, PROMISES
 from toucanspool.platform import headers as names
 from toucanspool.routing.routes import CallKind
 
-STATUSES = [
-    "400 Bad Request",
-    "408 Request Timeout",
-    "421 Misdirected Request",
-    "429 Too Many Requests",
-    "500 Internal Server Error",
-    "502 Bad Gateway",
-    "503 Service Unavailable",
-    "504 Gateway Timeout",
-]
-PROMISES = (408, 421, 429, 503)
-MEDIA_TYPES = ["", "application/problem+json", "text/event-stream"]
-FRAMINGS = ["length", "chunks", "close"]
 KINDS = {
     "at most once": route(CallKind.AT_MOST_ONCE, max_attempts=1),
     "at most once, two attempts": route(CallKind.AT_MOST_ONCE, max_attempts=2),
     "stream that can't be resumed": route(CallKind.STREAM, max_attempts=2),
 }
-ANSWER = streaming([event(1), event(2)])
 
 
 def refusal(
@@ -58,7 +45,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-def answer(request: ReceivedRequest) -> bytes:
+def done(request: ReceivedRequest) -> bytes:
     return reply(request, b"data: done\n\n", headers="Content-Type: text/event-stream")
 
 
@@ -73,7 +60,7 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("status", FAILURES)
 def test_a_refusal_of_another_call_before_the_answer_is_not_this_calls(status, kind):
     for call_id, not_run, media_type, framing in itertools.product(
         ("", "zz"), (True, False), MEDIA_TYPES, FRAMINGS
@@ -89,7 +76,7 @@
         def script(sock, seen, copy=copy):
             sock.sendall(copy)
             gevent.sleep(0.01)
-            sock.sendall(answer(seen))
+            sock.sendall(done(seen))
 
         if not not_run and not call_id and int(status[:3]) not in PROMISES:
             # It promises nothing, and may be passed on.
@@ -106,20 +93,20 @@
     for cut in range(1, copy.index(b"\r\n\r\n") + 4):
 
         def script(sock, seen, part=copy[:cut]):
-            sock.sendall(part + answer(seen))
+            sock.sendall(part + done(seen))
 
         with gateway(script, script, routes=[KINDS[kind]]) as gw:
             check(gw, copy[:cut])
 
 
 @pytest.mark.parametrize("kind", KINDS)
-@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("status", FAILURES)
 def test_a_refusal_behind_the_answer_belongs_to_no_call(status, kind):
     for call_id, framing in itertools.product(("", "zz", "a1"), FRAMINGS):
         copy = refusal(status, call_id=call_id, framing=framing)
 
         def script(sock, seen, copy=copy):
-            sock.sendall(answer(seen) + copy)
+            sock.sendall(done(seen) + copy)
 
         with gateway(script, script, routes=[KINDS[kind]]) as gw:
             check(gw, copy)
@@ -128,7 +115,7 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-@pytest.mark.parametrize("status", [s for s in STATUSES if "421" not in s])
+@pytest.mark.parametrize("status", [s for s in FAILURES if "421" not in s])
 def test_a_status_that_promises_not_run_is_only_passed_on_with_that_statement(
     status, kind
 ):
@@ -153,7 +140,7 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("status", FAILURES)
 def test_a_calls_own_refusal_sends_it_elsewhere(status, kind):
     """Guards against calls that end although they have run nowhere."""
 
@@ -161,7 +148,7 @@
         sock.sendall(refusal(status, call_id="a1"))
 
     def run(sock, seen):
-        sock.sendall(answer(seen))
+        sock.sendall(done(seen))
 
     with gateway(turn_away, run, routes=[KINDS[kind]]) as gw:
         gw.core._balancer.set_tie_offset(0.0)
--- a/tests/gateway/test_resumed_errors.py
+++ b/tests/gateway/test_resumed_errors.py
@@ -13,6 +13,7 @@
 from standins.raw_upstream import ReceivedRequest, Script, event, reply, streaming
 from tests.gateway.gateways import RESET, gateway, route
 from tests.gateway.test_stream import decode_body
+from tests.replies import BODILESS, FRAMINGS, MEDIA_TYPES, STATUSES, answer
 from toucanspool.platform import headers as names
 from toucanspool.routing.routes import CallKind
 
@@ -20,26 +21,6 @@
 BEGUN = b"".join(EVENTS[:2])
 ALL = b"".join(EVENTS)
 ROUTES = [route(CallKind.STREAM, resumable=True, max_attempts=3)]
-STATUSES = [
-    "200 OK",
-    "201 Created",
-    "202 Accepted",
-    "204 No Content",
-    "206 Partial Content",
-    "302 Found",
-    "304 Not Modified",
-    "400 Bad Request",
-    "404 Not Found",
-    "408 Request Timeout",
-    "421 Misdirected Request",
-    "429 Too Many Requests",
-    "500 Internal Server Error",
-    "502 Bad Gateway",
-    "503 Service Unavailable",
-    "504 Gateway Timeout",
-]
-MEDIA_TYPES = ["", "application/json", "text/html", "text/event-stream"]
-FRAMINGS = ["length", "chunks", "close"]
 MARKS = ["", names.NOT_EXECUTED]
 ERRORS = [
     b'{"title":"broken"}',
@@ -49,31 +30,6 @@
 ]
 
 
-def error_reply(
-    request: ReceivedRequest,
-    body: bytes,
-    *,
-    status: str,
-    media_type: str,
-    framing: str,
-    mark: str = "",
-) -> bytes:
-    """Return the bytes of a signed answer."""
-    lines = [f"HTTP/1.1 {status}", f"{names.SIGNATURE}: s.2"]
-    lines.append(f"{names.ATTEMPT_ID}: {request.header(names.ATTEMPT_ID)}")
-    lines += [f"Content-Type: {media_type}"] if media_type else []
-    lines += [f"{mark}: 1"] if mark else []
-    bodiless = status[:3] in ("204", "304")
-    if bodiless:
-        body = b""
-    elif framing == "length":
-        lines.append(f"Content-Length: {len(body)}")
-    elif framing == "chunks":
-        lines.append("Transfer-Encoding: chunked")
-        body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
 def breaking(framing: str, *, events: list[bytes], partial: bytes = b"") -> Script:
     """Return a script whose stream breaks off after some events."""
     if framing != "length":
@@ -116,7 +72,7 @@
             sock, seen, media_type=media_type, framing=error_framing, mark=mark, b=text
         ):
             sock.sendall(
-                error_reply(
+                answer(
                     seen,
                     b,
                     status=status,
@@ -138,7 +94,7 @@
 
     def fail(sock, seen):
         sock.sendall(
-            error_reply(
+            answer(
                 seen,
                 b"broken",
                 status=status,
@@ -152,14 +108,14 @@
 
 
 @pytest.mark.parametrize("framing", FRAMINGS)
-@pytest.mark.parametrize("status", [s for s in STATUSES if s[:3] not in ("421",)])
+@pytest.mark.parametrize("status", [s for s in STATUSES if not s.startswith("421")])
 def test_an_error_that_comes_before_any_event_is_passed_on_as_it_is(status, framing):
     """Guards against the first upstream's head on the second one's body."""
     for media_type, error_framing in itertools.product(MEDIA_TYPES, FRAMINGS):
 
         def fail(sock, seen, media_type=media_type, framing=error_framing):
             sock.sendall(
-                error_reply(
+                answer(
                     seen,
                     b"broken\n\n",
                     status=status,
@@ -172,7 +128,7 @@
         what = (media_type, error_framing, got)
         assert got[0] == int(status[:3]), what
         assert got[1].endswith("s.2"), what
-        bodiless = status[:3] in ("204", "304")
+        bodiless = status.startswith(BODILESS)
         assert got[2].startswith(b"" if bodiless else b"broken"), what
 
 
@@ -180,9 +136,7 @@
     def second(sock, seen):
         body = b"".join(EVENTS)
         sock.sendall(
-            error_reply(
-                seen, body, status="200 OK", media_type="text/x", framing="length"
-            )
+            answer(seen, body, status="200 OK", media_type="text/x", framing="length")
         )
 
     got = ask(breaking("chunks", events=[]), second)
@@ -193,8 +147,8 @@
 def test_an_answer_that_is_no_stream_is_not_joined_with_another():
     """Guards against two whole answers in one."""
 
-    def answer(sock, seen, cut=0):
-        data = error_reply(
+    def list_pieces(sock, seen, cut=0):
+        data = answer(
             seen,
             b"[1]\n\n[2]\n\n",
             status="200 OK",
@@ -203,7 +157,7 @@
         )
         sock.sendall(data[: len(data) - cut])
 
-    got = ask(lambda sock, seen: answer(sock, seen, cut=4), answer)
+    got = ask(lambda sock, seen: list_pieces(sock, seen, cut=4), list_pieces)
     assert got[2] == b"[1]\n\n(cut)"
 
 
--- a/tests/wire/test_cut_heads.py
+++ b/tests/wire/test_cut_heads.py
@@ -8,28 +8,11 @@
 
 import pytest
 
+from tests.replies import MEDIA_TYPES, STATUSES
 from toucanspool.wire.reply_parser import BrokenReply, ReplyParser
 
-STATUSES = [
-    "200 OK",
-    "201 Created",
-    "204 No Content",
-    "206 Partial Content",
-    "302 Found",
-    "304 Not Modified",
-    "400 Bad Request",
-    "408 Request Timeout",
-    "421 Misdirected Request",
-    "429 Too Many Requests",
-    "500 Internal Server Error",
-    "502 Bad Gateway",
-    "503 Service Unavailable",
-    "504 Gateway Timeout",
-]
-MEDIA_TYPES = ["", "application/json", "text/event-stream", "text/plain"]
 FRAMINGS = ["Content-Length: 12", "Transfer-Encoding: chunked", ""]
 METHODS = ["GET", "POST", "HEAD"]
-REPLIES = list(itertools.product(STATUSES, MEDIA_TYPES, FRAMINGS))
 NEXT = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Id: next\r\n"
     b"Content-Length: 4\r\n\r\nnext"
