Count events only once the stream is known to hold them

What callers saw: a reset where an upstream wrote another reply in place of the first events and the next one answered with an error, which could have been passed on: the caller had got nothing yet.

Cause: events were counted before they were checked, so the stream seemed to have begun.

Evidence: test_a_reply_written_in_place_of_the_first_events_sends_the_call_elsewhere fails for all three framings on the commit before.

--- a/tests/gateway/test_resumed_errors.py
+++ b/tests/gateway/test_resumed_errors.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -201,6 +202,28 @@
             assert got[2] in (ALL + b"(end)", BEGUN + b"(cut)"), part
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_reply_written_in_place_of_the_first_events_sends_the_call_elsewhere(
+    framing,
+):
+    """Guards against cutting off a stream of which the caller has got nothing yet."""
+
+    def joined(sock, seen):
+        head = error_head("503 Service Unavailable")
+        # All in one piece, so that nothing is passed on before the head is seen.
+        pieces = []
+        stub = SimpleNamespace(sendall=pieces.append)
+        breaking(framing, events=[], partial=head + b"x" * 200)(stub, seen)
+        sock.sendall(b"".join(pieces))
+
+    def fail(sock, seen):
+        sock.sendall(answer(seen, b"no", status="404 Not Found"))
+
+    assert ask(joined, streaming(EVENTS))[2] == ALL + b"(end)"
+    status, _, body = ask(joined, fail)
+    assert (status, body) == (404, b"no(end)")
+
+
 def test_text_about_replies_stays_in_the_stream():
     """Guards against taking every mention of a status line for another reply."""
     events = [
--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -69,12 +69,13 @@
             Another reply begins inside the stream.
         """
         self._partial += data
-        end = 0
+        end = count = 0
         for match in _EVENT_END.finditer(self._partial, self._searched_bytes):
             end = match.end()
-            self.count += 1
+            count += 1
         events = bytes(self._partial[:end])
         check_events(events)
+        self.count += count
         del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ExcessiveReply(f"an event has more than {MAX_EVENT_BYTES} bytes")
