Check that the rest of a stream came from the other engine

The test of a stream that outlasts its agent would have passed if another agent than its own had been stopped. It was its own: the added check passes.

--- a/tests/processes/test_late_requests.py
+++ b/tests/processes/test_late_requests.py
@@ -120,6 +120,8 @@
             seen = [late_caller.seen(name.removeprefix("agent-")) for name in agents]
             late_caller.system.signal(agents[not seen[0]], signal.SIGTERM)
     assert "".join(parts) == expected(MESSAGES, LONG)
+    # The rest came from the other engine.
+    assert all(late_caller.seen(name.removeprefix("agent-")) for name in agents)
 
 
 def test_a_booking_that_outlasts_its_agent_is_unknown_and_made_once(late_caller):
