Keep the ports of the tests of cut answers free

Upstreams of the two largest loops listen once for each test, and callers of test gateways end with a reset once they have the whole answer.

--- a/tests/gateway/gateways.py
+++ b/tests/gateway/gateways.py
@@ -25,6 +25,7 @@
 from toucanspool.settings.hedging import Hedging
 from toucanspool.settings.settings import RetryBudget
 from toucanspool.telemetry.call_metrics import CallMetrics
+from toucanspool.wire.http_server import RESET_ON_CLOSE
 
 HOST = "desk.example"
 TIMEOUT_S = 5.0
@@ -101,15 +102,16 @@
 
     def exchange(self, raw_request: bytes) -> tuple[int, str, bytes]:
         """Send the bytes of a request, and return the same as `call`."""
-        sock = self.connect()
-        sock.sendall(raw_request)
-        sock.settimeout(TIMEOUT_S)
         data = b""
-        try:
-            while block := sock.recv(65536):
-                data += block
-        except OSError:
-            data += RESET
+        with self.connect() as sock:
+            sock.sendall(raw_request)
+            try:
+                while block := sock.recv(65536):
+                    data += block
+            except OSError:
+                data += RESET
+            # The gateway's port would else stay in use for a minute.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         head, _, body = data.partition(b"\r\n\r\n")
         text = head.decode("latin-1")
         return (int(text.split(" ")[1]) if text else 0), text, body
@@ -130,17 +132,20 @@
 
 @contextmanager
 def gateway(
-    *scripts: Script,
+    *scripts: Script | RawUpstream,
     routes: list[Route] | None = None,
     keys: dict[str, KeyHolder] | None = None,
     limits: RequestLimits | None = None,
     hedging: Hedging | None = None,
     **server_options: object,
 ) -> Iterator[Gateway]:
-    """Run a gateway with one upstream for each script."""
+    """Run a gateway with one upstream for each script; upstreams may run already."""
     with ExitStack() as closing:
         raw_upstreams = [
-            closing.enter_context(RawUpstream(script)) for script in scripts
+            script
+            if isinstance(script, RawUpstream)
+            else closing.enter_context(RawUpstream(script))
+            for script in scripts
         ]
         own_record = EntryRecord("e1", "127.0.0.1:1", "127.0.0.1:2")
         metrics = CallMetrics()
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -8,7 +8,7 @@
 import pytest
 from gevent import socket
 
-from standins.raw_upstream import ReceivedRequest, event
+from standins.raw_upstream import RawUpstream, ReceivedRequest, event
 from tests.gateway.gateways import gateway, route
 from tests.gateway.test_stream import decode_body
 from tests.replies import FRAMINGS, MEDIA_TYPES, STATUSES, answer
@@ -54,9 +54,14 @@
 @pytest.mark.parametrize("status", STATUSES)
 def test_an_answer_that_is_cut_off_never_looks_whole(status, framing, kind):
     media_types = MEDIA_TYPES if STEPS[status] > 2 else ["text/event-stream"]
-    for media_type in media_types:
-        for cut, script in cut_answers(status, media_type, framing):
-            with gateway(script, routes=[KINDS[kind]]) as gw:
+    cuts = [
+        (media_type, cut, script)
+        for media_type in media_types
+        for cut, script in cut_answers(status, media_type, framing)
+    ]
+    with RawUpstream(cuts[0][2]) as upstream:
+        for media_type, cut, upstream.script in cuts:
+            with gateway(upstream, routes=[KINDS[kind]]) as gw:
                 got, head, body = gw.call("POST", body=b"ask")
             what = (media_type, cut, got, body)
             if got in (502, 503, 504) and b'"outcome"' in body:
--- a/tests/gateway/test_resumed_errors.py
+++ b/tests/gateway/test_resumed_errors.py
@@ -11,7 +11,14 @@
 import pytest
 from gevent import socket
 
-from standins.raw_upstream import ReceivedRequest, Script, event, reply, streaming
+from standins.raw_upstream import (
+    RawUpstream,
+    ReceivedRequest,
+    Script,
+    event,
+    reply,
+    streaming,
+)
 from tests.gateway.gateways import RESET, gateway, route
 from tests.gateway.test_stream import decode_body
 from tests.replies import BODILESS, FRAMINGS, MEDIA_TYPES, STATUSES, answer
@@ -44,7 +51,16 @@
     return script
 
 
-def ask(*scripts: Script) -> tuple[int, str, bytes]:
+def failing(body: bytes, **options: str) -> Script:
+    """Return a script that answers as `tests.replies.answer` does."""
+
+    def script(sock: socket.socket, request: ReceivedRequest) -> None:
+        sock.sendall(answer(request, body, **options))
+
+    return script
+
+
+def ask(*scripts: Script | RawUpstream) -> tuple[int, str, bytes]:
     """Return status, signature and decoded body; the first script is tried first."""
     with gateway(*scripts, routes=ROUTES) as gw:
         gw.core._balancer.set_tie_offset(0.0)
@@ -62,48 +78,32 @@
     status, framing, partial
 ):
     broken = breaking(framing, events=EVENTS[:2], partial=partial)
-    for media_type, error_framing, mark, text in itertools.product(
-        MEDIA_TYPES, FRAMINGS, MARKS, ERRORS
-    ):
-        if status == "200 OK" and media_type == "text/event-stream" and not mark:
-            # It goes on with the stream.
-            continue
-
-        def fail(
-            sock, seen, media_type=media_type, framing=error_framing, mark=mark, b=text
+    with RawUpstream(broken) as other:
+        for media_type, error_framing, mark, text in itertools.product(
+            MEDIA_TYPES, FRAMINGS, MARKS, ERRORS
         ):
-            sock.sendall(
-                answer(
-                    seen,
-                    b,
-                    status=status,
-                    media_type=media_type,
-                    framing=framing,
-                    mark=mark,
-                )
+            if status == "200 OK" and media_type == "text/event-stream" and not mark:
+                # It goes on with the stream.
+                continue
+            other.script = failing(
+                text,
+                status=status,
+                media_type=media_type,
+                framing=error_framing,
+                mark=mark,
             )
-
-        got = ask(broken, fail)
-        what = (media_type, error_framing, mark, text)
-        assert got[0] == 200, what
-        assert got[2] == BEGUN + b"(cut)", what
+            got = ask(broken, other)
+            what = (media_type, error_framing, mark, text)
+            assert got[0] == 200, what
+            assert got[2] == BEGUN + b"(cut)", what
 
 
 @pytest.mark.parametrize("status", STATUSES)
 def test_a_stream_goes_on_at_a_third_upstream_after_an_error(status):
     """Guards against a stream that ends although another upstream could go on."""
-
-    def fail(sock, seen):
-        sock.sendall(
-            answer(
-                seen,
-                b"broken",
-                status=status,
-                media_type="application/json",
-                framing="length",
-            )
-        )
-
+    fail = failing(
+        b"broken", status=status, media_type="application/json", framing="length"
+    )
     got = ask(breaking("chunks", events=EVENTS[:2]), fail, streaming(EVENTS))
     assert got[2] == ALL + b"(end)"
 
@@ -113,18 +113,9 @@
 def test_an_error_that_comes_before_any_event_is_passed_on_as_it_is(status, framing):
     """Guards against the first upstream's head on the second one's body."""
     for media_type, error_framing in itertools.product(MEDIA_TYPES, FRAMINGS):
-
-        def fail(sock, seen, media_type=media_type, framing=error_framing):
-            sock.sendall(
-                answer(
-                    seen,
-                    b"broken\n\n",
-                    status=status,
-                    media_type=media_type,
-                    framing=framing,
-                )
-            )
-
+        fail = failing(
+            b"broken\n\n", status=status, media_type=media_type, framing=error_framing
+        )
         got = ask(breaking(framing, events=[], partial=b"id: 1\nda"), fail)
         what = (media_type, error_framing, got)
         assert got[0] == int(status[:3]), what
