--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -60,7 +60,8 @@
         for cut, script in cut_answers(status, media_type, framing)
     ]
     with RawUpstream(cuts[0][2]) as upstream:
-        for media_type, cut, upstream.script in cuts:
+        for media_type, cut, script in cuts:
+            upstream.script = script
             with gateway(upstream, routes=[KINDS[kind]]) as gw:
                 got, head, body = gw.call("POST", body=b"ask")
             what = (media_type, cut, got, body)
--- a/tests/processes/test_late_requests.py
+++ b/tests/processes/test_late_requests.py
@@ -21,7 +21,7 @@
 # An engine needs 10 ms for a token, and more on a busy machine.
 LONG, SHORT = 600, 5
 # Ends between the late request, 2.0 s after SIGTERM, and the entry's end at 3.7 s.
-UNTIL_THE_END = 250
+MEDIUM = 250
 STREAM_END = b"[DONE]\n\n\r\n0\r\n\r\n"
 
 
@@ -72,7 +72,7 @@
     The entry would end at once if it had no other request.
     """
     with kept_connection(caller) as other, kept_connection(caller) as sock:
-        other.sendall(ask(caller, UNTIL_THE_END))
+        other.sendall(ask(caller, MEDIUM))
         caller.system.signal("entry-1", signal.SIGTERM)
         # The port closes after 0.5 s.
         time.sleep(2.0)
