Ask a starting process to read its settings again until it serves

With 20 busy processes beside it, it failed at the first try.

The test goes on until the process serves, so that the last requests always come after the settings were read, and waits for the log line of the reload.

--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -330,11 +330,13 @@
                 gevent.sleep(0.005)
             # A process that serves already has callers to lose.
             assert process.get(process.callers, "/")[0] == 0
-            for _ in range(40):
-                process.process.send_signal(signal.SIGHUP)
-                gevent.sleep(0.02)
-            process.wait_until_ready()
+            with gevent.Timeout(START_TIMEOUT_S):
+                # Requests that come before the settings are read have no effect.
+                while process.get(process.readiness, "/readyz")[0] != 200:
+                    process.process.send_signal(signal.SIGHUP)
+                    gevent.sleep(0.02)
+                while not process.lines("settings reloaded"):
+                    gevent.sleep(0.02)
             assert process.send(request("POST", path="/book/x"))[0] == 200
-            assert process.lines("settings reloaded")
         finally:
             process.close()
