Log each order on a group's maps

The hypotheses on MAP differ in who gave which order with which token, and whether the rank accepted it; no log line said so. Each agent, and a coordinator that sends orders straight to an engine, now logs action, version, pass, token and result.

--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -123,6 +123,7 @@
         try:
             if request.action not in READ_ACTIONS:
                 result, detail = self._execute_order(request)
+                self._log_order(request, result, detail)
             state = self._engine.state()
             if request.action == RankAction.PREPARE and result == RankResult.OK:
                 state = self._wait_for_copies(request.version, state)
@@ -172,6 +173,19 @@
             return RankResult.LOST, str(exc)
         return RankResult.OK, ""
 
+    def _log_order(self, request: RankAsk, result: int, detail: str) -> None:
+        """Log an order and the result, so that a pass on two maps can be traced."""
+        _log.info(
+            "order",
+            action=RankAction._VALUES_TO_NAMES[request.action],
+            version=request.version,
+            step=request.step,
+            token=request.token,
+            direct=not self._local,
+            result=RankResult._VALUES_TO_NAMES[result],
+            detail=detail,
+        )
+
     def _send_order(self, request: RankAsk) -> None:
         engine = self._engine
         if request.action == RankAction.PREPARE:
