Search interleavings of orders on maps for passes on two maps

Cause: the tests of a switch lost and delayed orders, but ran one coordinator at a time, with agents that always answered and states that were current.

Change: a world in virtual time runs the members, coordinators, agents and links of a group unchanged, and freezes, kills and elects them at chosen orders. The stand-in of the engines follows the platform's page more closely: which orders its sequence counts, what an order to disarm takes back, and how many experts a map may add are options. An order to disarm another version than the armed one does nothing by default.

--- a/standins/pass_group.py
+++ b/standins/pass_group.py
@@ -1,11 +1,12 @@
 """In-memory lock-step group whose ranks switch maps at the start of a forward pass.
 
 Each rank has an engine that implements `RankEngine`. Orders may be lost or delayed,
-at random or by a test. Starting a pass on different maps raises `MixedMaps`.
+at random or by a test. Starting a pass on different maps raises `MixedMaps`. Where the
+platform's page leaves a rule open, an option selects it.
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 
@@ -19,6 +20,11 @@
 )
 
 GROUP = "g"
+# Orders that increase an engine's sequence: as measured, as in the page, and as engines
+# do that guard only against another map.
+COUNTS_NONE: frozenset[str] = frozenset()
+COUNTS_ALL = frozenset({"prepare", "arm", "disarm", "hold", "go"})
+COUNTS_PREPARE = frozenset({"prepare"})
 
 
 class MixedMaps(AssertionError):
@@ -64,6 +70,22 @@
         Random source of lost and delayed orders.
     lost_share, delayed_share : float, default=0.0
         Fractions of the orders that are lost, or executed later.
+    counted : frozenset of str, default={"prepare"}
+        Names of the orders that increase the sequence when they change something. The
+        platform's page counts all, and engines were measured that count none of these.
+    disarms_any : bool, default=False
+        Whether an order to disarm takes back any armed version, or only its own.
+    spare : int, optional
+        The most experts that a map may add to a rank in one layer set.
+
+    Attributes
+    ----------
+    mixed : list of int
+        The passes that began on different maps.
+    maps : dict of int to bytes
+        The first map that a rank accepted under each version.
+    reused : set of int
+        Versions under which ranks accepted different maps.
     """
 
     def __init__(
@@ -73,6 +95,9 @@
         *,
         lost_share: float = 0.0,
         delayed_share: float = 0.0,
+        counted: frozenset[str] = COUNTS_PREPARE,
+        disarms_any: bool = False,
+        spare: int | None = None,
     ) -> None:
         self.rows = [RankRow() for _ in range(size)]
         self.step = 0
@@ -80,6 +105,12 @@
         self.switches = 0
         self.lost_share = lost_share
         self.delayed_share = delayed_share
+        self.mixed: list[int] = []
+        self.maps: dict[int, bytes] = {}
+        self.reused: set[int] = set()
+        self._counted = counted
+        self._disarms_any = disarms_any
+        self._spare = spare
         self._rng = rng
         self._delayed: list[DelayedOrder] = []
 
@@ -128,15 +159,21 @@
     def execute(self, rank: int, name: str, args: tuple) -> None:
         """Execute an order, or raise `OrderRefused`."""
         row = self.rows[rank]
+        before = replace(row)
         getattr(self, f"_{name}")(row, *args)
+        if name in self._counted and row != before:
+            row.sequence += 1
 
     def _prepare(self, row: RankRow, version: int, experts: bytes) -> None:
-        if row.prepared == (version, experts) or row.copying == (version, experts):
+        if (version, experts) in (row.prepared, row.copying):
             return
         if version <= row.newest or row.armed is not None:
             raise OrderRefused("prepare: version is not newer, or a switch is armed")
+        if self._spare is not None and self._n_new(row, experts) > self._spare:
+            raise OrderRefused("prepare: too many experts are new")
+        if self.maps.setdefault(version, experts) != experts:
+            self.reused.add(version)
         row.newest = version
-        row.sequence += 1
         row.prepared = None
         row.copying = (version, experts)
 
@@ -152,8 +189,8 @@
     def _disarm(self, row: RankRow, version: int, sequence: int) -> None:
         if row.map[0] == version or row.sequence != sequence:
             raise OrderRefused("disarm: map is in use, or sequence does not match")
-        # The platform's API leaves open whether another armed version is disarmed too.
-        row.armed = None
+        if self._disarms_any or (row.armed and row.armed[0] == version):
+            row.armed = None
 
     def _hold(self, row: RankRow, step: int) -> None:
         if step <= self.step or row.held not in (None, step):
@@ -164,6 +201,21 @@
         if row.held == step:
             row.held = None
 
+    def _n_new(self, row: RankRow, experts: bytes) -> int:
+        """Return the largest number of experts in a set that a map adds to a rank."""
+        rank = next(i for i, other in enumerate(self.rows) if other is row)
+        held = self.engine(rank).experts()
+        planned = self._lists(experts)[:, rank]
+        return max(
+            len(set(new[new != EMPTY].tolist()) - set(old))
+            for new, old in zip(planned, held, strict=True)
+        )
+
+    def _lists(self, experts: bytes) -> np.ndarray:
+        sets = self.rows[0].counts.shape[0]
+        lists = np.frombuffer(experts, dtype=np.int16)
+        return lists.reshape(sets, len(self.rows), -1)
+
     def _start_pass(self) -> None:
         self.step += 1
         for row in self.rows:
@@ -172,6 +224,7 @@
                 row.map, row.prepared, row.armed = row.prepared, None, None
         maps = {row.map for row in self.rows}
         if len(maps) > 1:
+            self.mixed.append(self.step)
             raise MixedMaps(f"pass {self.step} started on {len(maps)} maps")
 
 
@@ -221,10 +274,8 @@
             ranks = len(self._group.rows)
             default_experts = [e for e in range(shape[1]) if e % ranks == self._rank]
             return [default_experts for _ in range(shape[0])]
-        ranks = len(self._group.rows)
-        sets = self._group.rows[self._rank].counts.shape[0]
-        lists = np.frombuffer(data, dtype=np.int16).reshape(sets, ranks, -1)
-        return [[int(e) for e in row if e != EMPTY] for row in lists[:, self._rank]]
+        lists = self._group._lists(data)[:, self._rank]
+        return [[int(e) for e in row if e != EMPTY] for row in lists]
 
     def prepare(self, version: int, experts: np.ndarray, epoch: int) -> None:
         """Start to copy the experts of a map."""
--- /dev/null
+++ b/tests/groups/order_world.py
@@ -0,0 +1,303 @@
+"""One group's machines, engines and clock, for tests of interleavings.
+
+The production code of members, coordinators, agents and links runs unchanged, in
+virtual time. The world records all orders, and what the members log.
+"""
+
+import heapq
+import random
+import sys
+import time
+import traceback
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from functools import partial
+from types import ModuleType
+from typing import Any
+from unittest import mock
+
+import gevent
+import numpy as np
+from gevent.event import AsyncResult, Event
+
+from standins.pass_group import MixedMaps, PassEngine, PassGroup
+from tests.groups.order_machines import (
+    EXPERTS,
+    RANKS,
+    SPARE,
+    Channel,
+    DelayedTable,
+    Machine,
+    OrderFaults,
+)
+from toucanspool.groups import map_coordinator, rank_calls
+from toucanspool.groups.rank_calls import RequestReceiver
+from toucanspool.groups.rank_engine import RankState
+from toucanspool.wire.connection import ConnectionLost
+
+
+class World:
+    """Hold the machines of one group, its engines and the clock.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of all random choices.
+    lag_s : pair of float, default=(0.0, 0.3)
+        Range of the lag with which an engine tells its state to other machines.
+    timeouts_first : float, default=0.5
+        Probability that a process that wakes finds an answer to be late that came
+        meanwhile.
+    tick_s : float, default=0.05
+        Time between the passes of a busy group.
+    min_skew_gain : float, default=0.02
+        The least gain for which a coordinator changes the map.
+    group_options : dict
+        Options of the `PassGroup`.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        lag_s: tuple[float, float] = (0.0, 0.3),
+        timeouts_first: float = 0.5,
+        tick_s: float = 0.05,
+        min_skew_gain: float = 0.02,
+        **group_options: Any,
+    ) -> None:
+        self.rng = rng
+        self.lag_s = lag_s
+        self.timeouts_first = timeouts_first
+        self.tick_s = tick_s
+        self.min_skew_gain = min_skew_gain
+        self.strict = True
+        self.now = 100.0
+        self.group = PassGroup(RANKS, rng, spare=SPARE, **group_options)
+        for row in self.group.rows:
+            row.counts = np.ones((1, EXPERTS), dtype=int)
+        self.faults = [OrderFaults() for _ in range(RANKS)]
+        self.trace: list[str] = []
+        self.errors: list[str] = []
+        self.busy = True
+        self.hot = 0
+        self._waiting: list[list] = []
+        self._states: list[list[tuple[float, RankState]]] = [[] for _ in range(RANKS)]
+        self._due: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._n_due = 0
+        self.keep_states()
+        self.table = DelayedTable(self)
+        self.machines = [Machine(self, rank) for rank in range(RANKS)]
+
+    def run(self, duration_s: float) -> None:
+        """Run all machines and the group for a while."""
+        end = self.now + duration_s
+        next_tick = self.now
+        while (now := self.now) < end:
+            if now >= next_tick:
+                self._tick()
+                next_tick += self.tick_s
+            at = min(next_tick, self._due[0][0] if self._due else end)
+            self.now = max(now, at)
+            while self._due and self._due[0][0] <= self.now:
+                _, _, call, args = heapq.heappop(self._due)
+                call(*args)
+            gevent.idle()
+
+    def later(self, delay_s: float, call: Callable[..., None], *args: Any) -> None:
+        """Make a call, which must not block, after a delay."""
+        self._n_due += 1
+        due = (self.now + delay_s, self._n_due, call, args)
+        heapq.heappush(self._due, due)
+
+    def after_orders(
+        self, count: int, call: Callable[[], None], *, name: str = ""
+    ) -> None:
+        """Make a call, which must not block, as an agent gives a later order."""
+        self._waiting.append([count, name, call])
+
+    def count_order(self, name: str) -> None:
+        """Count an order, and make the calls that wait for it."""
+        for item in list(self._waiting):
+            if item[1] in ("", name):
+                item[0] -= 1
+                if item[0] <= 0:
+                    self._waiting.remove(item)
+                    item[2]()
+
+    def sleep(self, seconds: float = 0.0) -> None:
+        """Wait, and then until the calling process isn't frozen."""
+        done = Event()
+        self.later(seconds, done.set)
+        done.wait()
+        self.gate()
+
+    def fate(self, rank: int, name: str, args: tuple) -> tuple[str, float]:
+        """Return whether an order is lost or late, and its delay in seconds."""
+        faults, sample = self.faults[rank], self.rng.random()
+        if sample < faults.lost:
+            return "lost", 0.0
+        if sample < faults.lost + faults.late:
+            return "late", self.rng.uniform(*faults.late_s)
+        return "", 0.0
+
+    def gate(self) -> None:
+        """Wait until the calling process isn't frozen."""
+        locals_ = getattr(gevent.getcurrent(), "spawn_tree_locals", None) or {}
+        machine = locals_.get("machine")
+        while machine is not None and not machine.running.is_set():
+            machine.running.wait()
+
+    def result(self) -> "VirtualResult":
+        """Return a result whose timeouts are in virtual time."""
+        result = VirtualResult()
+        result.world = self
+        return result
+
+    def latency_s(self) -> float:
+        """Return the time of one message."""
+        return self.rng.uniform(0.0002, 0.006)
+
+    def note(self, line: str) -> None:
+        """Record a line."""
+        self.trace.append(f"{self.now:.4f} pass {self.group.step} {line}")
+
+    def shown(self, rank: int) -> str:
+        """Return a rank's state in words."""
+        row = self.group.rows[rank]
+        prepared = row.prepared and row.prepared[0]
+        return f"map {row.map[0]} prepared {prepared} armed {row.armed} held {row.held}"
+
+    def keep_states(self) -> None:
+        """Record the states of all ranks, which may be told later."""
+        for rank, states in enumerate(self._states):
+            state = PassEngine(self.group, rank).state()
+            if not states or states[-1][1] != state:
+                states.append((self.now, state))
+
+    def told(self, rank: int, lag_s: float) -> RankState:
+        """Return the state of a rank that was current a while ago."""
+        at = self.now - lag_s
+        states = self._states[rank]
+        return next((s for t, s in reversed(states) if t <= at), states[0][1])
+
+    def _tick(self) -> None:
+        for row in self.group.rows:
+            # Plans go on while the group is idle.
+            row.counts = row.counts + 5
+            row.counts[0, self.hot] += 150
+        before = [row.map for row in self.group.rows]
+        try:
+            self.group.tick(busy=self.busy)
+        except MixedMaps as exc:
+            self.note(str(exc))
+            if self.strict:
+                raise
+        finally:
+            self.keep_states()
+            if [row.map for row in self.group.rows] != before:
+                self.note("ranks switch: " + "; ".join(map(self.shown, range(RANKS))))
+
+
+class VirtualResult(AsyncResult):
+    """A result whose timeouts are in virtual time."""
+
+    world: World
+
+    def get(self, block: bool = True, timeout: float | None = None) -> Any:
+        """Return the value; see `AsyncResult`."""
+        world = self.world
+        end = world.now + (timeout or 0.0)
+        if timeout is not None and not self.ready():
+            expired = Event()
+            world.later(timeout, expired.set)
+            gevent.wait([self, expired], count=1)
+        world.gate()
+        # As a process wakes, timeouts may come before answers.
+        woke_late = world.now > end and world.rng.random() < world.timeouts_first
+        if timeout is not None and (not self.ready() or woke_late):
+            raise gevent.Timeout(timeout)
+        return super().get()
+
+
+class _Patched:
+    """Stand in for an imported module, with some names replaced."""
+
+    def __init__(self, module: ModuleType, **names: Any) -> None:
+        self._module = module
+        self.__dict__.update(names)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._module, name)
+
+
+class _TraceLog:
+    """Record log lines in the world's trace."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Record a line."""
+        locals_ = getattr(gevent.getcurrent(), "spawn_tree_locals", None) or {}
+        machine = locals_.get("machine")
+        shown = " ".join(f"{k}={v}" for k, v in fields.items())
+        self._world.note(f"  m{machine.rank if machine else ''} {event}: {shown}")
+
+    warning = info
+
+    def exception(self, event: str, **fields: Any) -> None:
+        """Record an unexpected exception."""
+        self.info(event, error=repr(sys.exc_info()[1]), **fields)
+        self._world.errors.append(traceback.format_exc())
+
+
+@contextmanager
+def started(world: World) -> Iterator[World]:
+    """Start all machines in virtual time, and kill them at the end."""
+
+    def spawn(call: Callable[..., Any], *args: Any, **kwargs: Any) -> gevent.Greenlet:
+        machine = gevent.getcurrent().spawn_tree_locals["machine"]
+        return machine.spawn(partial(call, **kwargs), *args)
+
+    def connect(host: str, port: int, receiver: Any, *, timeout_s: float) -> Channel:
+        source = gevent.getcurrent().spawn_tree_locals["machine"]
+        target = world.machines[port - 1]
+        world.sleep(2 * world.latency_s())
+        if target.agent is None:
+            raise ConnectionLost("refused")
+        near, far = Channel(source), Channel(target)
+        near.peer, far.peer = far, near
+        near.receiver, far.receiver = receiver, RequestReceiver(target.agent.answer)
+        return near
+
+    virtual = {
+        "gevent": _Patched(gevent, sleep=world.sleep, spawn=spawn),
+        "time": _Patched(time, monotonic=lambda: world.now),
+        "_log": _TraceLog(world),
+    }
+    with ExitStack() as patches:
+        for name, module in list(sys.modules.items()):
+            if name.startswith("toucanspool.groups."):
+                for attribute in virtual.keys() & vars(module).keys():
+                    patches.enter_context(
+                        mock.patch.object(module, attribute, virtual[attribute])
+                    )
+        patches.enter_context(
+            mock.patch.object(rank_calls, "AsyncResult", world.result)
+        )
+        patches.enter_context(mock.patch.object(rank_calls, "connect", connect))
+        gain = world.min_skew_gain
+        for name in ("MIN_SKEW_GAIN", "IDLE_MIN_SKEW_GAIN"):
+            patches.enter_context(mock.patch.object(map_coordinator, name, gain))
+        for machine in world.machines:
+            machine.start()
+        try:
+            yield world
+        except BaseException:
+            print("\n".join(world.trace))
+            raise
+        finally:
+            for machine in world.machines:
+                machine.kill()
+            gevent.idle()
