End the faults of a searched interleaving at one time

An exception in an agent's greenlet was only printed.

Change: the world drops all faults at their end, and a test fails on each exception in an agent. A seed's faults differ from those before.

--- a/tests/groups/order_machines.py
+++ b/tests/groups/order_machines.py
@@ -70,7 +70,9 @@
         self.agent: FencedEngine | None = None
 
     def start(self) -> None:
-        """Start the agent's process."""
+        """Start the agent's process unless it runs."""
+        if self.agent is not None:
+            return
         engine = RemoteEngine(self.world, self.rank, self)
         self.agent = FencedEngine(engine)
         self.member = RankMember(
@@ -132,10 +134,15 @@
         task = gevent.Greenlet(call, *args)
         task.spawn_tree_locals = {"machine": self}
         self.greenlets.add(task)
-        task.rawlink(self.greenlets.discard)
+        task.rawlink(self._ended)
         task.start()
         return task
 
+    def _ended(self, task: gevent.Greenlet) -> None:
+        self.greenlets.discard(task)
+        if task.exception is not None:
+            self.world.errors.append(repr(task.exception))
+
     def _connect(self, address: str) -> "RemoteEngine":
         return RemoteEngine(self.world, int(address.split(":")[1]) - 1, self)
 
--- a/tests/groups/order_world.py
+++ b/tests/groups/order_world.py
@@ -81,6 +81,7 @@
         self.errors: list[str] = []
         self.busy = True
         self.hot = 0
+        self._calm = False
         self._waiting: list[list] = []
         self._states: list[list[tuple[float, RankState]]] = [[] for _ in range(RANKS)]
         self._due: list[tuple[float, int, Callable[..., None], tuple]] = []
@@ -125,6 +126,21 @@
                     self._waiting.remove(item)
                     item[2]()
 
+    def fault(self, delay_s: float, call: Callable[..., None], *args: Any) -> None:
+        """Make a call after a delay, unless faults have ended by then."""
+        self.later(delay_s, lambda: None if self._calm else call(*args))
+
+    def end_faults(self) -> None:
+        """Let all machines run, all orders be answered, and the group be busy."""
+        self.note("faults end")
+        self._calm = self.busy = True
+        self._waiting.clear()
+        self.fate = lambda rank, name, args: ("", 0.0)
+        for machine in self.machines:
+            machine.wake()
+            if machine.agent is None:
+                machine.start()
+
     def sleep(self, seconds: float = 0.0) -> None:
         """Wait, and then until the calling process isn't frozen."""
         done = Event()
--- a/tests/groups/test_order_interleavings.py
+++ b/tests/groups/test_order_interleavings.py
@@ -29,7 +29,7 @@
 FIRST, _, LAST = os.environ.get("ORDER_SEEDS", "0:24").rpartition(":")
 SEEDS = range(int(FIRST or 0), int(LAST))
 # Seeds with which a pass began on two maps.
-FAILED_SEEDS = (64, 79, 121, 263)
+FAILED_SEEDS = (64, 79, 160, 263)
 FAULTS_S = 8.0
 # Late orders are executed by then, and a coordinator is elected.
 RECOVERY_S = 5.5
@@ -41,7 +41,7 @@
     """Choose faults until `FAULTS_S`, most of them at an order, and schedule them."""
     rng = world.rng
     for _ in range(rng.choice((2, 4, 8))):
-        world.later(rng.uniform(1.0, FAULTS_S - 2.0), rng.choice(PATTERNS), world)
+        world.fault(rng.uniform(1.0, FAULTS_S - 2.0), rng.choice(PATTERNS), world)
     shift_s = rng.choice((0.3, 0.6, 1.5))
     for count in range(int(FAULTS_S / shift_s)):
         hot = rng.randrange(EXPERTS)
@@ -58,7 +58,7 @@
 
     def begin() -> None:
         _lose(world, for_s=for_s + rng.uniform(-0.5, 0.5), ranks=range(RANKS))
-        world.later(rng.uniform(0.0, 0.2), _idle, world, for_s)
+        world.fault(rng.uniform(0.0, 0.2), _idle, world, for_s)
 
     world.after_orders(1, begin, name=rng.choice(("prepare", "hold", "arm")))
 
@@ -74,11 +74,11 @@
         world.later(_for_s(world, 4.0) + 0.5, machine.wake)
         wake_at, count = rng.choice(("hold", "arm", "go", "prepare")), rng.randint(1, 5)
         wake = partial(world.after_orders, count, machine.wake, name=wake_at)
-        world.later(rng.uniform(0.0, 1.5), wake)
+        world.fault(rng.uniform(0.0, 1.5), wake)
         if rng.random() < 0.5:
-            world.later(rng.uniform(0.0, 0.5), _stand, world)
+            world.fault(rng.uniform(0.0, 0.5), _stand, world)
         if rng.random() < 0.7:
-            world.later(rng.uniform(0.1, 1.5), _lose, world)
+            world.fault(rng.uniform(0.1, 1.5), _lose, world)
 
     world.after_orders(rng.randint(1, 6), freeze, name=name)
 
@@ -101,8 +101,7 @@
 
 
 def _for_s(world: World, longest_s: float) -> float:
-    left_s = max(0.0, world.faults_end - world.now)
-    return min(world.rng.uniform(0.05, longest_s), left_s)
+    return world.rng.uniform(0.05, longest_s)
 
 
 def _machine(world: World) -> Machine:
@@ -118,9 +117,8 @@
     world.later(_for_s(world, 4.0), machine.wake)
     if rng.random() < 0.7:
         # Wakes while its successor switches.
-        wait_s = max(0.0, min(1.0, world.faults_end - world.now))
         count = rng.randint(1, 30)
-        world.later(wait_s, lambda: world.after_orders(count, machine.wake))
+        world.fault(1.0, lambda: world.after_orders(count, machine.wake))
 
 
 def _kill(world: World) -> None:
@@ -147,10 +145,9 @@
     if ranks is None:
         ranks = rng.sample(range(RANKS), rng.randint(1, RANKS))
     for_s = _for_s(world, 4.0) if for_s is None else for_s
-    end_s = max(0.0, min(for_s, world.faults_end - world.now))
     for rank in ranks:
         world.faults[rank] = faults
-        world.later(end_s, world.faults.__setitem__, rank, OrderFaults())
+        world.later(max(0.0, for_s), world.faults.__setitem__, rank, OrderFaults())
 
 
 def _idle(world: World, for_s: float | None = None) -> None:
@@ -174,12 +171,10 @@
         # Below zero, each round of a coordinator changes the map.
         min_skew_gain=rng.choice((0.02, -1.0)),
     )
-    world.faults_end = world.now + FAULTS_S
     play_faults(world)
     with started(world):
         world.run(FAULTS_S)
-        world.busy = True
-        world.note("faults end")
+        world.end_faults()
         world.run(RECOVERY_S)
         step, maps = world.group.step, {row.map for row in world.group.rows}
         world.run(CALM_S)
@@ -193,12 +188,7 @@
 
 def recover(world: World) -> None:
     """Let all faults end, and check that the group switches again."""
-    world.fate = lambda rank, name, args: ("", 0.0)
-    world.busy = True
-    for machine in world.machines:
-        machine.wake()
-        if machine.agent is None:
-            machine.start()
+    world.end_faults()
     world.run(3.0)
     maps = {row.map for row in world.group.rows}
     world.hot = (world.hot + 5) % EXPERTS
