--- a/tests/groups/test_order_interleavings.py
+++ b/tests/groups/test_order_interleavings.py
@@ -17,8 +17,10 @@
     GROUP,
     PassGroup,
 )
-from tests.groups.order_machines import EXPERTS, RANKS, SLOTS, Machine, OrderFaults
-from tests.groups.order_world import World, started
+from tests.groups.order_engine import OrderFaults
+from tests.groups.order_machines import EXPERTS, RANKS, SLOTS, Machine
+from tests.groups.order_processes import started
+from tests.groups.order_world import World
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.fenced_engine import FencedEngine
