--- a/tests/groups/test_order_interleavings.py
+++ b/tests/groups/test_order_interleavings.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from functools import partial
 
+import gevent
 import numpy as np
 import pytest
 
@@ -18,14 +19,16 @@
     PassGroup,
 )
 from tests.groups.order_engine import OrderFaults
-from tests.groups.order_machines import EXPERTS, RANKS, SLOTS, Machine
+from tests.groups.order_machines import EXPERTS, MODEL, RANKS, SLOTS, Machine
 from tests.groups.order_processes import started
 from tests.groups.order_world import World
 from toucanspool.groups.armed_switch import ArmedSwitch
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.group_client import GroupClient, Replaced
-from toucanspool.groups.rank_calls import LocalLink
+from toucanspool.groups.map_coordinator import MapCoordinator
+from toucanspool.groups.rank_calls import LocalLink, NoAnswer, RankLink
+from toucanspool.wire.gen.messages.ttypes import RankAnswer, RankAsk
 
 # A number of seeds, or FIRST:LAST without the last.
 FIRST, _, LAST = os.environ.get("ORDER_SEEDS", "0:24").rpartition(":")
@@ -324,6 +327,46 @@
         assert switch.next_version(older.fetch_statuses()) != chosen
 
 
+class _Away:
+    """Link to a rank whose machine is away."""
+
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
+        """Raise `NoAnswer`."""
+        raise NoAnswer("away")
+
+    send_to_engine = send
+
+
+def test_a_group_stays_held_while_a_rank_away_may_be_armed_by_an_earlier_coordinator():
+    # Coordinator 1 on rank 1 armed the others; coordinator 2 on rank 0 did nothing.
+    group = PassGroup(RANKS, random.Random(1))
+    links: dict[int, RankLink] = {0: _Away()}
+    version, step = 1 << 20, group.step + 2
+    for rank, row in enumerate(group.rows):
+        row.counts = np.ones((1, EXPERTS), dtype=int)
+        row.prepared, row.newest = (version, b""), version
+        row.armed = None if rank == 1 else (version, step)
+        row.held = step if rank == 1 else None
+        agent = FencedEngine(group.engine(rank))
+        agent.restore(2)
+        links.setdefault(rank, LocalLink(agent))
+    coordinator = MapCoordinator(
+        GROUP, 3, 2, lambda: MODEL, link_bits_per_s=1e9, previous_rank=0
+    )
+
+    def tick() -> None:
+        while True:
+            group.tick()
+            gevent.sleep(0.01)
+
+    ticking = gevent.spawn(tick)
+    for _ in range(3):
+        coordinator.run_once(links)
+        gevent.sleep(0.05)
+    ticking.kill()
+    assert not group.mixed
+
+
 @pytest.mark.parametrize("split", [1, 2, 3])
 @pytest.mark.parametrize("busy", [True, False])
 def test_a_group_on_two_maps_is_brought_back_to_one(split, busy):
