Use each version of a map once

Callers' passes began on two maps: a coordinator that had been replaced took the newest version that a rank reported plus one, which is its successor's next version as well, so that two maps had one version; or it went on with its orders straight to engines whose agents it took for silent. A coordinator also used a version again for another map if no rank had reported it yet, while an order with it was still on its way.

Cause: a version was derived from what ranks report, and nothing kept two users of one version apart. Class: a name that is reused while an earlier use may still take effect.

Now each coordinator has a range of versions and gives each out once, and a version of a later coordinator, wherever it is seen, ends the earlier one's term. The next election is above it.

--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -292,7 +292,7 @@
         task.kill()
         resolve(group, engines, 2)
         wait_for_passes(group)
-        end = make_switch(engines, 2).run(LATER, INITIAL, COPY_TIMEOUT_S)
+        end = make_switch(engines, 5).run(LATER, INITIAL, COPY_TIMEOUT_S)
         wait_for_passes(group)
     assert end is SwitchEnd.DONE
     assert {row.map[0] for row in group.rows} == {5 << 20}
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -23,13 +23,14 @@
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
-from toucanspool.groups.group_client import GroupClient
+from toucanspool.groups.group_client import GroupClient, Replaced
 from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.map_preparation import (
     MapPreparation,
     VersionedMap,
     prepare_request,
 )
+from toucanspool.groups.map_versions import VersionSource, token_of_version
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
@@ -43,8 +44,6 @@
 MAX_HOLD_ATTEMPTS = 3
 MAX_ARM_ATTEMPTS = 8
 RETRY_INTERVAL_S = 0.05
-# Each token has its own range of versions, so that no two coordinators share one.
-VERSIONS_PER_TOKEN = 1 << 20
 
 _log = structlog.get_logger()
 
@@ -73,6 +72,8 @@
         The rank on the coordinator's machine.
     passes_ahead : int, default=2
         Passes between the latest one and the held one.
+    versions : VersionSource, optional
+        Versions of the coordinator, if it has used some before.
 
     Attributes
     ----------
@@ -87,6 +88,7 @@
         "_epoch",
         "_own_rank",
         "_ranks",
+        "_versions",
         "arm_rounds",
     )
 
@@ -98,12 +100,14 @@
         own_rank: int,
         *,
         passes_ahead: int = PASSES_AHEAD,
+        versions: VersionSource | None = None,
     ) -> None:
         self._client = client
         self._epoch = epoch
         self._ranks = frozenset(ranks)
         self._own_rank = own_rank
         self._passes_ahead = passes_ahead
+        self._versions = versions or VersionSource(client.token)
         self.arm_rounds = 0
 
     def next_version(self, answers: Mapping[int, RankAnswer]) -> int:
@@ -117,9 +121,17 @@
         Returns
         -------
         int
+
+        Raises
+        ------
+        Replaced
+            A rank has seen a version of a later coordinator.
         """
         newest = max(answer.newest_version for answer in answers.values())
-        return max(newest + 1, self._client.token * VERSIONS_PER_TOKEN)
+        version = self._versions.next_above(newest)
+        if token_of_version(version) > self._client.token:
+            raise Replaced(f"version {newest} is in use", token_of_version(version))
+        return version
 
     def run(
         self, new: VersionedMap, current: VersionedMap, copy_timeout_s: float
@@ -164,7 +176,7 @@
         ):
             self._release(step, holder)
             return SwitchEnd.DONE
-        self._roll_back(new.version + 1, current.experts)
+        self._roll_back(self._versions.next_above(new.version), current.experts)
         self._release(step, holder)
         return SwitchEnd.NOT_ARMED
 
--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -136,7 +136,7 @@
         except RankEngineError as exc:
             return self._failure(request, RankResult.LOST, repr(exc))
         self._newest_version = max(
-            self._newest_version, state.map_version, state.prepared
+            self._newest_version, state.map_version, state.prepared, state.armed
         )
         return RankAnswer(
             call=request.call,
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -10,6 +10,7 @@
 
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.expert_map import EMPTY
+from toucanspool.groups.map_versions import token_of_version
 from toucanspool.groups.rank_arrays import MAP_DTYPE, unpack_map
 from toucanspool.groups.rank_calls import NoAnswer, RankLink
 from toucanspool.groups.rank_engine import UNSET
@@ -29,7 +30,19 @@
 
 
 class Replaced(Exception):
-    """Report that another coordinator has been elected."""
+    """Report that another coordinator has been elected.
+
+    Parameters
+    ----------
+    message : str
+        Text for logs.
+    token : int
+        The token of that coordinator, or a lower one.
+    """
+
+    def __init__(self, message: str, token: int) -> None:
+        super().__init__(message)
+        self.token = token
 
 
 class GroupChanged(Exception):
@@ -286,4 +299,9 @@
 
     def _check_token(self, answer: RankAnswer) -> None:
         if answer.result == RankResult.STALE:
-            raise Replaced(f"token {answer.token} is newer than {self.token}")
+            text = f"token {answer.token} is newer than {self.token}"
+            raise Replaced(text, answer.token)
+        newest = token_of_version(answer.newest_version or 0)
+        if newest > self.token:
+            # The agent doesn't know of the election yet, or was not asked.
+            raise Replaced(f"a map has version {answer.newest_version}", newest)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -13,6 +13,7 @@
 from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
+from toucanspool.groups.map_versions import VersionSource
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -68,6 +69,7 @@
         "_states_current_at",
         "_token",
         "_version",
+        "_versions",
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self._engine = engine
         self._counts = CountReader(link_bits_per_s)
         self._version = UNSET
+        self._versions = VersionSource(token)
         self._copies: ExpertCopies | None = None
 
     def run_once(self, links: Mapping[int, RankLink]) -> None:
@@ -124,6 +127,7 @@
             answers,
             self._own_rank,
             passes_ahead=self._passes_ahead,
+            versions=self._versions,
         )
         try:
             self._reconcile(client, switch, answers, engine)
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -89,6 +89,7 @@
         "_links",
         "_rank_records",
         "_name",
+        "_newer_token",
         "_record",
         "_record_era",
         "_port",
@@ -134,6 +135,7 @@
         self._rank_records: dict[str, RankRecord] = {}
         self._links: dict[tuple[str, int, str], RankClient] = {}
         self._coordinator: MapCoordinator | None = None
+        self._newer_token = 0
         self._stopping = False
 
     def watch(self) -> None:
@@ -242,7 +244,8 @@
         won = None
         if self._rank_feed.step():
             duty = _duty(own.group)
-            won = elect(self._table, duty, self._name, above=self._fenced_engine.token)
+            above = max(self._fenced_engine.token, self._newer_token)
+            won = elect(self._table, duty, self._name, above=above)
         if won is None:
             # Another rank was elected or the table is unavailable: restart the wait.
             self._rank_feed.stop()
@@ -266,6 +269,7 @@
             self._coordinator.run_once(self._group_links(self._record))
         except Replaced as exc:
             _log.info("coordinator replaced", group=self._record.group, reason=str(exc))
+            self._newer_token = max(self._newer_token, exc.token)
             self._coordinator = None
             self._rank_feed.stop()
 
