Guard holds and disarming against orders from before

Passes began on two maps: an order to release a pass, without an answer and carried out late, released a newer hold of the same pass; a coordinator that prepared its own map released a pass that another one held while it armed the ranks; and a new coordinator disarmed ranks by a state that was told late, whose pass had been let go.

Cause: the safety of a switch rested on who was thought to give orders and on states read before. Engines check neither: their sequence counts no orders on maps, and tokens are checked by agents only, before an order is sent. Class: an order or a decision from before takes effect after the state has moved on.

Now what an order names can't be used twice, and the engine itself checks the name:

- The agent of an engine chooses the passes that it holds, and none twice, also after a restart and while the group is idle.
No order to hold goes around it.
- A rank that accepts a newer version is proved to be unarmed and can't be armed with an older one.
All ranks accept one before a pass is released without a switch.
- Ranks are disarmed only under a hold that no other coordinator releases: the switch's own, or two of the coordinator that resolves it.
So it doesn't matter how old the states are on which it decided.
- A coordinator that prepares a map and finds a pass held or a rank armed ends its switch; both are resolved next.
Its own rank is fenced first.

Older tests start with agents that have been up for some passes, since new ones hold only passes further ahead.

--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -17,6 +17,7 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.groups import rank_member
 from toucanspool.groups.armed_switch import ArmedSwitch
+from toucanspool.groups.pass_holds import PassHolds
 from toucanspool.platform import configuration, frontend, listings
 from toucanspool.recovery import election
 from toucanspool.retries.quarantine import Quarantine
@@ -128,16 +129,16 @@
 def _arm_without_hold() -> None:
     """Arm the ranks without holding a pass until all are armed."""
 
-    def next_pass(self: ArmedSwitch, holder: int) -> int:
+    def next_pass(self: ArmedSwitch, holds: PassHolds) -> int:
         request = RankAsk(action=RankAction.STATUS)
-        return self._client.send(holder, request, self._epoch).step + 1
+        return self._client.send(self._own_rank, request, self._epoch).step + 1
 
     ArmedSwitch._hold = next_pass
 
 
 def _keep_passes_held() -> None:
     """Release no pass that is held."""
-    ArmedSwitch._release = lambda self, step, rank: None
+    ArmedSwitch._release = lambda self, holds: None
 
 
 def _repeat_tokens() -> None:
--- a/standins/engine_pages.py
+++ b/standins/engine_pages.py
@@ -59,10 +59,10 @@
             name: None if value == UNSET else value
             for name, value in (
                 ("prepared", state.prepared),
-                ("armed", state.armed),
                 ("held", state.held),
             )
         }
+        armed = {"version": state.armed, "step": state.armed_step}
         return {
             "group": {
                 "name": state.group,
@@ -76,6 +76,7 @@
             "pace": 1.0,
             "sequence": state.sequence,
             "born": 1,
+            "armed": None if state.armed == UNSET else armed,
             **optional,
         }
 
--- a/standins/pass_group.py
+++ b/standins/pass_group.py
@@ -256,6 +256,7 @@
             map_version=row.map[0],
             prepared=row.prepared[0] if row.prepared else UNSET,
             armed=row.armed[0] if row.armed else UNSET,
+            armed_step=row.armed[1] if row.armed else UNSET,
             held=UNSET if row.held is None else row.held,
             sequence=row.sequence,
         )
--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -10,7 +10,7 @@
 import pytest
 
 from standins.pass_group import GROUP, PassGroup
-from toucanspool.groups import armed_switch, map_preparation
+from toucanspool.groups import map_preparation, pass_holds, version_fence
 from toucanspool.groups.armed_switch import PASSES_AHEAD, ArmedSwitch, SwitchEnd
 from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.fenced_engine import FencedEngine
@@ -20,6 +20,7 @@
     Replaced,
 )
 from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.hold_gate import MAX_PASSES_AHEAD
 from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET, OrderLost
@@ -46,8 +47,6 @@
         gevent.sleep(0)
         return self._engine.answer(request)
 
-    send_to_engine = send
-
 
 class CoordinatorCrashed(Exception):
     """Simulate the crash of a coordinator's process."""
@@ -74,7 +73,8 @@
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(map_preparation, "POLL_INTERVAL_S", TICK_S)
-    monkeypatch.setattr(armed_switch, "RETRY_INTERVAL_S", TICK_S)
+    monkeypatch.setattr(pass_holds, "RETRY_INTERVAL_S", TICK_S)
+    monkeypatch.setattr(version_fence, "RETRY_INTERVAL_S", TICK_S)
 
 
 @contextmanager
@@ -99,6 +99,9 @@
     engines = [FencedEngine(group.engine(rank)) for rank in range(len(group.rows))]
     for engine in engines:
         engine.restore(0)
+    statuses(engines, 0)
+    # Agents that have just started hold only passes further ahead.
+    group.step += MAX_PASSES_AHEAD
     return engines
 
 
@@ -261,14 +264,15 @@
 def test_a_late_hold_behind_a_released_pass_is_released_too():
     group = PassGroup(3, random.Random(7))
     engines = make_engines(group)
-    group.execute(1, "hold", (2,))
+    first = group.step + 2
+    group.execute(1, "hold", (first,))
     execute = group.execute
 
     def execute_and_hold_again(rank: int, name: str, args: tuple) -> None:
         execute(rank, name, args)
-        if name == "go" and args == (2,):
+        if name == "go" and args == (first,):
             # Another order to hold arrives only now.
-            execute(rank, "hold", (3,))
+            execute(rank, "hold", (first + 1,))
 
     group.execute = execute_and_hold_again  # type: ignore[method-assign]
     with ticking(group):
--- a/tests/groups/test_count_reader.py
+++ b/tests/groups/test_count_reader.py
@@ -62,8 +62,6 @@
             self._shared.counted.append(self._rank)
         return answer
 
-    send_to_engine = send
-
 
 def test_all_ranks_of_a_large_group_are_counted_over_a_slow_link():
     group = PassGroup(RANKS, random.Random(1))
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -12,9 +12,15 @@
 
 from standins.pass_group import GROUP, PassGroup
 from tests.limits.test_adaptive_limit import ENGINE
-from toucanspool.groups import armed_switch, count_reader, map_preparation
+from toucanspool.groups import (
+    count_reader,
+    map_preparation,
+    pass_holds,
+    version_fence,
+)
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.group_client import GroupClient
+from toucanspool.groups.hold_gate import MAX_PASSES_AHEAD
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
@@ -52,13 +58,12 @@
             raise NoAnswer("unreachable")
         return self._engine.answer(request)
 
-    send_to_engine = send
-
 
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(map_preparation, "POLL_INTERVAL_S", 0.001)
-    monkeypatch.setattr(armed_switch, "RETRY_INTERVAL_S", 0.001)
+    monkeypatch.setattr(pass_holds, "RETRY_INTERVAL_S", 0.001)
+    monkeypatch.setattr(version_fence, "RETRY_INTERVAL_S", 0.001)
 
 
 class World:
@@ -81,6 +86,9 @@
             engine = FencedEngine(self.group.engine(rank))
             engine.restore(0)
             self.links[rank] = Link(engine)
+            engine.answer(RankAsk(action=RankAction.STATUS, token=0))
+        # Agents that have just started hold only passes further ahead.
+        self.group.step += MAX_PASSES_AHEAD
 
     def coordinator(
         self, token: int, own_rank: int, **overrides: int
@@ -273,5 +281,3 @@
         """Return the engine's answer after the delay."""
         gevent.sleep(self._delay_s)
         return self._engine.answer(request)
-
-    send_to_engine = send
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -6,32 +6,37 @@
 4. Go: once every rank has confirmed that it is armed, the held pass is released. If a
    rank can't be armed, all ranks are disarmed before the release.
 
-The pass is held by a rank on another machine than the coordinator's, and the
-coordinator's own rank is armed last. If the coordinator's machine fails, another
-coordinator can therefore release the group: while any other rank is not armed, the
-rank on the failed machine is not armed either.
-
-An order without an answer may be carried out seconds later. A late order to arm is
-refused once its pass has begun, or once a newer version is prepared. So a switch is
-aborted by preparing the map in use under a newer version, which copies nothing.
+An order may be carried out seconds late, and several coordinators may give orders at
+the same time, since a replaced one doesn't know of it at once. Two rules make all of
+them harmless, and the engines check both:
+
+- A version is used once, for one map and one pass. A rank that has accepted a newer
+  version refuses to be armed with an older one, so `fence` ends earlier switches.
+- A pass is named once by the holds of an engine (`HoldGate`), so that an order to
+  release it never releases another hold.
+
+So ranks are disarmed only under a hold that no other coordinator releases: the one that
+this switch placed, or, in `resolve`, two new ones, since that switch's own pass is held
+at one rank only. What the ranks were seen to be before doesn't matter.
+
+The coordinator's own rank is fenced first and armed last. If its machine fails, another
+coordinator can release the group: while any other rank is not armed, the rank on the
+failed machine is not armed either.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import Enum
 
-import gevent
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
 from toucanspool.groups.group_client import GroupClient, Replaced
-from toucanspool.groups.group_state import is_fully_armed
-from toucanspool.groups.map_preparation import (
-    MapPreparation,
-    VersionedMap,
-    prepare_request,
-)
+from toucanspool.groups.group_state import armed_versions, pass_to_hold
+from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
 from toucanspool.groups.map_versions import VersionSource, token_of_version
+from toucanspool.groups.pass_holds import PassHolds
 from toucanspool.groups.rank_engine import UNSET
+from toucanspool.groups.version_fence import fence_ranks
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
     RankAnswer,
@@ -41,9 +46,7 @@
 
 # Passes from the latest one to the held one: time to arm all ranks.
 PASSES_AHEAD = 2
-MAX_HOLD_ATTEMPTS = 3
 MAX_ARM_ATTEMPTS = 8
-RETRY_INTERVAL_S = 0.05
 
 _log = structlog.get_logger()
 
@@ -157,31 +160,17 @@
         GroupChanged
             The group was formed again, or a rank was unreachable before the hold.
         """
-        preparation = MapPreparation(
-            self._client,
-            self._epoch,
-            new,
-            current,
-            on_held=lambda rank, step: self._release(step, rank),
-        )
-        if not preparation.run(self._ranks, copy_timeout_s):
+        preparation = MapPreparation(self._client, self._epoch, new, current)
+        if not preparation.run(self._ranks, copy_timeout_s, first=self._own_rank):
             return SwitchEnd.NOT_COPIED
-        holder = self._choose_holder()
-        step = self._hold(holder)
+        holds = self._new_holds()
+        step = self._hold(holds)
         if step == UNSET:
             return SwitchEnd.NOT_HELD
-        others = self._ranks - {self._own_rank}
-        if self._arm(others, new.version, step) and self._arm(
-            {self._own_rank}, new.version, step
-        ):
-            self._release(step, holder)
-            return SwitchEnd.DONE
-        self._roll_back(self._versions.next_above(new.version), current.experts)
-        self._release(step, holder)
-        return SwitchEnd.NOT_ARMED
+        return self._arm_and_release(new, step, holds, current.experts)
 
     def resolve(self, answers: Mapping[int, RankAnswer], current: IntArray) -> None:
-        """Finish or roll back a switch left by another coordinator or a late order.
+        """Roll back a switch left by another coordinator, or release a late hold.
 
         Parameters
         ----------
@@ -189,49 +178,71 @@
             The latest answer of each rank, given to this coordinator's token.
         current : ndarray of int, shape (layer_sets, ranks, slots)
             The map in use.
+
+        Raises
+        ------
+        Replaced, GroupChanged
+            As for `run`.
         """
-        held = {rank: a.held for rank, a in answers.items() if a.held != UNSET}
-        complete = is_fully_armed(answers)
-        if not complete:
-            self._roll_back(self.next_version(answers), current)
-        for rank, step in held.items():
-            self._release(step, rank)
+        holds = self._new_holds()
+        step = pass_to_hold(answers)
+        if step != UNSET and not holds.place_at(self._holders(), step):
+            _log.info("armed pass not held", group=self._client.group, step=step)
+            return
+        self._adopt(answers, holds)
+        version = self.next_version(answers)
+        self._fence(VersionedMap(version, current), armed_versions(answers))
+        self._release(holds)
         _log.warning(
             "unfinished switch resolved",
             group=self._client.group,
-            held=held,
-            armed=sorted({answer.armed for answer in answers.values()}),
-            result="finished" if complete else "undone",
+            version=version,
+            held={r: a.held for r, a in answers.items() if a.held != UNSET},
+            armed=sorted(armed_versions(answers)),
             token=self._client.token,
         )
 
-    def _choose_holder(self) -> int:
-        """Return the rank that holds the pass: the one after the coordinator's."""
+    def _new_holds(self) -> PassHolds:
+        return PassHolds(self._client, self._epoch, self._own_rank)
+
+    def _holders(self) -> list[int]:
+        """Return the ranks in the order in which they are to hold a pass.
+
+        A coordinator whose machine freezes does not keep the pass held, so that its own
+        rank comes last.
+        """
         ranks = sorted(self._ranks)
-        return ranks[(ranks.index(self._own_rank) + 1) % len(ranks)]
-
-    def _hold(self, holder: int) -> int:
-        for _ in range(MAX_HOLD_ATTEMPTS):
-            status = self._client.send(
-                holder, RankAsk(action=RankAction.STATUS), self._epoch
-            )
-            step = status.step + self._passes_ahead
-            request = RankAsk(action=RankAction.HOLD, step=step)
-            answer = self._client.send(holder, request, self._epoch, bypass_agent=True)
-            # An engine on another machine reports its state with a lag, but the result
-            # of an order at once.
-            if answer.result == RankResult.OK or answer.held == step:
-                return step
-        return UNSET
+        after_own = ranks.index(self._own_rank) + 1
+        return ranks[after_own:] + ranks[:after_own]
+
+    def _hold(self, holds: PassHolds) -> int:
+        return holds.place_ahead(self._holders(), self._passes_ahead)
+
+    def _adopt(self, answers: Mapping[int, RankAnswer], holds: PassHolds) -> None:
+        for rank, answer in answers.items():
+            if answer.held != UNSET:
+                holds.adopt(rank, answer.held)
+
+    def _arm_and_release(
+        self, new: VersionedMap, step: int, holds: PassHolds, fallback: IntArray
+    ) -> SwitchEnd:
+        others = self._ranks - {self._own_rank}
+        if self._arm(others, new.version, step) and self._arm(
+            {self._own_rank}, new.version, step
+        ):
+            self._release(holds)
+            return SwitchEnd.DONE
+        version = self._versions.next_above(new.version)
+        self._fence(VersionedMap(version, fallback), {new.version})
+        self._release(holds)
+        return SwitchEnd.NOT_ARMED
 
     def _arm(self, ranks: Iterable[int], version: int, step: int) -> bool:
         waiting = set(ranks)
         for _ in range(MAX_ARM_ATTEMPTS):
             self.arm_rounds += 1
-            answers = self._send_all(
-                waiting,
-                RankAsk(action=RankAction.ARM, version=version, step=step),
-            )
+            request = RankAsk(action=RankAction.ARM, version=version, step=step)
+            answers = self._send_all(waiting, request)
             for rank, answer in answers.items():
                 if answer is None:
                     continue
@@ -243,33 +254,17 @@
                 return True
         return False
 
-    def _roll_back(self, version: int, current: IntArray) -> None:
-        """Disarm all ranks, so that no late order arms them; a held pass stays held."""
-        waiting = set(self._ranks)
-        prepare = prepare_request(VersionedMap(version, current))
-        while waiting:
-            answers = self._send_all(waiting, prepare)
-            for rank, answer in answers.items():
-                if answer is None:
-                    continue
-                if answer.prepared == version and answer.armed == UNSET:
-                    waiting.discard(rank)
-                elif answer.armed != UNSET:
-                    request = RankAsk(action=RankAction.DISARM, version=answer.armed)
-                    self._send_all([rank], request)
-            if waiting:
-                gevent.sleep(RETRY_INTERVAL_S)
-
-    def _release(self, step: int, rank: int) -> None:
-        """Release a held pass, and any that a late order holds after it."""
-        while True:
-            request = RankAsk(action=RankAction.GO, step=step)
-            answer = self._send_all([rank], request)[rank]
-            if answer is not None:
-                if answer.held == UNSET:
-                    return
-                step = answer.held
-            gevent.sleep(RETRY_INTERVAL_S)
+    def _fence(self, new: VersionedMap, disarmed: Collection[int]) -> None:
+        fence_ranks(
+            self._client,
+            self._epoch,
+            (self._own_rank, *sorted(self._ranks - {self._own_rank})),
+            new,
+            disarmed,
+        )
+
+    def _release(self, holds: PassHolds) -> None:
+        holds.release()
 
     def _send_all(
         self, ranks: Iterable[int], request: RankAsk
--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -6,6 +6,7 @@
 import structlog
 
 from toucanspool.groups.expert_map import IntArray
+from toucanspool.groups.hold_gate import HoldGate
 from toucanspool.groups.rank_arrays import (
     apply_changes,
     pack_counts,
@@ -28,6 +29,7 @@
     RankResult,
 )
 
+HOLD_ACTIONS = frozenset({RankAction.HOLD, RankAction.HOLD_AHEAD})
 READ_ACTIONS = frozenset({RankAction.STATUS, RankAction.COUNTS, RankAction.LISTS})
 NO_TOKEN = -1
 # Answers wait for copies a little less long than a coordinator waits for answers.
@@ -43,17 +45,20 @@
     """Execute a coordinator's requests on one engine.
 
     Each request carries the fencing token from its coordinator's election. A request
-    with a lower token than the highest seen so far is rejected. A request gives the
-    engine at most one order and is retried only by its sender, since an order without
-    an answer may still be carried out seconds later.
+    with a lower token than the highest seen so far is rejected. That only spares work:
+    an order may pass the check and be carried out seconds later, or reach the engine
+    around its agent. What makes such orders harmless is that the engine itself checks
+    the version or the pass that they name, and that neither is used twice. A request
+    gives the engine at most one order and is retried only by its sender.
 
     Parameters
     ----------
     engine : RankEngine
         The engine.
     local : bool, default=True
-        Whether the engine is on this instance. Reading expert counts from another
-        instance delays the group, and the state of its engine is not current.
+        Whether the engine is on this instance, so that this is its agent. Reading
+        expert counts from another instance delays the group, the state of its engine
+        is not current, and only the agent may order it to hold a pass.
 
     Attributes
     ----------
@@ -65,6 +70,7 @@
 
     __slots__ = (
         "_engine",
+        "_holds",
         "_local",
         "_newest_version",
         "_last_counts",
@@ -77,6 +83,7 @@
     def __init__(self, engine: RankEngine, *, local: bool = True) -> None:
         self._engine = engine
         self._local = local
+        self._holds = HoldGate()
         self._last_counts: ExpertCounts | None = None
         self._maps: dict[int, IntArray] = {}
         self._newest_version = UNSET
@@ -125,7 +132,9 @@
                 result, detail = self._execute_order(request)
                 self._log_order(request, result, detail)
             state = self._engine.state()
-            if request.action == RankAction.PREPARE and result == RankResult.OK:
+            self._holds.observe(state)
+            copying = request.action == RankAction.PREPARE and result == RankResult.OK
+            if copying and not request.answer_at_once:
                 state = self._wait_for_copies(request.version, state)
             counts, picks_unit = b"", 1.0
             if request.action == RankAction.COUNTS and self._local:
@@ -151,6 +160,7 @@
             map_version=state.map_version,
             prepared=state.prepared,
             armed=state.armed,
+            armed_step=state.armed_step,
             held=state.held,
             running=state.running,
             waiting=state.waiting,
@@ -192,21 +202,26 @@
             lists = self._read_map(request)
             self._newest_version = max(self._newest_version, request.version)
             engine.prepare(request.version, lists, request.epoch)
-        elif request.action == RankAction.HOLD:
-            engine.hold(request.step, request.epoch)
+        elif request.action in HOLD_ACTIONS:
+            engine.hold(self._choose_pass(request), request.epoch)
         elif request.action == RankAction.ARM:
-            # The sequence makes the engine refuse an arm order that arrives after its
-            # switch was aborted.
             sequence = engine.state().sequence
             engine.arm(request.version, request.step, request.epoch, sequence=sequence)
         elif request.action == RankAction.DISARM:
-            # The sequence makes the engine refuse a disarm order that arrives during a
-            # later switch.
             sequence = engine.state().sequence
             engine.disarm(request.version, request.epoch, sequence=sequence)
         elif request.action == RankAction.GO:
             engine.go(request.step, request.epoch)
 
+    def _choose_pass(self, request: RankAsk) -> int:
+        if not self._local:
+            raise OrderRefused("only an engine's agent may hold a pass")
+        state = self._engine.state()
+        if request.action == RankAction.HOLD_AHEAD:
+            return self._holds.choose(state, request.step)
+        self._holds.admit(state, request.step)
+        return request.step
+
     def _wait_for_copies(self, version: int, state: RankState) -> RankState:
         """Wait for the experts of a map, and return the last state.
 
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -127,7 +127,6 @@
         request: RankAsk,
         epoch: int,
         *,
-        bypass_agent: bool = False,
         transfer_s: float = 0.0,
     ) -> RankAnswer:
         """Send a request to one rank and return the answer.
@@ -140,8 +139,6 @@
             The request; group, token and epoch are set here.
         epoch : int
             The group's epoch. The engine refuses orders of another epoch.
-        bypass_agent : bool, default=False
-            Whether the request goes directly to the rank's engine.
         transfer_s : float, default=0.0
             Time that the network needs for requests sent at the same time, in seconds.
 
@@ -159,11 +156,7 @@
             The group was formed again.
         """
         request.group, request.token, request.epoch = self.group, self.token, epoch
-        link = self._links[rank]
-        if bypass_agent:
-            answer = link.send_to_engine(request)
-        else:
-            answer = link.send(request, transfer_s=transfer_s)
+        answer = self._links[rank].send(request, transfer_s=transfer_s)
         self._check_token(answer)
         if answer.rank == UNSET:
             raise NoAnswer(answer.detail)
@@ -212,6 +205,20 @@
             answers[rank] = task.value
         return answers
 
+    def check_term(self, own_rank: int, epoch: int) -> None:
+        """Raise `Replaced` or `GroupChanged` if this coordinator's agent knows of it.
+
+        Requests that are repeated until one rank answers would otherwise not notice.
+
+        Parameters
+        ----------
+        own_rank : int
+            The rank on the coordinator's machine.
+        epoch : int
+            The group's epoch.
+        """
+        self.send_all([own_rank], RankAsk(action=RankAction.STATUS), epoch)
+
     def read_copies(
         self, answers: Mapping[int, RankAnswer], version: int, engine: EngineModel
     ) -> ExpertCopies:
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -13,7 +13,7 @@
 from toucanspool.groups.group_state import is_fully_armed
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
-from toucanspool.groups.map_versions import VersionSource
+from toucanspool.groups.map_versions import VersionSource, token_of_version
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -55,6 +55,8 @@
         Bandwidth of this instance's network link.
     previous_rank : int or None
         The rank on the machine of the previous coordinator, if known.
+    previous_token : int, default=0
+        The token of the previous coordinator.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "_link_bits_per_s",
         "_own_rank",
         "_previous_rank",
+        "_previous_token",
         "_states_current_at",
         "_token",
         "_version",
@@ -81,8 +84,10 @@
         *,
         link_bits_per_s: float,
         previous_rank: int | None = None,
+        previous_token: int = 0,
     ) -> None:
         self._previous_rank = previous_rank
+        self._previous_token = previous_token
         self._link_bits_per_s = link_bits_per_s
         self._passes_ahead = PASSES_AHEAD
         self._states_current_at = 0.0
@@ -143,13 +148,13 @@
     ) -> None:
         held = any(answer.held != UNSET for answer in answers.values())
         armed = any(answer.armed != UNSET for answer in answers.values())
-        if armed and not held and is_fully_armed(answers):
-            # A switch is in progress: all ranks switch when the next pass begins.
-            return
         versions = {answer.map_version for answer in answers.values()}
         if len(versions) > 1:
             # The group switched maps while the answers were collected.
             return
+        if armed and not held and is_fully_armed(answers):
+            # A switch is in progress: all ranks switch when the next pass begins.
+            return
         version = versions.pop()
         if version != self._version or self._copies is None:
             self._copies = client.read_copies(answers, version, engine)
@@ -242,10 +247,18 @@
         size = next(iter(answers.values())).size
         missing = set(range(size)) - answers.keys()
         held = any(answer.held != UNSET for answer in answers.values())
-        # A coordinator arms its own rank last. If any other rank is not armed, the
-        # missing rank of the previous coordinator is not armed either.
+        # A coordinator fences its own rank first and arms it last. If any other rank is
+        # not armed, the missing rank of the previous coordinator is not armed either,
+        # unless that one had not begun to undo what an earlier coordinator did.
         others_armed = all(answer.armed != UNSET for answer in answers.values())
-        return held and missing == {self._previous_rank} and not others_armed
+        newest = max(answer.newest_version for answer in answers.values())
+        is_its_switch = token_of_version(newest) in (0, self._previous_token)
+        return (
+            held
+            and missing == {self._previous_rank}
+            and not others_armed
+            and is_its_switch
+        )
 
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
--- a/toucanspool/groups/map_preparation.py
+++ b/toucanspool/groups/map_preparation.py
@@ -1,7 +1,7 @@
 """Distribution of a new expert map to the ranks of a group, which copy its experts."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import gevent
@@ -79,8 +79,6 @@
         The group's epoch.
     new, current : VersionedMap
         The map to copy, and the map in use.
-    on_held : callable
-        Called with a rank and the pass that it holds by a late order.
     """
 
     __slots__ = (
@@ -88,7 +86,6 @@
         "_changes",
         "_client",
         "_epoch",
-        "_on_held",
         "_version",
         "_waiting",
         "_whole",
@@ -101,13 +98,10 @@
         epoch: int,
         new: VersionedMap,
         current: VersionedMap,
-        *,
-        on_held: Callable[[int, int], None],
     ) -> None:
         self._client = client
         self._epoch = epoch
         self._version = new.version
-        self._on_held = on_held
         self._whole = prepare_request(new)
         self._changes = None
         if current.version != INITIAL_VERSION:
@@ -116,7 +110,7 @@
         self._without_base: set[int] = set()
         self._attempts: dict[int, int] = {}
 
-    def run(self, ranks: Iterable[int], timeout_s: float) -> bool:
+    def run(self, ranks: Iterable[int], timeout_s: float, *, first: int) -> bool:
         """Return whether all ranks have copied the experts in time.
 
         Parameters
@@ -125,6 +119,8 @@
             All ranks of the group.
         timeout_s : float
             The longest time for all ranks, in seconds.
+        first : int
+            The rank that accepts the map before any other is told of it.
 
         Returns
         -------
@@ -135,26 +131,41 @@
         Replaced
             Another coordinator has been elected.
         GroupChanged
-            The group was formed again, or a rank is unreachable.
+            The group was formed again, a rank is unreachable, or another switch holds a
+            pass or has armed a rank.
         """
         deadline = time.monotonic() + timeout_s
-        self._waiting = set(ranks)
-        self._attempts = dict.fromkeys(self._waiting, 0)
+        ranks = set(ranks)
         if self._changes is None:
-            self._without_base = set(self._waiting)
+            self._without_base = set(ranks)
+        self._attempts = dict.fromkeys(ranks, 0)
+        if not self._prepare({first}, deadline, until_accepted=True):
+            return False
+        return self._prepare(ranks, deadline)
+
+    def _prepare(
+        self, ranks: set[int], deadline: float, *, until_accepted: bool = False
+    ) -> bool:
+        self._waiting = set(ranks)
         while self._waiting:
             if time.monotonic() > deadline:
                 return False
-            for rank, answer in self._send_round().items():
+            answers = self._send_round(answer_at_once=until_accepted)
+            for rank, answer in answers.items():
                 if answer is None:
                     raise GroupChanged("a rank is unreachable")
                 self._handle(rank, answer)
+                if until_accepted and answer.result == RankResult.OK:
+                    self._waiting.discard(rank)
             if self._waiting:
                 polls_s = self._client.transfer_s(STATUS_BYTES * len(self._waiting))
                 gevent.sleep(max(POLL_INTERVAL_S, polls_s))
         return True
 
-    def _send_round(self) -> dict[int, RankAnswer | None]:
+    def _send_round(self, *, answer_at_once: bool) -> dict[int, RankAnswer | None]:
+        self._whole.answer_at_once = answer_at_once
+        if self._changes is not None:
+            self._changes.answer_at_once = answer_at_once
         due = {r for r in self._waiting if self._attempts[r] < MAX_ATTEMPTS}
         if not due:
             status = RankAsk(action=RankAction.STATUS)
@@ -177,8 +188,8 @@
             self._attempts[rank] = 0
         elif accepted or answer.result == RankResult.REFUSED:
             self._attempts[rank] = MAX_ATTEMPTS
-        if answer.held != UNSET:
-            # A late order to hold: this switch has not held a pass yet.
-            self._on_held(rank, answer.held)
+        if answer.held != UNSET or answer.armed != UNSET:
+            # A late order or another coordinator: this switch has given no such order.
+            raise GroupChanged(f"rank {rank} is held or armed")
         if answer.prepared == self._version:
             self._waiting.discard(rank)
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -40,10 +40,6 @@
         """
         ...
 
-    def send_to_engine(self, request: RankAsk) -> RankAnswer:
-        """Send a request directly to the rank's engine, or raise `NoAnswer`."""
-        ...
-
 
 class RankClient:
     """Send requests to the agent of one rank; implements `RankLink` and `Receiver`.
@@ -56,8 +52,7 @@
         Port of the agent.
     engine : FencedEngine
         Connects to the rank's engine directly, for use while its agent does not
-        answer. Such orders cost more, and only the agents of the other ranks check
-        their token.
+        answer. Such orders cost more, and their token isn't checked.
     """
 
     __slots__ = (
@@ -100,16 +95,15 @@
             No answer came.
         """
         if time.monotonic() < self._bypass_until:
-            return self.send_to_engine(request)
+            return self._send_to_engine(request)
         try:
             return self._send_to_agent(request, ANSWER_TIMEOUT_S + transfer_s)
         except NoAnswer as exc:
             _log.info("rank agent did not answer", host=self._host, error=str(exc))
             self._bypass_until = time.monotonic() + AGENT_RETRY_S
-            return self.send_to_engine(request)
+            return self._send_to_engine(request)
 
-    def send_to_engine(self, request: RankAsk) -> RankAnswer:
-        """Send a request directly to the engine; see `send`."""
+    def _send_to_engine(self, request: RankAsk) -> RankAnswer:
         answer = self._engine.answer(request)
         if answer.rank < 0:
             raise NoAnswer(answer.detail)
@@ -169,8 +163,6 @@
         """Execute a request; see `RankLink`."""
         return self._fenced_engine.answer(request)
 
-    send_to_engine = send
-
 
 class RequestReceiver:
     """Answer the requests on one connection; implements `Receiver`.
--- a/toucanspool/groups/rank_engine.py
+++ b/toucanspool/groups/rank_engine.py
@@ -48,6 +48,8 @@
         Version of the map whose experts are all copied; `UNSET` for none.
     armed : int
         Version of the map to switch to at a set pass; `UNSET` for none.
+    armed_step : int
+        The pass at which the rank switches to that map; `UNSET` if not told.
     held : int
         Pass that the group must not begin yet; `UNSET` for none.
     running, waiting : int
@@ -57,7 +59,8 @@
     started_ms : int
         Start time of the engine, in Unix milliseconds by its own clock.
     sequence : int
-        Increases with each map that is prepared.
+        Number of orders that the engine has accepted. Engines may leave orders on maps
+        out, so that it fences none of them.
     """
 
     group: str
@@ -69,6 +72,7 @@
     map_version: int
     prepared: int = UNSET
     armed: int = UNSET
+    armed_step: int = UNSET
     held: int = UNSET
     running: int = 0
     waiting: int = 0
@@ -123,11 +127,11 @@
         ...
 
     def arm(self, version: int, step: int, epoch: int, *, sequence: int) -> None:
-        """Arm a switch at a pass, unless a map was prepared since ``sequence``."""
+        """Arm a switch at a pass, unless ``sequence`` has changed."""
         ...
 
     def disarm(self, version: int, epoch: int, *, sequence: int) -> None:
-        """Cancel an armed switch, unless a map was prepared since ``sequence``."""
+        """Cancel a switch to that version, unless ``sequence`` has changed."""
         ...
 
     def hold(self, step: int, epoch: int) -> None:
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -260,6 +260,7 @@
             self._engine_model,
             link_bits_per_s=self._link_bits_per_s,
             previous_rank=previous.rank if previous else None,
+            previous_token=won.previous_token,
         )
         self._coordinate()
 
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -72,6 +72,7 @@
                 map_version=int(data["map"]),
                 prepared=_decode_version(data.get("prepared")),
                 armed=_decode_version(data.get("armed")),
+                armed_step=_decode_step(data.get("armed")),
                 held=_decode_version(data.get("held")),
                 running=int(data.get("active", 0)),
                 waiting=int(data.get("queued", 0)),
@@ -186,3 +187,7 @@
     if isinstance(value, dict):
         value = value["version"]
     return UNSET if value is None else int(value)
+
+
+def _decode_step(value: Any) -> int:
+    return int(value["step"]) if isinstance(value, dict) and "step" in value else UNSET
--- a/toucanspool/recovery/election.py
+++ b/toucanspool/recovery/election.py
@@ -60,10 +60,13 @@
         Fencing token, higher than that of any earlier election.
     previous_holder : str
         Previous holder; empty if there was none.
+    previous_token : int
+        Token of the previous holder; 0 if there was none.
     """
 
     token: int
     previous_holder: str
+    previous_token: int = 0
 
 
 def elect(table: Table, duty: str, holder: str, *, above: int) -> Election | None:
@@ -102,7 +105,7 @@
         _log.warning("election failed", duty=duty, error=repr(exc))
         return None
     _log.info("elected", duty=duty, token=token, before=last.previous_holder)
-    return Election(token, last.previous_holder)
+    return Election(token, last.previous_holder, last.token)
 
 
 def _read_election(row: Row | None) -> Election:
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -139,6 +139,7 @@
     GO = 6
     LISTS = 7
     COUNTS = 8
+    HOLD_AHEAD = 9
 
     _VALUES_TO_NAMES = {
         1: "STATUS",
@@ -149,6 +150,7 @@
         6: "GO",
         7: "LISTS",
         8: "COUNTS",
+        9: "HOLD_AHEAD",
     }
 
     _NAMES_TO_VALUES = {
@@ -160,6 +162,7 @@
         "GO": 6,
         "LISTS": 7,
         "COUNTS": 8,
+        "HOLD_AHEAD": 9,
     }
 
 
@@ -1898,6 +1901,7 @@
      - places
      - base
      - changes
+     - answer_at_once
 
     """
 
@@ -1914,10 +1918,11 @@
         'places',
         'base',
         'changes',
+        'answer_at_once',
     )
 
 
-    def __init__(self, call=None, group=None, token=None, action=None, version=None, step=None, epoch=None, experts=None, ranks=None, places=None, base=None, changes=None,):
+    def __init__(self, call=None, group=None, token=None, action=None, version=None, step=None, epoch=None, experts=None, ranks=None, places=None, base=None, changes=None, answer_at_once=None,):
         self.call = call
         self.group = group
         self.token = token
@@ -1930,6 +1935,7 @@
         self.places = places
         self.base = base
         self.changes = changes
+        self.answer_at_once = answer_at_once
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2000,6 +2006,11 @@
                     self.changes = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.answer_at_once = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2058,6 +2069,10 @@
             oprot.writeFieldBegin('changes', TType.STRING, 12)
             oprot.writeBinary(self.changes)
             oprot.writeFieldEnd()
+        if self.answer_at_once is not None:
+            oprot.writeFieldBegin('answer_at_once', TType.BOOL, 13)
+            oprot.writeBool(self.answer_at_once)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2107,6 +2122,7 @@
      - experts
      - pace
      - picks_unit
+     - armed_step
 
     """
 
@@ -2132,10 +2148,11 @@
         'experts',
         'pace',
         'picks_unit',
+        'armed_step',
     )
 
 
-    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None, pace=None, picks_unit=None,):
+    def __init__(self, call=None, result=None, token=None, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, running=None, waiting=None, picks=None, newest_version=None, detail=None, experts=None, pace=None, picks_unit=None, armed_step=None,):
         self.call = call
         self.result = result
         self.token = token
@@ -2157,6 +2174,7 @@
         self.experts = experts
         self.pace = pace
         self.picks_unit = picks_unit
+        self.armed_step = armed_step
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2272,6 +2290,11 @@
                     self.picks_unit = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I64:
+                    self.armed_step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2366,6 +2389,10 @@
             oprot.writeFieldBegin('picks_unit', TType.DOUBLE, 21)
             oprot.writeDouble(self.picks_unit)
             oprot.writeFieldEnd()
+        if self.armed_step is not None:
+            oprot.writeFieldBegin('armed_step', TType.I64, 22)
+            oprot.writeI64(self.armed_step)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2784,6 +2811,7 @@
     (10, TType.I32, 'places', None, None, ),  # 10
     (11, TType.I64, 'base', None, None, ),  # 11
     (12, TType.STRING, 'changes', 'BINARY', None, ),  # 12
+    (13, TType.BOOL, 'answer_at_once', None, None, ),  # 13
 )
 all_structs.append(RankAnswer)
 RankAnswer.thrift_spec = (
@@ -2809,6 +2837,7 @@
     (19, TType.STRING, 'experts', 'BINARY', None, ),  # 19
     (20, TType.DOUBLE, 'pace', None, None, ),  # 20
     (21, TType.DOUBLE, 'picks_unit', None, None, ),  # 21
+    (22, TType.I64, 'armed_step', None, None, ),  # 22
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -78,21 +78,24 @@
 }
 
 enum RankAction { STATUS = 1, PREPARE = 2, HOLD = 3, ARM = 4, DISARM = 5, GO = 6, LISTS = 7,
-  COUNTS = 8
+  COUNTS = 8, HOLD_AHEAD = 9
 }
 
 enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
 
-// A coordinator asks the agent of one rank; experts holds them by set, rank and
+// A coordinator asks the agent of one rank. HOLD holds the pass in step; HOLD_AHEAD one
+// that is at least step passes ahead, and that no order has named before. experts holds them by set, rank and
 // place as 16-bit numbers, -1 for an empty place, compressed by zlib. With a base, changes
-// holds what differs from the map of that version, and experts is empty.
+// holds what differs from the map of that version, and experts is empty. Answers to
+// PREPARE wait a little for the copies unless answer_at_once is set.
 struct RankAsk {
   1: i64 call, 2: string group, 3: i64 token, 4: RankAction action, 5: i64 version,
   6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places,
-  11: optional i64 base, 12: optional binary changes
+  11: optional i64 base, 12: optional binary changes, 13: optional bool answer_at_once
 }
 
 // What the rank is at, after the action; a version or step of -1 stands for none.
+// armed_step is the pass at which the rank switches to the armed version.
 // experts holds the experts of its map by set and place, as in RankAsk. picks holds how
 // often the rank chose each expert since the last answer, by set and expert as 8-bit
 // numbers, one of which stands for picks_unit picks.
@@ -101,7 +104,7 @@
   6: i32 rank, 7: i32 size, 8: bool open, 9: i64 step, 10: i64 map_version,
   11: i64 prepared, 12: i64 armed, 13: i64 held, 14: i32 running, 15: i32 waiting,
   16: binary picks, 17: i64 newest_version, 18: string detail, 19: binary experts,
-  20: double pace, 21: double picks_unit
+  20: double pace, 21: double picks_unit, 22: i64 armed_step
 }
 
 // Exactly one field is set.
