Bring a group whose ranks use different maps back to one

A group that was once on two maps stayed so for good: the coordinator took different versions for a switch that it saw in progress, and did nothing.

Now, if versions still differ after the time for which a state may be old, it holds the group, fences all ranks with a map close to what they hold, completed by the experts that none of them has, and switches all of them to it. It logs an error.

--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -138,7 +138,7 @@
 
 def _keep_passes_held() -> None:
     """Release no pass that is held."""
-    ArmedSwitch._release = lambda self, holds: None
+    ArmedSwitch.release = lambda self, holds: None
 
 
 def _repeat_tokens() -> None:
--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -22,6 +22,7 @@
 from toucanspool.groups.group_client import GroupClient
 from toucanspool.groups.hold_gate import MAX_PASSES_AHEAD
 from toucanspool.groups.map_coordinator import MapCoordinator
+from toucanspool.groups.map_reader import read_copies
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.groups.rank_member import TAKEOVER_DELAY_S
@@ -265,7 +266,7 @@
     client = GroupClient(GROUP, 1, links)
     started = time.monotonic()
     model = replace(MODEL, experts=256, expert_slots=4)
-    copies = client.read_copies(client.fetch_statuses(), 5, model)
+    copies = read_copies(client, client.fetch_statuses(), 5, model)
     assert time.monotonic() - started < TAKEOVER_DELAY_S
     assert (copies.lists() == lists).all()
 
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -163,11 +163,11 @@
         preparation = MapPreparation(self._client, self._epoch, new, current)
         if not preparation.run(self._ranks, copy_timeout_s, first=self._own_rank):
             return SwitchEnd.NOT_COPIED
-        holds = self._new_holds()
+        holds = self.new_holds()
         step = self._hold(holds)
         if step == UNSET:
             return SwitchEnd.NOT_HELD
-        return self._arm_and_release(new, step, holds, current.experts)
+        return self.arm_and_release(new, step, holds, current.experts)
 
     def resolve(self, answers: Mapping[int, RankAnswer], current: IntArray) -> None:
         """Roll back a switch left by another coordinator, or release a late hold.
@@ -184,15 +184,15 @@
         Replaced, GroupChanged
             As for `run`.
         """
-        holds = self._new_holds()
+        holds = self.new_holds()
         step = pass_to_hold(answers)
-        if step != UNSET and not holds.place_at(self._holders(), step):
+        if step != UNSET and not holds.place_at(self.holders(), step):
             _log.info("armed pass not held", group=self._client.group, step=step)
             return
-        self._adopt(answers, holds)
+        holds.adopt_all(answers)
         version = self.next_version(answers)
-        self._fence(VersionedMap(version, current), armed_versions(answers))
-        self._release(holds)
+        self.fence(VersionedMap(version, current), armed_versions(answers))
+        self.release(holds)
         _log.warning(
             "unfinished switch resolved",
             group=self._client.group,
@@ -202,10 +202,11 @@
             token=self._client.token,
         )
 
-    def _new_holds(self) -> PassHolds:
+    def new_holds(self) -> PassHolds:
+        """Return an empty set of holds of this switch."""
         return PassHolds(self._client, self._epoch, self._own_rank)
 
-    def _holders(self) -> list[int]:
+    def holders(self) -> list[int]:
         """Return the ranks in the order in which they are to hold a pass.
 
         A coordinator whose machine freezes does not keep the pass held, so that its own
@@ -216,25 +217,37 @@
         return ranks[after_own:] + ranks[:after_own]
 
     def _hold(self, holds: PassHolds) -> int:
-        return holds.place_ahead(self._holders(), self._passes_ahead)
+        return holds.place_ahead(self.holders(), self._passes_ahead)
 
-    def _adopt(self, answers: Mapping[int, RankAnswer], holds: PassHolds) -> None:
-        for rank, answer in answers.items():
-            if answer.held != UNSET:
-                holds.adopt(rank, answer.held)
-
-    def _arm_and_release(
+    def arm_and_release(
         self, new: VersionedMap, step: int, holds: PassHolds, fallback: IntArray
     ) -> SwitchEnd:
+        """Arm all ranks for a held pass and release it, or disarm them all.
+
+        Parameters
+        ----------
+        new : VersionedMap
+            A map that all ranks have prepared.
+        step : int
+            The held pass.
+        holds : PassHolds
+            The holds to release.
+        fallback : ndarray of int, shape (layer_sets, ranks, slots)
+            The map to prepare if a rank can't be armed.
+
+        Returns
+        -------
+        SwitchEnd
+        """
         others = self._ranks - {self._own_rank}
         if self._arm(others, new.version, step) and self._arm(
             {self._own_rank}, new.version, step
         ):
-            self._release(holds)
+            self.release(holds)
             return SwitchEnd.DONE
         version = self._versions.next_above(new.version)
-        self._fence(VersionedMap(version, fallback), {new.version})
-        self._release(holds)
+        self.fence(VersionedMap(version, fallback), {new.version})
+        self.release(holds)
         return SwitchEnd.NOT_ARMED
 
     def _arm(self, ranks: Iterable[int], version: int, step: int) -> bool:
@@ -254,7 +267,8 @@
                 return True
         return False
 
-    def _fence(self, new: VersionedMap, disarmed: Collection[int]) -> None:
+    def fence(self, new: VersionedMap, disarmed: Collection[int]) -> None:
+        """Have all ranks accept a version; see `fence_ranks`."""
         fence_ranks(
             self._client,
             self._epoch,
@@ -263,7 +277,8 @@
             disarmed,
         )
 
-    def _release(self, holds: PassHolds) -> None:
+    def release(self, holds: PassHolds) -> None:
+        """Release the holds of this switch or of its recovery."""
         holds.release()
 
     def _send_all(
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -5,16 +5,11 @@
 from copy import copy
 
 import gevent
-import numpy as np
 import structlog
 
-from toucanspool.groups.copies import ExpertCopies
-from toucanspool.groups.expert_map import EMPTY
 from toucanspool.groups.map_versions import token_of_version
-from toucanspool.groups.rank_arrays import MAP_DTYPE, unpack_map
 from toucanspool.groups.rank_calls import NoAnswer, RankLink
 from toucanspool.groups.rank_engine import UNSET
-from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
     RankAnswer,
@@ -22,7 +17,6 @@
     RankResult,
 )
 
-INITIAL_MAP_VERSION = 0
 # Share of the coordinator's link for one set of messages, since several overlap.
 LINK_SHARE = 0.5
 
@@ -219,55 +213,6 @@
         """
         self.send_all([own_rank], RankAsk(action=RankAction.STATUS), epoch)
 
-    def read_copies(
-        self, answers: Mapping[int, RankAnswer], version: int, engine: EngineModel
-    ) -> ExpertCopies:
-        """Read the expert copies of the map in use from the ranks.
-
-        Parameters
-        ----------
-        answers : mapping of int to RankAnswer
-            The latest answer of each rank that can be reached.
-        version : int
-            Version of the map in use.
-        engine : EngineModel
-            Numbers of layer sets, experts and expert slots.
-
-        Returns
-        -------
-        ExpertCopies
-
-        Raises
-        ------
-        NoAnswer
-            A rank did not answer.
-        GroupChanged
-            The map changed during the read.
-        """
-        size = next(iter(answers.values())).size
-        if version == INITIAL_MAP_VERSION:
-            return ExpertCopies.round_robin(
-                engine.layer_sets, size, engine.experts, engine.expert_slots
-            )
-        shape = (engine.layer_sets, size, engine.expert_slots)
-        lists = np.full(shape, EMPTY, dtype=MAP_DTYPE)
-        # All ranks are asked at once, since those that hear nothing for long stand for
-        # election.
-        epoch = next(iter(answers.values())).epoch
-        request = RankAsk(action=RankAction.LISTS, places=engine.expert_slots)
-        for rank, answer in self.send_all(answers, request, epoch).items():
-            if answer is None:
-                raise NoAnswer(f"rank {rank} did not answer")
-            if answer.map_version != version:
-                raise GroupChanged("the map changed during the read")
-            lists[:, rank, :] = unpack_map(answer.experts, engine.expert_slots)
-        copies = ExpertCopies.from_lists(lists, engine.experts)
-        for rank in set(range(size)) - answers.keys():
-            # Every expert has a copy, so a rank without an answer holds those that
-            # no other rank holds.
-            copies.held[:, rank, :] = ~copies.held.any(axis=1)
-        return copies
-
     def transfer_s(self, n_bytes: int) -> float:
         """Return the time that messages take on the coordinator's link, in seconds.
 
--- a/toucanspool/groups/group_state.py
+++ b/toucanspool/groups/group_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from toucanspool.groups.map_versions import token_of_version
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
@@ -51,3 +52,44 @@
         return UNSET
     steps = {answer.armed_step for answer in armed} - {UNSET, None}
     return min(steps) if steps else 1 + max(a.step for a in answers.values())
+
+
+def is_complete(answers: Mapping[int, RankAnswer]) -> bool:
+    """Return whether every rank has answered."""
+    return len(answers) == next(iter(answers.values())).size
+
+
+def can_act(
+    answers: Mapping[int, RankAnswer],
+    previous_rank: int | None,
+    previous_token: int,
+) -> bool:
+    """Return whether a coordinator may act on these answers.
+
+    Parameters
+    ----------
+    answers : mapping of int to RankAnswer
+        The latest answer of each rank that can be reached.
+    previous_rank : int or None
+        The rank on the machine of the previous coordinator, if known.
+    previous_token : int
+        The token of the previous coordinator.
+
+    Returns
+    -------
+    bool
+    """
+    if len({answer.epoch for answer in answers.values()}) > 1:
+        return False
+    if is_complete(answers):
+        return True
+    size = next(iter(answers.values())).size
+    missing = set(range(size)) - answers.keys()
+    held = any(answer.held != UNSET for answer in answers.values())
+    # A coordinator fences its own rank first and arms it last. If any other rank is not
+    # armed, the missing rank of the previous coordinator is not armed either, unless
+    # that one had not begun to undo what an earlier coordinator did.
+    others_armed = all(answer.armed != UNSET for answer in answers.values())
+    newest = max(answer.newest_version for answer in answers.values())
+    is_its_switch = token_of_version(newest) in (0, previous_token)
+    return held and missing == {previous_rank} and not others_armed and is_its_switch
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -1,5 +1,6 @@
 """Coordinator of one lock-step group; adapts the expert map to demand."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -10,10 +11,13 @@
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
-from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.group_repair import repair_group
+from toucanspool.groups.group_state import can_act, is_complete, is_fully_armed
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
-from toucanspool.groups.map_versions import VersionSource, token_of_version
+from toucanspool.groups.map_reader import read_copies, read_lists
+from toucanspool.groups.map_repair import complete_map
+from toucanspool.groups.map_versions import VersionSource
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -69,6 +73,7 @@
         "_own_rank",
         "_previous_rank",
         "_previous_token",
+        "_several_maps_since",
         "_states_current_at",
         "_token",
         "_version",
@@ -99,6 +104,7 @@
         self._version = UNSET
         self._versions = VersionSource(token)
         self._copies: ExpertCopies | None = None
+        self._several_maps_since = math.inf
 
     def run_once(self, links: Mapping[int, RankLink]) -> None:
         """Read the group's state once, and switch its map if that is worthwhile.
@@ -123,7 +129,7 @@
         answers = self._counts.fetch(client, links, engine)
         if not answers:
             return
-        if not self._can_act(answers):
+        if not can_act(answers, self._previous_rank, self._previous_token):
             return
         first = next(iter(answers.values()))
         switch = ArmedSwitch(
@@ -150,14 +156,15 @@
         armed = any(answer.armed != UNSET for answer in answers.values())
         versions = {answer.map_version for answer in answers.values()}
         if len(versions) > 1:
-            # The group switched maps while the answers were collected.
+            self._handle_several_maps(client, switch, answers, engine)
             return
+        self._several_maps_since = math.inf
         if armed and not held and is_fully_armed(answers):
             # A switch is in progress: all ranks switch when the next pass begins.
             return
         version = versions.pop()
         if version != self._version or self._copies is None:
-            self._copies = client.read_copies(answers, version, engine)
+            self._copies = read_copies(client, answers, version, engine)
             self._version = version
         if (held or armed) and time.monotonic() < self._states_current_at:
             # Engines on other machines may still report an earlier state.
@@ -165,9 +172,42 @@
         if held or armed:
             switch.resolve(answers, self._copies.lists())
             self._version = UNSET
-        elif self._is_complete(answers) and all(a.open for a in answers.values()):
+        elif is_complete(answers) and all(a.open for a in answers.values()):
             self._rebalance(client, switch, answers, engine)
 
+    def _handle_several_maps(
+        self,
+        client: GroupClient,
+        switch: ArmedSwitch,
+        answers: Mapping[int, RankAnswer],
+        engine: EngineModel,
+    ) -> None:
+        """Bring the group back to one map if this is no switch that is just seen."""
+        now = time.monotonic()
+        self._version = UNSET
+        self._several_maps_since = min(now, self._several_maps_since)
+        # The group may switch while the answers are collected, and engines on other
+        # machines report their state late.
+        if now < self._several_maps_since + MAX_STATE_LAG_S:
+            return
+        if not is_complete(answers):
+            return
+        lists = read_lists(client, answers, engine)
+        complete = complete_map(lists, engine.experts)
+        timeout_s = (
+            COPY_TIMEOUT_FACTOR * engine.expert_slots * engine.expert_copy_s
+            + COPY_TIMEOUT_MARGIN_S
+        )
+        with self._counts.background(client, answers, engine):
+            outcome = repair_group(switch, client, answers, complete, timeout_s)
+        _log.error(
+            "ranks used different maps",
+            group=self._group,
+            versions=sorted({answer.map_version for answer in answers.values()}),
+            result=outcome.value,
+            token=self._token,
+        )
+
     def _rebalance(
         self,
         client: GroupClient,
@@ -235,31 +275,6 @@
         elif arm_rounds:
             self._passes_ahead = max(PASSES_AHEAD, self._passes_ahead - 1)
 
-    def _is_complete(self, answers: Mapping[int, RankAnswer]) -> bool:
-        return len(answers) == next(iter(answers.values())).size
-
-    def _can_act(self, answers: Mapping[int, RankAnswer]) -> bool:
-        """Return whether the answers are sufficient to act on."""
-        if len({answer.epoch for answer in answers.values()}) > 1:
-            return False
-        if self._is_complete(answers):
-            return True
-        size = next(iter(answers.values())).size
-        missing = set(range(size)) - answers.keys()
-        held = any(answer.held != UNSET for answer in answers.values())
-        # A coordinator fences its own rank first and arms it last. If any other rank is
-        # not armed, the missing rank of the previous coordinator is not armed either,
-        # unless that one had not begun to undo what an earlier coordinator did.
-        others_armed = all(answer.armed != UNSET for answer in answers.values())
-        newest = max(answer.newest_version for answer in answers.values())
-        is_its_switch = token_of_version(newest) in (0, self._previous_token)
-        return (
-            held
-            and missing == {self._previous_rank}
-            and not others_armed
-            and is_its_switch
-        )
-
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
     running = sum(answer.running + answer.waiting for answer in answers.values())
--- a/toucanspool/groups/map_preparation.py
+++ b/toucanspool/groups/map_preparation.py
@@ -77,8 +77,10 @@
         Sends the requests.
     epoch : int
         The group's epoch.
-    new, current : VersionedMap
-        The map to copy, and the map in use.
+    new : VersionedMap
+        The map to copy.
+    current : VersionedMap, optional
+        The map in use, if the ranks use one.
     """
 
     __slots__ = (
@@ -97,14 +99,14 @@
         client: GroupClient,
         epoch: int,
         new: VersionedMap,
-        current: VersionedMap,
+        current: VersionedMap | None = None,
     ) -> None:
         self._client = client
         self._epoch = epoch
         self._version = new.version
         self._whole = prepare_request(new)
         self._changes = None
-        if current.version != INITIAL_VERSION:
+        if current is not None and current.version != INITIAL_VERSION:
             self._changes = prepare_request(new, current)
         self._waiting: set[int] = set()
         self._without_base: set[int] = set()
@@ -143,6 +145,32 @@
             return False
         return self._prepare(ranks, deadline)
 
+    def wait(self, ranks: Iterable[int], timeout_s: float) -> bool:
+        """Return whether ranks that have accepted the map copy its experts in time.
+
+        Parameters
+        ----------
+        ranks : iterable of int
+            All ranks of the group.
+        timeout_s : float
+            The longest time for all ranks, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        deadline = time.monotonic() + timeout_s
+        waiting = set(ranks)
+        while waiting and time.monotonic() <= deadline:
+            status = RankAsk(action=RankAction.STATUS)
+            answers = self._client.send_all(waiting, status, self._epoch)
+            for rank, answer in answers.items():
+                if answer is not None and answer.prepared == self._version:
+                    waiting.discard(rank)
+            if waiting:
+                gevent.sleep(POLL_INTERVAL_S)
+        return not waiting
+
     def _prepare(
         self, ranks: set[int], deadline: float, *, until_accepted: bool = False
     ) -> bool:
--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -1,13 +1,18 @@
 """Holds of passes, placed and released on behalf of one coordinator."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import gevent
 
 from toucanspool.groups.group_client import GroupClient
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
-from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk, RankResult
+from toucanspool.wire.gen.messages.ttypes import (
+    RankAction,
+    RankAnswer,
+    RankAsk,
+    RankResult,
+)
 
 RETRY_INTERVAL_S = 0.05
 MAX_HOLDERS_TRIED = 3
@@ -92,9 +97,17 @@
                     placed += 1
         return placed >= HOLDERS_NEEDED
 
-    def adopt(self, rank: int, step: int) -> None:
-        """Add a hold that was placed by another coordinator or by a late order."""
-        self._holds.add((rank, step))
+    def adopt_all(self, answers: Mapping[int, RankAnswer]) -> None:
+        """Add the holds that were placed by another coordinator or by a late order.
+
+        Parameters
+        ----------
+        answers : mapping of int to RankAnswer
+            The latest answer of each rank.
+        """
+        for rank, answer in answers.items():
+            if answer.held != UNSET:
+                self._holds.add((rank, answer.held))
 
     def release(self) -> None:
         """Release all holds; return once every engine has confirmed it.
