Let a machine that was frozen read its requests before it stands for election

An agent that woke found that it had heard no coordinator for long and stood for election at once, before it had read the requests that came meanwhile. It won, and replaced a sound coordinator in the middle of a switch.

A loop that runs late by more than a stall now begins its wait anew.

--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -1,8 +1,8 @@
 """Registration of a rank agent in its group, and election of the coordinator."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
-from typing import Protocol
 
 import gevent
 import structlog
@@ -13,6 +13,7 @@
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import LocalLink, RankClient
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
+from toucanspool.groups.rank_feed import RankFeed
 from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.election import current_token, elect
 from toucanspool.routing.routes import EngineModel
@@ -25,26 +26,12 @@
 # waits RANK_DELAY_S longer than the one before, so that only one runs at a time.
 TAKEOVER_DELAY_S = 0.8
 RANK_DELAY_S = 0.2
+# A loop that runs this much late was stopped from outside.
+MAX_STALL_S = 0.3
 
 _log = structlog.get_logger()
 
 
-class RankFeed(Protocol):
-    """Pass rank records to a member while it is a candidate or coordinator."""
-
-    def step(self) -> bool:
-        """Fetch all rank records once; return whether the fetch succeeded."""
-        ...
-
-    def start(self) -> None:
-        """Start to follow changes."""
-        ...
-
-    def stop(self) -> None:
-        """Stop following changes."""
-        ...
-
-
 class RankMember:
     """Keep a rank registered, and act as its group's coordinator while elected.
 
@@ -171,14 +158,18 @@
 
     def run(self) -> None:
         """Coordinate the group, or wait for an election, until `stop` is called."""
+        due_at = math.inf
         while not self._stopping:
             started = time.monotonic()
+            if started > due_at + MAX_STALL_S:
+                # This machine was frozen, and requests from then are still unread.
+                self._fenced_engine.last_request_at = started
             try:
                 self._run_once()
             except (Exception, gevent.Timeout):
                 _log.exception("coordination failed")
-            passed_s = time.monotonic() - started
-            gevent.sleep(max(0.01, COORDINATION_INTERVAL_S - passed_s))
+            due_at = max(time.monotonic() + 0.01, started + COORDINATION_INTERVAL_S)
+            gevent.sleep(due_at - time.monotonic())
 
     def stop(self) -> None:
         """Make `run` return after the switch in progress."""
