--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -5,15 +5,11 @@
 from copy import copy
 
 import gevent
-import numpy as np
 import structlog
 
-from toucanspool.groups.copies import ExpertCopies
-from toucanspool.groups.expert_map import EMPTY
-from toucanspool.groups.rank_arrays import MAP_DTYPE, unpack_map
+from toucanspool.groups.map_versions import token_of_version
 from toucanspool.groups.rank_calls import NoAnswer, RankLink
 from toucanspool.groups.rank_engine import UNSET
-from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
     RankAnswer,
@@ -21,7 +17,6 @@
     RankResult,
 )
 
-INITIAL_MAP_VERSION = 0
 # Share of the coordinator's link for one set of messages, since several overlap.
 LINK_SHARE = 0.5
 
@@ -29,7 +24,19 @@
 
 
 class Replaced(Exception):
-    """Report that another coordinator has been elected."""
+    """Report that another coordinator has been elected.
+
+    Parameters
+    ----------
+    message : str
+        Text for logs.
+    token : int
+        The token of that coordinator, or a lower one.
+    """
+
+    def __init__(self, message: str, token: int) -> None:
+        super().__init__(message)
+        self.token = token
 
 
 class GroupChanged(Exception):
@@ -114,7 +121,6 @@
         request: RankAsk,
         epoch: int,
         *,
-        bypass_agent: bool = False,
         transfer_s: float = 0.0,
     ) -> RankAnswer:
         """Send a request to one rank and return the answer.
@@ -127,8 +133,6 @@
             The request; group, token and epoch are set here.
         epoch : int
             The group's epoch. The engine refuses orders of another epoch.
-        bypass_agent : bool, default=False
-            Whether the request goes directly to the rank's engine.
         transfer_s : float, default=0.0
             Time that the network needs for requests sent at the same time, in seconds.
 
@@ -146,11 +150,7 @@
             The group was formed again.
         """
         request.group, request.token, request.epoch = self.group, self.token, epoch
-        link = self._links[rank]
-        if bypass_agent:
-            answer = link.send_to_engine(request)
-        else:
-            answer = link.send(request, transfer_s=transfer_s)
+        answer = self._links[rank].send(request, transfer_s=transfer_s)
         self._check_token(answer)
         if answer.rank == UNSET:
             raise NoAnswer(answer.detail)
@@ -199,54 +199,19 @@
             answers[rank] = task.value
         return answers
 
-    def read_copies(
-        self, answers: Mapping[int, RankAnswer], version: int, engine: EngineModel
-    ) -> ExpertCopies:
-        """Read the expert copies of the map in use from the ranks.
+    def check_term(self, own_rank: int, epoch: int) -> None:
+        """Raise `Replaced` or `GroupChanged` if this coordinator's agent knows of it.
+
+        Requests that are repeated until one rank answers would otherwise not notice.
 
         Parameters
         ----------
-        answers : mapping of int to RankAnswer
-            The latest answer of each rank that can be reached.
-        version : int
-            Version of the map in use.
-        engine : EngineModel
-            Numbers of layer sets, experts and expert slots.
-
-        Returns
-        -------
-        ExpertCopies
-
-        Raises
-        ------
-        NoAnswer
-            A rank did not answer.
-        GroupChanged
-            The map changed during the read.
+        own_rank : int
+            The rank on the coordinator's machine.
+        epoch : int
+            The group's epoch.
         """
-        size = next(iter(answers.values())).size
-        if version == INITIAL_MAP_VERSION:
-            return ExpertCopies.round_robin(
-                engine.layer_sets, size, engine.experts, engine.expert_slots
-            )
-        shape = (engine.layer_sets, size, engine.expert_slots)
-        lists = np.full(shape, EMPTY, dtype=MAP_DTYPE)
-        # All ranks are asked at once, since those that hear nothing for long stand for
-        # election.
-        epoch = next(iter(answers.values())).epoch
-        request = RankAsk(action=RankAction.LISTS, places=engine.expert_slots)
-        for rank, answer in self.send_all(answers, request, epoch).items():
-            if answer is None:
-                raise NoAnswer(f"rank {rank} did not answer")
-            if answer.map_version != version:
-                raise GroupChanged("the map changed during the read")
-            lists[:, rank, :] = unpack_map(answer.experts, engine.expert_slots)
-        copies = ExpertCopies.from_lists(lists, engine.experts)
-        for rank in set(range(size)) - answers.keys():
-            # Every expert has a copy, so a rank without an answer holds those that
-            # no other rank holds.
-            copies.held[:, rank, :] = ~copies.held.any(axis=1)
-        return copies
+        self.send_all([own_rank], RankAsk(action=RankAction.STATUS), epoch)
 
     def transfer_s(self, n_bytes: int) -> float:
         """Return the time that messages take on the coordinator's link, in seconds.
@@ -286,4 +251,9 @@
 
     def _check_token(self, answer: RankAnswer) -> None:
         if answer.result == RankResult.STALE:
-            raise Replaced(f"token {answer.token} is newer than {self.token}")
+            text = f"token {answer.token} is newer than {self.token}"
+            raise Replaced(text, answer.token)
+        newest = token_of_version(answer.newest_version or 0)
+        if newest > self.token:
+            # The agent doesn't know of the election yet, or was not asked.
+            raise Replaced(f"a map has version {answer.newest_version}", newest)
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -1,5 +1,6 @@
 """Coordinator of one lock-step group; adapts the expert map to demand."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -10,9 +11,13 @@
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
-from toucanspool.groups.group_state import is_fully_armed
+from toucanspool.groups.group_repair import repair_group
+from toucanspool.groups.group_state import can_act, is_complete, is_fully_armed
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
+from toucanspool.groups.map_reader import read_copies, read_lists
+from toucanspool.groups.map_repair import complete_map
+from toucanspool.groups.map_versions import VersionSource
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -54,6 +59,8 @@
         Bandwidth of this instance's network link.
     previous_rank : int or None
         The rank on the machine of the previous coordinator, if known.
+    previous_token : int, default=0
+        The token of the previous coordinator.
     """
 
     __slots__ = (
@@ -65,9 +72,12 @@
         "_link_bits_per_s",
         "_own_rank",
         "_previous_rank",
+        "_previous_token",
+        "_several_maps_since",
         "_states_current_at",
         "_token",
         "_version",
+        "_versions",
     )
 
     def __init__(
@@ -79,8 +89,10 @@
         *,
         link_bits_per_s: float,
         previous_rank: int | None = None,
+        previous_token: int = 0,
     ) -> None:
         self._previous_rank = previous_rank
+        self._previous_token = previous_token
         self._link_bits_per_s = link_bits_per_s
         self._passes_ahead = PASSES_AHEAD
         self._states_current_at = 0.0
@@ -90,7 +102,9 @@
         self._engine = engine
         self._counts = CountReader(link_bits_per_s)
         self._version = UNSET
+        self._versions = VersionSource(token)
         self._copies: ExpertCopies | None = None
+        self._several_maps_since = math.inf
 
     def run_once(self, links: Mapping[int, RankLink]) -> None:
         """Read the group's state once, and switch its map if that is worthwhile.
@@ -115,7 +129,7 @@
         answers = self._counts.fetch(client, links, engine)
         if not answers:
             return
-        if not self._can_act(answers):
+        if not can_act(answers, self._previous_rank, self._previous_token):
             return
         first = next(iter(answers.values()))
         switch = ArmedSwitch(
@@ -124,6 +138,7 @@
             answers,
             self._own_rank,
             passes_ahead=self._passes_ahead,
+            versions=self._versions,
         )
         try:
             self._reconcile(client, switch, answers, engine)
@@ -139,16 +154,17 @@
     ) -> None:
         held = any(answer.held != UNSET for answer in answers.values())
         armed = any(answer.armed != UNSET for answer in answers.values())
-        if armed and not held and is_fully_armed(answers):
-            # A switch is in progress: all ranks switch when the next pass begins.
-            return
         versions = {answer.map_version for answer in answers.values()}
         if len(versions) > 1:
-            # The group switched maps while the answers were collected.
+            self._handle_several_maps(client, switch, answers, engine)
+            return
+        self._several_maps_since = math.inf
+        if armed and not held and is_fully_armed(answers):
+            # A switch is in progress: all ranks switch when the next pass begins.
             return
         version = versions.pop()
         if version != self._version or self._copies is None:
-            self._copies = client.read_copies(answers, version, engine)
+            self._copies = read_copies(client, answers, version, engine)
             self._version = version
         if (held or armed) and time.monotonic() < self._states_current_at:
             # Engines on other machines may still report an earlier state.
@@ -156,9 +172,42 @@
         if held or armed:
             switch.resolve(answers, self._copies.lists())
             self._version = UNSET
-        elif self._is_complete(answers) and all(a.open for a in answers.values()):
+        elif is_complete(answers) and all(a.open for a in answers.values()):
             self._rebalance(client, switch, answers, engine)
 
+    def _handle_several_maps(
+        self,
+        client: GroupClient,
+        switch: ArmedSwitch,
+        answers: Mapping[int, RankAnswer],
+        engine: EngineModel,
+    ) -> None:
+        """Bring the group back to one map if this is no switch that is just seen."""
+        now = time.monotonic()
+        self._version = UNSET
+        self._several_maps_since = min(now, self._several_maps_since)
+        # The group may switch while the answers are collected, and engines on other
+        # machines report their state late.
+        if now < self._several_maps_since + MAX_STATE_LAG_S:
+            return
+        if not is_complete(answers):
+            return
+        lists = read_lists(client, answers, engine)
+        complete = complete_map(lists, engine.experts)
+        timeout_s = (
+            COPY_TIMEOUT_FACTOR * engine.expert_slots * engine.expert_copy_s
+            + COPY_TIMEOUT_MARGIN_S
+        )
+        with self._counts.background(client, answers, engine):
+            outcome = repair_group(switch, client, answers, complete, timeout_s)
+        _log.error(
+            "ranks used different maps",
+            group=self._group,
+            versions=sorted({answer.map_version for answer in answers.values()}),
+            result=outcome.value,
+            token=self._token,
+        )
+
     def _rebalance(
         self,
         client: GroupClient,
@@ -226,23 +275,6 @@
         elif arm_rounds:
             self._passes_ahead = max(PASSES_AHEAD, self._passes_ahead - 1)
 
-    def _is_complete(self, answers: Mapping[int, RankAnswer]) -> bool:
-        return len(answers) == next(iter(answers.values())).size
-
-    def _can_act(self, answers: Mapping[int, RankAnswer]) -> bool:
-        """Return whether the answers are sufficient to act on."""
-        if len({answer.epoch for answer in answers.values()}) > 1:
-            return False
-        if self._is_complete(answers):
-            return True
-        size = next(iter(answers.values())).size
-        missing = set(range(size)) - answers.keys()
-        held = any(answer.held != UNSET for answer in answers.values())
-        # A coordinator arms its own rank last. If any other rank is not armed, the
-        # missing rank of the previous coordinator is not armed either.
-        others_armed = all(answer.armed != UNSET for answer in answers.values())
-        return held and missing == {self._previous_rank} and not others_armed
-
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
     running = sum(answer.running + answer.waiting for answer in answers.values())
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -1,8 +1,8 @@
 """Registration of a rank agent in its group, and election of the coordinator."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
-from typing import Protocol
 
 import gevent
 import structlog
@@ -13,6 +13,7 @@
 from toucanspool.groups.map_coordinator import MapCoordinator
 from toucanspool.groups.rank_calls import LocalLink, RankClient
 from toucanspool.groups.rank_engine import RankEngine, RankEngineError, RankState
+from toucanspool.groups.rank_feed import RankFeed
 from toucanspool.groups.rank_record import PREFIX, RankRecord, decode_rank
 from toucanspool.recovery.election import current_token, elect
 from toucanspool.routing.routes import EngineModel
@@ -25,26 +26,12 @@
 # waits RANK_DELAY_S longer than the one before, so that only one runs at a time.
 TAKEOVER_DELAY_S = 0.8
 RANK_DELAY_S = 0.2
+# A loop that runs this much late was stopped from outside.
+MAX_STALL_S = 0.3
 
 _log = structlog.get_logger()
 
 
-class RankFeed(Protocol):
-    """Pass rank records to a member while it is a candidate or coordinator."""
-
-    def step(self) -> bool:
-        """Fetch all rank records once; return whether the fetch succeeded."""
-        ...
-
-    def start(self) -> None:
-        """Start to follow changes."""
-        ...
-
-    def stop(self) -> None:
-        """Stop following changes."""
-        ...
-
-
 class RankMember:
     """Keep a rank registered, and act as its group's coordinator while elected.
 
@@ -89,6 +76,7 @@
         "_links",
         "_rank_records",
         "_name",
+        "_newer_token",
         "_record",
         "_record_era",
         "_port",
@@ -134,6 +122,7 @@
         self._rank_records: dict[str, RankRecord] = {}
         self._links: dict[tuple[str, int, str], RankClient] = {}
         self._coordinator: MapCoordinator | None = None
+        self._newer_token = 0
         self._stopping = False
 
     def watch(self) -> None:
@@ -169,14 +158,18 @@
 
     def run(self) -> None:
         """Coordinate the group, or wait for an election, until `stop` is called."""
+        due_at = math.inf
         while not self._stopping:
             started = time.monotonic()
+            if started > due_at + MAX_STALL_S:
+                # This machine was frozen, and requests from then are still unread.
+                self._fenced_engine.last_request_at = started
             try:
                 self._run_once()
             except (Exception, gevent.Timeout):
                 _log.exception("coordination failed")
-            passed_s = time.monotonic() - started
-            gevent.sleep(max(0.01, COORDINATION_INTERVAL_S - passed_s))
+            due_at = max(time.monotonic() + 0.01, started + COORDINATION_INTERVAL_S)
+            gevent.sleep(due_at - time.monotonic())
 
     def stop(self) -> None:
         """Make `run` return after the switch in progress."""
@@ -242,7 +235,8 @@
         won = None
         if self._rank_feed.step():
             duty = _duty(own.group)
-            won = elect(self._table, duty, self._name, above=self._fenced_engine.token)
+            above = max(self._fenced_engine.token, self._newer_token)
+            won = elect(self._table, duty, self._name, above=above)
         if won is None:
             # Another rank was elected or the table is unavailable: restart the wait.
             self._rank_feed.stop()
@@ -257,6 +251,7 @@
             self._engine_model,
             link_bits_per_s=self._link_bits_per_s,
             previous_rank=previous.rank if previous else None,
+            previous_token=won.previous_token,
         )
         self._coordinate()
 
@@ -266,6 +261,7 @@
             self._coordinator.run_once(self._group_links(self._record))
         except Replaced as exc:
             _log.info("coordinator replaced", group=self._record.group, reason=str(exc))
+            self._newer_token = max(self._newer_token, exc.token)
             self._coordinator = None
             self._rank_feed.stop()
 
