Refuse rows that are nested too deeply to be printed

The JSON decoder reads 1,024 levels, Python prints about 990. The error for a field of another type printed its value, so that a RecursionError came out of the decoders of all tables, which expect other errors. As a change, the runner of the row stayed in use.

Errors and logs now print a bounded part of a value, and the errors of decoding include those of depth and of numbers that can't be converted.

--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -1,6 +1,7 @@
 """Checks of values from JSON, whose types and sizes other processes decide."""
 
 import math
+import reprlib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -8,8 +9,27 @@
 MAX_PORT = 65535
 MAX_HOST_CHARS = 253
 MAX_LABEL_CHARS = 63
-# What decoding raises if a value has another type or form, or is missing.
-DECODING_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+MAX_BRIEF_CHARS = 80
+# What decoding raises if a value has another type or form, or is missing. The JSON
+# decoder accepts values that are nested too deeply to be printed or compared, and
+# numbers that can't be converted.
+DECODING_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+_brief = reprlib.Repr()
+_brief.maxlevel = 3
+_brief.maxstring = _brief.maxother = MAX_BRIEF_CHARS
+
+
+def brief(value: Any) -> str:
+    """Return the start of a value for a log or error, however deeply it is nested."""
+    return _brief.repr(value)[:MAX_BRIEF_CHARS]
 
 
 @contextmanager
@@ -24,14 +44,14 @@
 def text(value: Any) -> str:
     """Return a value that must be a string and not empty."""
     if not isinstance(value, str) or not value:
-        raise TypeError(f"not a text: {value!r:.80}")
+        raise TypeError(f"not a text: {brief(value)}")
     return value
 
 
 def number(value: Any, low: float = 0.0, high: float = 1e15) -> float:
     """Return a value that must be a finite number within bounds, as a float."""
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"not a number: {value!r:.80}")
+        raise TypeError(f"not a number: {brief(value)}")
     if not (math.isfinite(value) and low <= value <= high):
         raise ValueError(f"not between {low:g} and {high:g}: {value:g}")
     return float(value)
@@ -40,7 +60,7 @@
 def integer(value: Any, low: int = 0, high: int = 1 << 53) -> int:
     """Return a value that must be an integer within bounds."""
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"not an integer: {value!r:.80}")
+        raise TypeError(f"not an integer: {brief(value)}")
     if not low <= value <= high:
         raise ValueError(f"not between {low} and {high}: {value}")
     return value
@@ -56,21 +76,21 @@
     if len(host) > MAX_HOST_CHARS or not all(
         0 < len(label) <= MAX_LABEL_CHARS for label in labels
     ):
-        raise ValueError(f"not a host: {host!r:.80}")
+        raise ValueError(f"not a host: {brief(host)}")
     if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
-        raise ValueError(f"not a port: {port!r:.80}")
+        raise ValueError(f"not a port: {brief(port)}")
     return host, integer(int(port), 1, MAX_PORT)
 
 
 def numbers(value: Any) -> dict[str, float]:
     """Return a value that must be a mapping of texts to numbers."""
     if not isinstance(value, dict):
-        raise TypeError(f"not a mapping: {value!r:.80}")
+        raise TypeError(f"not a mapping: {brief(value)}")
     return {text(key): number(item) for key, item in value.items()}
 
 
 def list_of(value: Any) -> list[Any]:
     """Return a value that must be a list."""
     if not isinstance(value, list):
-        raise TypeError(f"not a list: {value!r:.80}")
+        raise TypeError(f"not a list: {brief(value)}")
     return value
--- a/toucanspool/gateway/limit_sharing.py
+++ b/toucanspool/gateway/limit_sharing.py
@@ -6,7 +6,12 @@
 
 import structlog
 
-from toucanspool.backing.checked_values import integer, number, text
+from toucanspool.backing.checked_values import (
+    DECODING_ERRORS,
+    integer,
+    number,
+    text,
+)
 from toucanspool.limits._ewma import ewma_weight
 from toucanspool.membership.entries import Entries
 from toucanspool.routing.limit_parts import divide_limits, weigh_entries
@@ -128,7 +133,7 @@
                 )
                 for name, started_ms, limit, age_s in report[:MAX_REPORTED_LIMITS]
             ]
-        except (TypeError, ValueError) as exc:
+        except DECODING_ERRORS as exc:
             _log.warning("unreadable limits", told_by=told_by, error=repr(exc))
             return
         now = time.monotonic()
--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -5,7 +5,7 @@
 import orjson
 import structlog
 
-from toucanspool.backing.checked_values import DECODING_ERRORS, number, text
+from toucanspool.backing.checked_values import DECODING_ERRORS, brief, number, text
 from toucanspool.recovery.feed import Changes
 from toucanspool.routing.routes import (
     CallKind,
@@ -168,7 +168,7 @@
 def _decode_regions(restricted: dict[str, Any]) -> frozenset[str]:
     regions = restricted.get("allowedRegions") or []
     if not isinstance(regions, list) or not all(isinstance(r, str) for r in regions):
-        raise TypeError(f"invalid allowedRegions {regions!r}")
+        raise TypeError(f"invalid allowedRegions {brief(regions)}")
     return frozenset(regions)
 
 
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -5,7 +5,13 @@
 import orjson
 import structlog
 
-from toucanspool.backing.checked_values import address, integer, text
+from toucanspool.backing.checked_values import (
+    DECODING_ERRORS,
+    address,
+    brief,
+    integer,
+    text,
+)
 from toucanspool.backing.table import Row
 from toucanspool.routing.upstream import Listing
 
@@ -34,7 +40,7 @@
     """
     try:
         return _decode_fields(row.key, orjson.loads(row.value))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except DECODING_ERRORS as exc:
         _log.warning("unreadable listing", upstream=row.key, error=repr(exc))
         return None
 
@@ -43,7 +49,7 @@
     host, port = address(data["address"])
     state = data["state"]
     if state not in STATES:
-        raise ValueError(f"invalid state {state!r}")
+        raise ValueError(f"invalid state {brief(state)}")
     return Listing(
         name=name,
         service=text(data["service"]),
@@ -64,6 +70,6 @@
     is_number = isinstance(cold_ms, int | float) and not isinstance(cold_ms, bool)
     if not is_number or not 0.0 <= cold_ms < MAX_COLD_MS:
         # The upstream itself is in order.
-        _log.warning("unreadable cold time", upstream=name, value=repr(cold_ms)[:40])
+        _log.warning("unreadable cold time", upstream=name, value=brief(cold_ms))
         return None
     return cold_ms / MS_PER_S
--- a/toucanspool/platform/peer_status.py
+++ b/toucanspool/platform/peer_status.py
@@ -6,7 +6,13 @@
 
 import structlog
 
-from toucanspool.backing.checked_values import integer, list_of, numbers, text
+from toucanspool.backing.checked_values import (
+    DECODING_ERRORS,
+    integer,
+    list_of,
+    numbers,
+    text,
+)
 
 # More than the entries of any deployment.
 MAX_ENTRIES = 10_000
@@ -61,7 +67,7 @@
             return default
         try:
             return decode(body[name])
-        except (TypeError, ValueError) as exc:
+        except DECODING_ERRORS as exc:
             _log.warning(
                 "unreadable peer status", told_by=told_by, field=name, error=str(exc)
             )
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -10,6 +10,7 @@
 
 from toucanspool.backing.checked_values import (
     DECODING_ERRORS,
+    brief,
     decoding,
     integer,
     text,
@@ -261,7 +262,7 @@
                 value = base64.b64decode(row["value"])
                 decoded.append((key, Row(key, value, self._decode_version(row))))
             except DECODING_ERRORS as exc:
-                _log.warning("unreadable row", row=repr(row)[:200], error=repr(exc))
+                _log.warning("unreadable row", row=brief(row), error=repr(exc))
         return decoded
 
 
