Refuse hosts with characters to which no connection can be opened

An upstream whose host had a space or a control character stayed listed, and each call that chose it was answered 500: http.client raises InvalidURL, which no caller expects, and nothing was counted against the upstream. Other characters make the resolver raise UnicodeError or ValueError, which ended probes and rounds of a group's coordinator.

Hosts now have letters, digits, dots, colons, hyphens and underscores only.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -95,6 +95,35 @@
     assert listing(**changes) is None
 
 
+@pytest.mark.parametrize(
+    "host",
+    [
+        "a b",
+        " 10.0.0.9",
+        "10.0.0.9\n",
+        "10.0.0.9\r\nX-Injected: 1",
+        "10.0.0.9\x00",
+        "\x7f",
+        "\u0661\u0660.0.0.9",
+        "\u00ad",
+        "xn--\u00fc",
+        "\u00fc" * 62,
+        "\U0001f600",
+        "a/b",
+        "a@b",
+        "%",
+    ],
+)
+def test_a_host_to_which_no_connection_can_be_opened_is_refused(host):
+    """Guards against calls, probes and orders that fail with an unexpected error.
+
+    http.client raises InvalidURL, and the resolver UnicodeError or ValueError.
+    """
+    assert listing(address=f"{host}:80") is None
+    value = orjson.dumps({**RANK, "engine": f"{host}:80"})
+    assert decode_rank(Row("k", value, 1)) is None
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -1,6 +1,7 @@
 """Checks of values from JSON, whose types and sizes other processes decide."""
 
 import math
+import re
 import reprlib
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -22,6 +23,10 @@
     RecursionError,
 )
 
+# Names and IP addresses. For other characters, connecting raises errors of URLs and of
+# the encoding of names, not `OSError`.
+_HOST = re.compile(r"[A-Za-z0-9._:-]+")
+
 _brief = reprlib.Repr()
 _brief.maxlevel = 3
 _brief.maxstring = _brief.maxother = MAX_BRIEF_CHARS
@@ -73,8 +78,10 @@
     """
     host, _, port = text(value).rpartition(":")
     labels = host.split(".")
-    if len(host) > MAX_HOST_CHARS or not all(
-        0 < len(label) <= MAX_LABEL_CHARS for label in labels
+    if (
+        not _HOST.fullmatch(host)
+        or len(host) > MAX_HOST_CHARS
+        or not all(0 < len(label) <= MAX_LABEL_CHARS for label in labels)
     ):
         raise ValueError(f"not a host: {brief(host)}")
     if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
