Refuse upstreams whose names fit in no header

The key of a row names its upstream, and each request to it has that name in a header. For names with control characters, or outside of Latin-1, writing the header raises ValueError, so that calls were answered 500 while the upstream stayed the first choice. Names with spaces at their ends arrive as other names.

Names now have visible ASCII characters only.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -5,13 +5,14 @@
 
 from standins.raw_upstream import answering
 from tests.gateway.gateways import HOST, gateway, route
-from tests.platform.test_listings import listing
+from tests.platform.test_listings import FIELDS, listing
 from tests.platform.test_operator_configuration import ROUTE, decode_with
 from toucanspool.backing.table import Row
 from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.membership.entries import EntryRecord, decode_entry
 from toucanspool.platform.configuration import BadConfiguration
 from toucanspool.platform.headers import PlatformDialect, parse_token_counts
+from toucanspool.platform.listings import decode_listing
 from toucanspool.retries.crash_reports import decode_report
 from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import MAX_PAUSE_S
@@ -124,6 +125,20 @@
     assert decode_rank(Row("k", value, 1)) is None
 
 
+@pytest.mark.parametrize(
+    "name",
+    ["u\u20ac", "u\r\nX-Injected: 1", "u\x00", " u", "u ", "u v", "\u0663", "\x7f"],
+)
+def test_an_upstream_whose_name_fits_in_no_header_is_not_listed(name):
+    """Guards against calls that are answered 500; requests name their upstream."""
+    assert decode_listing(Row(name, orjson.dumps(FIELDS), 1)) is None
+
+
+def test_an_upstream_may_have_a_name_of_all_visible_characters():
+    name = "".join(map(chr, range(0x21, 0x7F)))
+    assert decode_listing(Row(name, orjson.dumps(FIELDS), 1)).name == name
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -27,6 +27,8 @@
 # the encoding of names, not `OSError`.
 _HOST = re.compile(r"[A-Za-z0-9._:-]+")
 
+_VISIBLE = re.compile(r"[!-~]+")
+
 _brief = reprlib.Repr()
 _brief.maxlevel = 3
 _brief.maxstring = _brief.maxother = MAX_BRIEF_CHARS
@@ -53,6 +55,16 @@
     return value
 
 
+def visible_text(value: Any) -> str:
+    """Return a value that must be a string of visible ASCII characters.
+
+    Others can't be sent as the value of a header, or arrive as another value.
+    """
+    if not _VISIBLE.fullmatch(text(value)):
+        raise ValueError(f"not a visible text: {brief(value)}")
+    return str(value)
+
+
 def number(value: Any, low: float = 0.0, high: float = 1e15) -> float:
     """Return a value that must be a finite number within bounds, as a float."""
     if isinstance(value, bool) or not isinstance(value, int | float):
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -11,6 +11,7 @@
     brief,
     integer,
     text,
+    visible_text,
 )
 from toucanspool.backing.table import Row
 from toucanspool.routing.upstream import Listing
@@ -51,7 +52,7 @@
     if state not in STATES:
         raise ValueError(f"invalid state {brief(state)}")
     return Listing(
-        name=name,
+        name=visible_text(name),
         service=text(data["service"]),
         host=host,
         port=port,
