Refuse listings whose hosts must be looked up

All new connections share ten threads that look up hosts, also those to IP addresses, and a look-up counts in no time limit of a connection.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -139,6 +139,15 @@
     assert decode_listing(Row(name, orjson.dumps(FIELDS), 1)).name == name
 
 
+@pytest.mark.parametrize(
+    "host", ["nowhere.example", "localhost", "0", "10.0.0", "10.0.0.9.1", "[::1]", "-"]
+)
+def test_a_listing_with_a_host_that_must_be_looked_up_is_ignored(host):
+    """Guards against look-ups, which have no time limit and delay all connections."""
+    assert listing(address=f"{host}:80") is None
+    assert listing(address="::1:80").host == "::1"
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -1,5 +1,6 @@
 """Decoder for the rows of the platform's upstream list."""
 
+import ipaddress
 from typing import Any
 
 import orjson
@@ -48,6 +49,9 @@
 
 def _decode_fields(name: str, data: dict[str, Any]) -> Listing:
     host, port = address(data["address"])
+    # Names would be looked up by a few threads that all new connections share, without
+    # a time limit.
+    ipaddress.ip_address(host)
     state = data["state"]
     if state not in STATES:
         raise ValueError(f"invalid state {brief(state)}")
