Refuse listings whose failure domain is no text

A failure domain of another type was printed and became the name of one, `None` for null: the upstream was listed, though its entry has a field of another type, and could neither be evacuated nor preferred by its failure domain. All 5 cases of the test failed before.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -148,6 +148,13 @@
     assert listing(address="::1:80").host == "::1"
 
 
+@pytest.mark.parametrize("raw", [b"null", b"5", b"[]", b"{}", b"[" * 90 + b"]" * 90])
+def test_a_listing_with_a_failure_domain_of_another_type_is_ignored(raw):
+    """Guards against a failure domain that is named after the wrong value."""
+    value = orjson.dumps({**FIELDS, "zone": 0}).replace(b'"zone":0', b'"zone":' + raw)
+    assert decode_listing(Row("u", value, 1)) is None
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -55,6 +55,13 @@
     return value
 
 
+def optional_text(value: Any) -> str:
+    """Return a value that must be a string, which may be empty."""
+    if not isinstance(value, str):
+        raise TypeError(f"not a text: {brief(value)}")
+    return value
+
+
 def visible_text(value: Any) -> str:
     """Return a value that must be a string of visible ASCII characters.
 
--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -11,6 +11,7 @@
     address,
     brief,
     integer,
+    optional_text,
     text,
     visible_text,
 )
@@ -60,7 +61,7 @@
         service=text(data["service"]),
         host=host,
         port=port,
-        failure_domain=str(data.get("zone", "")),
+        failure_domain=optional_text(data.get("zone", "")),
         ready=state == READY,
         slots=integer(data.get("slots", 1)),
         started_ms=integer(data.get("born", 0)),
