Refuse rank records with a host that can't be connected to

Only the engine's address was checked. For some hosts connecting raises UnicodeError in place of a lost connection, so that a coordinator's requests to that rank ended with a traceback, and none went directly to its engine.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -63,6 +63,12 @@
     assert decode(Row("k", orjson.dumps({**row, **change}), 1)) is None
 
 
+@pytest.mark.parametrize("host", ["", "a b", "a\x00b", "\u00ad", "x" * 64, "\u0663"])
+def test_a_rank_with_a_host_to_which_no_connection_can_be_opened_is_ignored(host):
+    """Guards against UnicodeError in place of a lost connection to a rank agent."""
+    assert decode_rank(Row("k", orjson.dumps({**RANK, "host": host}), 1)) is None
+
+
 @pytest.mark.parametrize("field", list(REPORT["crashes"][0]))
 @pytest.mark.parametrize("value", [None, "nan", "inf", [], {}, [[[]]], "x"])
 def test_a_crash_with_a_wrong_value_is_ignored(field, value):
--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -90,12 +90,12 @@
     return value
 
 
-def address(value: Any) -> tuple[str, int]:
-    """Return host and port of a value that must have the form ``HOST:PORT``.
+def host_text(value: Any) -> str:
+    """Return a value that must be a host to which a connection can be opened.
 
     Connecting to a host with empty or long labels raises no `OSError`.
     """
-    host, _, port = text(value).rpartition(":")
+    host = text(value)
     labels = host.split(".")
     if (
         not _HOST.fullmatch(host)
@@ -103,6 +103,13 @@
         or not all(0 < len(label) <= MAX_LABEL_CHARS for label in labels)
     ):
         raise ValueError(f"not a host: {brief(host)}")
+    return host
+
+
+def address(value: Any) -> tuple[str, int]:
+    """Return host and port of a value that must have the form ``HOST:PORT``."""
+    host, _, port = text(value).rpartition(":")
+    host_text(host)
     if not (port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))):
         raise ValueError(f"not a port: {brief(port)}")
     return host, integer(int(port), 1, MAX_PORT)
--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -8,6 +8,7 @@
 from toucanspool.backing.checked_values import (
     MAX_PORT,
     address,
+    host_text,
     integer,
     number,
     text,
@@ -77,7 +78,7 @@
     address(data["engine"])
     return RankRecord(
         name=text(data["name"]),
-        host=text(data["host"]),
+        host=host_text(data["host"]),
         port=integer(data["port"], 1, MAX_PORT),
         group=text(data["group"]),
         rank=integer(data["rank"]),
