Refuse records of processes under the keys of others

Gateways and rank agents write one row each, whose key has their name. A record with another name, under a key of another writer, replaced the record of that name: calls were led to another address, or a coordinator to another agent. It also stayed when its row was deleted, since deletions go by the key.

Such records are now refused. The tests of rows of another type used keys that no process has; they now use the right ones, and check as much as before.

--- a/tests/groups/test_rank_member.py
+++ b/tests/groups/test_rank_member.py
@@ -143,3 +143,19 @@
     table.era += 1
     member.watch()
     assert table.get([PREFIX + "r0"])
+
+
+def test_a_record_under_the_key_of_another_agent_is_ignored():
+    """Guards against a rank whose agent is replaced by the row of another writer."""
+    member = make_member()
+    member.watch()
+    member.put(row("r1", 1, "10.0.0.1", 1))
+    member.put(Row(PREFIX + "odd", row("r1", 1, "10.0.0.2", 2).value, 2))
+    assert link_hosts(member) == {1: "10.0.0.1"}
+    member.replace(
+        [
+            row("r1", 1, "10.0.0.1", 1),
+            Row(PREFIX + "odd", row("r1", 1, "10.0.0.2", 2).value, 2),
+        ]
+    )
+    assert link_hosts(member) == {1: "10.0.0.1"}
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -162,3 +162,16 @@
     reported = entries.peer_streams("s", 29.0)
     assert len(reported) >= 8
     assert sum(reported) / len(reported) > 5.0
+
+
+@pytest.mark.parametrize("name", ["e1", "e2", "e9"])
+def test_a_record_under_the_key_of_another_entry_lists_nobody(name):
+    """Guards against an entry that is replaced by another's row, or stays for ever."""
+    entries = Entries(OWN)
+    entries.replace([row("e2")])
+    odd = Row(ENTRY_PREFIX + "odd", row(name, "10.0.0.8:80").value, 2)
+    entries.put(odd)
+    assert [(e.name, e.address) for e in entries.peers] == [("e2", "10.0.0.9:80")]
+    assert not entries.own_listed
+    entries.replace([odd, row("e2")])
+    assert names(entries) == ["e1", "e2"]
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -23,6 +23,7 @@
 RANK = orjson.loads(
     RankRecord("r", "10.0.0.1", 1, "g", 0, "u", "10.0.0.1:2", 1.0).encode()
 )
+ENTRY_KEY, RANK_KEY, REPORT_KEY = "entry/e", "rank/r", "crash/e"
 REPORT = {
     "crashes": [
         {"upstream": "u", "started_ms": 1, "number": 1, "prompts": [["p"]], "at_s": 1.0}
@@ -33,18 +34,22 @@
 
 
 @pytest.mark.parametrize(
-    ("row", "decode"),
-    [(ENTRY, decode_entry), (RANK, decode_rank), (REPORT, decode_report)],
+    ("key", "row", "decode"),
+    [
+        (ENTRY_KEY, ENTRY, decode_entry),
+        (RANK_KEY, RANK, decode_rank),
+        (REPORT_KEY, REPORT, decode_report),
+    ],
 )
-def test_own_rows_with_a_value_of_another_type_are_ignored(row, decode):
+def test_own_rows_with_a_value_of_another_type_are_ignored(key, row, decode):
     """Guards against a row that ends the feed follower of its table."""
-    assert decode(Row("k", orjson.dumps(row), 1)) is not None
+    assert decode(Row(key, orjson.dumps(row), 1)) is not None
     for junk in JUNK:
-        assert decode(Row("k", orjson.dumps(junk), 1)) is None
+        assert decode(Row(key, orjson.dumps(junk), 1)) is None
         for field, value in row.items():
             if type(junk) is not type(value) and not (field == "pace" and junk == 5):
                 data = orjson.dumps({**row, field: junk})
-                assert decode(Row("k", data, 1)) is None, (field, junk)
+                assert decode(Row(key, data, 1)) is None, (field, junk)
 
 
 @pytest.mark.parametrize(
@@ -60,13 +65,13 @@
 )
 def test_own_rows_with_an_impossible_value_are_ignored(row, decode, change):
     """Guards against probes, placements and orders that fail because of one row."""
-    assert decode(Row("k", orjson.dumps({**row, **change}), 1)) is None
+    assert decode(Row(RANK_KEY, orjson.dumps({**row, **change}), 1)) is None
 
 
 @pytest.mark.parametrize("host", ["", "a b", "a\x00b", "\u00ad", "x" * 64, "\u0663"])
 def test_a_rank_with_a_host_to_which_no_connection_can_be_opened_is_ignored(host):
     """Guards against UnicodeError in place of a lost connection to a rank agent."""
-    assert decode_rank(Row("k", orjson.dumps({**RANK, "host": host}), 1)) is None
+    assert decode_rank(Row(RANK_KEY, orjson.dumps({**RANK, "host": host}), 1)) is None
 
 
 @pytest.mark.parametrize("field", list(REPORT["crashes"][0]))
@@ -74,7 +79,9 @@
 def test_a_crash_with_a_wrong_value_is_ignored(field, value):
     """Guards against evidence that counts for ever, or ends the feed follower."""
     crash = {**REPORT["crashes"][0], field: value}
-    report = decode_report(Row("k", orjson.dumps({**REPORT, "crashes": [crash]}), 1))
+    report = decode_report(
+        Row(REPORT_KEY, orjson.dumps({**REPORT, "crashes": [crash]}), 1)
+    )
     if report is not None:
         assert isinstance(report.crashes[0].upstream, str)
         assert abs(report.crashes[0].at_s) < 1e12
@@ -82,8 +89,12 @@
 
 @pytest.mark.parametrize("raw", [b"", b"\xff", DEEP, b"{", b'{"name": "\xff"}'])
 def test_rows_that_are_no_json_are_ignored(raw):
-    for decode in (decode_entry, decode_rank, decode_report):
-        assert decode(Row("k", raw, 1)) is None
+    for key, decode in (
+        (ENTRY_KEY, decode_entry),
+        (RANK_KEY, decode_rank),
+        (REPORT_KEY, decode_report),
+    ):
+        assert decode(Row(key, raw, 1)) is None
 
 
 @pytest.mark.parametrize(
@@ -128,7 +139,7 @@
     """
     assert listing(address=f"{host}:80") is None
     value = orjson.dumps({**RANK, "engine": f"{host}:80"})
-    assert decode_rank(Row("k", value, 1)) is None
+    assert decode_rank(Row(RANK_KEY, value, 1)) is None
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -11,7 +11,14 @@
 
 from tests.platform.odd_values import UNREADABLE, VALUES, odd_rows
 from tests.platform.test_listings import FIELDS
-from tests.platform.test_malformed_input import ENTRY, RANK, REPORT
+from tests.platform.test_malformed_input import (
+    ENTRY,
+    ENTRY_KEY,
+    RANK,
+    RANK_KEY,
+    REPORT,
+    REPORT_KEY,
+)
 from tests.platform.test_operator_configuration import CONFIGURATION
 from toucanspool.backing.table import Row
 from toucanspool.groups.rank_record import decode_rank
@@ -23,10 +30,10 @@
 
 LISTING = {**FIELDS, "coldRemainingMs": 100}
 DECODERS = {
-    "listing": (LISTING, decode_listing),
-    "entry": (ENTRY, decode_entry),
-    "rank": (RANK, decode_rank),
-    "report": (REPORT, decode_report),
+    "listing": ("i-1", LISTING, decode_listing),
+    "entry": (ENTRY_KEY, ENTRY, decode_entry),
+    "rank": (RANK_KEY, RANK, decode_rank),
+    "report": (REPORT_KEY, REPORT, decode_report),
 }
 STATUS = {
     "carried": {"s": 1.0},
@@ -51,8 +58,9 @@
 
 @pytest.mark.parametrize("table", DECODERS)
 def test_an_odd_row_is_read_or_refused(table):
-    fields, decode = DECODERS[table]
-    for row in odd_rows(fields):
+    key, fields, decode = DECODERS[table]
+    assert decode(Row(key, orjson.dumps(fields), 1)) is not None
+    for row in odd_rows(fields, key=key):
         try:
             decode(row)
         except Exception as exc:
@@ -63,10 +71,10 @@
 @settings(derandomize=True, deadline=None)
 @given(data=st.data())
 def test_a_row_with_any_value_is_read_or_refused(table, data):
-    fields, decode = DECODERS[table]
+    key, fields, decode = DECODERS[table]
     changes = data.draw(st.dictionaries(st.sampled_from(sorted(fields)), JSON))
-    decode(Row("k", orjson.dumps({**fields, **changes}), 1))
-    decode(Row("k", orjson.dumps(data.draw(JSON)), 1))
+    decode(Row(key, orjson.dumps({**fields, **changes}), 1))
+    decode(Row(key, orjson.dumps(data.draw(JSON)), 1))
 
 
 def test_an_odd_configuration_is_read_or_refused():
--- a/tests/platform/test_odd_rows_followed.py
+++ b/tests/platform/test_odd_rows_followed.py
@@ -146,7 +146,12 @@
     ):
         rows = list(odd_rows(fields))[offset::STRIDE]
         for number, row in enumerate(rows):
-            store.pages.put(table, f"{kind}{prefix}{number}", row.value)
+            name = f"{prefix}{number}"
+            value = row.value
+            if own := fields.get("name"):
+                # Such records must have the names of their keys.
+                value = value.replace(orjson.dumps(own), orjson.dumps(name), 1)
+            store.pages.put(table, kind + name, value)
 
 
 def is_known(follower: Follower, name: str, version: int) -> bool:
--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -13,7 +13,7 @@
     number,
     text,
 )
-from toucanspool.backing.json_row import read_json
+from toucanspool.backing.json_row import read_own_json
 from toucanspool.backing.table import Row
 
 PREFIX = "rank/"
@@ -71,7 +71,9 @@
     -------
     RankRecord or None
     """
-    return read_json(row, _decode_fields, error_event="unreadable rank record")
+    return read_own_json(
+        row, PREFIX, _decode_fields, error_event="unreadable rank record"
+    )
 
 
 def _decode_fields(data: Any) -> RankRecord:
--- a/toucanspool/membership/entry_record.py
+++ b/toucanspool/membership/entry_record.py
@@ -7,7 +7,7 @@
 import orjson
 
 from toucanspool.backing.checked_values import text
-from toucanspool.backing.json_row import read_json
+from toucanspool.backing.json_row import read_own_json
 from toucanspool.backing.table import Row
 
 ENTRY_PREFIX = "entry/"
@@ -54,10 +54,8 @@
     -------
     EntryRecord or None
     """
-    return read_json(
-        row,
-        _decode_fields,
-        error_event="unreadable entry",
+    return read_own_json(
+        row, ENTRY_PREFIX, _decode_fields, error_event="unreadable entry"
     )
 
 
