Name no entries to callers whose address is none

The address of an entry was any text, and a gateway told it to callers until the entry had missed two probes. It is now checked like the address of an upstream.

--- a/tests/membership/test_entry_record.py
+++ b/tests/membership/test_entry_record.py
@@ -29,6 +29,16 @@
     assert record == EntryRecord("e1", "10.0.0.1:80", "p")
 
 
+@pytest.mark.parametrize(
+    "address",
+    ["nowhere", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:1e3", "a b:80", "\u0663:80"],
+)
+def test_an_entry_with_an_address_that_no_caller_can_use_is_not_listed(address):
+    """Guards against callers that are told an address that is none."""
+    value = {**orjson.loads(NORTH.encode()), "address": address}
+    assert decode_entry(Row(ENTRY_PREFIX + "e1", orjson.dumps(value), 1)) is None
+
+
 def test_a_record_without_a_region_is_written_as_before():
     assert orjson.loads(OLD.encode()) == {
         "name": "e3",
--- a/toucanspool/membership/entry_record.py
+++ b/toucanspool/membership/entry_record.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from toucanspool.backing.checked_values import text
+from toucanspool.backing.checked_values import address, text
 from toucanspool.backing.json_row import read_own_json
 from toucanspool.backing.table import Row
 
@@ -61,9 +61,10 @@
 
 def _decode_fields(data: Mapping[str, Any]) -> EntryRecord:
     region = data.get("region")
+    address(data["address"])
     return EntryRecord(
         text(data["name"]),
-        text(data["address"]),
+        data["address"],
         text(data["probe"]),
         region if isinstance(region, str) else "",
     )
