Replace rows of a duty whose token can't be raised

The token of an election was converted from any number or text. From 1e308, or from the highest 64-bit integer, the next token can't be encoded, so that every election ended with a TypeError, or its orders could not be sent, and a group had no coordinator for good. A deeply nested holder raised RecursionError.

--- a/tests/recovery/test_election.py
+++ b/tests/recovery/test_election.py
@@ -1,8 +1,17 @@
 """Leader election by a token in one row."""
 
+import orjson
+import pytest
+
 from standins.memory import MemoryTable
 from toucanspool.backing.table import Write
-from toucanspool.recovery.election import DUTY_PREFIX, current_token, elect
+from toucanspool.recovery.election import (
+    DUTY_PREFIX,
+    MAX_TOKEN,
+    Election,
+    current_token,
+    elect,
+)
 
 
 def test_each_election_raises_the_token_and_names_the_holder_before():
@@ -68,3 +77,38 @@
     assert current_token(table, "d") == holder.token
     table.era = 2
     assert current_token(table, "d") > holder.token
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"holder":"x","token":1e308}',
+        b'{"holder":"x","token":9223372036854775807}',
+        b'{"holder":"x","token":18446744073709551615}',
+        b'{"holder":"x","token":-5}',
+        b'{"holder":"x","token":1.5}',
+        b'{"holder":"x","token":true}',
+        b'{"holder":"x","token":"7"}',
+        b'{"holder":' + b"[" * 1000 + b"]" * 1000 + b',"token":7}',
+        b'{"holder":null,"token":7}',
+        b"[" * 1000 + b"]" * 1000,
+        b"[]",
+    ],
+)
+def test_an_odd_row_of_a_duty_is_replaced(value):
+    """Guards against a duty that nobody can take, for a token that can't be raised."""
+    table = MemoryTable()
+    table.commit([], [Write(DUTY_PREFIX + "d", value)])
+    assert current_token(table, "d") == 0
+    assert elect(table, "d", "a", above=4).token == 5
+    assert elect(table, "d", "b", above=4) == Election(6, "a")
+
+
+def test_the_highest_token_that_is_read_can_be_raised():
+    table = MemoryTable()
+    value = orjson.dumps({"holder": "x", "token": MAX_TOKEN})
+    table.commit([], [Write(DUTY_PREFIX + "d", value)])
+    elected = elect(table, "d", "a", above=0)
+    assert elected == Election(MAX_TOKEN + 1, "x")
+    # Orders carry it as a 64-bit integer.
+    assert elected.token < 1 << 63
--- a/toucanspool/recovery/election.py
+++ b/toucanspool/recovery/election.py
@@ -5,6 +5,7 @@
 import orjson
 import structlog
 
+from toucanspool.backing.checked_values import DECODING_ERRORS, integer, text
 from toucanspool.backing.table import (
     Check,
     Row,
@@ -18,6 +19,8 @@
 # Each era of the table has its own range of tokens, above those of earlier eras. So a
 # token that was issued by a commit that the table has lost is never issued again.
 TOKENS_PER_ERA = 1 << 20
+# Orders carry tokens as 64-bit integers, so a higher one could not be raised for long.
+MAX_TOKEN = 1 << 53
 
 _log = structlog.get_logger()
 
@@ -111,7 +114,7 @@
         return Election(0, "")
     try:
         data = orjson.loads(row.value)
-        return Election(int(data["token"]), str(data["holder"]))
-    except (ValueError, KeyError, TypeError) as exc:
+        return Election(integer(data["token"], 0, MAX_TOKEN), text(data["holder"]))
+    except DECODING_ERRORS as exc:
         _log.error("unreadable duty row", key=row.key, error=repr(exc))
         return Election(0, "")
