Bound the counts of an engine in the configuration

The counts of an engine were converted from any number or text without bounds. A count of 1e308, a negative one or a step of 0.4, which becomes 0, makes estimates and maps raise OverflowError, MemoryError or ZeroDivisionError.

--- a/toucanspool/platform/configuration.py
+++ b/toucanspool/platform/configuration.py
@@ -22,6 +22,8 @@
 MS_PER_S = 1000.0
 MIN_TIMEOUT_MS = 1.0
 MAX_PRIORITY = 1000
+# Maps hold experts as 16-bit integers.
+MAX_ENGINE_COUNT = (1 << 15) - 1
 BITS_PER_MBIT = 1e6
 BITS_PER_MB = 8e6
 
@@ -135,13 +137,13 @@
         step_base_s=number(engine["step_ms"]) / MS_PER_S,
         step_per_request_s=number(engine.get("per_seq_ms", 0.0)) / MS_PER_S,
         prefill_tokens_per_s=number(engine.get("read_per_s") or 1.0),
-        steps_per_pass=int(engine.get("stride") or 1),
+        steps_per_pass=int(number(engine.get("stride") or 1, 1, MAX_ENGINE_COUNT)),
         mean_prompt_tokens=number(mean_tokens.get("prompt") or 0.0),
         mean_answer_tokens=number(mean_tokens.get("answer") or 0.0),
-        layer_sets=int(engine.get("sets") or 0),
-        experts=int(engine.get("experts") or 0),
-        expert_slots=int(engine.get("placements") or 0),
-        copies_per_set=int(engine.get("spare") or 0),
+        layer_sets=int(number(engine.get("sets") or 0, high=MAX_ENGINE_COUNT)),
+        experts=int(number(engine.get("experts") or 0, high=MAX_ENGINE_COUNT)),
+        expert_slots=int(number(engine.get("placements") or 0, high=MAX_ENGINE_COUNT)),
+        copies_per_set=int(number(engine.get("spare") or 0, high=MAX_ENGINE_COUNT)),
         expert_copy_s=expert_mb * BITS_PER_MB / (link_mbit_per_s * BITS_PER_MBIT)
         if link_mbit_per_s
         else 0.0,
