Refuse crash reports from the future

A time ahead of the clock has age 0. A report with blocks or crashes at such a time was evidence for as long as its row lasted: the traits were blocked again whenever a block ended, and crashes never grew old. Reports whose times are over 60 s ahead are refused. All 3 cases of the test failed before.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -1,5 +1,7 @@
 """Malformed rows, headers and requests are refused where they are read."""
 
+import time
+
 import orjson
 import pytest
 
@@ -13,7 +15,7 @@
 from toucanspool.platform.configuration import BadConfiguration
 from toucanspool.platform.headers import PlatformDialect, parse_token_counts
 from toucanspool.platform.listings import decode_listing
-from toucanspool.retries.crash_reports import decode_report
+from toucanspool.retries.crash_reports import MAX_CLOCK_AHEAD_S, decode_report
 from toucanspool.routing.routes import CallKind
 from toucanspool.routing.upstream import MAX_PAUSE_S
 
@@ -87,6 +89,18 @@
         assert abs(report.crashes[0].at_s) < 1e12
 
 
+@pytest.mark.parametrize("path", ["at_s", "blocked", "sound"])
+def test_a_report_from_the_future_is_ignored(path):
+    """Guards against evidence and blocks that never grow old."""
+    for ahead_s, is_read in ((MAX_CLOCK_AHEAD_S - 5.0, True), (1e6, False)):
+        at_s = time.time() + ahead_s
+        changes = {path: {"p": at_s}}
+        if path == "at_s":
+            changes = {"crashes": [{**REPORT["crashes"][0], "at_s": at_s}]}
+        row = Row(REPORT_KEY, orjson.dumps({**REPORT, **changes}), 1)
+        assert (decode_report(row) is not None) == is_read
+
+
 @pytest.mark.parametrize("raw", [b"", b"\xff", DEEP, b"{", b'{"name": "\xff"}'])
 def test_rows_that_are_no_json_are_ignored(raw):
     for key, decode in (
--- a/toucanspool/backing/checked_values.py
+++ b/toucanspool/backing/checked_values.py
@@ -11,6 +11,7 @@
 MAX_HOST_CHARS = 253
 MAX_LABEL_CHARS = 63
 MAX_BRIEF_CHARS = 80
+MAX_NUMBER = 1e15
 # What decoding raises if a value has another type or form, or is missing. The JSON
 # decoder accepts values that are nested too deeply to be printed or compared, and
 # numbers that can't be converted.
@@ -72,7 +73,7 @@
     return str(value)
 
 
-def number(value: Any, low: float = 0.0, high: float = 1e15) -> float:
+def number(value: Any, low: float = 0.0, high: float = MAX_NUMBER) -> float:
     """Return a value that must be a finite number within bounds, as a float."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"not a number: {brief(value)}")
@@ -115,11 +116,11 @@
     return host, integer(int(port), 1, MAX_PORT)
 
 
-def numbers(value: Any) -> dict[str, float]:
-    """Return a value that must be a mapping of texts to numbers."""
+def numbers(value: Any, high: float = MAX_NUMBER) -> dict[str, float]:
+    """Return a value that must be a mapping of texts to numbers from 0 to a bound."""
     if not isinstance(value, dict):
         raise TypeError(f"not a mapping: {brief(value)}")
-    return {text(key): number(item) for key, item in value.items()}
+    return {text(key): number(item, high=high) for key, item in value.items()}
 
 
 def list_of(value: Any) -> list[Any]:
--- a/toucanspool/retries/crash_reports.py
+++ b/toucanspool/retries/crash_reports.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
+from typing import Any
 
 import orjson
 
@@ -19,6 +20,8 @@
 MAX_REPORTED_SOUND = 128
 # Well below the size of a row; callers choose the length of parts.
 MAX_REPORT_BYTES = 32 * 1024
+# A time further ahead would be of age 0 for as long as the row lasts.
+MAX_CLOCK_AHEAD_S = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -166,21 +169,22 @@
     -------
     EntryReport or None
     """
-    return read_json(
-        row,
-        lambda data: EntryReport(
-            tuple(
-                CrashReport(
-                    text(crash["upstream"]),
-                    integer(crash["started_ms"]),
-                    integer(crash.get("number", 1)),
-                    tuple(tuple(map(str, call)) for call in list_of(crash["prompts"])),
-                    number(crash["at_s"]),
-                )
-                for crash in list_of(data["crashes"])
-            ),
-            numbers(data["blocked"]),
-            numbers(data["sound"]),
+    return read_json(row, _decode_fields, error_event="unreadable crash report")
+
+
+def _decode_fields(data: Any) -> EntryReport:
+    latest_s = time.time() + MAX_CLOCK_AHEAD_S
+    return EntryReport(
+        tuple(
+            CrashReport(
+                text(crash["upstream"]),
+                integer(crash["started_ms"]),
+                integer(crash.get("number", 1)),
+                tuple(tuple(map(str, call)) for call in list_of(crash["prompts"])),
+                number(crash["at_s"], high=latest_s),
+            )
+            for crash in list_of(data["crashes"])
         ),
-        error_event="unreadable crash report",
+        numbers(data["blocked"], high=latest_s),
+        numbers(data["sound"], high=latest_s),
     )
