Read on after a page of a table whose rows can't be decoded

The next page of a table starts after the last row that was decoded. With none in a whole page, an IndexError was taken for an outage, and the table was never read. It now starts after the last key. The test with a page of values that are not base64 failed before: the rows after it were not read within 5 s.

--- a/tests/platform/test_odd_rows_followed.py
+++ b/tests/platform/test_odd_rows_followed.py
@@ -13,6 +13,7 @@
 import orjson
 import pytest
 
+from standins import row_store
 from standins.memory import MemoryTable
 from standins.row_store import RowStore
 from tests.platform.odd_values import odd_rows
@@ -202,3 +203,17 @@
                 put_good(store, "g1", 1)
                 wait_for(lambda: is_known(follower, "g1", 1))
             assert is_known(follower, "g2", 1)
+
+
+def test_a_page_of_values_that_are_not_base64_keeps_no_later_row_out(monkeypatch):
+    """Guards against a table that is never read, as the next page has no start."""
+    encode = row_store._encode_value
+    monkeypatch.setattr(
+        row_store, "_encode_value", lambda v: "\u00fc" if v == b"odd" else encode(v)
+    )
+    with RowStore() as store:
+        for number in range(ROWS_PER_PAGE + 1):
+            store.pages.put("servers", f"a{number:04}", b"odd")
+        put_good(store, "g", 1)
+        with following(store) as follower:
+            wait_for(lambda: is_known(follower, "g", 1))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -262,6 +262,14 @@
             store.commit([], [Write("k", b"v")])
 
 
+@pytest.mark.parametrize("rows", [[], [5, {}, {"key": 5}, {"key": ""}]])
+def test_a_page_without_any_key_before_the_last_is_an_outage(rows):
+    """Guards against a page that is read again and again."""
+    body = orjson.dumps({"rows": rows, "ver": 2, "hasMore": True})
+    with scripted_store(body) as store, pytest.raises(TableUnavailable):
+        store.snapshot("t")
+
+
 def test_malformed_rows_keep_no_other_row_out():
     """Guards against one malformed row that hides its table."""
     bad = [5, {}, {"key": 5}, {"key": "a", "ver": 1, "value": "a"}, {"key": ["a"]}]
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -222,7 +222,7 @@
                     raise TableUnavailable("the store came back from an older copy")
                 if not response.get("hasMore"):
                     return rows, version
-                params["from"] = page[-1][0] + "\0"
+                params["from"] = _last_key(response["rows"]) + "\0"
 
     def _read(
         self,
@@ -282,6 +282,12 @@
     return TABLE_PREFIX + TABLE_BY_KIND.get(kind, kind)
 
 
+def _last_key(rows: Sequence[Any]) -> str:
+    """Return the last key of a page, whose row may have no readable value."""
+    keys = (row.get("key") for row in reversed(rows) if isinstance(row, dict))
+    return text(next((key for key in keys if isinstance(key, str)), None))
+
+
 def _raise_unless_ok(status: int) -> None:
     if status == OK:
         return
