Refuse lease rows whose numbers can't be raised

The decoder of lease rows accepts integers of any size, the encoder those of 64 bits. The next step of a lease with a higher token ended with a TypeError in place of a table error. Tokens and beats are now below 2^62; others make the row a bad lease, which is handled. All 10 cases of the test failed before.

--- a/tests/recovery/test_lease.py
+++ b/tests/recovery/test_lease.py
@@ -1,11 +1,14 @@
 """A lease has one holder at a time, and its fencing tokens never decrease."""
 
+import json
+
 import pytest
 
 from standins.memory import MemoryTable
-from toucanspool.backing.table import TableUnavailable
+from toucanspool.backing.table import Row, TableUnavailable, Write
 from toucanspool.recovery.fence import Fence, FenceNotReady, StaleToken
-from toucanspool.recovery.lease import Lease, LeaseLost
+from toucanspool.recovery.lease import Lease, LeaseLost, lease_key
+from toucanspool.recovery.lease_row import BadLease, decode_lease
 
 TTL_S = 9.0
 
@@ -131,3 +134,15 @@
         fence.restore()
     with pytest.raises(StaleToken):
         fence.admit(1)
+
+
+@pytest.mark.parametrize("field", ["token", "beat"])
+@pytest.mark.parametrize("value", [1 << 62, 1 << 63, 1 << 64, 10**400, -1])
+def test_a_row_with_a_number_that_can_not_be_raised_is_a_bad_lease(field, value):
+    """Guards against a step that ends with a TypeError of the encoder."""
+    text = json.dumps({"holder": "", "token": 1, "beat": 1, field: value})
+    with pytest.raises(BadLease):
+        decode_lease(Row("k", text.encode(), 1))
+    table = MemoryTable()
+    table.commit([], [Write(lease_key("d"), text.encode())])
+    assert not Lease(table, "d", "a", now=lambda: 0.0).step()
--- a/toucanspool/recovery/lease_row.py
+++ b/toucanspool/recovery/lease_row.py
@@ -1,12 +1,16 @@
 """Content and encoding of a lease's row."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import orjson
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 
 from toucanspool.backing.table import Row, TableError
 
+# Each holder raises the token, and its orders carry it as a 64-bit integer.
+_COUNT = Field(ge=0, lt=1 << 62)
+
 
 class BadLease(TableError):
     """Report a lease row that this version can't read."""
@@ -27,8 +31,8 @@
     """
 
     holder: str
-    token: int
-    beat: int
+    token: Annotated[int, _COUNT]
+    beat: Annotated[int, _COUNT]
 
 
 _LEASE_ADAPTER = TypeAdapter(LeaseRow)
