Treat unreadable rows of the configuration as an outage

Rows of the configuration that can't be decoded raised ValueError, ValidationError or BadRecord, while pollers and changes expect errors of the table. Changes hold only in their order, so none after such a row can be applied; readers now go on with what they have, as in an outage, and the error names the row.

--- a/toucanspool/config/rows.py
+++ b/toucanspool/config/rows.py
@@ -1,14 +1,17 @@
 """Keys and formats of the configuration's rows in the platform's table."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import orjson
 from pydantic import TypeAdapter
 from pydantic.dataclasses import dataclass as pydantic_dataclass
 
-from toucanspool.backing.table import Row
+from toucanspool.backing.checked_values import DECODING_ERRORS, integer
+from toucanspool.backing.table import Row, TableUnavailable
 from toucanspool.config.match import FORBID_EXTRA
-from toucanspool.config.records import Change, Record, decode_change
+from toucanspool.config.records import BadRecord, Change, Record, decode_change
 
 REVISION_KEY = "config/revision"
 CHANGE_PREFIX = "config/change/"
@@ -18,6 +21,14 @@
 KEPT_CHANGES = 4096
 
 
+class UnreadableConfig(TableUnavailable):
+    """Report a row of the configuration that can't be decoded.
+
+    Changes hold only in their order, so nothing after it can be read. Readers go on
+    with what they have, as in an outage.
+    """
+
+
 @dataclass(slots=True, frozen=True, order=True)
 class RecordKey:
     """Identify a record.
@@ -142,8 +153,16 @@
     Returns
     -------
     int
+
+    Raises
+    ------
+    UnreadableConfig
+        The row holds no revision.
     """
-    return int(row.value) if row else 0
+    if row is None:
+        return 0
+    with _decoding(row):
+        return integer(int(row.value), high=10**REVISION_DIGITS - 1)
 
 
 def decode_record_row(row: Row) -> RecordRow:
@@ -160,10 +179,11 @@
 
     Raises
     ------
-    pydantic.ValidationError
+    UnreadableConfig
         The row has another format.
     """
-    return _RECORD_ROW.validate_json(row.value)
+    with _decoding(row):
+        return _RECORD_ROW.validate_json(row.value)
 
 
 def decode_change_id_row(row: Row) -> ChangeIdRow:
@@ -180,10 +200,11 @@
 
     Raises
     ------
-    pydantic.ValidationError
+    UnreadableConfig
         The row has another format.
     """
-    return _CHANGE_ID_ROW.validate_json(row.value)
+    with _decoding(row):
+        return _CHANGE_ID_ROW.validate_json(row.value)
 
 
 def decode_change_row(row: Row) -> Change:
@@ -200,10 +221,11 @@
 
     Raises
     ------
-    BadRecord
+    UnreadableConfig
         The row has another format.
     """
-    return decode_change(row.value)
+    with _decoding(row):
+        return decode_change(row.value)
 
 
 def encode_row(value: RecordRow | ChangeIdRow) -> bytes:
@@ -219,3 +241,11 @@
     bytes
     """
     return orjson.dumps(value)
+
+
+@contextmanager
+def _decoding(row: Row) -> Iterator[None]:
+    try:
+        yield
+    except (*DECODING_ERRORS, BadRecord) as exc:
+        raise UnreadableConfig(f"{row.key} can't be read: {exc!r:.200}") from exc
