Refuse rows of claims whose answers can't be replayed

A claim's row with an answer that is not base64 raised binascii.Error, which no caller of the resolution expects; a status or size over 64 bits could not be encoded again. Such a status makes the row unreadable, and such an answer is gone, both of which are handled.

--- a/toucanspool/protected/resolution.py
+++ b/toucanspool/protected/resolution.py
@@ -102,7 +102,10 @@
     if stored is None or stored.kept == GONE:
         raise ResponseGone("the call ran, and its answer is no longer kept")
     if stored.kept != OBJECT:
-        return decode_response(stored)
+        try:
+            return decode_response(stored)
+        except UnreadableRow as exc:
+            raise ResponseGone("the call ran, its answer can't be read") from exc
     try:
         body = objects.get(stored.body)
     except ObjectsUnavailable as exc:
--- a/toucanspool/protected/row.py
+++ b/toucanspool/protected/row.py
@@ -3,10 +3,10 @@
 import base64
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Literal
+from typing import Annotated, Literal
 
 import orjson
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 
 from toucanspool.backing.table import TableError
 
@@ -66,11 +66,11 @@
         Size of the body in bytes.
     """
 
-    status: int
+    status: Annotated[int, Field(ge=100, le=599)]
     headers: dict[str, str]
     kept: BodyLocation = INLINE
     body: str = ""
-    size: int = 0
+    size: Annotated[int, Field(ge=0, lt=1 << 53)] = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -192,7 +192,15 @@
     Returns
     -------
     BufferedResponse
+
+    Raises
+    ------
+    UnreadableRow
+        The inline body is not Base64.
     """
     if body is None:
-        body = base64.b64decode(stored.body)
+        try:
+            body = base64.b64decode(stored.body, validate=True)
+        except ValueError as exc:
+            raise UnreadableRow(f"the body can't be read: {exc}") from exc
     return BufferedResponse(stored.status, stored.headers, body)
