--- a/toucanspool/groups/rank_record.py
+++ b/toucanspool/groups/rank_record.py
@@ -8,11 +8,12 @@
 from toucanspool.backing.checked_values import (
     MAX_PORT,
     address,
+    host_text,
     integer,
     number,
     text,
 )
-from toucanspool.backing.json_row import read_json
+from toucanspool.backing.json_row import read_own_json
 from toucanspool.backing.table import Row
 
 PREFIX = "rank/"
@@ -70,14 +71,16 @@
     -------
     RankRecord or None
     """
-    return read_json(row, _decode_fields, error_event="unreadable rank record")
+    return read_own_json(
+        row, PREFIX, _decode_fields, error_event="unreadable rank record"
+    )
 
 
 def _decode_fields(data: Any) -> RankRecord:
     address(data["engine"])
     return RankRecord(
         name=text(data["name"]),
-        host=text(data["host"]),
+        host=host_text(data["host"]),
         port=integer(data["port"], 1, MAX_PORT),
         group=text(data["group"]),
         rank=integer(data["rank"]),
--- a/toucanspool/membership/entry_record.py
+++ b/toucanspool/membership/entry_record.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from toucanspool.backing.checked_values import text
-from toucanspool.backing.json_row import read_json
+from toucanspool.backing.checked_values import address, text
+from toucanspool.backing.json_row import read_own_json
 from toucanspool.backing.table import Row
 
 ENTRY_PREFIX = "entry/"
@@ -54,18 +54,17 @@
     -------
     EntryRecord or None
     """
-    return read_json(
-        row,
-        _decode_fields,
-        error_event="unreadable entry",
+    return read_own_json(
+        row, ENTRY_PREFIX, _decode_fields, error_event="unreadable entry"
     )
 
 
 def _decode_fields(data: Mapping[str, Any]) -> EntryRecord:
     region = data.get("region")
+    address(data["address"])
     return EntryRecord(
         text(data["name"]),
-        text(data["address"]),
+        data["address"],
         text(data["probe"]),
         region if isinstance(region, str) else "",
     )
