Accept nothing at an entry that has ended its last requests

Cause: an entry without requests ends its HTTP service soon after the TTL of its address, then closes the other services. Leases are released through the table, which may be slow. Kept connections bring requests meanwhile; in the first quarter of the grace period they were accepted, sent to agents and cut off as the process ended.

Change: GracefulStop accepts no call from end_unanswered on, so these requests are refused as not run.

Measured: before, the new test failed.

--- a/tests/entry/test_stopping.py
+++ b/tests/entry/test_stopping.py
@@ -48,6 +48,18 @@
     assert classify(b"".join(dispatcher.dispatch(req))) == "whole"
 
 
+def test_a_request_is_refused_once_the_entry_has_ended_the_last_ones():
+    """Guards against work that is cut off while the other services are closed.
+
+    An entry without requests ends long before the grace period does.
+    """
+    dispatcher, link = make_dispatcher(streams)
+    stopping(dispatcher, open_s=60.0, time_s=60.0)
+    dispatcher.graceful_stop.end_unanswered()
+    assert outcome(dispatcher, make_request()) == (503, Outcome.NOT_RUN)
+    assert not link.opened_calls
+
+
 def test_a_request_that_waited_is_refused_if_it_may_outlast_the_entry():
     """Guards against late requests that were on time as they arrived."""
 
--- a/toucanspool/limits/graceful_stop.py
+++ b/toucanspool/limits/graceful_stop.py
@@ -18,8 +18,8 @@
 
     A call that outlasts the process is cut off, while one that is refused can run
     elsewhere at once. Most calls end long before their time limit, so all of them are
-    accepted at first. Later, only those whose time limit ends before the process does.
-    Until `begin`, all calls are accepted.
+    accepted at first. Later, only those whose time limit ends before the process does,
+    and none once the last ones have been ended. Until `begin`, all calls are accepted.
     """
 
     __slots__ = ("_ends_at", "_open_until", "_unanswered")
@@ -73,7 +73,12 @@
             self._unanswered.discard(greenlet)
 
     def end_unanswered(self) -> None:
-        """Raise `StopTimeUp` where calls wait whose reply has not begun."""
+        """Accept no more calls, and raise `StopTimeUp` where calls wait for a reply.
+
+        Kept connections bring calls while the process closes its other services, which
+        may take long; nobody waits for the end of these calls.
+        """
+        self._open_until = self._ends_at = -math.inf
         loop = gevent.get_hub().loop
         for greenlet in self._unanswered:
             # Only the hub may switch to a greenlet that waits for an event.
