Tell callers of half-read requests when to come back

Cause: a request whose head or body has not arrived as a gateway ends is refused as not run without Retry-After, or with 0, while all others that the stop refuses get 0.05 s.

Change: they get the same.

--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -113,3 +113,15 @@
         assert len(gw.upstreams[0].seen) == 1
     assert data.count(b"200 OK") == 1
     assert b"Connection: close" in data
+
+
+@pytest.mark.parametrize("cut", [40, -2])
+def test_a_request_that_is_refused_half_read_may_come_back_soon(cut):
+    """Guards against refusals as not run that don't say when to come back."""
+    with gateway(answering()) as gw, gw.connect() as sock:
+        sock.sendall(request("POST", body=b"seat")[:cut])
+        gevent.sleep(0.05)
+        gw.server.refuse_unread()
+        reply = sock.recv(4096)
+        assert reply.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 0.050\r\n" in reply
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -13,6 +13,7 @@
 from toucanspool.gateway.call import RefusalCause, Refused
 from toucanspool.gateway.caller import CallerLeft
 from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryBudget, MemoryPart
+from toucanspool.gateway.relay import DRAIN_RETRY_AFTER_S
 from toucanspool.gateway.slow_reader import SEND_BUFFER_BYTES, SlowReader, send_all
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.wire.http_server import (
@@ -145,7 +146,9 @@
         memory = self.server.memory
         if not memory.admits(self.content_length or 0):
             raise self._refuse_for_memory()
-        self._stop_error = Refused(RefusalCause.DRAINING)
+        self._stop_error = Refused(
+            RefusalCause.DRAINING, retry_after_s=DRAIN_RETRY_AFTER_S
+        )
         body = bytearray()
         try:
             while block := self.wsgi_input.read(BODY_BLOCK_BYTES):
@@ -283,7 +286,11 @@
 
 
 def _error_response(status: HTTPStatus) -> bytes:
-    return (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        "Connection: close\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
+    lines = [
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        "Connection: close",
+        "Content-Length: 0",
+    ]
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(f"Retry-After: {DRAIN_RETRY_AFTER_S:.3f}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
