--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -75,10 +75,10 @@
         """Write the settings file with changes to its gateway section."""
         cfg = {
             "role": "gateway",
-            **self._fields,
             "host": "127.0.0.1",
             "port": 1,
             "drain": {"grace_s": 4.0},
+            **self._fields,
             "gateway": {
                 "callers": f"127.0.0.1:{self.callers}",
                 "readiness": f"127.0.0.1:{self.readiness}",
