Don't end a silent stream sooner where the retry budget is used up

Cause: a stream that another upstream may resume is abandoned after 1.7 s of silence, 0.8 s sooner than others. Only then is the retry budget asked. If it is used up the stream is cut off, though its upstream is at work and its caller waits. During a stop that is a lost call.

Change: the budget is asked first. If it allows nothing, the stream has the silence that the last attempt at a call has.

Measured: both cases of the new test failed before: a 502, and a stream cut off after two events. Found by the test of calls in a stop, on a machine so busy that all upstreams paused for 1.7 s.

--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -11,6 +11,7 @@
 from tests.gateway.gateways import RESET, gateway, request, route
 from toucanspool.gateway import stream
 from toucanspool.routing.routes import CallKind
+from toucanspool.settings.settings import RetryBudget
 
 EVENTS = [event(number) for number in range(1, 6)]
 ALL = b"".join(EVENTS)
@@ -248,6 +249,27 @@
     assert body == b"".join(EVENTS[:3]) + b"(end)"
 
 
+@pytest.mark.parametrize("first", [[], EVENTS[:2]])
+def test_a_silent_stream_is_not_cut_off_if_the_retry_budget_is_used_up(
+    monkeypatch, first
+):
+    """Guards against ending a stream sooner because another upstream might go on."""
+    monkeypatch.setattr(stream, "STREAM_IDLE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 1.0)
+
+    def pausing(sock, seen):
+        streaming(first, cut=True)(sock, seen)
+        gevent.sleep(0.5)
+        for data in EVENTS[len(first) :]:
+            sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+        sock.sendall(b"0\r\n\r\n")
+
+    with gateway(pausing, streaming(EVENTS), routes=STREAM) as gw:
+        gw.core.set_retry_budget(RetryBudget(ratio=0.0, window_s=10.0, extra=0.0))
+        status, head, body = gw.call()
+        assert (status, decode_body(head, body)) == (200, ALL + b"(end)")
+
+
 def test_a_silent_stream_that_can_not_go_on_elsewhere_ends(monkeypatch):
     """Guards against streams that stall until the deadline of their call."""
     monkeypatch.setattr(stream, "LAST_ATTEMPT_IDLE_TIMEOUT_S", 0.2)
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -221,6 +221,20 @@
             cause, may_have_run=progress.runs > 0, retry_after_s=retry_after_s
         ) from exc
 
+    def budget_allows(self, call: Call) -> bool:
+        """Return whether the retry budget allows one more attempt at a call.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+
+        Returns
+        -------
+        bool
+        """
+        return self._budget.allows(call.service, time.monotonic())
+
     def _read_whole(self, attempt: Attempt, until: float) -> bytes:
         attempt.begin(until)
         return attempt.read_body(until, self.max_reply_bytes)
--- a/toucanspool/gateway/stream.py
+++ b/toucanspool/gateway/stream.py
@@ -11,7 +11,7 @@
 from toucanspool.gateway.dialect import Dialect
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.relay import Relay, may_follow
-from toucanspool.gateway.stream_source import StreamForm, StreamSource
+from toucanspool.gateway.stream_source import NotBegun, StreamForm, StreamSource, concat
 from toucanspool.wire.event_splitter import MAX_EVENT_BYTES, EventSplitter, check_events
 from toucanspool.wire.http_server import ReplyCutOff
 from toucanspool.wire.reply_parser import BrokenReply
@@ -27,10 +27,6 @@
 _log = structlog.get_logger()
 
 
-class _NotBegun(Exception):
-    """Report a stream that broke before its first event: another reply may follow."""
-
-
 class StreamRelay:
     """Forward streams to upstreams and their events to callers.
 
@@ -89,9 +85,9 @@
             events = self._relay_events(call, progress, source, form, attempt_stack)
             try:
                 first = next(events, b"")
-            except _NotBegun:
+            except NotBegun:
                 continue
-            body = _prepend(first, events)
+            body = concat(first, events)
             return Reply(form.status, headers, body, framed=form.framed)
 
     def _open_stream(
@@ -218,7 +214,7 @@
                         call, progress, source.upstream, exc, sent=True
                     )
                     if not begun:
-                        raise _NotBegun from exc
+                        raise NotBegun from exc
                     form.check_resumable()
                     source = self._open_stream(
                         call, progress, splitter, attempt_stack, form
@@ -246,7 +242,7 @@
     ) -> Iterator[bytes]:
         attempt, splitter = source.attempt, source.splitter
         last_at = 0.0
-        for events in source.events:
+        for events in self._wait_for_events(call, progress, source):
             now = time.monotonic()
             if last_at:
                 self._on_event_gap(call.service, now - last_at)
@@ -260,6 +256,23 @@
         if splitter.partial:
             yield splitter.partial
 
+    def _wait_for_events(
+        self, call: Call, progress: CallProgress, source: StreamSource
+    ) -> Iterator[bytes]:
+        """Yield events; wait longer in silence if the retry budget is used up."""
+        try:
+            yield from source.events
+        except Silent:
+            # The limit on the silence was that of an attempt that may be followed.
+            last = not may_follow(call, progress.runs, progress.sends)
+            if last or self._relay.budget_allows(call):
+                raise
+            yield from source.attempt.iter_events(
+                source.splitter,
+                LAST_ATTEMPT_IDLE_TIMEOUT_S - STREAM_IDLE_TIMEOUT_S,
+                call.deadline.at,
+            )
+
 
 def _idle_timeout_s(call: Call, progress: CallProgress) -> float:
     """Return how long the present attempt may be silent, in seconds."""
@@ -282,9 +295,3 @@
     yield first
     idle_timeout_s = _idle_timeout_s(call, progress)
     yield from attempt.iter_events(splitter, idle_timeout_s, call.deadline.at)
-
-
-def _prepend(first: bytes, events: Iterator[bytes]) -> Iterator[bytes]:
-    if first:
-        yield first
-    yield from events
--- a/toucanspool/gateway/stream_source.py
+++ b/toucanspool/gateway/stream_source.py
@@ -10,6 +10,10 @@
 from toucanspool.wire.events import EVENT_STREAM_TYPE
 
 
+class NotBegun(Exception):
+    """Report a stream that broke before its first event: another reply may follow."""
+
+
 @dataclass(slots=True)
 class StreamSource:
     """Hold what a stream is read from: an attempt whose reply has begun.
@@ -101,3 +105,10 @@
         own = self.status, self.media_type, self.encoding
         if own != (other.status, other.media_type, other.encoding):
             raise NotContinued(other.status, other.media_type)
+
+
+def concat(first: bytes, events: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield a first block, unless it is empty, and then the events."""
+    if first:
+        yield first
+    yield from events
--- a/toucanspool/retries/shared_budget.py
+++ b/toucanspool/retries/shared_budget.py
@@ -90,15 +90,31 @@
         bool
             Whether the retry is allowed.
         """
+        if not self.allows(service, now):
+            return False
+        self._recent(self._retries, service, now).append(now)
+        return True
+
+    def allows(self, service: str, now: float) -> bool:
+        """Return whether the budget allows a retry, without counting one.
+
+        Parameters
+        ----------
+        service : str
+            Service that the retry is sent to.
+        now : float
+            Seconds on the monotonic clock.
+
+        Returns
+        -------
+        bool
+        """
         requests = len(self._recent(self._requests, service, now))
         retries = self._recent(self._retries, service, now)
         extra = 0.0
         if self.entries and now - self._started_at >= self._window_s:
             extra = self._extra / self.entries
-        if len(retries) + 1 > SAFETY_FACTOR * (self._ratio * requests + extra):
-            return False
-        retries.append(now)
-        return True
+        return len(retries) + 1 <= SAFETY_FACTOR * (self._ratio * requests + extra)
 
     def _recent(
         self, times_by_service: dict[str, deque[float]], service: str, now: float
