--- a/toucanspool/platform/listings.py
+++ b/toucanspool/platform/listings.py
@@ -1,11 +1,20 @@
 """Decoder for the rows of the platform's upstream list."""
 
+import ipaddress
 from typing import Any
 
 import orjson
 import structlog
 
-from toucanspool.backing.checked_values import address, integer, text
+from toucanspool.backing.checked_values import (
+    DECODING_ERRORS,
+    address,
+    brief,
+    integer,
+    optional_text,
+    text,
+    visible_text,
+)
 from toucanspool.backing.table import Row
 from toucanspool.routing.upstream import Listing
 
@@ -34,22 +43,25 @@
     """
     try:
         return _decode_fields(row.key, orjson.loads(row.value))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except DECODING_ERRORS as exc:
         _log.warning("unreadable listing", upstream=row.key, error=repr(exc))
         return None
 
 
 def _decode_fields(name: str, data: dict[str, Any]) -> Listing:
     host, port = address(data["address"])
+    # Names would be looked up by a few threads that all new connections share, without
+    # a time limit.
+    ipaddress.ip_address(host)
     state = data["state"]
     if state not in STATES:
-        raise ValueError(f"invalid state {state!r}")
+        raise ValueError(f"invalid state {brief(state)}")
     return Listing(
-        name=name,
+        name=visible_text(name),
         service=text(data["service"]),
         host=host,
         port=port,
-        failure_domain=str(data.get("zone", "")),
+        failure_domain=optional_text(data.get("zone", "")),
         ready=state == READY,
         slots=integer(data.get("slots", 1)),
         started_ms=integer(data.get("born", 0)),
@@ -64,6 +76,6 @@
     is_number = isinstance(cold_ms, int | float) and not isinstance(cold_ms, bool)
     if not is_number or not 0.0 <= cold_ms < MAX_COLD_MS:
         # The upstream itself is in order.
-        _log.warning("unreadable cold time", upstream=name, value=repr(cold_ms)[:40])
+        _log.warning("unreadable cold time", upstream=name, value=brief(cold_ms))
         return None
     return cold_ms / MS_PER_S
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -10,6 +10,7 @@
 
 from toucanspool.backing.checked_values import (
     DECODING_ERRORS,
+    brief,
     decoding,
     integer,
     text,
@@ -221,7 +222,7 @@
                     raise TableUnavailable("the store came back from an older copy")
                 if not response.get("hasMore"):
                     return rows, version
-                params["from"] = page[-1][0] + "\0"
+                params["from"] = _last_key(response["rows"]) + "\0"
 
     def _read(
         self,
@@ -261,7 +262,7 @@
                 value = base64.b64decode(row["value"])
                 decoded.append((key, Row(key, value, self._decode_version(row))))
             except DECODING_ERRORS as exc:
-                _log.warning("unreadable row", row=repr(row)[:200], error=repr(exc))
+                _log.warning("unreadable row", row=brief(row), error=repr(exc))
         return decoded
 
 
@@ -281,6 +282,12 @@
     return TABLE_PREFIX + TABLE_BY_KIND.get(kind, kind)
 
 
+def _last_key(rows: Sequence[Any]) -> str:
+    """Return the last key of a page, whose row may have no readable value."""
+    keys = (row.get("key") for row in reversed(rows) if isinstance(row, dict))
+    return text(next((key for key in keys if isinstance(key, str)), None))
+
+
 def _raise_unless_ok(status: int) -> None:
     if status == OK:
         return
