Name a held pass once also where a switch is undone

Passes could still begin on two maps: whoever undid a switch held its pass at two ranks without asking whether an earlier recovery had held the same pass there, whose late order to release it then ended the new hold (shown by a search, and by a reviewer).

Cause: only switches chose passes that were not named before, recoveries did not.

An agent now refuses to hold a pass that it has named or, since it is new, may have named. A recovery looks for a rank, or an earlier pass, with a free name, so that one hold is enough. Only if all agents have been started again, it holds the pass at all ranks. Also: the agent tells the pass that it has ordered to hold, not one read from a report, which may be a late copy; a state of an earlier epoch doesn't make it forget; and a switch leaves a rank free of its own late holds, so that one can hold.

A group in which every rank holds a pass by late orders of several coordinators stays held: listed as known.

--- a/tests/groups/test_hold_gate.py
+++ b/tests/groups/test_hold_gate.py
@@ -26,8 +26,24 @@
 
 def test_a_pass_that_was_held_on_request_is_not_chosen_later():
     gate = warm_gate()
-    gate.admit(LATER, 122)
-    assert gate.choose(LATER, 2) == 123
+    gate.admit(LATER, 118)
+    assert gate.choose(LATER, 2) == 119
+
+
+def test_a_pass_that_was_chosen_is_not_held_on_request():
+    gate = warm_gate()
+    step = gate.choose(LATER, 2)
+    with pytest.raises(OrderRefused):
+        gate.admit(LATER, step)
+    gate.admit(LATER, step, shared=True)
+
+
+def test_a_state_of_an_earlier_epoch_told_late_does_not_make_a_gate_forget():
+    gate = warm_gate()
+    formed_again = replace(STATE, epoch=2)
+    step = gate.choose(formed_again, 2)
+    gate.observe(STATE)
+    assert gate.choose(formed_again, 2) == step + 1
 
 
 def test_a_new_gate_chooses_no_pass_that_the_process_before_may_have_named():
--- a/tests/groups/test_pass_holds.py
+++ b/tests/groups/test_pass_holds.py
@@ -27,7 +27,11 @@
 
 @pytest.fixture()
 def engines(group: PassGroup) -> list[FencedEngine]:
-    engines = [FencedEngine(group.engine(rank)) for rank in range(3)]
+    return make_engines(group)
+
+
+def make_engines(group: PassGroup) -> list[FencedEngine]:
+    engines = [FencedEngine(group.engine(rank)) for rank in range(len(group.rows))]
     for engine in engines:
         engine.restore(0)
         engine.answer(RankAsk(action=RankAction.STATUS, token=0))
@@ -49,24 +53,67 @@
     assert group.rows[1].held == held
 
 
-def test_a_rank_that_holds_another_pass_is_passed_over(group, engines):
+def test_a_rank_that_holds_another_pass_is_passed_over():
+    group = PassGroup(4, random.Random(1))
+    holds = make_holds(make_engines(group))
     group.execute(1, "hold", (group.step + 5,))
+    assert holds.place_ahead([1, 2, 3, 0], 2) == group.rows[2].held
+    assert [row.held is None for row in group.rows] == [True, False, False, True]
+
+
+@pytest.mark.parametrize("size", [2, 3, 4, 12])
+def test_orders_to_hold_without_an_answer_leave_a_rank_that_can_hold(size):
+    group = PassGroup(size, random.Random(1))
+    engines = make_engines(group)
+
+    def lose_answer(rank: int, name: str, *args: object) -> None:
+        group.execute(rank, name, args)
+        raise OrderLost("lost")
+
+    group.order = lose_answer  # type: ignore[method-assign]
     holds = make_holds(engines)
-    assert holds.place_ahead([1, 2, 0], 2) == group.rows[2].held
-    assert group.rows[0].held is None
+    assert holds.place_ahead(range(size), 2) == UNSET
+    assert any(row.held is None for row in group.rows)
 
 
-def test_a_given_pass_is_held_at_two_ranks_or_not_reported_as_held(group, engines):
+def test_a_given_pass_is_held_where_no_late_order_names_it(group, engines):
     step = group.step + 2
-    group.execute(1, "hold", (step + 1,))
-    assert make_holds(engines).place_at([1, 2, 0], step)
-    assert [row.held for row in group.rows] == [step, step + 1, step]
-    assert not make_holds(engines).place_at([1, 2], step)
+    first = make_holds(engines)
+    assert first.place_before([1, 2, 0], [step]) == step
+    first.release()
+    assert make_holds(engines).place_before([1, 2, 0], [step]) == step
+    group.execute(1, "go", (step,))
+    assert [row.held for row in group.rows] == [None, None, step]
+
+
+def test_an_earlier_pass_is_held_where_all_ranks_have_named_the_given_one(
+    group, engines
+):
+    step = group.step + 2
+    for _ in engines:
+        holds = make_holds(engines)
+        assert holds.place_before([0, 1, 2], [step, step - 1]) == step
+        holds.release()
+    assert make_holds(engines).place_before([0, 1, 2], [step, step - 1]) == step - 1
+
+
+def test_agents_that_have_all_been_started_again_hold_a_pass_at_all_ranks(group):
+    engines = [FencedEngine(group.engine(rank)) for rank in range(3)]
+    for engine in engines:
+        engine.restore(0)
+    step = group.step + 2
+    assert make_holds(engines).place_before([0, 1, 2], [step]) == step
+    assert [row.held for row in group.rows] == [step] * 3
+
+
+def test_a_pass_that_has_begun_is_not_reported_as_held(group, engines):
+    assert make_holds(engines).place_before([0, 1, 2], [group.step]) == UNSET
+    assert not any(row.held for row in group.rows)
 
 
 def test_a_release_goes_on_until_each_engine_has_confirmed_it(group, engines):
     holds = make_holds(engines)
-    holds.place_at([1, 2], group.step + 1)
+    holds.place_before([1, 2], [group.step + 1])
     losses = iter([True, True, False, True])
 
     def lose(rank: int, name: str, *args: object) -> None:
@@ -83,7 +130,7 @@
     group, engines
 ):
     holds = make_holds(engines)
-    holds.place_at([1, 2], group.step + 1)
+    holds.place_before([1, 2], [group.step + 1])
 
     def lose(rank: int, name: str, *args: object) -> None:
         engines[0].answer(RankAsk(action=RankAction.STATUS, token=2))
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -16,12 +16,12 @@
   release it never releases another hold.
 
 So ranks are disarmed only under a hold that no other coordinator releases: the one that
-this switch placed, or, in `resolve`, two new ones, since that switch's own pass is held
-at one rank only. What the ranks were seen to be before doesn't matter.
+this switch placed, or, in `resolve`, a new one. What the ranks were seen to be before
+doesn't matter.
 
 The coordinator's own rank is fenced first and armed last. If its machine fails, another
-coordinator can release the group: while any other rank is not armed, the rank on the
-failed machine is not armed either.
+coordinator can release the group: if its own rank accepts a version without having been
+disarmed, the rank on the failed machine is not armed either.
 """
 
 from collections.abc import Collection, Iterable, Mapping
@@ -31,7 +31,10 @@
 
 from toucanspool.groups.expert_map import IntArray
 from toucanspool.groups.group_client import GroupClient, Replaced
-from toucanspool.groups.group_state import armed_versions, pass_to_hold
+from toucanspool.groups.group_state import (
+    armed_versions,
+    passes_to_hold,
+)
 from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
 from toucanspool.groups.map_versions import VersionSource, token_of_version
 from toucanspool.groups.pass_holds import PassHolds
@@ -185,9 +188,9 @@
             As for `run`.
         """
         holds = self.new_holds()
-        step = pass_to_hold(answers)
-        if step != UNSET and not holds.place_at(self.holders(), step):
-            _log.info("armed pass not held", group=self._client.group, step=step)
+        passes = passes_to_hold(answers)
+        if passes and holds.place_before(self.holders(), passes) == UNSET:
+            _log.info("armed pass not held", group=self._client.group, passes=passes)
             return
         holds.adopt_all(answers)
         version = self.next_version(answers)
--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -29,7 +29,9 @@
     RankResult,
 )
 
-HOLD_ACTIONS = frozenset({RankAction.HOLD, RankAction.HOLD_AHEAD})
+HOLD_ACTIONS = frozenset(
+    {RankAction.HOLD, RankAction.HOLD_AHEAD, RankAction.HOLD_SHARED}
+)
 READ_ACTIONS = frozenset({RankAction.STATUS, RankAction.COUNTS, RankAction.LISTS})
 NO_TOKEN = -1
 # Answers wait for copies a little less long than a coordinator waits for answers.
@@ -73,6 +75,7 @@
         "_holds",
         "_local",
         "_newest_version",
+        "_rank",
         "_last_counts",
         "_maps",
         "_token_known",
@@ -87,6 +90,7 @@
         self._last_counts: ExpertCounts | None = None
         self._maps: dict[int, IntArray] = {}
         self._newest_version = UNSET
+        self._rank = UNSET
         self._token_known = False
         self.token = NO_TOKEN
         self.last_request_at = time.monotonic()
@@ -126,12 +130,13 @@
             _log.info("coordinator accepted", token=request.token, before=self.token)
             self.token = request.token
         self.last_request_at = time.monotonic()
-        result, detail = RankResult.OK, ""
+        result, detail, ordered_pass = RankResult.OK, "", UNSET
         try:
             if request.action not in READ_ACTIONS:
-                result, detail = self._execute_order(request)
-                self._log_order(request, result, detail)
+                result, detail, ordered_pass = self._execute_order(request)
+                self._log_order(request, ordered_pass, result, detail)
             state = self._engine.state()
+            self._rank = state.rank
             self._holds.observe(state)
             copying = request.action == RankAction.PREPARE and result == RankResult.OK
             if copying and not request.answer_at_once:
@@ -161,7 +166,8 @@
             prepared=state.prepared,
             armed=state.armed,
             armed_step=state.armed_step,
-            held=state.held,
+            # A late copy of an earlier report may name another pass.
+            held=ordered_pass if request.action in HOLD_ACTIONS else state.held,
             running=state.running,
             waiting=state.waiting,
             picks=counts,
@@ -172,38 +178,43 @@
             pace=state.pace,
         )
 
-    def _execute_order(self, request: RankAsk) -> tuple[int, str]:
+    def _execute_order(self, request: RankAsk) -> tuple[int, str, int]:
+        """Return the result, its details and the pass that the order names."""
+        step = UNSET if request.step is None else request.step
         try:
-            self._send_order(request)
+            if request.action in HOLD_ACTIONS:
+                step = self._choose_pass(request)
+            self._send_order(request, step)
         except (OrderRefused, ValueError) as exc:
             # A map that can't be decoded raises ValueError and is refused like any
             # other order that the engine does not accept.
-            return RankResult.REFUSED, str(exc)
+            return RankResult.REFUSED, str(exc), UNSET
         except OrderLost as exc:
-            return RankResult.LOST, str(exc)
-        return RankResult.OK, ""
+            return RankResult.LOST, str(exc), UNSET
+        return RankResult.OK, "", step
 
-    def _log_order(self, request: RankAsk, result: int, detail: str) -> None:
+    def _log_order(self, request: RankAsk, step: int, result: int, detail: str) -> None:
         """Log an order and the result, so that a pass on two maps can be traced."""
         _log.info(
             "order",
             action=RankAction._VALUES_TO_NAMES[request.action],
             version=request.version,
-            step=request.step,
+            step=step if step != UNSET else request.step,
             token=request.token,
+            rank=self._rank,
             direct=not self._local,
             result=RankResult._VALUES_TO_NAMES[result],
             detail=detail,
         )
 
-    def _send_order(self, request: RankAsk) -> None:
+    def _send_order(self, request: RankAsk, step: int) -> None:
         engine = self._engine
         if request.action == RankAction.PREPARE:
             lists = self._read_map(request)
             self._newest_version = max(self._newest_version, request.version)
             engine.prepare(request.version, lists, request.epoch)
         elif request.action in HOLD_ACTIONS:
-            engine.hold(self._choose_pass(request), request.epoch)
+            engine.hold(step, request.epoch)
         elif request.action == RankAction.ARM:
             sequence = engine.state().sequence
             engine.arm(request.version, request.step, request.epoch, sequence=sequence)
@@ -219,7 +230,8 @@
         state = self._engine.state()
         if request.action == RankAction.HOLD_AHEAD:
             return self._holds.choose(state, request.step)
-        self._holds.admit(state, request.step)
+        shared = request.action == RankAction.HOLD_SHARED
+        self._holds.admit(state, request.step, shared=shared)
         return request.step
 
     def _wait_for_copies(self, version: int, state: RankState) -> RankState:
--- a/toucanspool/groups/group_repair.py
+++ b/toucanspool/groups/group_repair.py
@@ -5,9 +5,8 @@
 from toucanspool.groups.armed_switch import ArmedSwitch, SwitchEnd
 from toucanspool.groups.expert_map import IntArray
 from toucanspool.groups.group_client import GroupClient
-from toucanspool.groups.group_state import armed_versions, pass_to_hold
+from toucanspool.groups.group_state import armed_versions, passes_to_hold
 from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
-from toucanspool.groups.pass_holds import PassHolds
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
@@ -53,7 +52,10 @@
     """
     holds = switch.new_holds()
     holds.adopt_all(answers)
-    step = _hold_soon(switch, answers, holds)
+    latest = max(answer.step for answer in answers.values())
+    next_passes = [latest + ahead for ahead in HOLD_SOON]
+    passes = passes_to_hold(answers) or next_passes
+    step = holds.place_before(switch.holders(), passes)
     if step == UNSET:
         return SwitchEnd.NOT_HELD
     new = VersionedMap(switch.next_version(answers), complete)
@@ -63,14 +65,3 @@
         return switch.arm_and_release(new, step, holds, complete)
     switch.release(holds)
     return SwitchEnd.NOT_COPIED
-
-
-def _hold_soon(
-    switch: ArmedSwitch, answers: Mapping[int, RankAnswer], holds: PassHolds
-) -> int:
-    """Hold the pass at which ranks are armed, else one of the next; return it."""
-    step = pass_to_hold(answers)
-    latest = max(answer.step for answer in answers.values())
-    steps = [step] if step != UNSET else [latest + ahead for ahead in HOLD_SOON]
-    held = (step for step in steps if holds.place_at(switch.holders(), step))
-    return next(held, UNSET)
--- a/toucanspool/groups/group_state.py
+++ b/toucanspool/groups/group_state.py
@@ -6,6 +6,9 @@
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
+# Passes to try to hold; there are as many names for a hold as passes times ranks.
+MAX_PASSES_TRIED = 3
+
 
 def is_fully_armed(answers: Mapping[int, RankAnswer]) -> bool:
     """Return whether every rank is armed with one version or already runs on it.
@@ -33,8 +36,8 @@
     return {answer.armed for answer in answers.values()} - {UNSET}
 
 
-def pass_to_hold(answers: Mapping[int, RankAnswer]) -> int:
-    """Return a pass before which no armed rank switches; `UNSET` if none is armed.
+def passes_to_hold(answers: Mapping[int, RankAnswer]) -> list[int]:
+    """Return passes to hold so that no armed rank switches; none if none is armed.
 
     Parameters
     ----------
@@ -43,15 +46,18 @@
 
     Returns
     -------
-    int
-        The pass at which the ranks are armed. If the engines don't tell it, the next
-        one, which may have begun by now.
+    list of int
+        The pass at which the ranks are armed and some before it. If the engines don't
+        tell it, only the next pass, which may have begun by now.
     """
     armed = [answer for answer in answers.values() if answer.armed != UNSET]
     if not armed:
-        return UNSET
+        return []
+    latest = max(answer.step for answer in answers.values())
     steps = {answer.armed_step for answer in armed} - {UNSET, None}
-    return min(steps) if steps else 1 + max(a.step for a in answers.values())
+    if not steps:
+        return [latest + 1]
+    return list(range(min(steps), latest, -1))[:MAX_PASSES_TRIED] or [min(steps)]
 
 
 def is_complete(answers: Mapping[int, RankAnswer]) -> bool:
--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -1,6 +1,6 @@
 """Holds of passes, placed and released on behalf of one coordinator."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 import gevent
 
@@ -16,9 +16,8 @@
 
 RETRY_INTERVAL_S = 0.05
 MAX_HOLDERS_TRIED = 3
-# A hold at one rank may be that of the switch that is undone, which holds its pass at
-# one rank only.
-HOLDERS_NEEDED = 2
+# Late orders may name a pass at one rank, but hardly at all.
+SHARED_HOLDS_NEEDED = 2
 RELEASED_RESULTS = (RankResult.OK, RankResult.REFUSED)
 
 
@@ -43,13 +42,13 @@
         self._own_rank = own_rank
         self._holds: set[tuple[int, int]] = set()
 
-    def place_ahead(self, ranks: Iterable[int], passes_ahead: int) -> int:
+    def place_ahead(self, ranks: Sequence[int], passes_ahead: int) -> int:
         """Hold a pass that no order has named, at the first rank that confirms it.
 
         Parameters
         ----------
-        ranks : iterable of int
-            Ranks to try, in this order.
+        ranks : sequence of int
+            All ranks, in the order in which some of them are tried.
         passes_ahead : int
             Passes from the latest one to the held one, at least.
 
@@ -59,7 +58,10 @@
             The held pass; `UNSET` if no rank confirmed one.
         """
         request = RankAsk(action=RankAction.HOLD_AHEAD, step=passes_ahead)
-        for rank in list(ranks)[:MAX_HOLDERS_TRIED]:
+        # Late orders may hold passes at the ranks that are tried. Whoever undoes the
+        # switch needs one that holds none.
+        n_tried = max(1, min(MAX_HOLDERS_TRIED, len(ranks) - 2))
+        for rank in ranks[:n_tried]:
             try:
                 answer = self._client.send(rank, request, self._epoch)
             except NoAnswer:
@@ -69,33 +71,54 @@
                 return answer.held
         return UNSET
 
-    def place_at(self, ranks: Iterable[int], step: int) -> bool:
-        """Hold a given pass at two ranks.
+    def place_before(self, ranks: Sequence[int], passes: Sequence[int]) -> int:
+        """Hold one of several passes such that only `release` releases it.
 
         Parameters
         ----------
-        ranks : iterable of int
+        ranks : sequence of int
             Ranks to try, in this order.
-        step : int
-            The pass.
+        passes : sequence of int
+            Passes to try, in this order.
 
         Returns
         -------
-        bool
-            Whether two ranks confirmed it, so that the pass hasn't begun and begins
-            only after `release`.
+        int
+            The held pass, which hasn't begun; `UNSET` for none.
         """
-        untried, placed = list(ranks), 0
-        while untried and placed < HOLDERS_NEEDED:
-            tried = untried[: HOLDERS_NEEDED - placed]
-            untried = untried[len(tried) :]
+        answering = set()
+        for step in passes:
             request = RankAsk(action=RankAction.HOLD, step=step)
-            answers = self._client.send_all(tried, request, self._epoch)
-            for rank, answer in answers.items():
-                if answer is not None and answer.result == RankResult.OK:
+            for rank in ranks:
+                try:
+                    answer = self._client.send(rank, request, self._epoch)
+                except NoAnswer:
+                    continue
+                if answer.result == RankResult.OK:
                     self._holds.add((rank, step))
-                    placed += 1
-        return placed >= HOLDERS_NEEDED
+                    return step
+                if answer.step >= step:
+                    break
+                answering.add(rank)
+        return self._place_shared(answering, passes[0])
+
+    def _place_shared(self, ranks: Collection[int], step: int) -> int:
+        """Hold a pass at all ranks, since its names may be in use by late orders.
+
+        All agents have been started again if none of them has a name to give. Late
+        orders of before then have one rank, or all if the pass was held like this.
+        """
+        if len(ranks) < SHARED_HOLDS_NEEDED:
+            return UNSET
+        request = RankAsk(action=RankAction.HOLD_SHARED, step=step)
+        answers = self._client.send_all(ranks, request, self._epoch)
+        placed = {
+            (rank, step)
+            for rank, answer in answers.items()
+            if answer is not None and answer.result == RankResult.OK
+        }
+        self._holds |= placed
+        return step if len(placed) >= SHARED_HOLDS_NEEDED else UNSET
 
     def adopt_all(self, answers: Mapping[int, RankAnswer]) -> None:
         """Add the holds that were placed by another coordinator or by a late order.
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -9,7 +9,7 @@
 import structlog
 from gevent.event import AsyncResult
 
-from toucanspool.groups.fenced_engine import FencedEngine
+from toucanspool.groups.fenced_engine import HOLD_ACTIONS, FencedEngine
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
 from toucanspool.wire.gen.messages.ttypes import (
     Frame,
@@ -104,6 +104,8 @@
             return self._send_to_engine(request)
 
     def _send_to_engine(self, request: RankAsk) -> RankAnswer:
+        if request.action in HOLD_ACTIONS:
+            raise NoAnswer("only an engine's agent may hold a pass")
         answer = self._engine.answer(request)
         if answer.rank < 0:
             raise NoAnswer(answer.detail)
--- a/toucanspool/wire/gen/messages/ttypes.py
+++ b/toucanspool/wire/gen/messages/ttypes.py
@@ -140,6 +140,7 @@
     LISTS = 7
     COUNTS = 8
     HOLD_AHEAD = 9
+    HOLD_SHARED = 10
 
     _VALUES_TO_NAMES = {
         1: "STATUS",
@@ -151,6 +152,7 @@
         7: "LISTS",
         8: "COUNTS",
         9: "HOLD_AHEAD",
+        10: "HOLD_SHARED",
     }
 
     _NAMES_TO_VALUES = {
@@ -163,6 +165,7 @@
         "LISTS": 7,
         "COUNTS": 8,
         "HOLD_AHEAD": 9,
+        "HOLD_SHARED": 10,
     }
 
 
--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -78,13 +78,14 @@
 }
 
 enum RankAction { STATUS = 1, PREPARE = 2, HOLD = 3, ARM = 4, DISARM = 5, GO = 6, LISTS = 7,
-  COUNTS = 8, HOLD_AHEAD = 9
+  COUNTS = 8, HOLD_AHEAD = 9, HOLD_SHARED = 10
 }
 
 enum RankResult { OK = 1, STALE = 2, REFUSED = 3, LOST = 4, NOT_READY = 5 }
 
-// A coordinator asks the agent of one rank. HOLD holds the pass in step; HOLD_AHEAD one
-// that is at least step passes ahead, and that no order has named before. experts holds them by set, rank and
+// A coordinator asks the agent of one rank. HOLD holds the pass in step if no order has
+// named it before; HOLD_SHARED also if one may have; HOLD_AHEAD one that is at least step
+// passes ahead and has not been named. experts holds them by set, rank and
 // place as 16-bit numbers, -1 for an empty place, compressed by zlib. With a base, changes
 // holds what differs from the map of that version, and experts is empty. Answers to
 // PREPARE wait a little for the copies unless answer_at_once is set.
