Prove that a rank that is away isn't armed, and end fences that are refused

A pass could begin with the rank of a coordinator whose machine had been away alone on the new map: its successor had read that another rank was not armed and took this for proof, but the coordinator came back and armed both before the successor disarmed it.

A successor now has its own rank accept a version without disarming it: only then has the other one never had all others armed, and never will. A fence that a rank keeps refusing though it isn't armed ends, so that the coordinator doesn't hold the group alone.

--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -33,6 +33,7 @@
 from toucanspool.groups.group_client import GroupClient, Replaced
 from toucanspool.groups.group_state import (
     armed_versions,
+    is_complete,
     passes_to_hold,
 )
 from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
@@ -194,7 +195,11 @@
             return
         holds.adopt_all(answers)
         version = self.next_version(answers)
-        self.fence(VersionedMap(version, current), armed_versions(answers))
+        self.fence(
+            VersionedMap(version, current),
+            armed_versions(answers),
+            disarm_own=is_complete(answers),
+        )
         self.release(holds)
         _log.warning(
             "unfinished switch resolved",
@@ -270,7 +275,13 @@
                 return True
         return False
 
-    def fence(self, new: VersionedMap, disarmed: Collection[int]) -> None:
+    def fence(
+        self,
+        new: VersionedMap,
+        disarmed: Collection[int],
+        *,
+        disarm_own: bool = True,
+    ) -> None:
         """Have all ranks accept a version; see `fence_ranks`."""
         fence_ranks(
             self._client,
@@ -278,6 +289,7 @@
             (self._own_rank, *sorted(self._ranks - {self._own_rank})),
             new,
             disarmed,
+            disarm_own=disarm_own,
         )
 
     def release(self, holds: PassHolds) -> None:
--- a/toucanspool/groups/version_fence.py
+++ b/toucanspool/groups/version_fence.py
@@ -1,6 +1,7 @@
 """Fencing of ranks against earlier switches, by the version of the prepared map."""
 
 import itertools
+from collections import Counter
 from collections.abc import Collection, Sequence
 
 import gevent
@@ -11,6 +12,8 @@
 from toucanspool.wire.gen.messages.ttypes import RankAction, RankAsk, RankResult
 
 RETRY_INTERVAL_S = 0.05
+# A rank on another machine may show for some time that it has not accepted the version.
+MAX_REFUSALS = 40
 
 
 def fence_ranks(
@@ -19,6 +22,8 @@
     ranks: Sequence[int],
     new: VersionedMap,
     disarmed: Collection[int],
+    *,
+    disarm_own: bool = True,
 ) -> None:
     """Have every rank accept a version, after which no earlier one can be armed.
 
@@ -38,25 +43,32 @@
         The map to prepare.
     disarmed : collection of int
         Versions to disarm.
+    disarm_own : bool, default=True
+        Whether to disarm the first rank too.
 
     Raises
     ------
     Replaced
         Another coordinator has been elected.
     GroupChanged
-        The group was formed again, or a rank is armed with another version. No pass is
-        held for that one, so that it must not be disarmed.
+        The group was formed again, a rank is armed and must not be disarmed, or a rank
+        that is not armed keeps refusing the map.
     """
     own_rank, *others = ranks
-    for part in ({own_rank}, set(others)):
+    parts = (({own_rank}, disarmed if disarm_own else ()), (set(others), disarmed))
+    for part, part_disarmed in parts:
+        refusals: Counter[int] = Counter()
         for attempt in itertools.count():
             if not part:
                 break
             if attempt > 1:
                 gevent.sleep(RETRY_INTERVAL_S)
                 client.check_term(own_rank, epoch)
-            refused = _prepare(client, epoch, part, new, disarmed)
-            for version in disarmed:
+            refused = _prepare(client, epoch, part, new, part_disarmed)
+            refusals.update(refused)
+            if max(refusals.values(), default=0) > MAX_REFUSALS:
+                raise GroupChanged("a rank refuses the map")
+            for version in part_disarmed:
                 request = RankAsk(action=RankAction.DISARM, version=version)
                 client.send_all(refused, request, epoch)
 
