--- a/tests/recovery/test_election.py
+++ b/tests/recovery/test_election.py
@@ -101,7 +101,7 @@
     table.commit([], [Write(DUTY_PREFIX + "d", value)])
     assert current_token(table, "d") == 0
     assert elect(table, "d", "a", above=4).token == 5
-    assert elect(table, "d", "b", above=4) == Election(6, "a")
+    assert elect(table, "d", "b", above=4) == Election(6, "a", 5)
 
 
 def test_the_highest_token_that_is_read_can_be_raised():
@@ -109,6 +109,6 @@
     value = orjson.dumps({"holder": "x", "token": MAX_TOKEN})
     table.commit([], [Write(DUTY_PREFIX + "d", value)])
     elected = elect(table, "d", "a", above=0)
-    assert elected == Election(MAX_TOKEN + 1, "x")
+    assert elected == Election(MAX_TOKEN + 1, "x", MAX_TOKEN)
     # Orders carry it as a 64-bit integer.
     assert elected.token < 1 << 63
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -70,6 +70,7 @@
         "_engine",
         "_group",
         "_link_bits_per_s",
+        "_not_held_at",
         "_own_rank",
         "_previous_rank",
         "_previous_token",
@@ -105,6 +106,12 @@
         self._versions = VersionSource(token)
         self._copies: ExpertCopies | None = None
         self._several_maps_since = math.inf
+        self._not_held_at = UNSET
+
+    @property
+    def own_rank(self) -> int:
+        """The rank on this machine when it was elected."""
+        return self._own_rank
 
     def run_once(self, links: Mapping[int, RankLink]) -> None:
         """Read the group's state once, and switch its map if that is worthwhile.
@@ -127,7 +134,7 @@
             client.fetch_statuses()
             return
         answers = self._counts.fetch(client, links, engine)
-        if not answers:
+        if self._own_rank not in answers:
             return
         if not can_act(answers, self._previous_rank, self._previous_token):
             return
@@ -170,7 +177,8 @@
             # Engines on other machines may still report an earlier state.
             return
         if held or armed:
-            switch.resolve(answers, self._copies.lists())
+            with self._counts.background(client, answers, engine):
+                switch.resolve(answers, self._copies.lists())
             self._version = UNSET
         elif is_complete(answers) and all(a.open for a in answers.values()):
             self._rebalance(client, switch, answers, engine)
@@ -231,6 +239,10 @@
         after = planned.skew(demand, slowdowns)
         if before - after < _min_skew_gain(answers, engine):
             return
+        step = max(answer.step for answer in answers.values())
+        if step == self._not_held_at:
+            # Agents that are new hold no pass before the next one has begun.
+            return
         version = switch.next_version(answers)
         started = time.monotonic()
         _log.info(
@@ -258,6 +270,7 @@
         finally:
             self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
         self._adapt_passes_ahead(switch.arm_rounds)
+        self._not_held_at = step if outcome is SwitchEnd.NOT_HELD else UNSET
         if outcome is SwitchEnd.DONE:
             self._version, self._copies = version, planned
         _log.info(
--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -257,6 +257,11 @@
 
     def _coordinate(self) -> None:
         assert self._record is not None
+        if self._record.rank != self._coordinator.own_rank:
+            # What a coordinator knows of its own rank holds until ranks are given anew.
+            self._coordinator = None
+            self._rank_feed.stop()
+            return
         try:
             self._coordinator.run_once(self._group_links(self._record))
         except Replaced as exc:
