--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -8,7 +8,7 @@
 from standins.raw_upstream import answering
 from tests.gateway.gateways import HOST, gateway, route
 from tests.platform.test_listings import FIELDS, listing
-from tests.platform.test_operator_configuration import ENGINE, ROUTE, decode_with
+from tests.platform.test_operator_configuration import ROUTE, decode_with
 from toucanspool.backing.table import Row
 from toucanspool.groups.rank_record import RankRecord, decode_rank
 from toucanspool.membership.entries import EntryRecord, decode_entry
@@ -276,24 +276,6 @@
         assert gw.core.upstreams.find("u0").in_flight == 0
 
 
-@pytest.mark.parametrize("field", ["stride", "sets", "experts", "placements", "spare"])
-@pytest.mark.parametrize("value", [1e308, 1 << 63, -1, "7", True, [1]])
-def test_an_engine_with_an_impossible_number_makes_the_configuration_invalid(
-    field, value
-):
-    """Guards against estimates and maps that raise OverflowError or MemoryError."""
-    service = {"name": "a", "engine": {**ENGINE, field: value}}
-    with pytest.raises(BadConfiguration):
-        decode_with(services=[service])
-
-
-def test_an_engine_with_less_than_one_step_in_a_pass_is_refused():
-    """Guards against a division by zero."""
-    service = {"name": "a", "engine": {**ENGINE, "stride": 0.4}}
-    with pytest.raises(BadConfiguration):
-        decode_with(services=[service])
-
-
 def test_a_route_whose_services_have_no_weight_refuses_its_calls():
     """Guards against 500 for a route that the operator has closed by its weights."""
     decoded = decode_with(
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -140,3 +140,21 @@
     """Guards against a rate at which each tick of the limits would raise."""
     with pytest.raises(BadConfiguration):
         decode_with(services=[{"name": "a", field: value}])
+
+
+@pytest.mark.parametrize("field", ["stride", "sets", "experts", "placements", "spare"])
+@pytest.mark.parametrize("value", [1e308, 1 << 63, -1, "7", True, [1]])
+def test_an_engine_with_an_impossible_number_makes_the_configuration_invalid(
+    field, value
+):
+    """Guards against estimates and maps that raise OverflowError or MemoryError."""
+    service = {"name": "a", "engine": {**ENGINE, field: value}}
+    with pytest.raises(BadConfiguration):
+        decode_with(services=[service])
+
+
+def test_an_engine_with_less_than_one_step_in_a_pass_is_refused():
+    """Guards against a division by zero."""
+    service = {"name": "a", "engine": {**ENGINE, "stride": 0.4}}
+    with pytest.raises(BadConfiguration):
+        decode_with(services=[service])
--- a/toucanspool/platform/store.py
+++ b/toucanspool/platform/store.py
@@ -47,7 +47,6 @@
 # Idle time before a TCP keepalive probe, by which a feed finds a dead host.
 FEED_KEEPALIVE_S = 1
 
-
 OK, CONFLICT, GONE, THROTTLED, UNAVAILABLE = 200, 412, 410, 429, 503
 
 _log = structlog.get_logger()
@@ -84,11 +83,8 @@
 
     def get(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the existing own rows among `keys`; see `Table`."""
-        found = {}
-        for key in keys:
-            if row := self.row(table_of(key), key):
-                found[key] = row
-        return found
+        found = {key: self.row(table_of(key), key) for key in keys}
+        return {key: row for key, row in found.items() if row}
 
     def row(self, table: str, key: str) -> Row | None:
         """Return a row of any table, or None if it does not exist.
