Wait for late orders by their number in a test, not by time

test_random_losses_late_orders_and_deaths_never_mix_maps[95] failed once in a whole run at a load average of 45: the group didn't begin passes within 2 s of the last recovery.

Cause: the test gave late orders 0.1 s before that recovery. They are due after up to 60 ticks of 1 ms, of which a process that is held up runs few in this time, so that a late order to hold came after it. With no wait at all seed 95 fails in the same way, with a pass held at ranks 1 and 2 and no order left.

Now the test waits until no late order is left. The check and the seeds are the same.

--- a/standins/pass_group.py
+++ b/standins/pass_group.py
@@ -119,6 +119,11 @@
         """Whether the next pass is held."""
         return any(row.held == self.step + 1 for row in self.rows)
 
+    @property
+    def delayed_orders(self) -> int:
+        """Number of orders that are executed later."""
+        return len(self._delayed)
+
     def engine(self, rank: int) -> "PassEngine":
         """Return the engine of a rank."""
         return PassEngine(self, rank)
--- a/tests/groups/test_armed_switch.py
+++ b/tests/groups/test_armed_switch.py
@@ -330,6 +330,7 @@
             resolve(group, engines, token)
             assert task.exception is None
         group.delayed_share = group.lost_share = 0.0
-        gevent.sleep(0.1)
+        while group.delayed_orders:
+            gevent.sleep(TICK_S)
         resolve(group, engines, token + 1)
         wait_for_passes(group)
