--- a/toucanspool/groups/rank_member.py
+++ b/toucanspool/groups/rank_member.py
@@ -1,6 +1,5 @@
 """Registration of a rank agent in its group, and election of the coordinator."""
 
-import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -26,8 +25,6 @@
 # waits RANK_DELAY_S longer than the one before, so that only one runs at a time.
 TAKEOVER_DELAY_S = 0.8
 RANK_DELAY_S = 0.2
-# A loop that runs this much late was stopped from outside.
-MAX_STALL_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -158,18 +155,14 @@
 
     def run(self) -> None:
         """Coordinate the group, or wait for an election, until `stop` is called."""
-        due_at = math.inf
         while not self._stopping:
             started = time.monotonic()
-            if started > due_at + MAX_STALL_S:
-                # This machine was frozen, and requests from then are still unread.
-                self._fenced_engine.last_request_at = started
             try:
                 self._run_once()
             except (Exception, gevent.Timeout):
                 _log.exception("coordination failed")
-            due_at = max(time.monotonic() + 0.01, started + COORDINATION_INTERVAL_S)
-            gevent.sleep(due_at - time.monotonic())
+            passed_s = time.monotonic() - started
+            gevent.sleep(max(0.01, COORDINATION_INTERVAL_S - passed_s))
 
     def stop(self) -> None:
         """Make `run` return after the switch in progress."""
