--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -16,7 +16,8 @@
 
 RETRY_INTERVAL_S = 0.05
 MAX_HOLDERS_TRIED = 3
-# Late orders may name a pass at one rank, but hardly at all.
+# A late order may release a hold whose name was used before. The switch that is undone
+# has used a name at one rank.
 SHARED_HOLDS_NEEDED = 2
 RELEASED_RESULTS = (RankResult.OK, RankResult.REFUSED)
 
@@ -103,10 +104,10 @@
         return self._place_shared(answering, passes[0])
 
     def _place_shared(self, ranks: Collection[int], step: int) -> int:
-        """Hold a pass at all ranks, since its names may be in use by late orders.
+        """Hold a pass at all ranks, where late orders may name it.
 
-        All agents have been started again if none of them has a name to give. Late
-        orders of before then have one rank, or all if the pass was held like this.
+        No agent has a free name if all of them have just been started. Late orders to
+        release the pass at all of these ranks would still end the hold.
         """
         if len(ranks) < SHARED_HOLDS_NEEDED:
             return UNSET
