Wait for a call to arrive in a test instead of for 0.05 s

test_a_call_that_waited_is_served_if_it_ends_before_the_process[at most once] failed once in a whole run at a load average of 19: no call was running 0.05 s after it had been sent over loopback. A process that is held up for this time finds the timer due before it has accepted the connection. With no wait at all the test fails with the same message. It now waits until the call runs, for 1 s at most; what follows is the same.

--- a/tests/gateway/test_calls_in_a_stop.py
+++ b/tests/gateway/test_calls_in_a_stop.py
@@ -21,6 +21,7 @@
     "stream": route(CallKind.STREAM, resumable=True),
 }
 LATE_S = 0.05
+ARRIVAL_TIMEOUT_S = 1.0
 KEPT = request("POST", body=b"ask").replace(b"Connection: close\r\n", b"")
 
 
@@ -44,8 +45,9 @@
     limiter = FullLimiter()
     gw.core.dispatcher._find_limiter = lambda service: limiter
     call = gevent.spawn(gw.call, "POST", body=b"ask")
-    gevent.sleep(LATE_S)
-    assert gw.core.dispatcher.running == 1
+    with gevent.Timeout(ARRIVAL_TIMEOUT_S):
+        while gw.core.dispatcher.running != 1:
+            gevent.sleep(0.001)
     return call, limiter
 
 
