Count only the gateway's own requests in a test of limits

test_a_limit_that_cannot_be_read_ends_none failed once in a whole run: 19 requests where 8 are allowed. The log of that run has four calls routed; the other 15 requests came from a JSON client with an empty body, which the gateway never sends: a client of another test process, whose server had this port before. The check is the same for the gateway's requests.

--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -156,7 +156,9 @@
 
     with gateway(script) as gw:
         call_steadily(gw, 3.0)
-        assert len(gw.upstreams[0].seen) <= 3.0 + EXTRA_REQUESTS
+        # Clients of other test processes may still use the port of an earlier server.
+        sent = [req for req in gw.upstreams[0].seen if "/p/x" in req.head]
+        assert len(sent) <= 3.0 + EXTRA_REQUESTS
 
 
 def test_what_another_instance_at_the_address_names_does_not_count():
