Log how long a switch holds a pass, and whether the group waited for it

No log line told apart a switch that holds its group from one whose passes are slow. The line "map switch ended" now has the time from the hold to its confirmed release, the passes ahead, the time of a pass and whether the held pass began as it was released. Arming moves to a module of its own; no behaviour changes.

--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -39,18 +39,13 @@
 from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
 from toucanspool.groups.map_versions import VersionSource, token_of_version
 from toucanspool.groups.pass_holds import PassHolds
+from toucanspool.groups.rank_arming import RankArming
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.groups.version_fence import fence_ranks
-from toucanspool.wire.gen.messages.ttypes import (
-    RankAction,
-    RankAnswer,
-    RankAsk,
-    RankResult,
-)
+from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
 # Passes from the latest one to the held one: time to arm all ranks.
 PASSES_AHEAD = 2
-MAX_ARM_ATTEMPTS = 8
 
 _log = structlog.get_logger()
 
@@ -84,19 +79,28 @@
 
     Attributes
     ----------
+    passes_ahead : int
+        Passes between the latest one and the held one.
     arm_rounds : int
         Rounds of arm orders that the switch took. Without lost orders there are two:
         one for the other ranks and one for the coordinator's own.
+    held_s : float
+        Time from the order to hold a pass until its release was confirmed, in seconds;
+        0 if none was held.
+    delayed_group : bool
+        Whether the group waited for that release.
     """
 
     __slots__ = (
-        "_passes_ahead",
         "_client",
         "_epoch",
         "_own_rank",
         "_ranks",
         "_versions",
         "arm_rounds",
+        "delayed_group",
+        "held_s",
+        "passes_ahead",
     )
 
     def __init__(
@@ -113,9 +117,11 @@
         self._epoch = epoch
         self._ranks = frozenset(ranks)
         self._own_rank = own_rank
-        self._passes_ahead = passes_ahead
+        self.passes_ahead = passes_ahead
         self._versions = versions or VersionSource(client.token)
         self.arm_rounds = 0
+        self.held_s = 0.0
+        self.delayed_group = False
 
     def next_version(self, answers: Mapping[int, RankAnswer]) -> int:
         """Return a version that no rank has seen and no other coordinator uses.
@@ -225,7 +231,7 @@
         return ranks[after_own:] + ranks[:after_own]
 
     def _hold(self, holds: PassHolds) -> int:
-        return holds.place_ahead(self.holders(), self._passes_ahead)
+        return holds.place_ahead(self.holders(), self.passes_ahead)
 
     def arm_and_release(
         self, new: VersionedMap, step: int, holds: PassHolds, fallback: IntArray
@@ -259,21 +265,10 @@
         return SwitchEnd.NOT_ARMED
 
     def _arm(self, ranks: Iterable[int], version: int, step: int) -> bool:
-        waiting = set(ranks)
-        for _ in range(MAX_ARM_ATTEMPTS):
-            self.arm_rounds += 1
-            request = RankAsk(action=RankAction.ARM, version=version, step=step)
-            answers = self._send_all(waiting, request)
-            for rank, answer in answers.items():
-                if answer is None:
-                    continue
-                if answer.result == RankResult.OK or answer.armed == version:
-                    waiting.discard(rank)
-                elif answer.result == RankResult.REFUSED:
-                    return False
-            if not waiting:
-                return True
-        return False
+        arming = RankArming(self._client, self._epoch, version, step)
+        armed = arming.run(ranks)
+        self.arm_rounds += arming.rounds
+        return armed
 
     def fence(
         self,
@@ -295,8 +290,4 @@
     def release(self, holds: PassHolds) -> None:
         """Release the holds of this switch or of its recovery."""
         holds.release()
-
-    def _send_all(
-        self, ranks: Iterable[int], request: RankAsk
-    ) -> dict[int, RankAnswer | None]:
-        return self._client.send_all(ranks, request, self._epoch)
+        self.held_s, self.delayed_group = holds.held_s, holds.delayed_group
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -18,6 +18,7 @@
 from toucanspool.groups.map_reader import read_copies, read_lists
 from toucanspool.groups.map_repair import complete_map
 from toucanspool.groups.map_versions import VersionSource
+from toucanspool.groups.pass_clock import PassClock
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.routing.routes import EngineModel
@@ -72,6 +73,7 @@
         "_link_bits_per_s",
         "_not_held_at",
         "_own_rank",
+        "_pass_clock",
         "_previous_rank",
         "_previous_token",
         "_several_maps_since",
@@ -96,6 +98,7 @@
         self._previous_token = previous_token
         self._link_bits_per_s = link_bits_per_s
         self._passes_ahead = PASSES_AHEAD
+        self._pass_clock = PassClock()
         self._states_current_at = 0.0
         self._group = group
         self._token = token
@@ -136,6 +139,7 @@
         answers = self._counts.fetch(client, links, engine)
         if self._own_rank not in answers:
             return
+        self._pass_clock.observe(answers[self._own_rank].step, time.monotonic())
         if not can_act(answers, self._previous_rank, self._previous_token):
             return
         first = next(iter(answers.values()))
@@ -279,6 +283,10 @@
             version=version,
             result=outcome.value,
             took_ms=round((time.monotonic() - started) * 1000),
+            held_ms=round(switch.held_s * 1000),
+            passes_ahead=switch.passes_ahead,
+            pass_ms=self._pass_clock.pass_ms,
+            delayed_group=switch.delayed_group,
         )
 
     def _adapt_passes_ahead(self, arm_rounds: int) -> None:
--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -1,5 +1,6 @@
 """Holds of passes, placed and released on behalf of one coordinator."""
 
+import time
 from collections.abc import Collection, Mapping, Sequence
 
 import gevent
@@ -33,15 +34,34 @@
         The group's epoch.
     own_rank : int
         The rank on the coordinator's machine.
+
+    Attributes
+    ----------
+    held_s : float
+        Time from the first order to hold until all releases were confirmed, in seconds;
+        0 before.
+    delayed_group : bool
+        Whether a pass began as it was released, so that the group waited for that.
     """
 
-    __slots__ = ("_client", "_epoch", "_holds", "_own_rank")
+    __slots__ = (
+        "_client",
+        "_epoch",
+        "_first_order_at",
+        "_holds",
+        "_own_rank",
+        "delayed_group",
+        "held_s",
+    )
 
     def __init__(self, client: GroupClient, epoch: int, own_rank: int) -> None:
         self._client = client
         self._epoch = epoch
         self._own_rank = own_rank
         self._holds: set[tuple[int, int]] = set()
+        self._first_order_at = time.monotonic()
+        self.held_s = 0.0
+        self.delayed_group = False
 
     def place_ahead(self, ranks: Sequence[int], passes_ahead: int) -> int:
         """Hold a pass that no order has named, at the first rank that confirms it.
@@ -152,6 +172,8 @@
                     # A refused order names a pass that the rank doesn't hold.
                     if answer is not None and answer.result in RELEASED_RESULTS:
                         self._holds.discard((rank, step))
+                        self.delayed_group |= answer.step >= step
             if self._holds:
                 gevent.sleep(RETRY_INTERVAL_S)
                 self._client.check_term(self._own_rank, self._epoch)
+        self.held_s = time.monotonic() - self._first_order_at
