--- a/tests/groups/order_machines.py
+++ b/tests/groups/order_machines.py
@@ -3,6 +3,7 @@
 A machine may freeze or restart. Messages take time on the world's clock.
 """
 
+import math
 from collections.abc import Callable
 from copy import copy
 from typing import TYPE_CHECKING, Any
@@ -17,6 +18,7 @@
 from toucanspool.groups.rank_member import WATCH_INTERVAL_S, RankMember
 from toucanspool.groups.rank_record import PREFIX
 from toucanspool.routing.routes import EngineModel
+from toucanspool.wire.codec import encode
 from toucanspool.wire.connection import ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import Frame
 
@@ -24,15 +26,21 @@
     from tests.groups.order_world import World
 
 RANKS, EXPERTS, SLOTS, SPARE = 4, 16, 6, 4
-MODEL = EngineModel(
-    **{
-        **{name: getattr(ENGINE, name) for name in EngineModel.__slots__},
-        "layer_sets": 1,
-        "experts": EXPERTS,
-        "expert_slots": SLOTS,
-        "copies_per_set": SPARE,
-        "expert_copy_s": 0.01,
-    }
+
+
+def model_of(model: EngineModel, **overrides: float) -> EngineModel:
+    """Return a model with some of its fields replaced."""
+    fields = {name: getattr(model, name) for name in EngineModel.__slots__}
+    return EngineModel(**{**fields, **overrides})
+
+
+MODEL = model_of(
+    ENGINE,
+    layer_sets=1,
+    experts=EXPERTS,
+    expert_slots=SLOTS,
+    copies_per_set=SPARE,
+    expert_copy_s=0.01,
 )
 
 
@@ -46,6 +54,7 @@
         self.running.set()
         self.engine_running = True
         self.backlog: list[Callable[[], None]] = []
+        self.received_at = 0.0
         self.greenlets: set[gevent.Greenlet] = set()
         self.channels: set[Channel] = set()
         self.agent: FencedEngine | None = None
@@ -66,8 +75,8 @@
             connect=self._connect,
             fenced_engine=self.agent,
             table=self.world.table,
-            engine_model=lambda: MODEL,
-            link_bits_per_s=1e9,
+            engine_model=lambda: self.world.model,
+            link_bits_per_s=min(1e9, self.world.link_bits_per_s),
             rank_feed=lambda member: RecordFeed(self.world.table, member),
         )
         self.spawn(self._watch)
@@ -191,7 +200,9 @@
             raise ConnectionLost
         # The sender changes a request that it sends again.
         sent = Frame(rank_ask=copy(frame.rank_ask), rank_answer=copy(frame.rank_answer))
-        self._pass_on(self.peer._receive, sent)
+        limited = math.isfinite(self.machine.world.link_bits_per_s)
+        n_bytes = len(encode(sent)) if limited else 0
+        self._pass_on(self.peer._receive, sent, n_bytes=n_bytes)
 
     def close(self) -> None:
         """Close the connection; the peer still reads what was sent."""
@@ -206,9 +217,12 @@
             self._pass_on(self.peer._end)
         self.machine.channels.discard(self)
 
-    def _pass_on(self, call: Callable[..., None], *args: Any) -> None:
+    def _pass_on(self, call: Callable[..., None], *args: Any, n_bytes: int = 0) -> None:
         world, machine = self.machine.world, self.peer.machine
         at = max(self._last_at, world.now + world.latency_s())
+        duration_s = 8.0 * n_bytes / world.link_bits_per_s + world.handling_s
+        if duration_s:
+            at = machine.received_at = max(at, machine.received_at) + duration_s
         self._last_at = at
 
         def arrive() -> None:
--- a/tests/groups/order_world.py
+++ b/tests/groups/order_world.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -15,14 +16,9 @@
 
 from standins.pass_group import MixedMaps, PassEngine, PassGroup
 from tests.groups.order_engine import OrderFaults
-from tests.groups.order_machines import (
-    EXPERTS,
-    RANKS,
-    SPARE,
-    DelayedTable,
-    Machine,
-)
+from tests.groups.order_machines import MODEL, RANKS, DelayedTable, Machine
 from toucanspool.groups.rank_engine import RankState
+from toucanspool.routing.routes import EngineModel
 
 
 class World:
@@ -41,6 +37,16 @@
         Time between the passes of a busy group.
     min_skew_gain : float, default=0.02
         The least gain for which a coordinator changes the map.
+    ranks : int, default=4
+        Number of ranks, each on a machine of its own.
+    model : EngineModel
+        Numbers of layer sets, experts and expert slots.
+    latency_range_s : pair of float, default=(0.0002, 0.006)
+        Range of the time of one message.
+    link_bits_per_s : float, default=inf
+        Rate at which a machine receives messages, one after the other.
+    handling_s : float, default=0.0
+        Processor time that a machine needs for each message.
     group_options : dict
         Options of the `PassGroup`.
     """
@@ -53,6 +59,11 @@
         timeouts_first: float = 0.5,
         tick_s: float = 0.05,
         min_skew_gain: float = 0.02,
+        ranks: int = RANKS,
+        model: EngineModel = MODEL,
+        latency_range_s: tuple[float, float] = (0.0002, 0.006),
+        link_bits_per_s: float = math.inf,
+        handling_s: float = 0.0,
         **group_options: Any,
     ) -> None:
         self.rng = rng
@@ -62,22 +73,29 @@
         self.min_skew_gain = min_skew_gain
         self.strict = True
         self.now = 100.0
-        self.group = PassGroup(RANKS, rng, spare=SPARE, **group_options)
+        self.model = model
+        self.latency_range_s = latency_range_s
+        self.link_bits_per_s = link_bits_per_s
+        self.handling_s = handling_s
+        spare = model.copies_per_set
+        self.group = PassGroup(ranks, rng, spare=spare, **group_options)
         for row in self.group.rows:
-            row.counts = np.ones((1, EXPERTS), dtype=int)
-        self.faults = [OrderFaults() for _ in range(RANKS)]
+            row.counts = np.ones((model.layer_sets, model.experts), dtype=int)
+        self.faults = [OrderFaults() for _ in range(ranks)]
+        self.pass_starts: list[float] = []
+        self.held_ticks = 0
         self.trace: list[str] = []
         self.errors: list[str] = []
         self.busy = True
         self.hot = 0
         self._calm = False
         self._waiting: list[list] = []
-        self._states: list[list[tuple[float, RankState]]] = [[] for _ in range(RANKS)]
+        self._states: list[list[tuple[float, RankState]]] = [[] for _ in range(ranks)]
         self._due: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._n_due = 0
         self.keep_states()
         self.table = DelayedTable(self)
-        self.machines = [Machine(self, rank) for rank in range(RANKS)]
+        self.machines = [Machine(self, rank) for rank in range(ranks)]
 
     def run(self, duration_s: float) -> None:
         """Run all machines and the group for a while."""
@@ -161,7 +179,7 @@
 
     def latency_s(self) -> float:
         """Return the time of one message."""
-        return self.rng.uniform(0.0002, 0.006)
+        return self.rng.uniform(*self.latency_range_s)
 
     def note(self, line: str) -> None:
         """Record a line."""
@@ -190,8 +208,9 @@
         for row in self.group.rows:
             # Plans go on while the group is idle.
             row.counts = row.counts + 5
-            row.counts[0, self.hot] += 150
-        before = [row.map for row in self.group.rows]
+            row.counts[:, self.hot] += 150
+        before, step = [row.map for row in self.group.rows], self.group.step
+        self.held_ticks += self.busy and self.group.held
         try:
             self.group.tick(busy=self.busy)
         except MixedMaps as exc:
@@ -200,8 +219,11 @@
                 raise
         finally:
             self.keep_states()
+            if self.group.step != step:
+                self.pass_starts.append(self.now)
             if [row.map for row in self.group.rows] != before:
-                self.note("ranks switch: " + "; ".join(map(self.shown, range(RANKS))))
+                shown = map(self.shown, range(len(before)))
+                self.note("ranks switch: " + "; ".join(shown))
 
 
 class VirtualResult(AsyncResult):
