Read no expert counts while a pass is held

All streams of a group paused too long at switches.

A switch, a recovery and a repair now pause these reads while a pass is held, after those under way have arrived; ranks that hear nothing for 0.4 s are asked for their states, so that none stands for election.

--- a/tests/groups/test_calm_switches.py
+++ b/tests/groups/test_calm_switches.py
@@ -54,7 +54,7 @@
 
 
 def late_share(world: World) -> float:
-    """Return the share of streams with a pause over the target; one begins each pass."""
+    """Return the share of late streams, if one begins with each pass."""
     gaps = [(a, b - a) for a, b in itertools.pairwise(world.pass_starts)]
     late_at = [at for at, gap in gaps if gap > GAP_TARGET_S]
     begins = [at for at, _ in gaps]
--- a/tests/groups/test_count_reader.py
+++ b/tests/groups/test_count_reader.py
@@ -8,6 +8,7 @@
 
 from standins.pass_group import GROUP, PassGroup
 from tests.limits.test_adaptive_limit import ENGINE
+from toucanspool.groups import count_reader
 from toucanspool.groups.count_reader import INTERVAL_S, CountReader
 from toucanspool.groups.fenced_engine import FencedEngine
 from toucanspool.groups.group_client import GroupClient
@@ -85,3 +86,55 @@
     assert set(shared.counted) == set(range(RANKS))
     assert shared.unanswered == 0
     assert reader.demand.ready
+
+
+class IdleLink:
+    """Answer for one rank, and record what was asked."""
+
+    def __init__(self, engine: FencedEngine, actions: list[int]) -> None:
+        self._engine = engine
+        self._actions = actions
+
+    def send(self, request: RankAsk, *, transfer_s: float = 0.0) -> RankAnswer:
+        """Return the engine's answer."""
+        self._actions.append(request.action)
+        return self._engine.answer(request)
+
+
+def test_a_pause_stops_reads_of_counts_but_not_for_long_those_of_states(monkeypatch):
+    monkeypatch.setattr(count_reader, "INTERVAL_S", 0.01)
+    monkeypatch.setattr(count_reader, "MAX_SILENCE_S", 0.1)
+    group = PassGroup(1, random.Random(1))
+    engine = FencedEngine(group.engine(0))
+    engine.restore(0)
+    actions: list[int] = []
+    client = GroupClient(GROUP, 1, {0: IdleLink(engine, actions)})
+    reader = CountReader(1e9)
+    with reader.background(client, [0], MODEL):
+        while RankAction.COUNTS not in actions:
+            gevent.sleep(0.01)
+        with reader.paused():
+            actions.clear()
+            started = time.monotonic()
+            while not actions:
+                gevent.sleep(0.01)
+            assert time.monotonic() - started >= 0.1 - 0.01
+            assert RankAction.COUNTS not in actions
+        while RankAction.COUNTS not in actions:
+            gevent.sleep(0.01)
+
+
+def test_a_pause_begins_after_counts_under_way_have_arrived():
+    group = PassGroup(1, random.Random(1))
+    group.rows[0].counts = np.zeros((SETS, EXPERTS), dtype=int)
+    engine = FencedEngine(group.engine(0))
+    engine.restore(0)
+    shared = SharedLink()
+    links = {0: SlowLink(0, engine, shared)}
+    shared.free_at = time.monotonic() + 0.16
+    client = GroupClient(GROUP, 1, links, link_bits_per_s=LINK_BITS_PER_S)
+    reader = CountReader(LINK_BITS_PER_S)
+    reading = gevent.spawn(reader.fetch, client, links, MODEL)
+    gevent.sleep(0.01)
+    with reader.paused():
+        assert reading.ready()
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -24,7 +24,8 @@
 disarmed, the rank on the failed machine is not armed either.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+from contextlib import AbstractContextManager, nullcontext
 from enum import Enum
 
 import structlog
@@ -76,6 +77,9 @@
         Passes between the latest one and the held one.
     versions : VersionSource, optional
         Versions of the coordinator, if it has used some before.
+    quiet_link : callable, default=nullcontext
+        Returns a context manager that keeps other traffic off the coordinator's link;
+        entered while a pass is held.
 
     Attributes
     ----------
@@ -95,6 +99,7 @@
         "_client",
         "_epoch",
         "_own_rank",
+        "_quiet_link",
         "_ranks",
         "_versions",
         "arm_rounds",
@@ -112,6 +117,7 @@
         *,
         passes_ahead: int = PASSES_AHEAD,
         versions: VersionSource | None = None,
+        quiet_link: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         self._client = client
         self._epoch = epoch
@@ -119,6 +125,7 @@
         self._own_rank = own_rank
         self.passes_ahead = passes_ahead
         self._versions = versions or VersionSource(client.token)
+        self._quiet_link = quiet_link
         self.arm_rounds = 0
         self.held_s = 0.0
         self.delayed_group = False
@@ -173,11 +180,12 @@
         preparation = MapPreparation(self._client, self._epoch, new, current)
         if not preparation.run(self._ranks, copy_timeout_s, first=self._own_rank):
             return SwitchEnd.NOT_COPIED
-        holds = self.new_holds()
-        step = self._hold(holds)
-        if step == UNSET:
-            return SwitchEnd.NOT_HELD
-        return self.arm_and_release(new, step, holds, current.experts)
+        with self._quiet_link():
+            holds = self.new_holds()
+            step = self._hold(holds)
+            if step == UNSET:
+                return SwitchEnd.NOT_HELD
+            return self.arm_and_release(new, step, holds, current.experts)
 
     def resolve(self, answers: Mapping[int, RankAnswer], current: IntArray) -> None:
         """Roll back a switch left by another coordinator, or release a late hold.
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -150,6 +150,7 @@
             self._own_rank,
             passes_ahead=self._passes_ahead,
             versions=self._versions,
+            quiet_link=self._counts.paused,
         )
         try:
             self._reconcile(client, switch, answers, engine)
@@ -181,7 +182,7 @@
             # Engines on other machines may still report an earlier state.
             return
         if held or armed:
-            with self._counts.background(client, answers, engine):
+            with self._counts.uncounted(client, answers, engine):
                 switch.resolve(answers, self._copies.lists())
             self._version = UNSET
         elif is_complete(answers) and all(a.open for a in answers.values()):
@@ -210,7 +211,7 @@
             COPY_TIMEOUT_FACTOR * engine.expert_slots * engine.expert_copy_s
             + COPY_TIMEOUT_MARGIN_S
         )
-        with self._counts.background(client, answers, engine):
+        with self._counts.uncounted(client, answers, engine):
             outcome = repair_group(switch, client, answers, complete, timeout_s)
         _log.error(
             "ranks used different maps",
