Let the coordinator's rank answer once it has copied its experts

A request for the state that names a version now waits for its copies as orders to prepare do, in the same round. Agents of older versions answer at once and are polled as before.

--- a/toucanspool/groups/fenced_engine.py
+++ b/toucanspool/groups/fenced_engine.py
@@ -138,8 +138,7 @@
             state = self._engine.state()
             self._rank = state.rank
             self._holds.observe(state)
-            copying = request.action == RankAction.PREPARE and result == RankResult.OK
-            if copying and not request.answer_at_once:
+            if _awaits_copies(request, result):
                 state = self._wait_for_copies(request.version, state)
             counts, picks_unit = b"", 1.0
             if request.action == RankAction.COUNTS and self._local:
@@ -279,3 +278,11 @@
             rank=UNSET,
             detail=detail,
         )
+
+
+def _awaits_copies(request: RankAsk, result: int) -> bool:
+    """Return whether a request is answered once a map's experts are copied."""
+    if request.action == RankAction.STATUS:
+        return request.version is not None
+    accepted = request.action == RankAction.PREPARE and result == RankResult.OK
+    return accepted and not request.answer_at_once
--- a/toucanspool/groups/group_client.py
+++ b/toucanspool/groups/group_client.py
@@ -182,14 +182,40 @@
         Replaced, GroupChanged
             As for `send`.
         """
-        targets = list(ranks)
-        size = len(request.experts or b"") + len(request.changes or b"")
-        transfer_s = self.transfer_s(size * len(targets))
+        return self.send_each(dict.fromkeys(ranks, request), epoch)
+
+    def send_each(
+        self, requests: Mapping[int, RankAsk], epoch: int
+    ) -> dict[int, RankAnswer | None]:
+        """Send a request of its own to each of several ranks; see `send_all`.
+
+        Parameters
+        ----------
+        requests : mapping of int to RankAsk
+            The requests, by rank.
+        epoch : int
+            The group's epoch.
+
+        Returns
+        -------
+        dict of int to RankAnswer or None
+            None for a rank that did not answer.
+
+        Raises
+        ------
+        Replaced, GroupChanged
+            As for `send`.
+        """
+        size = sum(
+            len(request.experts or b"") + len(request.changes or b"")
+            for request in requests.values()
+        )
+        transfer_s = self.transfer_s(size)
         tasks = {
             rank: gevent.spawn(
                 self._send_or_error, rank, copy(request), epoch, transfer_s
             )
-            for rank in targets
+            for rank, request in requests.items()
         }
         gevent.joinall(list(tasks.values()))
         answers = {}
--- a/toucanspool/groups/map_preparation.py
+++ b/toucanspool/groups/map_preparation.py
@@ -195,18 +195,19 @@
         if self._changes is not None:
             self._changes.answer_at_once = answer_at_once
         due = {r for r in self._waiting if self._attempts[r] < MAX_ATTEMPTS}
-        if not due:
-            status = RankAsk(action=RankAction.STATUS)
-            return self._client.send_all(self._waiting, status, self._epoch)
         for rank in due:
             self._attempts[rank] += 1
         whole = due & self._without_base
-        answers = {}
-        if due - whole:
-            answers = self._client.send_all(due - whole, self._changes, self._epoch)
-        if whole:
-            answers |= self._client.send_all(whole, self._whole, self._epoch)
-        return answers
+        # A rank that has accepted the map answers once it has copied the experts.
+        status = RankAsk(action=RankAction.STATUS, version=self._version)
+        parts = (
+            (due - whole, self._changes),
+            (whole, self._whole),
+            (self._waiting - due, status),
+        )
+        return self._client.send_each(
+            {rank: request for ranks, request in parts for rank in ranks}, self._epoch
+        )
 
     def _handle(self, rank: int, answer: RankAnswer) -> None:
         accepted = answer.result == RankResult.OK
