Hold a pass that is not due before all ranks are armed

Callers of a group whose ranks all work got late pauses at each switch. The held pass was the second one after the latest, whatever the number of ranks and the time of a pass: 36 to 86 ms, while arming 72 ranks takes 85 ms without any fault.

How far ahead a pass is held now follows from the time that earlier switches took from the hold to the release (estimated as in RFC 6298) and the time of recent passes. This replaces the rule that held eight passes ahead after a lost order. The first switch of a coordinator holds eight passes ahead. A later pass costs callers nothing but the old map for some passes more.

--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -7,12 +7,13 @@
 import numpy as np
 import structlog
 
-from toucanspool.groups.armed_switch import PASSES_AHEAD, ArmedSwitch, SwitchEnd
+from toucanspool.groups.armed_switch import ArmedSwitch, SwitchEnd
 from toucanspool.groups.copies import ExpertCopies
 from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
 from toucanspool.groups.group_repair import repair_group
 from toucanspool.groups.group_state import can_act, is_complete, is_fully_armed
+from toucanspool.groups.hold_lead import HoldLead
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
 from toucanspool.groups.map_preparation import VersionedMap
 from toucanspool.groups.map_reader import read_copies, read_lists
@@ -24,13 +25,9 @@
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
-# Passes ahead while orders are lost: time to repeat them without delaying a pass.
-LOSSY_PASSES_AHEAD = 8
 # The longest lag with which engines on other machines report their state: three times
 # the lag that the platform documents.
 MAX_STATE_LAG_S = 0.6
-# Arm rounds of a switch without lost orders: the other ranks, then the own rank.
-LOSSLESS_ARM_ROUNDS = 2
 # The smallest decrease of skew that is worth the copies, for a group whose engines are
 # full and for an idle one, in which skew affects callers less.
 MIN_SKEW_GAIN = 0.1
@@ -65,11 +62,11 @@
     """
 
     __slots__ = (
-        "_passes_ahead",
         "_copies",
         "_counts",
         "_engine",
         "_group",
+        "_hold_lead",
         "_link_bits_per_s",
         "_not_held_at",
         "_own_rank",
@@ -97,7 +94,7 @@
         self._previous_rank = previous_rank
         self._previous_token = previous_token
         self._link_bits_per_s = link_bits_per_s
-        self._passes_ahead = PASSES_AHEAD
+        self._hold_lead = HoldLead()
         self._pass_clock = PassClock()
         self._states_current_at = 0.0
         self._group = group
@@ -148,7 +145,7 @@
             first.epoch,
             answers,
             self._own_rank,
-            passes_ahead=self._passes_ahead,
+            passes_ahead=self._hold_lead.passes_ahead(self._pass_clock.pass_s),
             versions=self._versions,
             quiet_link=self._counts.paused,
         )
@@ -274,7 +271,7 @@
                 )
         finally:
             self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
-        self._adapt_passes_ahead(switch.arm_rounds)
+        self._hold_lead.observe(switch.held_s)
         self._not_held_at = step if outcome is SwitchEnd.NOT_HELD else UNSET
         if outcome is SwitchEnd.DONE:
             self._version, self._copies = version, planned
@@ -287,16 +284,10 @@
             held_ms=round(switch.held_s * 1000),
             passes_ahead=switch.passes_ahead,
             pass_ms=self._pass_clock.pass_ms,
+            arm_rounds=switch.arm_rounds,
             delayed_group=switch.delayed_group,
         )
 
-    def _adapt_passes_ahead(self, arm_rounds: int) -> None:
-        """Hold a later pass next time if orders were lost, an earlier one otherwise."""
-        if arm_rounds > LOSSLESS_ARM_ROUNDS:
-            self._passes_ahead = LOSSY_PASSES_AHEAD
-        elif arm_rounds:
-            self._passes_ahead = max(PASSES_AHEAD, self._passes_ahead - 1)
-
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
     running = sum(answer.running + answer.waiting for answer in answers.values())
