Resolve late holds without waiting for states that may be told late

Only holds of the latest switch itself can be told late. Any other one is resolved at once. The holds of a switch are kept as one object, which also gives the times for the log.

--- a/tests/groups/order_machines.py
+++ b/tests/groups/order_machines.py
@@ -55,6 +55,7 @@
         self.engine_running = True
         self.backlog: list[Callable[[], None]] = []
         self.received_at = 0.0
+        self.sent_at = 0.0
         self.greenlets: set[gevent.Greenlet] = set()
         self.channels: set[Channel] = set()
         self.agent: FencedEngine | None = None
@@ -219,8 +220,11 @@
 
     def _pass_on(self, call: Callable[..., None], *args: Any, n_bytes: int = 0) -> None:
         world, machine = self.machine.world, self.peer.machine
-        at = max(self._last_at, world.now + world.latency_s())
-        duration_s = 8.0 * n_bytes / world.link_bits_per_s + world.handling_s
+        transfer_s = 8.0 * n_bytes / world.link_bits_per_s
+        sender = self.machine
+        sender.sent_at = max(sender.sent_at, world.now) + transfer_s
+        at = max(self._last_at, sender.sent_at + world.latency_s())
+        duration_s = transfer_s + world.handling_s
         if duration_s:
             at = machine.received_at = max(at, machine.received_at) + duration_s
         self._last_at = at
--- a/tests/groups/order_world.py
+++ b/tests/groups/order_world.py
@@ -119,7 +119,7 @@
         heapq.heappush(self._due, due)
 
     def after_orders(
-        self, count: int, call: Callable[[], None], *, name: str = ""
+        self, count: int, call: Callable[[], None], name: str = ""
     ) -> None:
         """Make a call, which must not block, as an agent gives a later order."""
         self._waiting.append([count, name, call])
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -88,11 +88,8 @@
     arm_rounds : int
         Rounds of arm orders that the switch took. Without lost orders there are two:
         one for the other ranks and one for the coordinator's own.
-    held_s : float
-        Time from the order to hold a pass until its release was confirmed, in seconds;
-        0 if none was held.
-    delayed_group : bool
-        Whether the group waited for that release.
+    holds : PassHolds
+        The latest holds that were released.
     """
 
     __slots__ = (
@@ -103,8 +100,7 @@
         "_ranks",
         "_versions",
         "arm_rounds",
-        "delayed_group",
-        "held_s",
+        "holds",
         "passes_ahead",
     )
 
@@ -127,8 +123,7 @@
         self._versions = versions or VersionSource(client.token)
         self._quiet_link = quiet_link
         self.arm_rounds = 0
-        self.held_s = 0.0
-        self.delayed_group = False
+        self.holds = self.new_holds()
 
     def next_version(self, answers: Mapping[int, RankAnswer]) -> int:
         """Return a version that no rank has seen and no other coordinator uses.
@@ -298,4 +293,4 @@
     def release(self, holds: PassHolds) -> None:
         """Release the holds of this switch or of its recovery."""
         holds.release()
-        self.held_s, self.delayed_group = holds.held_s, holds.delayed_group
+        self.holds = holds
--- a/toucanspool/groups/group_state.py
+++ b/toucanspool/groups/group_state.py
@@ -36,6 +36,11 @@
     return {answer.armed for answer in answers.values()} - {UNSET}
 
 
+def held_passes(answers: Mapping[int, RankAnswer]) -> set[tuple[int, int]]:
+    """Return the ranks that hold a pass, each with that pass."""
+    return {(rank, a.held) for rank, a in answers.items() if a.held != UNSET}
+
+
 def passes_to_hold(answers: Mapping[int, RankAnswer]) -> list[int]:
     """Return passes to hold so that no armed rank switches; none if none is armed.
 
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import numpy as np
 import structlog
@@ -12,10 +12,15 @@
 from toucanspool.groups.count_reader import CountReader
 from toucanspool.groups.group_client import GroupChanged, GroupClient, RankLink
 from toucanspool.groups.group_repair import repair_group
-from toucanspool.groups.group_state import can_act, is_complete, is_fully_armed
+from toucanspool.groups.group_state import (
+    can_act,
+    held_passes,
+    is_complete,
+    is_fully_armed,
+)
 from toucanspool.groups.hold_lead import HoldLead
 from toucanspool.groups.map_planner import copies_per_rank, plan_copies
-from toucanspool.groups.map_preparation import VersionedMap
+from toucanspool.groups.map_preparation import VersionedMap, copy_timeout_s
 from toucanspool.groups.map_reader import read_copies, read_lists
 from toucanspool.groups.map_repair import complete_map
 from toucanspool.groups.map_versions import VersionSource
@@ -32,10 +37,6 @@
 # full and for an idle one, in which skew affects callers less.
 MIN_SKEW_GAIN = 0.1
 IDLE_MIN_SKEW_GAIN = 0.2
-# Timeout of copies: the time expected at the rate of the link times a factor, plus a
-# margin.
-COPY_TIMEOUT_FACTOR = 2.0
-COPY_TIMEOUT_MARGIN_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -65,6 +66,7 @@
         "_copies",
         "_counts",
         "_engine",
+        "_ended_holds",
         "_group",
         "_hold_lead",
         "_link_bits_per_s",
@@ -97,6 +99,7 @@
         self._hold_lead = HoldLead()
         self._pass_clock = PassClock()
         self._states_current_at = 0.0
+        self._ended_holds: Collection[tuple[int, int]] = ()
         self._group = group
         self._token = token
         self._own_rank = own_rank
@@ -161,24 +164,26 @@
         answers: Mapping[int, RankAnswer],
         engine: EngineModel,
     ) -> None:
-        held = any(answer.held != UNSET for answer in answers.values())
+        holds = held_passes(answers)
         armed = any(answer.armed != UNSET for answer in answers.values())
         versions = {answer.map_version for answer in answers.values()}
         if len(versions) > 1:
             self._handle_several_maps(client, switch, answers, engine)
             return
         self._several_maps_since = math.inf
-        if armed and not held and is_fully_armed(answers):
+        if armed and not holds and is_fully_armed(answers):
             # A switch is in progress: all ranks switch when the next pass begins.
             return
         version = versions.pop()
         if version != self._version or self._copies is None:
             self._copies = read_copies(client, answers, version, engine)
             self._version = version
-        if (held or armed) and time.monotonic() < self._states_current_at:
-            # Engines on other machines may still report an earlier state.
-            return
-        if held or armed:
+        if holds or armed:
+            may_be_past = time.monotonic() < self._states_current_at
+            if may_be_past and holds.issubset(self._ended_holds):
+                # Engines on other machines may still tell of the latest switch. The
+                # group waits for any other hold.
+                return
             with self._counts.uncounted(client, answers, engine):
                 switch.resolve(answers, self._copies.lists())
             self._version = UNSET
@@ -204,10 +209,7 @@
             return
         lists = read_lists(client, answers, engine)
         complete = complete_map(lists, engine.experts)
-        timeout_s = (
-            COPY_TIMEOUT_FACTOR * engine.expert_slots * engine.expert_copy_s
-            + COPY_TIMEOUT_MARGIN_S
-        )
+        timeout_s = copy_timeout_s(engine, engine.expert_slots)
         with self._counts.uncounted(client, answers, engine):
             outcome = repair_group(switch, client, answers, complete, timeout_s)
         _log.error(
@@ -258,10 +260,7 @@
             skew_after=round(after, 2),
             token=self._token,
         )
-        timeout_s = (
-            COPY_TIMEOUT_FACTOR * copies_per_rank(engine) * engine.expert_copy_s
-            + COPY_TIMEOUT_MARGIN_S
-        )
+        timeout_s = copy_timeout_s(engine, copies_per_rank(engine))
         try:
             with self._counts.background(client, answers, engine):
                 outcome = switch.run(
@@ -271,7 +270,8 @@
                 )
         finally:
             self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
-        self._hold_lead.observe(switch.held_s)
+            self._ended_holds = switch.holds.placed
+        self._hold_lead.observe(switch.holds.held_s)
         self._not_held_at = step if outcome is SwitchEnd.NOT_HELD else UNSET
         if outcome is SwitchEnd.DONE:
             self._version, self._copies = version, planned
@@ -281,11 +281,11 @@
             version=version,
             result=outcome.value,
             took_ms=round((time.monotonic() - started) * 1000),
-            held_ms=round(switch.held_s * 1000),
+            held_ms=round(switch.holds.held_s * 1000),
             passes_ahead=switch.passes_ahead,
             pass_ms=self._pass_clock.pass_ms,
             arm_rounds=switch.arm_rounds,
-            delayed_group=switch.delayed_group,
+            delayed_group=switch.holds.delayed_group,
         )
 
 
--- a/toucanspool/groups/map_preparation.py
+++ b/toucanspool/groups/map_preparation.py
@@ -10,6 +10,7 @@
 from toucanspool.groups.group_client import GroupChanged, GroupClient
 from toucanspool.groups.rank_arrays import pack_changes, pack_map
 from toucanspool.groups.rank_engine import UNSET
+from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import (
     RankAction,
     RankAnswer,
@@ -21,6 +22,10 @@
 POLL_INTERVAL_S = 0.05
 # Size of a status request and its answer with the headers of the network.
 STATUS_BYTES = 400
+# Timeout of copies: the time expected at the rate of the link times a factor, plus a
+# margin.
+COPY_TIMEOUT_FACTOR = 2.0
+COPY_TIMEOUT_MARGIN_S = 1.0
 # Engines start with this map, of which their agents have not been told.
 INITIAL_VERSION = 0
 
@@ -68,6 +73,23 @@
     return request
 
 
+def copy_timeout_s(engine: EngineModel, copies: int) -> float:
+    """Return the longest time for all ranks to copy experts, in seconds.
+
+    Parameters
+    ----------
+    engine : EngineModel
+        Gives the time of one copy.
+    copies : int
+        The most copies that a rank makes.
+
+    Returns
+    -------
+    float
+    """
+    return COPY_TIMEOUT_FACTOR * copies * engine.expert_copy_s + COPY_TIMEOUT_MARGIN_S
+
+
 class MapPreparation:
     """Have all ranks of a group copy the experts of one map.
 
--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -6,6 +6,7 @@
 import gevent
 
 from toucanspool.groups.group_client import GroupClient
+from toucanspool.groups.group_state import held_passes
 from toucanspool.groups.rank_calls import NoAnswer
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.wire.gen.messages.ttypes import (
@@ -37,6 +38,8 @@
 
     Attributes
     ----------
+    placed : set of (int, int)
+        Ranks and passes of the holds that were placed here, released ones included.
     held_s : float
         Time from the first order to hold until all releases were confirmed, in seconds;
         0 before.
@@ -52,6 +55,7 @@
         "_own_rank",
         "delayed_group",
         "held_s",
+        "placed",
     )
 
     def __init__(self, client: GroupClient, epoch: int, own_rank: int) -> None:
@@ -61,6 +65,7 @@
         self._holds: set[tuple[int, int]] = set()
         self._first_order_at = time.monotonic()
         self.held_s = 0.0
+        self.placed: set[tuple[int, int]] = set()
         self.delayed_group = False
 
     def place_ahead(self, ranks: Sequence[int], passes_ahead: int) -> int:
@@ -89,6 +94,7 @@
                 continue
             if answer.result == RankResult.OK and answer.held != UNSET:
                 self._holds.add((rank, answer.held))
+                self.placed.add((rank, answer.held))
                 return answer.held
         return UNSET
 
@@ -117,6 +123,7 @@
                     continue
                 if answer.result == RankResult.OK:
                     self._holds.add((rank, step))
+                    self.placed.add((rank, step))
                     return step
                 if answer.step >= step:
                     break
@@ -139,6 +146,7 @@
             if answer is not None and answer.result == RankResult.OK
         }
         self._holds |= placed
+        self.placed |= placed
         return step if len(placed) >= SHARED_HOLDS_NEEDED else UNSET
 
     def adopt_all(self, answers: Mapping[int, RankAnswer]) -> None:
@@ -149,9 +157,7 @@
         answers : mapping of int to RankAnswer
             The latest answer of each rank.
         """
-        for rank, answer in answers.items():
-            if answer.held != UNSET:
-                self._holds.add((rank, answer.held))
+        self._holds |= held_passes(answers)
 
     def release(self) -> None:
         """Release all holds; return once every engine has confirmed it.
