Bound the header lines of a reply and what its chunks cost

A faulty upstream could send 64 KiB of header lines of a few bytes, each of which became a Python string, or 8 MiB of body in chunks of one byte, which took seconds of processor time while other calls waited: only bytes were bounded.

A reply now has at most 256 header lines, those of interim replies and its trailers included, and at most 64 KiB more of framing than of body. Both are closed at once, like other replies without end, in entries as in the clients of engines, probes and the store, which share the parser. Events of nine bytes in chunks of their own stay far within the limit.

--- a/tests/gateway/test_endless_replies.py
+++ b/tests/gateway/test_endless_replies.py
@@ -24,6 +24,7 @@
 
 HEADS = {
     "headers": (START, b"X-More: 1\r\n" * (BLOCK_BYTES // 11)),
+    "tiny headers": (START, b"a:\r\n" * (BLOCK_BYTES // 4)),
     "one header": (START + b"X-More: ", b"x" * BLOCK_BYTES),
     "interim replies": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
     "blank lines": (b"", b"\r\n" * (BLOCK_BYTES // 2)),
@@ -31,8 +32,10 @@
 BODIES = {
     "no framing": (START + b"\r\n", b"x" * BLOCK_BYTES),
     "chunks": (START + CHUNKED, b"%x\r\n%s\r\n" % (BLOCK_BYTES, b"x" * BLOCK_BYTES)),
+    "tiny chunks": (START + CHUNKED, b"1\r\nx\r\n" * (BLOCK_BYTES // 6)),
     "chunk extension": (START + CHUNKED + b"1;x=", b"x" * BLOCK_BYTES),
     "trailers": (START + CHUNKED + b"0\r\n", b"X-More: 1\r\n" * 6000),
+    "tiny trailers": (START + CHUNKED + b"0\r\n", b"a:\r\n" * (BLOCK_BYTES // 4)),
     "length": (START + b"Content-Length: 999999999999\r\n\r\n", b"x" * BLOCK_BYTES),
 }
 REPLIES = HEADS | BODIES
--- a/tests/wire/test_reply_parser.py
+++ b/tests/wire/test_reply_parser.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from toucanspool.wire.reply_parser import BrokenReply, ReplyParser
+from toucanspool.wire.reply_parser import (
+    MAX_HEADER_LINES,
+    BrokenReply,
+    ExcessiveReply,
+    ReplyParser,
+)
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A: 1\r\n\r\nbody"
 
@@ -64,3 +69,48 @@
     parser.receive(b"HTTP/1.1 200 OK\r\n" + head + b"\r\nbody")
     parser.receive(b"")
     assert (parser.complete, parser.ended_by_close) == (True, by_close)
+
+
+TINY_LINES = b"a:\r\n" * 4000
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 102 Processing\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    ],
+    ids=["head", "interim reply", "trailers"],
+)
+def test_tiny_header_lines_do_not_fill_memory(start):
+    parser = ReplyParser("GET")
+    with pytest.raises(ExcessiveReply):
+        parser.receive(start + TINY_LINES)
+    assert len(parser.headers) <= MAX_HEADER_LINES
+
+
+def test_the_lines_of_all_interim_replies_are_counted_together():
+    parser = ReplyParser("GET")
+    lines = b"a:\r\n" * (MAX_HEADER_LINES // 2)
+    with pytest.raises(ExcessiveReply):
+        for _ in range(3):
+            parser.receive(b"HTTP/1.1 102 Processing\r\n" + lines + b"\r\n")
+
+
+def test_tiny_chunks_are_given_up_early():
+    parser = ReplyParser("GET")
+    parser.receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    with pytest.raises(ExcessiveReply):
+        for _ in range(100):
+            parser.receive(b"1\r\nx\r\n" * 1000)
+            parser.take_body()
+    assert not parser.complete
+
+
+def test_small_events_in_chunks_of_their_own_are_no_excess():
+    parser = ReplyParser("GET")
+    parser.receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(100):
+        parser.receive(b"9\r\ndata: x\n\n\r\n" * 1000)
+        assert len(parser.take_body()) == 9000
--- a/toucanspool/wire/reply_parser.py
+++ b/toucanspool/wire/reply_parser.py
@@ -9,6 +9,9 @@
 # Limit on bytes in a row that are no body: heads, chunk sizes and trailers.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_REPLIES = 16
+# Limit on header lines, trailers and those of interim replies included. Each line costs
+# far more memory and processor time than its bytes.
+MAX_HEADER_LINES = 256
 BODILESS_STATUSES = (204, 304)
 
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}(?![0-9])")
@@ -52,6 +55,8 @@
         self.ended_by_close = False
         self.interim_replies = 0
         self._head_bytes = 0
+        self._excess_bytes = 0
+        self._header_lines = 0
         self._joined = False
         self._is_head_request = method == "HEAD"
         self._header_name = ""
@@ -100,7 +105,8 @@
         BrokenReply
             The reply is invalid or truncated.
         ExcessiveReply
-            The head or what comes between parts of the body is too long.
+            The head or what comes between parts of the body is too long, or the body
+            comes in chunks that are mostly smaller than what separates them.
         """
         was_complete = self.complete
         body_bytes = self.body_bytes
@@ -116,7 +122,7 @@
         if self._joined:
             raise BrokenReply("another reply begins inside the head")
         if not self.complete:
-            self._check_limits(len(data) if self.body_bytes == body_bytes else 0)
+            self._check_limits(len(data), self.body_bytes - body_bytes)
 
     def take_body(self) -> bytes:
         """Return the part of the body received since the last call.
@@ -146,10 +152,16 @@
                 return value
         return ""
 
-    def _check_limits(self, head_bytes: int) -> None:
-        self._head_bytes = self._head_bytes + head_bytes if head_bytes else 0
+    def _check_limits(self, received_bytes: int, body_bytes: int) -> None:
+        self._head_bytes = 0 if body_bytes else self._head_bytes + received_bytes
         if self._head_bytes > MAX_HEAD_BYTES:
             raise ExcessiveReply(f"more than {MAX_HEAD_BYTES} bytes that are no body")
+        # Parsing a chunk of one byte takes as long as parsing one of many.
+        self._excess_bytes += received_bytes - 2 * body_bytes
+        if self._excess_bytes > MAX_HEAD_BYTES:
+            raise ExcessiveReply("most of the reply is no body")
+        if self._header_lines > MAX_HEADER_LINES:
+            raise ExcessiveReply(f"more than {MAX_HEADER_LINES} header lines")
         if self.interim_replies > MAX_INTERIM_REPLIES:
             raise ExcessiveReply(f"more than {MAX_INTERIM_REPLIES} interim replies")
 
@@ -188,7 +200,9 @@
     def _store_header(self) -> None:
         if self._header_name and not self.complete:
             self._check_joined(self._header_value or "")
-            self.headers.append((self._header_name, self._header_value or ""))
+            self._header_lines += 1
+            if self._header_lines <= MAX_HEADER_LINES:
+                self.headers.append((self._header_name, self._header_value or ""))
         self._header_name = ""
         self._header_value = None
 
