Bound the replies to a process's own requests in their sum

One reply without end was bounded, but not several at once: eight clients of engines held 129 MB where a machine has 168, and a head of tiny lines in a pooled client could take a multiple of its 32 MiB, read without a turn for any other greenlet. Such a machine ran out of memory, and all requests on it ended.

All clients of engines, probes, peers and the platform's services now share a budget of 32 MiB in a process; a reply beyond it is a lost call. Pooled clients refuse more than 256 header lines, as the parser of relayed replies does, and give others a turn after 64 KiB. Engines and probes may answer 1 MiB, the store 4 MiB (16 and 32 MiB before). The budget moves to toucanspool/limits, since entries no longer are its only users. The tests of several replies at once and of a client's own limit can't run on the code before, which counts no sum and takes no limit.

--- a/tests/backing/test_http_client.py
+++ b/tests/backing/test_http_client.py
@@ -1,6 +1,6 @@
 """The JSON client bounds replies, and takes no cut or foreign one for its own."""
 
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 import gevent
 import pytest
@@ -9,6 +9,7 @@
 from standins.raw_upstream import RawUpstream, answering, without_end
 from toucanspool.backing import bounded_client
 from toucanspool.backing.http_client import CallLost, JsonClient
+from toucanspool.backing.reply_memory import REPLY_MEMORY
 
 OK = b"HTTP/1.1 200 OK\r\n"
 JSON = "Content-Type: application/json"
@@ -29,6 +30,8 @@
     ("head", "block"),
     [
         (OK, b"X-More: 1\r\n" * 6000),
+        (OK, b"a:\r\n" * 16384),
+        (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 10_000),
         (OK + b"\r\n", BLOCK),
         (OK + b"Content-Length: 99999999999\r\n\r\n", BLOCK),
         (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
@@ -137,3 +140,48 @@
             sent = (head + body)[:cut]
             with pytest.raises(CallLost):
                 client.call(method, "/x")
+
+
+def read_at_once(clients: int, script) -> int:
+    """Return the most bytes held while several clients read at once."""
+    most = 0
+
+    def watch() -> None:
+        nonlocal most
+        while True:
+            most = max(most, REPLY_MEMORY.held_bytes)
+            gevent.sleep(0.002)
+
+    with ExitStack() as stack:
+        servers = [stack.enter_context(RawUpstream(script)) for _ in range(clients)]
+        watcher = gevent.spawn(watch)
+        stack.callback(watcher.kill)
+
+        def read(port: int) -> None:
+            client = JsonClient("127.0.0.1", port, timeout_s=5.0)
+            with pytest.raises(CallLost):
+                client.call("GET", "/x")
+            client.close()
+
+        tasks = [gevent.spawn(read, server.port) for server in servers]
+        gevent.joinall(tasks, timeout=20.0, raise_error=True)
+        assert all(task.ready() for task in tasks)
+    return most
+
+
+def test_several_replies_without_end_stay_within_one_bound(monkeypatch):
+    monkeypatch.setattr(REPLY_MEMORY, "max_bytes", 2 * 1024 * 1024)
+    monkeypatch.setattr(bounded_client, "MAX_REPLY_BYTES", 1024 * 1024)
+    endless = without_end(OK + b"\r\n", BLOCK, limit_bytes=LIMIT_BYTES)
+    assert 0 < read_at_once(8, endless) <= 2 * 1024 * 1024
+    assert REPLY_MEMORY.held_bytes == 0
+
+
+def test_a_kept_connection_holds_nothing_of_its_last_reply():
+    with RawUpstream(answering(b"x" * 600)) as server:
+        client = JsonClient(
+            "127.0.0.1", server.port, timeout_s=1.0, reuse_connections=True
+        )
+        assert client.call("GET", "/x") == (200, b"x" * 600)
+        assert REPLY_MEMORY.held_bytes == 0
+        client.close()
--- a/tests/gateway/test_hedged_attempt.py
+++ b/tests/gateway/test_hedged_attempt.py
@@ -14,7 +14,7 @@
 from tests.gateway.test_stream import ALL, EVENTS, decode_chunks
 from toucanspool.gateway import stream
 from toucanspool.gateway.crash_watch import CHECK_DELAY_S, CrashWatch
-from toucanspool.gateway.memory_budget import MemoryBudget
+from toucanspool.limits.memory_budget import MemoryBudget
 from toucanspool.retries.ejection import FAILURES_TO_EJECT
 from toucanspool.retries.hedging import HedgePolicy
 from toucanspool.routing.routes import CallKind
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/limits/test_memory_budget.py
@@ -5,8 +5,8 @@
 
 from standins.raw_upstream import answering, event, streaming
 from tests.gateway.gateways import RESET, Gateway, gateway, request, route
-from toucanspool.gateway import memory_budget
-from toucanspool.gateway.memory_budget import MemoryBudget, MemoryExceeded
+from toucanspool.limits import memory_budget
+from toucanspool.limits.memory_budget import MemoryBudget, MemoryExceeded
 from toucanspool.routing.routes import CallKind
 
 MB = 1 << 20
--- a/tests/platform/test_unpooled_client.py
+++ b/tests/platform/test_unpooled_client.py
@@ -5,6 +5,7 @@
 
 from standins.raw_upstream import RawUpstream, answering, without_end
 from toucanspool.backing.http_client import CallLost
+from toucanspool.backing.reply_memory import REPLY_MEMORY
 from toucanspool.platform.unpooled_client import UnpooledClient
 
 JSON = "Content-Type: application/json"
@@ -57,3 +58,34 @@
     for cut in range(len(head)):
         with pytest.raises(CallLost):
             call(lambda sock, seen, cut=cut: sock.sendall(head[:cut]))
+
+
+def test_several_responses_without_end_stay_within_one_bound(monkeypatch):
+    monkeypatch.setattr(REPLY_MEMORY, "max_bytes", 8 * 1024 * 1024)
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    script = without_end(head, b"x" * 65536, limit_bytes=64 * 1024 * 1024)
+    most = 0
+    with RawUpstream(script) as server:
+
+        def read() -> None:
+            client = UnpooledClient("127.0.0.1", server.port, timeout_s=2.0)
+            with pytest.raises(CallLost):
+                client.call("GET", "/x")
+
+        tasks = [gevent.spawn(read) for _ in range(8)]
+        while not all(task.ready() for task in tasks):
+            most = max(most, REPLY_MEMORY.held_bytes)
+            gevent.sleep(0.002)
+        gevent.joinall(tasks, raise_error=True)
+    assert 0 < most <= 8 * 1024 * 1024
+    assert REPLY_MEMORY.held_bytes == 0
+
+
+def test_a_client_takes_no_larger_body_than_it_is_told():
+    body = b'"' + b"x" * 100_000 + b'"'
+    with RawUpstream(answering(body, headers=JSON)) as server:
+        client = UnpooledClient(
+            "127.0.0.1", server.port, timeout_s=1.0, max_body_bytes=1000
+        )
+        with pytest.raises(CallLost):
+            client.call("GET", "/x")
--- a/toucanspool/backing/bounded_client.py
+++ b/toucanspool/backing/bounded_client.py
@@ -3,47 +3,119 @@
 import errno
 from typing import Any
 
+import gevent
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.header import Headers
+
+from toucanspool.backing.reply_memory import REPLY_MEMORY
+from toucanspool.limits.memory_budget import MemoryExceeded
+from toucanspool.wire.reply_parser import MAX_HEADER_LINES
 
 # Larger than the largest object or answer of the platform's services.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Bytes after which other greenlets get a turn, even if more can be read.
+BURST_BYTES = 64 * 1024
 
 
 class ReplyTooLarge(OSError):
-    """Report a reply that exceeds `MAX_REPLY_BYTES`, its head included."""
+    """Report a reply that exceeds a limit on its size, its head included.
+
+    Parameters
+    ----------
+    message : str
+        The limit.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errno.EMSGSIZE, message)
 
-    def __init__(self) -> None:
-        super().__init__(errno.EMSGSIZE, f"more than {MAX_REPLY_BYTES} bytes")
+
+class BoundedHeaders(Headers):
+    """Hold the headers of a reply; refuse more lines than `MAX_HEADER_LINES`."""
+
+    _lines = 0
+
+    def add(self, field: str, value: Any) -> None:
+        """Add a header line; overrides `Headers`."""
+        self._lines += 1
+        if self._lines > MAX_HEADER_LINES:
+            raise ReplyTooLarge(f"more than {MAX_HEADER_LINES} header lines")
+        super().add(field, value)
 
 
 class BoundedSocket(socket.socket):
-    """Count the bytes received since the last request was sent."""
+    """Bound the bytes received since the last request was sent.
+
+    Attributes
+    ----------
+    max_reply_bytes : int
+        Limit on one reply.
+    """
 
+    max_reply_bytes = MAX_REPLY_BYTES
     _received_bytes = 0
+    _burst_bytes = 0
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._held = REPLY_MEMORY.part()
 
     def sendall(self, data: Any, flags: int = 0) -> None:
         """Send a request; overrides the socket's method."""
-        self._received_bytes = 0
+        self.end_reply()
         super().sendall(data, flags)
 
     def recv(self, *args: int) -> bytes:
         """Receive a part of a reply; overrides the socket's method."""
         data = super().recv(*args)
         self._received_bytes += len(data)
-        if self._received_bytes > MAX_REPLY_BYTES:
-            raise ReplyTooLarge
+        if self._received_bytes > self.max_reply_bytes:
+            raise ReplyTooLarge(f"more than {self.max_reply_bytes} bytes")
+        try:
+            self._held.resize(self._received_bytes)
+        except MemoryExceeded as exc:
+            raise ReplyTooLarge(f"with other replies {exc}") from exc
+        self._burst_bytes += len(data)
+        if self._burst_bytes > BURST_BYTES:
+            self._burst_bytes = 0
+            gevent.sleep(0)
         return data
 
+    def end_reply(self) -> None:
+        """Hold none of the bytes received so far."""
+        self._received_bytes = 0
+        self._held.close()
+
+    def close(self) -> None:
+        """Close the connection; overrides the socket's method."""
+        self._held.close()
+        super().close()
+
 
 class BoundedPool(ConnectionPool):
-    """Open connections whose replies are bounded."""
+    """Open connections whose replies are bounded.
+
+    Attributes
+    ----------
+    max_reply_bytes : int
+        Limit on one reply.
+    """
+
+    max_reply_bytes = MAX_REPLY_BYTES
+
+    def return_socket(self, sock: BoundedSocket) -> None:
+        """Keep a connection whose reply is complete; overrides `ConnectionPool`."""
+        sock.end_reply()
+        super().return_socket(sock)
 
     def _create_tcp_socket(
         self, family: int, socktype: int, protocol: int
     ) -> BoundedSocket:
-        return BoundedSocket(family, socktype, protocol)
+        sock = BoundedSocket(family, socktype, protocol)
+        sock.max_reply_bytes = self.max_reply_bytes
+        return sock
 
 
 class SingleUsePool(BoundedPool):
@@ -72,6 +144,8 @@
     reuse_connections : bool, default=False
         Whether a connection serves several requests. A server that repeats a reply on
         such a connection answers the next request with it.
+    max_reply_bytes : int, optional
+        Limit on the size of one reply; `MAX_REPLY_BYTES` by default.
     """
 
     def __init__(
@@ -83,8 +157,9 @@
         connection_timeout: float,
         network_timeout: float | None,
         reuse_connections: bool = False,
+        max_reply_bytes: int | None = None,
     ) -> None:
-        super().__init__(host, port)
+        super().__init__(host, port, headers_type=BoundedHeaders)
         pool_class = BoundedPool if reuse_connections else SingleUsePool
         self._connection_pool = pool_class(
             host,
@@ -95,3 +170,4 @@
             connection_timeout=connection_timeout,
             network_timeout=network_timeout,
         )
+        self._connection_pool.max_reply_bytes = max_reply_bytes or MAX_REPLY_BYTES
--- a/toucanspool/backing/http_client.py
+++ b/toucanspool/backing/http_client.py
@@ -36,6 +36,8 @@
     reuse_connections : bool, default=False
         Whether a connection serves several requests. A reply then may be a late copy of
         an earlier one, so this suits only reads whose replies may be outdated.
+    max_reply_bytes : int, optional
+        Limit on the size of one reply, as in `BoundedClient`.
     """
 
     __slots__ = ("_client", "_timeout_s")
@@ -47,6 +49,7 @@
         *,
         timeout_s: float | None,
         reuse_connections: bool = False,
+        max_reply_bytes: int | None = None,
     ) -> None:
         self._timeout_s = timeout_s
         self._client = BoundedClient(
@@ -56,6 +59,7 @@
             connection_timeout=timeout_s or CONNECT_TIMEOUT_S,
             network_timeout=timeout_s,
             reuse_connections=reuse_connections,
+            max_reply_bytes=max_reply_bytes,
         )
 
     def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -9,7 +9,7 @@
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
 from toucanspool.gateway.dialect import Dialect, ReplyHead
-from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryExceeded
+from toucanspool.limits.memory_budget import RETRY_AFTER_S, MemoryExceeded
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.exchange import Exchange
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from toucanspool.gateway.memory_budget import MemoryBudget
+from toucanspool.limits.memory_budget import MemoryBudget
 from toucanspool.retries.crash_evidence import Traits, request_trait
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import CallKind, Route
--- a/toucanspool/gateway/caller_server.py
+++ b/toucanspool/gateway/caller_server.py
@@ -12,9 +12,9 @@
 
 from toucanspool.gateway.call import RefusalCause, Refused
 from toucanspool.gateway.caller import CallerLeft
-from toucanspool.gateway.memory_budget import RETRY_AFTER_S, MemoryBudget, MemoryPart
 from toucanspool.gateway.relay import DRAIN_RETRY_AFTER_S
 from toucanspool.gateway.slow_reader import SEND_BUFFER_BYTES, SlowReader, send_all
+from toucanspool.limits.memory_budget import RETRY_AFTER_S, MemoryBudget, MemoryPart
 from toucanspool.routing.routes import RequestLimits
 from toucanspool.wire.http_server import (
     RESET_ON_CLOSE,
--- a/toucanspool/gateway/memory_budget.py
+++ b/toucanspool/limits/memory_budget.py
@@ -1,4 +1,4 @@
-"""The memory that an entry holds for requests and replies under way."""
+"""The memory that a process holds for requests and replies under way."""
 
 from types import TracebackType
 from typing import Self
--- a/toucanspool/platform/engine.py
+++ b/toucanspool/platform/engine.py
@@ -22,6 +22,8 @@
 # The whole group waits for these orders during a switch, so that a lost one is repeated
 # sooner. A repeated order is harmless.
 SWITCH_TIMEOUT_S = 0.1
+# Expert counts of 61 layer sets with 512 experts take 0.3 MB, other replies far less.
+MAX_REPLY_BYTES = 1024 * 1024
 SWITCH_OPERATIONS = frozenset({"arm", "hold", "go"})
 INSTANCE_ID = "toucanspool-instance-id"
 GROUP_OPEN = "open"
@@ -50,10 +52,18 @@
         # second reuse connections. Orders don't: a late copy of another reply would
         # look as if the engine had accepted them.
         self._pooled_client = JsonClient(
-            host, port, timeout_s=TIMEOUT_S, reuse_connections=True
+            host,
+            port,
+            timeout_s=TIMEOUT_S,
+            reuse_connections=True,
+            max_reply_bytes=MAX_REPLY_BYTES,
+        )
+        self._unpooled_client = UnpooledClient(
+            host, port, timeout_s=TIMEOUT_S, max_body_bytes=MAX_REPLY_BYTES
+        )
+        self._switch_client = UnpooledClient(
+            host, port, timeout_s=SWITCH_TIMEOUT_S, max_body_bytes=MAX_REPLY_BYTES
         )
-        self._unpooled_client = UnpooledClient(host, port, timeout_s=TIMEOUT_S)
-        self._switch_client = UnpooledClient(host, port, timeout_s=SWITCH_TIMEOUT_S)
         self._layer_sets = 0
 
     def state(self) -> RankState:
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -11,10 +11,10 @@
 from toucanspool.gateway.core import GatewayCore
 from toucanspool.gateway.crash_watch import Crash
 from toucanspool.gateway.draining import drain
-from toucanspool.gateway.memory_budget import MemoryBudget
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
+from toucanspool.limits.memory_budget import MemoryBudget
 from toucanspool.membership.entries import Entries
 from toucanspool.membership.entry_record import (
     ENTRY_PREFIX,
--- a/toucanspool/platform/probes.py
+++ b/toucanspool/platform/probes.py
@@ -19,6 +19,8 @@
 from toucanspool.retries.ejection import AttemptResult
 
 TIMEOUT_S = 0.8
+# Entries tell of the limits of all upstreams, some 60 bytes each.
+MAX_BODY_BYTES = 1024 * 1024
 # Entries probed per round besides suspected ones. With many entries, each is still
 # probed as often by some of the others, which share their results.
 MAX_ENTRIES_PER_ROUND = 8
@@ -101,7 +103,10 @@
 
 def _send_probe(host: str, port: int, path: str) -> JsonResponse:
     try:
-        return UnpooledClient(host, port, timeout_s=TIMEOUT_S).call("GET", path)
+        client = UnpooledClient(
+            host, port, timeout_s=TIMEOUT_S, max_body_bytes=MAX_BODY_BYTES
+        )
+        return client.call("GET", path)
     except (CallRefused, CallLost) as exc:
         _log.debug("probe failed", host=host, port=port, error=repr(exc))
         return JsonResponse(NO_RESPONSE, {}, None)
--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -8,13 +8,15 @@
 import orjson
 
 from toucanspool.backing.http_client import CallLost, CallRefused
+from toucanspool.backing.reply_memory import REPLY_MEMORY
+from toucanspool.limits.memory_budget import MemoryExceeded
 from toucanspool.wire.exchange import Exchange, Unreachable
 from toucanspool.wire.reply_parser import BrokenReply, Header, ReplyParser
 from toucanspool.wire.reply_reader import Silent
 
 JSON = "application/json"
 # Larger than the store's largest answer, which has 1 MB of rows in base64.
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,9 +57,18 @@
         a silent server from one that sends a large response.
     keepalive_s : int, default=0
         Idle time before a TCP keepalive probe as in `Exchange`, in seconds.
+    max_body_bytes : int, optional
+        Limit on the body of a response.
     """
 
-    __slots__ = ("_head_timeout_s", "_host", "_keepalive_s", "_port", "_timeout_s")
+    __slots__ = (
+        "_head_timeout_s",
+        "_host",
+        "_keepalive_s",
+        "_max_body_bytes",
+        "_port",
+        "_timeout_s",
+    )
 
     def __init__(
         self,
@@ -67,8 +78,10 @@
         timeout_s: float,
         head_timeout_s: float | None = None,
         keepalive_s: int = 0,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._keepalive_s = keepalive_s
+        self._max_body_bytes = max_body_bytes
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
@@ -140,21 +153,27 @@
         if data:
             headers.append(("Content-Type", JSON))
             headers.append(("Content-Length", str(len(data))))
+        held = REPLY_MEMORY.part()
         exchange = Exchange(
-            self._host, self._port, method, keepalive_s=self._keepalive_s
+            self._host,
+            self._port,
+            method,
+            keepalive_s=self._keepalive_s,
+            on_held=held.resize,
         )
         start = time.monotonic() + wait_s
         try:
             exchange.send(target, headers, data)
             exchange.read_head(start + self._head_timeout_s)
             return exchange.parser, exchange.read_body(
-                start + self._timeout_s, MAX_BODY_BYTES
+                start + self._timeout_s, self._max_body_bytes
             )
         except Unreachable as exc:
             raise CallRefused(str(exc)) from exc
-        except (Silent, BrokenReply) as exc:
+        except (Silent, BrokenReply, MemoryExceeded) as exc:
             raise CallLost(repr(exc)) from exc
         finally:
+            held.close()
             exchange.close()
 
 
