Keep room for the calls of others while replies without end arrive

Callers got 503 although their upstreams worked: replies under way could fill the whole budget of an entry, so that a dozen upstreams that send without end had all new calls refused until each of their replies had met its own bound.

Replies that have not arrived whole now hold at most half of the budget, but for the first 64 KiB of each, which small replies never exceed. New calls are admitted up to three quarters, as before. A reply beyond it ends as before, as one that may have run.

--- a/tests/limits/test_memory_budget.py
+++ b/tests/limits/test_memory_budget.py
@@ -6,7 +6,11 @@
 from standins.raw_upstream import answering, event, streaming
 from tests.gateway.gateways import RESET, Gateway, gateway, request, route
 from toucanspool.limits import memory_budget
-from toucanspool.limits.memory_budget import MemoryBudget, MemoryExceeded
+from toucanspool.limits.memory_budget import (
+    FREE_REPLY_BYTES,
+    MemoryBudget,
+    MemoryExceeded,
+)
 from toucanspool.routing.routes import CallKind
 
 MB = 1 << 20
@@ -178,3 +182,40 @@
             data += block
         assert len(data) > 7 * MB
         assert RESET not in data
+
+
+def test_unfinished_replies_leave_room_for_the_calls_of_others():
+    """Guards against upstreams without end that fill what all calls share."""
+    memory = MemoryBudget(8 * MB)
+    head = b"HTTP/1.1 200 OK\r\nToucanspool-Attempt-Id: a1\r\n"
+    head += b"Toucanspool-Server-Signature: s.1\r\n"
+    head += b"Content-Length: 3000000\r\n\r\n"
+
+    def stall(sock, seen):
+        sock.sendall(head + b"x" * 2_900_000)
+        gevent.sleep(5.0)
+
+    def answer(sock, seen):
+        large = b"large" in seen.body
+        (stall if large else answering(b"small"))(sock, seen)
+
+    with gateway(answer, routes=AT_MOST_ONCE, memory=memory) as gw:
+        waiting = [gw.send("POST", body=b"large") for _ in range(6)]
+        with gevent.Timeout(2.0):
+            while memory.held_bytes < 2 * MB:
+                gevent.sleep(0.01)
+        gevent.sleep(0.2)
+        assert memory.held_bytes <= 5 * MB
+        for _ in range(5):
+            assert gw.call("POST", body=b"x" * 100_000)[2] == b"small"
+        for sock in waiting:
+            sock.close()
+
+
+def test_the_first_bytes_of_a_reply_are_held_whatever_others_hold():
+    budget = MemoryBudget(MB)
+    budget.part(unfinished=True).resize(MB // 2 + FREE_REPLY_BYTES)
+    budget.part(unfinished=True).resize(FREE_REPLY_BYTES)
+    with pytest.raises(MemoryExceeded):
+        budget.part(unfinished=True).resize(FREE_REPLY_BYTES + 1)
+    budget.part().resize(MB // 4)
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -87,7 +87,7 @@
         self._dialect = dialect
         self._upstream = upstream
         listing = upstream.listing
-        self._held = call.memory.part()
+        self._held = call.memory.part(unfinished=True)
         self._exchange = Exchange(
             listing.host, listing.port, call.method, on_held=self._held.resize
         )
--- a/toucanspool/limits/memory_budget.py
+++ b/toucanspool/limits/memory_budget.py
@@ -1,11 +1,16 @@
 """The memory that a process holds for requests and replies under way."""
 
+import math
 from types import TracebackType
 from typing import Self
 
 # New requests are refused beyond this share of the bound. The rest is for the replies
 # to calls that were admitted, whose sizes nobody knows beforehand.
 ADMITTED_SHARE = 0.75
+# Replies that have not arrived whole hold no more than this share, but for the first
+# bytes of each. So upstreams that send without end leave room for the calls of others.
+UNFINISHED_SHARE = 0.5
+FREE_REPLY_BYTES = 64 * 1024
 # Time in which slow callers have read their replies or are disconnected.
 RETRY_AFTER_S = 1.0
 
@@ -30,13 +35,22 @@
     ----------
     held_bytes : int
         Bytes held now.
+    unfinished_bytes : int
+        Bytes held now for replies that have not arrived whole, without the first
+        `FREE_REPLY_BYTES` of each.
     """
 
-    __slots__ = ("held_bytes", "max_bytes")
+    __slots__ = ("held_bytes", "max_bytes", "unfinished_bytes")
 
     def __init__(self, max_bytes: int = 0) -> None:
         self.max_bytes = max_bytes
         self.held_bytes = 0
+        self.unfinished_bytes = 0
+
+    @property
+    def max_unfinished_bytes(self) -> float:
+        """Return the bound on `unfinished_bytes`."""
+        return UNFINISHED_SHARE * self.max_bytes
 
     def admits(self, n_bytes: int) -> bool:
         """Return whether a new request of a size may be read.
@@ -53,9 +67,19 @@
         limit = ADMITTED_SHARE * self.max_bytes
         return not self.max_bytes or self.held_bytes + n_bytes <= limit
 
-    def part(self) -> "MemoryPart":
-        """Return a part of the budget, which holds nothing yet."""
-        return MemoryPart(self)
+    def part(self, *, unfinished: bool = False) -> "MemoryPart":
+        """Return a part of the budget, which holds nothing yet.
+
+        Parameters
+        ----------
+        unfinished : bool, default=False
+            Whether it is for a reply that has not arrived whole.
+
+        Returns
+        -------
+        MemoryPart
+        """
+        return MemoryPart(self, unfinished=unfinished)
 
 
 class MemoryPart:
@@ -65,12 +89,15 @@
     ----------
     budget : MemoryBudget
         The budget that it is a part of.
+    unfinished : bool
+        Whether it is for a reply that has not arrived whole.
     """
 
-    __slots__ = ("_budget", "_held_bytes")
+    __slots__ = ("_budget", "_free_bytes", "_held_bytes")
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, *, unfinished: bool) -> None:
         self._budget = budget
+        self._free_bytes = FREE_REPLY_BYTES if unfinished else math.inf
         self._held_bytes = 0
 
     def resize(self, n_bytes: int) -> None:
@@ -87,9 +114,13 @@
             It has grown, and the bound does not allow it. It then keeps its size.
         """
         budget = self._budget
-        after = budget.held_bytes + n_bytes - self._held_bytes
-        if budget.max_bytes and n_bytes > self._held_bytes and after > budget.max_bytes:
-            raise MemoryExceeded(f"{after} of {budget.max_bytes} bytes")
+        if budget.max_bytes and n_bytes > self._held_bytes:
+            after = budget.held_bytes + n_bytes - self._held_bytes
+            if after > budget.max_bytes:
+                raise MemoryExceeded(f"{after} of {budget.max_bytes} bytes")
+            unfinished = budget.unfinished_bytes + self._unfinished_growth(n_bytes)
+            if unfinished > max(budget.unfinished_bytes, budget.max_unfinished_bytes):
+                raise MemoryExceeded(f"{unfinished} bytes of unfinished replies")
         self.replace(n_bytes)
 
     def replace(self, n_bytes: int) -> None:
@@ -101,8 +132,13 @@
             Bytes held from now on.
         """
         self._budget.held_bytes += n_bytes - self._held_bytes
+        self._budget.unfinished_bytes += self._unfinished_growth(n_bytes)
         self._held_bytes = n_bytes
 
+    def _unfinished_growth(self, n_bytes: int) -> int:
+        before = max(0, self._held_bytes - self._free_bytes)
+        return int(max(0, n_bytes - self._free_bytes) - before)
+
     def close(self) -> None:
         """Hold nothing any longer; may be called repeatedly."""
         self.replace(0)
