Bound an upstream's load report

An agent read the body of a load report until its connection ended, without a limit on size or time, so that an upstream that sends without end took all of its memory and all calls of the instance with it.

The report may have 64 KiB and take the client's time limit, like other whole replies. The new test failed before.

--- a/tests/agent/test_upstream_client.py
+++ b/tests/agent/test_upstream_client.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 
+import gevent
 import pytest
 
 from standins.raw_upstream import (
@@ -11,6 +12,7 @@
     event,
     reply,
     streaming,
+    without_end,
 )
 from tests.replies import FRAMINGS, MEDIA_TYPES, STATUSES, answer
 from toucanspool.agent.upstream_client import UpstreamBroken, UpstreamClient
@@ -97,3 +99,17 @@
             answer_to = client.send("POST", "/x", {}, body)
             assert answer_to.status == 200
             assert b"".join(answer_to.iter_body()) == b"to " + body
+
+
+def test_a_load_report_without_end_is_given_up():
+    script = without_end(
+        b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, limit_bytes=16 * 1024 * 1024
+    )
+    with RawUpstream(script) as upstream:
+        client = UpstreamClient(
+            Address(host="127.0.0.1", port=upstream.port), timeout_s=2.0
+        )
+        with pytest.raises(UpstreamBroken):
+            client.load()
+        gevent.sleep(0.05)
+        assert upstream.closed_early == 1
--- a/toucanspool/agent/upstream_client.py
+++ b/toucanspool/agent/upstream_client.py
@@ -13,6 +13,9 @@
 from toucanspool.wire.reply_parser import BrokenReply, Header
 from toucanspool.wire.reply_reader import Silent
 
+# A load report has three numbers.
+MAX_LOAD_BYTES = 64 * 1024
+
 
 class UpstreamUnreachable(Exception):
     """Report a refused connection: the upstream received no request."""
@@ -71,6 +74,29 @@
         except (BrokenReply, Silent) as exc:
             raise UpstreamBroken(repr(exc)) from exc
 
+    def read_body(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Limit on its size.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        UpstreamBroken
+            The body is incomplete, too large, or did not arrive in time.
+        """
+        try:
+            until = time.monotonic() + self._timeout_s
+            return self._exchange.read_body(until, max_bytes)
+        except (BrokenReply, Silent) as exc:
+            raise UpstreamBroken(repr(exc)) from exc
+
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
         self._exchange.close()
@@ -168,7 +194,7 @@
         """
         reply = self.send("GET", "/load", {}, b"")
         try:
-            return orjson.loads(b"".join(reply.iter_body()))
+            return orjson.loads(reply.read_body(MAX_LOAD_BYTES))
         except orjson.JSONDecodeError as exc:
             raise UpstreamBroken(repr(exc)) from exc
         finally:
