Bound what an entry keeps of streams

An entry kept every byte of each stream, and of each reply of a plain service, until its end, so as to resume a chat stream elsewhere. An upstream that sends without end took all of its memory, also while the caller read along.

--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -121,6 +121,7 @@
                 self._admit(req, closing)
                 # The stop may have begun while the request waited.
                 self._check_stop(req)
+                closing.callback(progress.relayed.close)
                 closing.callback(progress.close)
                 closing.enter_context(self._track(req, progress))
                 self._budget.record_request(self._clock.now())
@@ -244,7 +245,7 @@
 
     def _relay_attempt(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
         for data in progress.attempt.iter_body():
-            progress.relayed_chunks.append(data)
+            progress.relayed.add(data, resumable=req.streamed)
             yield data
         progress.check_end(streamed=req.streamed)
         self._router.record_success(progress.target)
@@ -263,9 +264,9 @@
         while True:
             self._failures.handle(req, progress, exc)
             try:
-                relayed = b"".join(progress.relayed_chunks)
-                if relayed and not req.streamed:
+                if progress.relayed.count and not req.streamed:
                     raise CannotContinue("it is no chat stream")
+                relayed = progress.relayed.text()
                 text, tokens, finished = generated_text(relayed)
                 if finished:
                     return DONE_EVENT
--- a/toucanspool/entry/failures.py
+++ b/toucanspool/entry/failures.py
@@ -114,7 +114,7 @@
             attempts=progress.attempts - progress.reroutes,
             idempotent=req.idempotent,
             deadline=req.deadline,
-            bytes_relayed=len(progress.relayed_chunks),
+            bytes_relayed=progress.relayed.count,
             resumable=True,
         )
         return may_retry(exc.outcome, request_state, self._budget, self._clock.now())
--- a/toucanspool/entry/progress.py
+++ b/toucanspool/entry/progress.py
@@ -3,6 +3,7 @@
 from toucanspool.entry.attempt import Attempt, AttemptFailed
 from toucanspool.entry.directory import Target
 from toucanspool.entry.problems import Problem
+from toucanspool.entry.relayed import Relayed
 from toucanspool.wire.events import ends_stream, is_event_stream
 from toucanspool.wire.gen.messages.ttypes import Outcome, Refusal
 
@@ -24,8 +25,8 @@
         Number of attempts that a healthy upstream refused at once.
     excluded : set of str
         Names of upstreams that failed the request, excluded from further attempts.
-    relayed_chunks : list of bytes
-        Chunks of a stream that were sent to the caller.
+    relayed : Relayed
+        What was sent to the caller.
     may_have_run : bool
         Whether any attempt may have run the request.
     """
@@ -35,7 +36,7 @@
         "attempts",
         "excluded",
         "may_have_run",
-        "relayed_chunks",
+        "relayed",
         "reroutes",
         "target",
     )
@@ -45,7 +46,7 @@
         self.reroutes = 0
         self.may_have_run = False
         self.excluded: set[str] = set()
-        self.relayed_chunks: list[bytes] = []
+        self.relayed = Relayed()
         self.attempt: Attempt | None = None
         self.target: Target | None = None
 
@@ -60,7 +61,7 @@
     @property
     def is_complete(self) -> bool:
         """Return whether a stream's last event was sent to the caller."""
-        return bool(self.relayed_chunks) and ends_stream(self.relayed_chunks[-1])
+        return ends_stream(self.relayed.last_chunk)
 
     def check_end(self, *, streamed: bool) -> None:
         """Check that a stream of the chat API has ended with its end marker.
