Bound the whole replies that entries and agents read in their sum

Whole replies were bounded one by one: 32 MiB in an entry, 8 MiB in an agent that records the reply of a protected call. Several large ones at once took the memory of the process and all of its calls with it.

Both now count them while they arrive. In an entry they share 128 MiB, half of it for more than the first 64 KiB of each; in an agent the 32 MiB of its own requests. One beyond that ends as a call that may have run. The function that joins a bounded body is new, and tested; without it there is no sum to look at.

--- a/tests/limits/test_memory_budget.py
+++ b/tests/limits/test_memory_budget.py
@@ -1,5 +1,8 @@
 """What an entry holds for slow connections is bounded and counted."""
 
+import contextlib
+import itertools
+
 import gevent
 import pytest
 
@@ -10,6 +13,7 @@
     FREE_REPLY_BYTES,
     MemoryBudget,
     MemoryExceeded,
+    join_bounded,
 )
 from toucanspool.routing.routes import CallKind
 
@@ -219,3 +223,24 @@
     with pytest.raises(MemoryExceeded):
         budget.part(unfinished=True).resize(FREE_REPLY_BYTES + 1)
     budget.part().resize(MB // 4)
+
+
+def test_bodies_that_arrive_at_once_are_bounded_together():
+    budget = MemoryBudget(2 * MB)
+    joined = []
+
+    def join() -> None:
+        pieces = (b"x" * 100_000 for _ in range(9) if not gevent.sleep(0.005))
+        with contextlib.suppress(MemoryExceeded):
+            joined.append(join_bounded(pieces, MB, budget))
+
+    gevent.joinall([gevent.spawn(join) for _ in range(8)], raise_error=True)
+    assert 1 <= len(joined) < 8
+    assert {len(body) for body in joined} == {900_000}
+    assert budget.held_bytes == budget.unfinished_bytes == 0
+
+
+def test_a_body_beyond_its_limit_is_not_read_to_its_end():
+    pieces = itertools.repeat(b"x" * 1000)
+    with pytest.raises(MemoryExceeded):
+        join_bounded(pieces, 10_000, MemoryBudget())
--- a/toucanspool/agent/call.py
+++ b/toucanspool/agent/call.py
@@ -15,6 +15,8 @@
     UpstreamClient,
     UpstreamUnreachable,
 )
+from toucanspool.backing.reply_memory import REPLY_MEMORY
+from toucanspool.limits.memory_budget import MemoryExceeded, join_bounded
 from toucanspool.protected.claims import BufferedResponse, Claims, Replay
 from toucanspool.protected.clock import Clock
 from toucanspool.protected.errors import ClaimRefused
@@ -218,12 +220,12 @@
             raise incomplete_reply() from exc
 
     def _read_body(self, reply: Reply) -> bytes:
-        body = bytearray()
-        for piece in self._iter_body(reply):
-            body += piece
-            if len(body) > MAX_RECORDED_BYTES:
-                raise incomplete_reply()
-        return bytes(body)
+        try:
+            return join_bounded(
+                self._iter_body(reply), MAX_RECORDED_BYTES, REPLY_MEMORY
+            )
+        except MemoryExceeded as exc:
+            raise incomplete_reply() from exc
 
     def _relay(self, reply: Reply) -> None:
         self._send_head(reply.status, reply.headers, framed=reply.framed)
--- a/toucanspool/entry/attempt.py
+++ b/toucanspool/entry/attempt.py
@@ -5,6 +5,11 @@
 from toucanspool.entry.caller_request import CallerRequest
 from toucanspool.entry.directory import Target
 from toucanspool.entry.linked_call import CallTimeout, LinkedCall
+from toucanspool.limits.memory_budget import (
+    MemoryBudget,
+    MemoryExceeded,
+    join_bounded,
+)
 from toucanspool.protected.clock import Clock
 from toucanspool.wire.connection import ConnectionLost
 from toucanspool.wire.gen.messages.ttypes import (
@@ -18,6 +23,8 @@
 
 MS_PER_S = 1000
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# Two of the largest replies may arrive at a time.
+WHOLE_REPLIES = MemoryBudget(128 * 1024 * 1024)
 
 
 class AttemptFailed(Exception):
@@ -158,19 +165,17 @@
         Raises
         ------
         AttemptFailed
-            The body is incomplete.
+            The body is incomplete, or too large to be held.
         """
-        body = bytearray()
-        for chunk in self.iter_body():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise AttemptFailed(
-                    Outcome.UNKNOWN,
-                    Refusal.BROKEN,
-                    f"The answer has more than {MAX_BODY_BYTES} bytes.",
-                    0.0,
-                )
-        return bytes(body)
+        try:
+            return join_bounded(self.iter_body(), MAX_BODY_BYTES, WHOLE_REPLIES)
+        except MemoryExceeded as exc:
+            raise AttemptFailed(
+                Outcome.UNKNOWN,
+                Refusal.BROKEN,
+                f"The answer can't be held: {exc}.",
+                0.0,
+            ) from exc
 
     def cancel(self) -> None:
         """Cancel the call; a waiting reader fails with `Refusal.CANCELLED`."""
--- a/toucanspool/limits/memory_budget.py
+++ b/toucanspool/limits/memory_budget.py
@@ -1,6 +1,7 @@
 """The memory that a process holds for requests and replies under way."""
 
 import math
+from collections.abc import Iterable
 from types import TracebackType
 from typing import Self
 
@@ -153,3 +154,36 @@
         trace: TracebackType | None,
     ) -> None:
         self.close()
+
+
+def join_bounded(
+    pieces: Iterable[bytes], max_bytes: int, budget: MemoryBudget
+) -> bytes:
+    """Return the pieces of a reply's body as one, counted while they arrive.
+
+    Parameters
+    ----------
+    pieces : iterable of bytes
+        The pieces.
+    max_bytes : int
+        Limit on the body.
+    budget : MemoryBudget
+        The budget of all replies that arrive.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    MemoryExceeded
+        The body is too large, or can't be held beside others.
+    """
+    body = bytearray()
+    with budget.part(unfinished=True) as held:
+        for piece in pieces:
+            if len(body) + len(piece) > max_bytes:
+                raise MemoryExceeded(f"more than {max_bytes} bytes")
+            held.resize(len(body) + len(piece))
+            body += piece
+        return bytes(body)
