--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "placement",
     "few_slots",
     "switch",
+    "calm_switches",
     "claims",
     "claim_cost",
     "lease_takeover",
