Release what an entry keeps of a stream as its relay ends

It was counted until the reply was closed, and so for ever where nobody closes it, as tests do: their bytes added up in the process.

--- a/toucanspool/entry/dispatcher.py
+++ b/toucanspool/entry/dispatcher.py
@@ -121,7 +121,6 @@
                 self._admit(req, closing)
                 # The stop may have begun while the request waited.
                 self._check_stop(req)
-                closing.callback(progress.relayed.close)
                 closing.callback(progress.close)
                 closing.enter_context(self._track(req, progress))
                 self._budget.record_request(self._clock.now())
@@ -241,6 +240,7 @@
                 raise ReplyCutOff from exc
             yield progress.with_outcome(exc).event(req.request_id)
         finally:
+            progress.relayed.close()
             self._decision_log.record_result(req.request_id, req.team.name, result)
 
     def _relay_attempt(self, req: CallerRequest, progress: Progress) -> Iterator[bytes]:
