Take holds that a recovery has released for ended

A recovery's own holds, and those of others that it released, may be told late like those of a switch, and were then resolved once more. That does no harm but costs orders to all ranks, so there is no test of its own; the tests of late holds pass.

--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -181,15 +181,20 @@
         if holds or armed:
             may_be_past = time.monotonic() < self._states_current_at
             if may_be_past and holds.issubset(self._ended_holds):
-                # Engines on other machines may still tell of the latest switch. The
-                # group waits for any other hold.
+                # Engines on other machines may still tell of released holds. The group
+                # waits for any other one.
                 return
             with self._counts.uncounted(client, answers, engine):
                 switch.resolve(answers, self._copies.lists())
+            self._record_end(switch)
             self._version = UNSET
         elif is_complete(answers) and all(a.open for a in answers.values()):
             self._rebalance(client, switch, answers, engine)
 
+    def _record_end(self, switch: ArmedSwitch) -> None:
+        self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
+        self._ended_holds = switch.holds.known
+
     def _handle_several_maps(
         self,
         client: GroupClient,
@@ -269,8 +274,7 @@
                     timeout_s,
                 )
         finally:
-            self._states_current_at = time.monotonic() + MAX_STATE_LAG_S
-            self._ended_holds = switch.holds.placed
+            self._record_end(switch)
         self._hold_lead.observe(switch.holds.held_s)
         self._not_held_at = step if outcome is SwitchEnd.NOT_HELD else UNSET
         if outcome is SwitchEnd.DONE:
--- a/toucanspool/groups/pass_holds.py
+++ b/toucanspool/groups/pass_holds.py
@@ -38,8 +38,8 @@
 
     Attributes
     ----------
-    placed : set of (int, int)
-        Ranks and passes of the holds that were placed here, released ones included.
+    known : set of (int, int)
+        Ranks and passes of all holds that were placed or adopted, released or not.
     held_s : float
         Time from the first order to hold until all releases were confirmed, in seconds;
         0 before.
@@ -55,7 +55,7 @@
         "_own_rank",
         "delayed_group",
         "held_s",
-        "placed",
+        "known",
     )
 
     def __init__(self, client: GroupClient, epoch: int, own_rank: int) -> None:
@@ -65,7 +65,7 @@
         self._holds: set[tuple[int, int]] = set()
         self._first_order_at = time.monotonic()
         self.held_s = 0.0
-        self.placed: set[tuple[int, int]] = set()
+        self.known: set[tuple[int, int]] = set()
         self.delayed_group = False
 
     def place_ahead(self, ranks: Sequence[int], passes_ahead: int) -> int:
@@ -94,7 +94,7 @@
                 continue
             if answer.result == RankResult.OK and answer.held != UNSET:
                 self._holds.add((rank, answer.held))
-                self.placed.add((rank, answer.held))
+                self.known.add((rank, answer.held))
                 return answer.held
         return UNSET
 
@@ -123,7 +123,7 @@
                     continue
                 if answer.result == RankResult.OK:
                     self._holds.add((rank, step))
-                    self.placed.add((rank, step))
+                    self.known.add((rank, step))
                     return step
                 if answer.step >= step:
                     break
@@ -146,7 +146,7 @@
             if answer is not None and answer.result == RankResult.OK
         }
         self._holds |= placed
-        self.placed |= placed
+        self.known |= placed
         return step if len(placed) >= SHARED_HOLDS_NEEDED else UNSET
 
     def adopt_all(self, answers: Mapping[int, RankAnswer]) -> None:
@@ -158,6 +158,7 @@
             The latest answer of each rank.
         """
         self._holds |= held_passes(answers)
+        self.known |= self._holds
 
     def release(self) -> None:
         """Release all holds; return once every engine has confirmed it.
