Let the store's answers be as large as before

Rows of the operator may be larger than the rows that the pages bound, and a configuration that can't be read is worse than what the limit protects from: all replies to a process's own requests share 32 MiB.

--- a/toucanspool/platform/unpooled_client.py
+++ b/toucanspool/platform/unpooled_client.py
@@ -16,7 +16,7 @@
 
 JSON = "application/json"
 # Larger than the store's largest answer, which has 1 MB of rows in base64.
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
