Hold a pass no further ahead than arming is likely to take

On a site of 12 ranks the held pass was 4 to 6 ahead where arming takes 45 ms and a pass 35 to 42: each switch came two or three passes later than it could, and the old map cost callers more than a wait of some milliseconds would have.

Two deviations are added instead of four, a longer time than the mean raises the deviation faster, and the time of a pass is measured over 0.35 s instead of 0.15, which makes its lower bound tighter.

--- a/toucanspool/groups/hold_lead.py
+++ b/toucanspool/groups/hold_lead.py
@@ -8,11 +8,15 @@
 MIN_PASSES_AHEAD = 2
 # Agents hold passes up to `hold_gate.MAX_PASSES_AHEAD`; some of them may be named.
 MAX_PASSES_AHEAD = 12
-# Weights of the latest time in the mean and in the mean deviation, and the number of
-# deviations that are added, as in RFC 6298, 2.
+# Weights of the latest time in the mean and in the mean deviation, after RFC 6298, 2. A
+# longer time than the mean weighs more, since lost orders come in series.
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
-DEVIATIONS = 4
+RISE_WEIGHT = 1 / 2
+# Fewer than for retransmissions: to be late by some milliseconds costs callers as
+# little as to use the old map for a pass more.
+DEVIATIONS = 2
+FIRST_DEVIATION = 1 / 4
 
 
 class HoldLead:
@@ -39,10 +43,11 @@
         if not held_s:
             return
         if self._mean_s is None:
-            self._mean_s, self._deviation_s = held_s, held_s / 2
+            self._mean_s, self._deviation_s = held_s, FIRST_DEVIATION * held_s
             return
         error_s = held_s - self._mean_s
-        self._deviation_s += DEVIATION_WEIGHT * (abs(error_s) - self._deviation_s)
+        weight = RISE_WEIGHT if error_s > 0 else DEVIATION_WEIGHT
+        self._deviation_s += weight * (abs(error_s) - self._deviation_s)
         self._mean_s += MEAN_WEIGHT * error_s
 
     def passes_ahead(self, pass_s: float) -> int:
--- a/toucanspool/groups/pass_clock.py
+++ b/toucanspool/groups/pass_clock.py
@@ -4,9 +4,9 @@
 from collections import deque
 
 # Intervals that count: longer ones tell of another load.
-N_INTERVALS = 5
+N_INTERVALS = 3
 # Over a shorter time, one pass more or less makes a large difference.
-MIN_INTERVAL_S = 0.15
+MIN_INTERVAL_S = 0.35
 
 
 class PassClock:
