Plan the next map as soon as a switch has taken effect

With a held pass further ahead, ranks are still armed when a released switch ends.

It now waits for the pass to begin, which its own rank's engine tells at no cost, and reads counts meanwhile. The new test failed before. The held pass is at most 0.6 s ahead in a busy group; an idle one is waited for no longer.

--- a/tests/groups/test_map_coordinator.py
+++ b/tests/groups/test_map_coordinator.py
@@ -154,6 +154,18 @@
     assert RankAction.COUNTS in switch
 
 
+def test_a_switch_that_is_released_has_taken_effect_before_the_next_look():
+    """Guards against plans that come a poll later since ranks are still armed."""
+    world = World()
+    coordinator = world.coordinator(1, 0)
+    with busy(world, pass_s=0.03):
+        coordinator.run_once(world.links)
+        world.add_demand(HOT_EXPERT)
+        coordinator.run_once(world.links)
+        assert all(row.armed is None for row in world.group.rows)
+        assert world.holders(HOT_EXPERT) > 1
+
+
 def test_even_demand_moves_nothing():
     world = World()
     coordinator = world.coordinator(1, 0)
--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -40,6 +40,7 @@
 from toucanspool.groups.map_preparation import MapPreparation, VersionedMap
 from toucanspool.groups.map_versions import VersionSource, token_of_version
 from toucanspool.groups.pass_holds import PassHolds
+from toucanspool.groups.pass_wait import wait_for_pass
 from toucanspool.groups.rank_arming import RankArming
 from toucanspool.groups.rank_engine import UNSET
 from toucanspool.groups.version_fence import fence_ranks
@@ -177,7 +178,7 @@
             return SwitchEnd.NOT_COPIED
         with self._quiet_link():
             holds = self.new_holds()
-            step = self._hold(holds)
+            step = holds.place_ahead(self.holders(), self.passes_ahead)
             if step == UNSET:
                 return SwitchEnd.NOT_HELD
             return self.arm_and_release(new, step, holds, current.experts)
@@ -233,9 +234,6 @@
         after_own = ranks.index(self._own_rank) + 1
         return ranks[after_own:] + ranks[:after_own]
 
-    def _hold(self, holds: PassHolds) -> int:
-        return holds.place_ahead(self.holders(), self.passes_ahead)
-
     def arm_and_release(
         self, new: VersionedMap, step: int, holds: PassHolds, fallback: IntArray
     ) -> SwitchEnd:
@@ -290,6 +288,11 @@
             disarm_own=disarm_own,
         )
 
+    def wait_for_pass(self) -> None:
+        """Wait until the released pass has begun, at which all ranks switch."""
+        step = max(step for _, step in self.holds.known)
+        wait_for_pass(self._client, self._epoch, self._own_rank, step)
+
     def release(self, holds: PassHolds) -> None:
         """Release the holds of this switch or of its recovery."""
         holds.release()
--- a/toucanspool/groups/map_coordinator.py
+++ b/toucanspool/groups/map_coordinator.py
@@ -30,8 +30,7 @@
 from toucanspool.routing.routes import EngineModel
 from toucanspool.wire.gen.messages.ttypes import RankAnswer
 
-# The longest lag with which engines on other machines report their state: three times
-# the lag that the platform documents.
+# Three times the documented lag of an engine's state, as other machines read it.
 MAX_STATE_LAG_S = 0.6
 # The smallest decrease of skew that is worth the copies, for a group whose engines are
 # full and for an idle one, in which skew affects callers less.
@@ -265,20 +264,17 @@
             skew_after=round(after, 2),
             token=self._token,
         )
-        timeout_s = copy_timeout_s(engine, copies_per_rank(engine))
         try:
             with self._counts.background(client, answers, engine):
                 outcome = switch.run(
                     VersionedMap(version, planned.lists()),
                     VersionedMap(self._version, self._copies.lists()),
-                    timeout_s,
+                    copy_timeout_s(engine, copies_per_rank(engine)),
                 )
         finally:
             self._record_end(switch)
         self._hold_lead.observe(switch.holds.held_s)
         self._not_held_at = step if outcome is SwitchEnd.NOT_HELD else UNSET
-        if outcome is SwitchEnd.DONE:
-            self._version, self._copies = version, planned
         _log.info(
             "map switch ended",
             group=self._group,
@@ -291,6 +287,11 @@
             arm_rounds=switch.arm_rounds,
             delayed_group=switch.holds.delayed_group,
         )
+        if outcome is SwitchEnd.DONE:
+            self._version, self._copies = version, planned
+            # The next map can be planned once all ranks use this one.
+            with self._counts.background(client, answers, engine):
+                switch.wait_for_pass()
 
 
 def _min_skew_gain(answers: Mapping[int, RankAnswer], engine: EngineModel) -> float:
