--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -85,10 +85,9 @@
     Attributes
     ----------
     passes_ahead : int
-        Passes between the latest one and the held one.
+        As above.
     arm_rounds : int
-        Rounds of arm orders that the switch took. Without lost orders there are two:
-        one for the other ranks and one for the coordinator's own.
+        Rounds of arm orders; two without lost orders, of the other ranks and the own.
     holds : PassHolds
         The latest holds that were released.
     """
@@ -178,7 +177,7 @@
             return SwitchEnd.NOT_COPIED
         with self._quiet_link():
             holds = self.new_holds()
-            step = holds.place_ahead(self.holders(), self.passes_ahead)
+            step = self._hold(holds)
             if step == UNSET:
                 return SwitchEnd.NOT_HELD
             return self.arm_and_release(new, step, holds, current.experts)
@@ -227,13 +226,15 @@
     def holders(self) -> list[int]:
         """Return the ranks in the order in which they are to hold a pass.
 
-        A coordinator whose machine freezes does not keep the pass held, so that its own
-        rank comes last.
+        The own rank comes last, so that a frozen machine doesn't keep the pass held.
         """
         ranks = sorted(self._ranks)
         after_own = ranks.index(self._own_rank) + 1
         return ranks[after_own:] + ranks[:after_own]
 
+    def _hold(self, holds: PassHolds) -> int:
+        return holds.place_ahead(self.holders(), self.passes_ahead)
+
     def arm_and_release(
         self, new: VersionedMap, step: int, holds: PassHolds, fallback: IntArray
     ) -> SwitchEnd:
