--- a/toucanspool/wire/wire.thrift
+++ b/toucanspool/wire/wire.thrift
@@ -89,6 +89,8 @@
 // place as 16-bit numbers, -1 for an empty place, compressed by zlib. With a base, changes
 // holds what differs from the map of that version, and experts is empty. Answers to
 // PREPARE wait a little for the copies unless answer_at_once is set.
+// STATUS with a version is answered once the experts of that version are copied, as
+// PREPARE is, or a little later.
 struct RankAsk {
   1: i64 call, 2: string group, 3: i64 token, 4: RankAction action, 5: i64 version,
   6: i64 step, 7: i64 epoch, 8: binary experts, 9: i32 ranks, 10: i32 places,
