--- a/toucanspool/groups/armed_switch.py
+++ b/toucanspool/groups/armed_switch.py
@@ -85,7 +85,7 @@
     Attributes
     ----------
     passes_ahead : int
-        As above.
+        The argument of that name.
     arm_rounds : int
         Rounds of arm orders; two without lost orders, of the other ranks and the own.
     holds : PassHolds
