--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,5 @@
 export PYTHONPATH=target/deps:.
 export PYTHONDONTWRITEBYTECODE=1
 python3 -c "import standins.row_store"
+# Dozens of processes start at once, and each would compile the sources again.
+python3 -m compileall -q review standins toucanspool
