--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -1,6 +1,7 @@
 """What the scripts of this review share: settings, processes and the record."""
 
 import os
+import signal
 import socket as plain_socket
 import time
 from collections.abc import Callable
@@ -38,10 +39,12 @@
     with Path(path).open("w", buffering=1) as file:
         record = Record(file)
         record.note(f"TROUBLE={int(TROUBLE)}")
+        # A script that is ended from outside ends what it has started, too.
+        gevent.signal_handler(signal.SIGTERM, gevent.kill, gevent.getcurrent())
         try:
             with ExitStack() as cleanup, gevent.Timeout(105.0):
                 return play(cleanup, record)
-        except (Exception, gevent.Timeout) as exc:
+        except (Exception, gevent.Timeout, gevent.GreenletExit) as exc:
             record.note(f"the case could not run: {exc!r}")
             return 2
 
