Search events for their ends and ids with fewer steps a byte

What callers saw: beside a crowd that reads streams with events of 900 kB, an ordinary call took 3 to 5 s, and the gateway lost the store's feed four times in 20 s.

Cause: for each byte of an event, three regular expressions were tried; 748 calls took 19 s of processor time.

Plain searches for the ends of events, 'id:' and 'data' come first, and the expressions run only if those find something, so what is found is the same.

Trial, the same crowd for four calls: 588 calls took 3.2 s of processor time, ordinary calls 0.00 to 1.62 s, and the store was not lost.

--- a/toucanspool/wire/event_splitter.py
+++ b/toucanspool/wire/event_splitter.py
@@ -7,6 +7,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _EVENT_END_BYTES = 4
 _EVENT_DATA = re.compile(rb"(?:^|[\r\n])data")
 # A status line that begins a line, or inside one that is followed by a header. A line
@@ -70,9 +71,10 @@
         """
         self._partial += data
         end = count = 0
-        for match in _EVENT_END.finditer(self._partial, self._searched_bytes):
-            end = match.end()
-            count += 1
+        if self._has_event_end():
+            for match in _EVENT_END.finditer(self._partial, self._searched_bytes):
+                end = match.end()
+                count += 1
         events = bytes(self._partial[:end])
         check_events(events)
         self.count += count
@@ -81,12 +83,18 @@
             raise ExcessiveReply(f"an event has more than {MAX_EVENT_BYTES} bytes")
         # The bytes of an event's end may arrive apart.
         self._searched_bytes = max(0, len(self._partial) - _EVENT_END_BYTES + 1)
-        self.data_returned = _EVENT_DATA.search(events) is not None
-        ids = _EVENT_ID.findall(events)
-        if ids:
+        # The expressions take far longer for each byte than these searches.
+        self.data_returned = (
+            b"data" in events and _EVENT_DATA.search(events) is not None
+        )
+        if b"id:" in events and (ids := _EVENT_ID.findall(events)):
             self.last_id = ids[-1].decode("latin-1")
         return events
 
+    def _has_event_end(self) -> bool:
+        start = self._searched_bytes
+        return any(self._partial.find(end, start) >= 0 for end in _EVENT_ENDS)
+
     def drop_partial(self) -> None:
         """Discard an incomplete event after its stream has broken."""
         self._partial.clear()
