Drop the body of a reply with its connection

What callers saw: nothing yet; a process grew by 170 MB in 8 s while it counted 25 MB, and would have ended.

Cause: a call that is refused as its reply can't be held leaves an error whose traceback refers to the exchange, and a frame of it to the error. Until the collector finds that cycle, the part of the reply stays, though it is counted no more.

The exchange now drops what it has of the body when it is closed, so that only small objects wait for the collector.

--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -285,6 +285,8 @@
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
         self._conn.close()
+        # An error that refers to this exchange may live on for some time.
+        self.parser.take_body()
 
     def _receive(self, until: float) -> None:
         try:
