Return large blocks of memory to the system

What callers saw: nothing; a process keeps memory that it has freed, and so is nearer to the bound of its machine.

Cause: glibc raises its threshold for blocks of their own as soon as one is freed, and then keeps replies of some MB within its heap, where a small object above keeps them from being returned.

--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -21,6 +21,7 @@
 from absl import app, flags
 from gevent.event import Event
 
+from toucanspool.kernel.allocator import return_large_blocks
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.random_sources import RandomSources
 from toucanspool.settings.settings import Settings, SettingsError, load_settings
@@ -82,6 +83,7 @@
     if CHECK.value:
         print(f"{SETTINGS.value}: good settings of a process in role {cfg.role}")
         return 0
+    return_large_blocks()
     configure_logging(cfg.instance, level=cfg.log_level)
     stop_requested = Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
