Bound what callers make a gateway hold, in the sum and by the machine's memory

What callers saw: a process that ran out of memory ended with all calls, and with its descriptors taken by slow or silent clients nobody else was answered.

Cause: max_held_bytes was 64 MiB on each machine and counted bodies and replies only. Not counted were copies of events and blocks, what the kernel holds for connections in both directions (some MB each), connections, and what is read before a body is admitted; nothing bounded connections, the parsing of chunks, requests sent ahead, the time of a body, or the lines logged about all these.

Each connection with a request reserves its kernel buffers, and waits for them in order. A connection takes the place of an idle one, or of a slow client that the process waits for; calls at work keep theirs. Accepting pauses while there is no place. Large replies leave a quarter of the budget to small calls, and may take the place of the slowest reader.

The pages of readiness, directory and metrics are served within the same bounds.

--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -6,7 +6,7 @@
 
 from standins.raw_upstream import answering
 from tests.gateway.gateways import gateway, request
-from toucanspool.routing.routes import RequestLimits
+from toucanspool.wire.request_limits import RequestLimits
 
 SMALL = RequestLimits(max_header_bytes=600, header_timeout_s=0.3, idle_timeout_s=0.6)
 
--- a/tests/limits/test_memory_budget.py
+++ b/tests/limits/test_memory_budget.py
@@ -167,7 +167,7 @@
 
 def test_a_caller_that_reads_a_little_now_and_then_is_disconnected(monkeypatch):
     """Guards against callers that read just enough to hold a reply for ever."""
-    monkeypatch.setattr("toucanspool.gateway.slow_reader.MIN_BYTES_PER_S", 8 * MB)
+    monkeypatch.setattr("toucanspool.wire.slow_reader.MIN_BYTES_PER_S", 8 * MB)
     body = b"x" * 7 * MB
     with gateway(answering(body), routes=AT_MOST_ONCE, caller_stall_s=0.3) as gw:
         sock = gw.send("POST", body=b"book")
--- a/toucanspool/daemon.py
+++ b/toucanspool/daemon.py
@@ -26,6 +26,7 @@
 from toucanspool.kernel.random_sources import RandomSources
 from toucanspool.settings.settings import Settings, SettingsError, load_settings
 from toucanspool.telemetry.logs import configure_logging
+from toucanspool.wire.client_limits import ClientLimits
 
 SETTINGS = flags.DEFINE_string(
     "settings",
@@ -53,6 +54,7 @@
     """
     kernel = Kernel()
     kernel.add("rng", RandomSources(cfg.seed, cfg.instance))
+    kernel.add("clients", ClientLimits.within(cfg.limits.resolve()))
     _ADD_ROLE_SERVICES[cfg.role](kernel, cfg)
     return kernel
 
--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import gevent
 import structlog
 
 from toucanspool.gateway.call import Call, RefusalCause, Refused, Reply
@@ -15,10 +16,13 @@
 from toucanspool.wire.exchange import Exchange
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
+from toucanspool.wire.socket_buffers import BuffersExhausted
 
 MS_PER_S = 1000.0
 SUCCESS_STATUSES = range(200, 300)
 UNAVAILABLE_STATUS = 503
+# Slow callers disconnected for one part of a reply.
+MAX_EVICTIONS = 8
 
 _log = structlog.get_logger()
 
@@ -89,7 +93,11 @@
         listing = upstream.listing
         self._held = call.memory.part(unfinished=True)
         self._exchange = Exchange(
-            listing.host, listing.port, call.method, on_held=self._held.resize
+            listing.host,
+            listing.port,
+            call.method,
+            on_held=self._hold,
+            buffers=call.buffers,
         )
         self.reply_head: ReplyHead
         upstream.start_request(time.monotonic())
@@ -141,7 +149,10 @@
             left_ms=call.deadline.left_ms(now),
             last_event_id=last_event_id,
         )
-        self._exchange.send(call.target, headers, call.body, until=until)
+        try:
+            self._exchange.send(call.target, headers, call.body, until=until)
+        except BuffersExhausted as exc:
+            raise Refused(RefusalCause.NO_MEMORY, retry_after_s=RETRY_AFTER_S) from exc
         self._exchange.read_head(until)
         parser = self._exchange.parser
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
@@ -204,6 +215,18 @@
         self._held.close()
         self._upstream.in_flight -= 1
 
+    def _hold(self, n_bytes: int) -> None:
+        """Count what is held of the reply; slow callers of others make room for it."""
+        for _ in range(MAX_EVICTIONS):
+            try:
+                return self._held.resize(n_bytes)
+            except MemoryExceeded:
+                if not self._call.memory.make_room():
+                    raise
+                # The part of the disconnected caller is released meanwhile.
+                gevent.sleep(0)
+        return self._held.resize(n_bytes)
+
     @contextmanager
     def _memory_bounded(self) -> Iterator[None]:
         """Refuse the call, which may have run, if its reply can't be held."""
--- a/toucanspool/gateway/call.py
+++ b/toucanspool/gateway/call.py
@@ -9,6 +9,7 @@
 from toucanspool.retries.deadline import Deadline
 from toucanspool.routing.routes import CallKind, Route
 from toucanspool.wire.reply_parser import Header
+from toucanspool.wire.socket_buffers import SocketBuffers
 
 
 @dataclass(slots=True, kw_only=True)
@@ -54,6 +55,8 @@
         Regions in which the call may run; None for any upstream.
     memory : MemoryBudget
         Counts what is held for the reply.
+    buffers : SocketBuffers
+        Bounds what the kernel holds for the connections to upstreams.
     """
 
     id: str
@@ -76,6 +79,7 @@
     fingerprint: str = ""
     regions: frozenset[str] | None = None
     memory: MemoryBudget = field(default_factory=MemoryBudget)
+    buffers: SocketBuffers = field(default_factory=SocketBuffers)
 
     @property
     def traits(self) -> Traits:
--- a/toucanspool/limits/memory_budget.py
+++ b/toucanspool/limits/memory_budget.py
@@ -1,13 +1,16 @@
 """The memory that a process holds for requests and replies under way."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import Self
 
 # New requests are refused beyond this share of the bound. The rest is for the replies
 # to calls that were admitted, whose sizes nobody knows beforehand.
 ADMITTED_SHARE = 0.75
+# Requests of at most this share of the bound are admitted beyond `ADMITTED_SHARE`. So
+# large requests and replies leave room for those of most callers.
+SMALL_SHARE = 1 / 1024
 # Replies that have not arrived whole hold no more than this share, but for the first
 # bytes of each. So upstreams that send without end leave room for the calls of others.
 UNFINISHED_SHARE = 0.5
@@ -39,33 +42,40 @@
     unfinished_bytes : int
         Bytes held now for replies that have not arrived whole, without the first
         `FREE_REPLY_BYTES` of each.
+    make_room : callable
+        Called if something can't be held. Returns whether a slow caller was
+        disconnected, whose part is released once its greenlet runs.
     """
 
-    __slots__ = ("held_bytes", "max_bytes", "unfinished_bytes")
+    __slots__ = ("held_bytes", "make_room", "max_bytes", "unfinished_bytes")
 
     def __init__(self, max_bytes: int = 0) -> None:
         self.max_bytes = max_bytes
         self.held_bytes = 0
         self.unfinished_bytes = 0
+        self.make_room: Callable[[], bool] = lambda: False
 
     @property
     def max_unfinished_bytes(self) -> float:
         """Return the bound on `unfinished_bytes`."""
         return UNFINISHED_SHARE * self.max_bytes
 
-    def admits(self, n_bytes: int) -> bool:
-        """Return whether a new request of a size may be read.
+    def admits(self, n_bytes: int, *, total_bytes: int = 0) -> bool:
+        """Return whether a new request, or a further part of one, may be read.
 
         Parameters
         ----------
         n_bytes : int
-            Size of its body.
+            Size of what is to be read.
+        total_bytes : int, default=0
+            Size of the request's body with that part, if it is larger.
 
         Returns
         -------
         bool
         """
-        limit = ADMITTED_SHARE * self.max_bytes
+        small = max(n_bytes, total_bytes) <= SMALL_SHARE * self.max_bytes
+        limit = (1.0 if small else ADMITTED_SHARE) * self.max_bytes
         return not self.max_bytes or self.held_bytes + n_bytes <= limit
 
     def part(self, *, unfinished: bool = False) -> "MemoryPart":
@@ -117,7 +127,8 @@
         budget = self._budget
         if budget.max_bytes and n_bytes > self._held_bytes:
             after = budget.held_bytes + n_bytes - self._held_bytes
-            if after > budget.max_bytes:
+            large = n_bytes > self._free_bytes
+            if after > (ADMITTED_SHARE if large else 1.0) * budget.max_bytes:
                 raise MemoryExceeded(f"{after} of {budget.max_bytes} bytes")
             unfinished = budget.unfinished_bytes + self._unfinished_growth(n_bytes)
             if unfinished > max(budget.unfinished_bytes, budget.max_unfinished_bytes):
--- a/toucanspool/platform/frontend.py
+++ b/toucanspool/platform/frontend.py
@@ -28,6 +28,8 @@
 BEARER = "bearer "
 # Deadline of requests without a `DEADLINE_MS` header.
 DEFAULT_TIMEOUT_MS = 30_000.0
+# A body may take the caller's whole time, but no more than this.
+MAX_BODY_S = 120.0
 PROBLEM_JSON = "application/problem+json"
 
 _VISIBLE = re.compile(r"[!-~]+")
@@ -106,19 +108,20 @@
         table = self._routes()
         if table is None:
             raise Refused(RefusalCause.NO_CONFIG, retry_after_s=0.2)
-        body = handler.read_body(table.limits.max_body_bytes)
+        request_headers = {name.lower(): value for name, value in handler.header_list}
+        timeout_ms = platform_headers.parse_number(
+            request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
+        )
+        body_s = min(MAX_BODY_S, timeout_ms / MS_PER_S)
+        body = handler.read_body(table.limits.max_body_bytes, body_s)
         if not _forwardable(handler):
             raise Refused(RefusalCause.BAD_REQUEST)
-        request_headers = {name.lower(): value for name, value in handler.header_list}
         host = request_headers.get("host", "").partition(":")[0].lower()
         path = handler.path.partition("?")[0]
         route = table.find(host, path)
         if route is None:
             raise Refused(RefusalCause.NO_ROUTE, log_fields={"routes": table.version})
         team = _authenticate(table, route, request_headers)
-        timeout_ms = platform_headers.parse_number(
-            request_headers.get(platform_headers.DEADLINE_MS, ""), DEFAULT_TIMEOUT_MS
-        )
         left_s = min(timeout_ms / MS_PER_S, route.timeout_s)
         service = route.service(self._rng)
         urgency = table.urgency(service)
@@ -147,7 +150,8 @@
                 team.name, host, handler.command, handler.path, body
             ),
             regions=combine_regions(route.allowed_regions, team.allowed_regions),
-            memory=handler.server.memory,
+            memory=handler.limits.memory,
+            buffers=handler.limits.upstream_buffers,
         )
 
     def _refuse(
--- a/toucanspool/platform/gateway_role.py
+++ b/toucanspool/platform/gateway_role.py
@@ -14,7 +14,6 @@
 from toucanspool.groups.rank_record import PREFIX as RANK_PREFIX
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.kernel.ticker import Ticker
-from toucanspool.limits.memory_budget import MemoryBudget
 from toucanspool.membership.entries import Entries
 from toucanspool.membership.entry_record import (
     ENTRY_PREFIX,
@@ -31,12 +30,15 @@
 from toucanspool.platform.registration import Registration
 from toucanspool.platform.store import OWN_ROWS_PAUSE_S, RowStoreClient, table_of
 from toucanspool.platform.subscriptions import Subscriptions
+from toucanspool.platform.upstream_rows import UpstreamRows
 from toucanspool.recovery.feed import Changes
 from toucanspool.retries.crash_exchange import CrashExchange
-from toucanspool.routing.routes import RequestLimits
 from toucanspool.settings.settings import Address, Settings
 from toucanspool.telemetry.call_metrics import CallMetrics
+from toucanspool.wire.bounded_server import BoundedServer
+from toucanspool.wire.client_limits import ClientLimits
 from toucanspool.wire.http_server import HttpServer
+from toucanspool.wire.request_limits import RequestLimits
 
 LIMITS_INTERVAL_S = 0.1
 PROBE_INTERVAL_S = 1.0
@@ -44,6 +46,8 @@
 # Versions in quick succession are read together, well within the time that the
 # platform allows for applying one.
 ROUTES_PAUSE_S = 0.5
+# Time in which a client of a page may read nothing before it is disconnected.
+PAGE_STALL_S = 2.0
 # Callers cache addresses for up to three times the TTL.
 ADDRESS_TTL_FACTOR = 3.0
 
@@ -61,6 +65,7 @@
 
     __slots__ = (
         "_cfg",
+        "_client_limits",
         "_closing",
         "_core",
         "_crash_exchange",
@@ -72,7 +77,7 @@
         "_server",
         "_store",
         "_subscriptions",
-        "_upstreams_known",
+        "_upstream_rows",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -87,7 +92,6 @@
         self._entries = Entries(self._own_record)
         self._metrics = CallMetrics()
         self._closing = ExitStack()
-        self._upstreams_known = False
 
     def start(self, kernel: Kernel) -> None:
         """Start the servers and follow the store; see `Service`."""
@@ -126,33 +130,33 @@
             self._update_operator_rows,
             pause_s=ROUTES_PAUSE_S,
         )
+        self._upstream_rows = upstream_rows = UpstreamRows(self._core)
         self._subscriptions.follow(
             listings.TABLE,
-            self._replace_upstreams,
-            self._update_upstreams,
+            upstream_rows.replace,
+            upstream_rows.update,
             pause_s=store.list_interval_s,
             on_regained=lambda: self._core.upstreams.store_regained(time.monotonic()),
         )
         entry_rows = EntryRows(self._entries, self._registration, self._crash_exchange)
         rank_rows = RankRows(self._core.upstreams.set_slowdowns)
-        for prefix, on_snapshot, on_changes in (
-            (ENTRY_PREFIX, entry_rows.replace, entry_rows.update),
-            (RANK_PREFIX, rank_rows.replace, rank_rows.update),
-        ):
+        for prefix, rows in (ENTRY_PREFIX, entry_rows), (RANK_PREFIX, rank_rows):
             self._subscriptions.follow(
-                table_of(prefix), on_snapshot, on_changes, pause_s=OWN_ROWS_PAUSE_S
+                table_of(prefix), rows.replace, rows.update, pause_s=OWN_ROWS_PAUSE_S
             )
         frontend = Frontend(
             self._core.dispatcher, lambda: self._core.routes, rng, self._metrics
         )
-        memory = MemoryBudget(cfg.max_held_bytes)
-        self._metrics.held_bytes.set_function(lambda: memory.held_bytes)
+        self._client_limits: ClientLimits = kernel.find("clients")
+        limits = self._client_limits
+        limits.configure(self._cfg.limits.resolve(), max_held_bytes=cfg.max_held_bytes)
+        self._metrics.watch_clients(limits)
         self._server = CallerServer(
             cfg.callers.host,
             cfg.callers.port,
             frontend,
             limits=RequestLimits(),
-            memory=memory,
+            client_limits=limits,
             caller_stall_s=cfg.caller_stall_s,
             on_slow_reader=self._metrics.record_slow_reader,
         )
@@ -185,8 +189,10 @@
         self._core.set_retry_budget(cfg.gateway.retries)
         self._set_regions()
         self._core.set_cold_starts(cfg.gateway.cold_starts)
-        self._server.memory.max_bytes = cfg.gateway.max_held_bytes
-        self._server.caller_stall_s = cfg.gateway.caller_stall_s
+        self._client_limits.configure(
+            cfg.limits.resolve(), max_held_bytes=cfg.gateway.max_held_bytes
+        )
+        self._server.set_stall(cfg.gateway.caller_stall_s)
         self._core.set_hedging(cfg.gateway.hedging)
 
     def stop(self) -> None:
@@ -208,12 +214,19 @@
         """Return whether this entry is ready for calls."""
         return (
             self._core.routes is not None
-            and self._upstreams_known
+            and self._upstream_rows.known
             and not self._entries.leaving
         )
 
     def _serve_page(self, address: Address, page: pages.Page) -> None:
-        self._start_server(HttpServer(address.host, address.port, page))
+        server = BoundedServer(
+            address.host,
+            address.port,
+            page,
+            client_limits=self._client_limits,
+            stall_s=PAGE_STALL_S,
+        )
+        self._start_server(server)
 
     def _start_server(self, server: HttpServer) -> None:
         server.start()
@@ -260,19 +273,6 @@
             self._core.set_routes(routes)
             self._server.limits = routes.limits
 
-    def _replace_upstreams(self, changes: Changes) -> None:
-        decoded = [listings.decode_listing(row) for row in changes.rows]
-        valid = [listing for listing in decoded if listing is not None]
-        self._core.upstreams.replace(valid, changes.version, now=time.monotonic())
-        self._core.upstreams_changed()
-        self._upstreams_known = True
-
-    def _update_upstreams(self, changes: Changes) -> None:
-        changed = {row.key: listings.decode_listing(row) for row in changes.rows}
-        changed.update(dict.fromkeys(changes.deleted))
-        self._core.upstreams.change(changed, changes.version, now=time.monotonic())
-        self._core.upstreams_changed()
-
     def _report_crash(self, crash: Crash) -> None:
         self._crash_exchange.report(crash.id, crash.calls)
 
--- a/toucanspool/settings/settings.py
+++ b/toucanspool/settings/settings.py
@@ -6,6 +6,7 @@
 import yaml
 from pydantic import Field, ValidationError, model_validator
 
+from toucanspool.limits.process_limits import ProcessLimits
 from toucanspool.settings.hedging import Hedging
 from toucanspool.settings.model import Address, Model, Port, Seconds, Text
 from toucanspool.settings.row_store import RowStore
@@ -121,6 +122,18 @@
     grace_s: Seconds = 30.0
 
 
+class Limits(Model):
+    """Tell what the process may use; by default, all that the system allows it."""
+
+    # In MB (10**6 bytes), with what the kernel holds for connections.
+    memory_mb: Annotated[float, Field(gt=0)] | None = None
+    descriptors: Annotated[int, Field(ge=1)] | None = None
+
+    def resolve(self) -> ProcessLimits:
+        """Return the limits with what the system says for those that are not set."""
+        return ProcessLimits.of(self.memory_mb, self.descriptors)
+
+
 class RetryBudget(Model):
     """Limit the retries that all entries together send to a service."""
 
@@ -188,6 +201,7 @@
     gateway: Gateway | None = None
     rank_agent: RankAgent | None = None
     drain: Drain = Drain()
+    limits: Limits = Limits()
     config_interval_s: Seconds = 2.0
     instances_interval_s: Seconds = 2.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/toucanspool/telemetry/call_metrics.py
+++ b/toucanspool/telemetry/call_metrics.py
@@ -4,6 +4,7 @@
 
 from toucanspool.telemetry.hedging_metrics import HedgingMetrics
 from toucanspool.telemetry.metrics import LatencySummary
+from toucanspool.wire.client_limits import ClientLimits
 
 
 class CallMetrics:
@@ -30,12 +31,15 @@
     __slots__ = (
         "_answer_time",
         "_answers",
+        "_connections",
         "_crashes",
+        "_evicted",
         "_first_byte_time",
         "_hedging",
         "_refusals",
         "_registry",
         "_slow_readers",
+        "_socket_bytes",
         "cold_upstreams",
         "evacuated_domains",
         "held_bytes",
@@ -102,12 +106,38 @@
             "Bytes held for requests and replies under way.",
             registry=registry,
         )
+        self._socket_bytes = Gauge(
+            "toucanspool_socket_bytes",
+            "Bytes that the kernel may hold for connections in use.",
+            registry=registry,
+        )
+        self._connections = Gauge(
+            "toucanspool_connections", "Connections of clients.", registry=registry
+        )
+        self._evicted = Gauge(
+            "toucanspool_evicted_connections",
+            "Connections that were closed to make room for others.",
+            registry=registry,
+        )
         self._slow_readers = Counter(
             "toucanspool_slow_readers",
             "Callers that were disconnected because they read too slowly.",
             registry=registry,
         )
 
+    def watch_clients(self, limits: ClientLimits) -> None:
+        """Export what is held for clients.
+
+        Parameters
+        ----------
+        limits : ClientLimits
+            Counts it.
+        """
+        self.held_bytes.set_function(lambda: limits.memory.held_bytes)
+        self._socket_bytes.set_function(lambda: limits.buffers.reserved_bytes)
+        self._connections.set_function(lambda: len(limits.connections))
+        self._evicted.set_function(lambda: limits.connections.evicted)
+
     def record_slow_reader(self) -> None:
         """Count a caller that was disconnected because it read too slowly."""
         self._slow_readers.inc()
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -4,11 +4,9 @@
 import math
 import time
 from collections.abc import Callable, Iterable, Iterator
-
-from gevent import socket
+from contextlib import ExitStack, closing
 
 from toucanspool.wire.event_splitter import EventSplitter
-from toucanspool.wire.keepalive import enable_keepalive
 from toucanspool.wire.reply_end import check_end
 from toucanspool.wire.reply_parser import (
     BrokenReply,
@@ -17,8 +15,10 @@
     ReplyParser,
 )
 from toucanspool.wire.reply_reader import ReplyReader, Silent
+from toucanspool.wire.socket_buffers import SocketBuffers
+from toucanspool.wire.upstream_connection import Unreachable as Unreachable
+from toucanspool.wire.upstream_connection import open_connection
 
-CONNECT_TIMEOUT_S = 0.5
 # Large bodies on slow links take longer; their senders set a limit of their own.
 SEND_TIMEOUT_S = 0.5
 # Time from the first byte of a head to its end. Upstreams send a head at once; this
@@ -26,10 +26,6 @@
 HEAD_TIMEOUT_S = 1.0
 
 
-class Unreachable(Exception):
-    """Report that no connection could be opened; the upstream got no request."""
-
-
 class Exchange:
     """Send one request and read the reply; must be closed.
 
@@ -54,6 +50,8 @@
         if the probe isn't answered within the same time. 0 sends no probes.
     on_held : callable, optional
         Called with the bytes of the body that are held, as they arrive; may raise.
+    buffers : SocketBuffers, optional
+        Bounds what the kernel holds for the connection; no bound by default.
 
     Attributes
     ----------
@@ -64,6 +62,8 @@
     """
 
     __slots__ = (
+        "_buffers",
+        "_closing",
         "_conn",
         "_keepalive_s",
         "_method",
@@ -81,8 +81,11 @@
         *,
         keepalive_s: int = 0,
         on_held: Callable[[int], None] = lambda _: None,
+        buffers: SocketBuffers | None = None,
     ) -> None:
         self._on_held = on_held
+        self._buffers = buffers
+        self._closing = ExitStack()
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
@@ -116,21 +119,18 @@
             No connection could be opened.
         BrokenReply
             The connection was lost while the request was sent.
+        BuffersExhausted
+            The connection can't have buffers; the upstream received nothing.
         """
         conn = self._conn
-        try:
-            conn.sock = socket.create_connection(
-                (conn.host, conn.port), timeout=CONNECT_TIMEOUT_S
-            )
-        except (OSError, UnicodeError) as exc:
-            raise Unreachable(str(exc)) from exc
+        conn.sock = open_connection(conn.host, conn.port, self._keepalive_s)
+        self._closing.callback(conn.close)
+        if self._buffers is not None:
+            self._closing.enter_context(closing(self._buffers.reserve(conn.sock)))
         self._reader = ReplyReader(conn.sock)
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
         for name, value in headers:
             conn.putheader(name, value)
-        conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._keepalive_s:
-            enable_keepalive(conn.sock, self._keepalive_s)
         self.sent = True
         conn.sock.settimeout(max(SEND_TIMEOUT_S, until - time.monotonic()))
         try:
@@ -284,7 +284,7 @@
 
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
-        self._conn.close()
+        self._closing.close()
         # An error that refers to this exchange may live on for some time.
         self.parser.take_body()
 
--- a/toucanspool/wire/http_server.py
+++ b/toucanspool/wire/http_server.py
@@ -130,8 +130,10 @@
         Closing a connection on which bytes are unread, such as those of a pipelined
         request, resets it, and the client may lose the reply (RFC 9112, 9.6).
         """
-        if self.headers.get("Connection", "").lower() == "close":
-            return
+        if self.headers.get("Connection", "").lower() != "close":
+            self._discard_until_closed()
+
+    def _discard_until_closed(self) -> None:
         with contextlib.suppress(OSError), gevent.Timeout(CLOSE_TIMEOUT_S, False):
             self.socket.shutdown(socket.SHUT_WR)
             while self.socket.recv(DISCARD_BLOCK_BYTES):
--- a/toucanspool/gateway/slow_reader.py
+++ b/toucanspool/wire/slow_reader.py
@@ -1,14 +1,13 @@
 """Sending to callers, who are disconnected if they read too slowly."""
 
+import contextlib
 import time
+from collections.abc import Callable
 
 from gevent import socket
 
 # Slower callers are taken for ones that don't read. A reply of 8 MiB takes two minutes.
 MIN_BYTES_PER_S = 64 * 1024
-# Enough for 5 MB/s at a round-trip time of 50 ms. With the kernel's own choice of some
-# MB, a connection holds that much more before its caller is seen to read slowly.
-SEND_BUFFER_BYTES = 256 * 1024
 
 
 class SlowReader(TimeoutError):
@@ -25,7 +24,13 @@
         self.unsent_bytes = unsent_bytes
 
 
-def send_all(sock: socket.socket, data: bytes, stall_s: float) -> None:
+def send_all(
+    sock: socket.socket,
+    data: bytes,
+    stall_s: float,
+    *,
+    on_sent: Callable[[int], None] = lambda _: None,
+) -> None:
     """Send data to a caller that keeps reading.
 
     Parameters
@@ -37,6 +42,9 @@
     stall_s : float
         Longest time in which the caller may read nothing, in seconds. All data must be
         read at `MIN_BYTES_PER_S` on average, with this time in addition.
+    on_sent : callable, optional
+        Called with the number of bytes sent each time that the caller has to read
+        before all is sent.
 
     Raises
     ------
@@ -46,12 +54,21 @@
         The connection broke.
     """
     unsent = memoryview(data)
+    sent = 0
+    with contextlib.suppress(BlockingIOError):
+        sent = sock._sock.send(unsent)
+    unsent = unsent[sent:]
+    if not unsent:
+        return
+    on_sent(sent)
     until = time.monotonic() + stall_s + len(unsent) / MIN_BYTES_PER_S
     before_s = sock.gettimeout()
     try:
         while unsent:
             sock.settimeout(max(0.001, min(stall_s, until - time.monotonic())))
-            unsent = unsent[sock.send(unsent) :]
+            sent = sock.send(unsent)
+            unsent = unsent[sent:]
+            on_sent(sent)
             if unsent and time.monotonic() > until:
                 raise SlowReader(len(unsent))
     except TimeoutError as exc:
