Wait for a connection in a test of its end, not for a time

test_a_reply_whose_upstream_crashes_is_broken_if_it_is_back_before_we_ask stood still once at a load of 14: it took for granted that the other greenlet had connected within 0.05 s, and else waited in a blocking accept, in which that greenlet can't run. It now lets others run until there is a connection, and then a request; the checks are the same.

--- a/tests/wire/test_exchange_end.py
+++ b/tests/wire/test_exchange_end.py
@@ -1,5 +1,6 @@
 """The end of a connection is the end of a reply only if the upstream lives on."""
 
+import select
 import socket
 import time
 from contextlib import closing
@@ -26,12 +27,20 @@
         return exchange.read_body(until, MAX_BYTES)
 
 
+def wait_readable(sock: socket.socket) -> None:
+    """Let other greenlets run until a blocking socket has something to read."""
+    with gevent.Timeout(5.0):
+        while not select.select([sock], [], [], 0)[0]:
+            gevent.sleep(0.01)
+
+
 def test_a_reply_whose_upstream_crashes_is_broken_if_it_is_back_before_we_ask():
     listener = socket.create_server(("127.0.0.1", 0))
     address = listener.getsockname()
     reading = gevent.spawn(read, address[1])
-    gevent.sleep(0.05)
+    wait_readable(listener)
     sock, _ = listener.accept()
+    wait_readable(sock)
     sock.recv(1000)
     sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npar")
     sock.close()
