Bound what peers make an agent hold by frames

What callers saw: nothing yet; 256 peers that announced frames of 15 MiB and sent most of them made a rank agent take 2,048 MB and kept its coordinator out; requests sent ahead whose answers are not read took 1,316 MB.

Cause: a frame of up to 16 MiB was read whatever others held, in time that grows with its square, without a turn for others; each request had a greenlet and each answer a place in a queue without bound, and nothing bounded connections.

Parts of frames count in a budget of 32 MiB for the process, or less on a small machine. Listeners share the bounds on connections and kernel buffers with the HTTP servers. A peer that has sent no frame, or over 100 in a second, loses its place first. No further frame is read while 1,024 wait to be sent or 32 requests are worked on, and a peer that reads nothing for 5 s is closed. A request without a token or action, which no coordinator sends, ends its connection instead of ten log lines.

--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -16,6 +16,7 @@
 from toucanspool.config.service import ConfigService
 from toucanspool.kernel.kernel import Kernel
 from toucanspool.settings.settings import Settings
+from toucanspool.wire.client_limits import ClientLimits
 from toucanspool.wire.gen.messages.ttypes import (
     Changes,
     Frame,
@@ -103,6 +104,7 @@
     )
     kernel = Kernel()
     kernel.add("rng", StubService(named=random.Random))
+    kernel.add("clients", ClientLimits())
     kernel.add("platform", StubService(table=MemoryTable(), objects=MemoryObjects()))
     kernel.add("config", ConfigService(1000.0, updated_by_peers=True))
     kernel.add("claims", StubService(claims=None))
--- a/toucanspool/agent/agent.py
+++ b/toucanspool/agent/agent.py
@@ -101,7 +101,7 @@
         self._config.on_change(self._on_config_change)
         self._on_config_change()
         with ExitStack() as cleanup:
-            self._listener.start()
+            self._listener.start(kernel.find("clients"))
             cleanup.callback(self._listener.stop)
             ticker = Ticker(
                 "load",
--- a/toucanspool/entry/peers.py
+++ b/toucanspool/entry/peers.py
@@ -68,7 +68,7 @@
         self._config.on_change(self._push_changes)
         with ExitStack() as starting:
             starting.callback(self._close_links)
-            self._listener.start()
+            self._listener.start(kernel.find("clients"))
             starting.callback(self._listener.stop)
             ticker = Ticker(
                 "peers",
--- a/toucanspool/groups/rank_calls.py
+++ b/toucanspool/groups/rank_calls.py
@@ -8,6 +8,7 @@
 import gevent
 import structlog
 from gevent.event import AsyncResult
+from gevent.pool import Pool
 
 from toucanspool.groups.fenced_engine import HOLD_ACTIONS, FencedEngine
 from toucanspool.wire.connection import Connection, ConnectionLost, connect
@@ -22,6 +23,8 @@
 ANSWER_TIMEOUT_S = 0.3
 # After a failed call, requests bypass the agent for this long.
 AGENT_RETRY_S = 1.0
+# Requests that are answered at a time on one connection.
+MAX_REPLIES = 32
 
 _log = structlog.get_logger()
 
@@ -175,15 +178,22 @@
         Takes a `RankAsk` and returns a `RankAnswer`.
     """
 
-    __slots__ = ("_answer",)
+    __slots__ = ("_answer", "_replies")
 
     def __init__(self, answer: Callable[[RankAsk], RankAnswer]) -> None:
         self._answer = answer
+        self._replies = Pool(MAX_REPLIES)
 
     def received(self, conn: Connection, frame: Frame) -> None:
         """Answer a request in its own greenlet; see `Receiver`."""
-        if frame.rank_ask is not None:
-            gevent.spawn(self._reply, conn, frame.rank_ask)
+        if frame.rank_ask is None:
+            return
+        if frame.rank_ask.token is None or frame.rank_ask.action is None:
+            # No coordinator sends this.
+            conn.close()
+        else:
+            # Waits if there are too many; the coordinator asks one thing at a time.
+            self._replies.spawn(self._reply, conn, frame.rank_ask)
 
     def lost(self, conn: Connection) -> None:
         """Do nothing; see `Receiver`."""
--- a/toucanspool/platform/rank_role.py
+++ b/toucanspool/platform/rank_role.py
@@ -76,7 +76,7 @@
             self._cfg.port,
             lambda: RequestReceiver(fenced_engine.answer),
         )
-        listener.start()
+        listener.start(kernel.find("clients"))
         self._closing.callback(listener.stop)
         ticker = Ticker("rank watch", WATCH_INTERVAL_S, self._member.watch, rng=rng)
         ticker.start()
--- a/toucanspool/wire/connection.py
+++ b/toucanspool/wire/connection.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -12,21 +13,29 @@
 import structlog
 from gevent import socket
 from gevent.event import Event
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import (
-    TBufferedTransport,
     TFramedTransport,
     TMemoryBuffer,
     TTransportException,
 )
 
+from toucanspool.limits.memory_budget import MemoryBudget, MemoryExceeded
+from toucanspool.telemetry.rate_limited import RateLimitedLog
+from toucanspool.wire.client_limits import ClientLimits
 from toucanspool.wire.codec import BadFrame, decode, encode
+from toucanspool.wire.frame_reader import MAX_FRAME_BYTES, FrameReader
 from toucanspool.wire.gen.messages.ttypes import Frame
+from toucanspool.wire.open_connections import Phase
+from toucanspool.wire.slow_reader import MIN_BYTES_PER_S, SlowReader
 
-MAX_FRAME_BYTES = 16 * 1024 * 1024
-READ_BUFFER_BYTES = 64 * 1024
+# While more frames wait to be sent, no more are read: most of them answer others.
+MAX_QUEUED_FRAMES = 1024
+# Peers that send more lose their place first. The busiest ones send some 20 a second.
+MAX_FRAMES_PER_S = 100
+# Time in which the peer may read nothing before the connection is closed.
+STALL_S = 5.0
 
-_log = structlog.get_logger()
+_log = RateLimitedLog(structlog.get_logger())
 
 
 class ConnectionLost(Exception):
@@ -68,11 +77,18 @@
         A connected socket; the connection takes ownership and closes it.
     receiver : Receiver
         Handler of received frames.
+    limits : ClientLimits, optional
+        Bounds on the connections that a process accepts; None for one that it opened.
     """
 
     __slots__ = (
         "_batches_written",
         "_closed",
+        "_frames",
+        "_frames_in_second",
+        "_limits",
+        "_room_event",
+        "_second",
         "_send_queue",
         "_reader",
         "_receiver",
@@ -81,10 +97,19 @@
         "_writer",
     )
 
-    def __init__(self, sock: socket.socket, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        receiver: Receiver,
+        limits: ClientLimits | None = None,
+    ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._receiver = receiver
+        self._limits = limits
+        self._frames = FrameReader(sock, limits.frames if limits else MemoryBudget())
+        self._room_event = Event()
+        self._second = self._frames_in_second = 0
         self._send_queue: list[Frame] = []
         self._batches_written = 0
         self._send_event = Event()
@@ -143,6 +168,7 @@
             return
         self._closed = True
         self._send_event.set()
+        self._room_event.set()
         self._close_socket()
         self._receiver.lost(self)
 
@@ -151,23 +177,52 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
+    @property
+    def transferred_bytes(self) -> int:
+        """Return the bytes received since the last complete frame; see `Evictable`."""
+        return self._frames.received_bytes
+
+    def evict(self, phase: Phase) -> None:
+        """Close the connection for another one; see `Evictable`."""
+        _log.info("connection evicted", phase=phase.name)
+        self.close()
+
     def _read(self) -> None:
-        transport = TSocket()
-        transport.setHandle(self._sock)
-        buffered = TBufferedTransport(transport, READ_BUFFER_BYTES)
-        framed = TFramedTransport(buffered, MAX_FRAME_BYTES)
         try:
             while not self._closed:
-                framed.readFrame()
-                frame = decode(framed.cstringio_buf.getvalue())
+                frame = decode(self._frames.read())
+                self._count_frame()
                 self._receiver.received(self, frame)
+                self._wait_for_room()
         except (TTransportException, OSError):
             pass
-        except BadFrame as exc:
-            _log.warning("undecodable frame", error=str(exc))
+        except (BadFrame, MemoryExceeded) as exc:
+            _log.info("frame not read", error=str(exc))
         finally:
+            self._frames.close()
             self.close()
 
+    def _count_frame(self) -> None:
+        """Keep the connection's place for as long as it sends frames, if not too many.
+
+        Peers that have sent none, or too many, are closed before the others.
+        """
+        if self._limits is None:
+            return
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._frames_in_second = second, 0
+        self._frames_in_second += 1
+        if self._frames_in_second > MAX_FRAMES_PER_S:
+            self._limits.connections.move(self, Phase.IDLE)
+        else:
+            self._limits.connections.move(self, Phase.SENDING, renew=True)
+
+    def _wait_for_room(self) -> None:
+        while len(self._send_queue) > MAX_QUEUED_FRAMES and not self._closed:
+            self._room_event.clear()
+            self._room_event.wait()
+
     def _write(self) -> None:
         try:
             while not self._closed:
@@ -176,12 +231,21 @@
                 while self._send_queue and not self._closed:
                     batch, self._send_queue = self._send_queue, []
                     self._batches_written += 1
-                    self._sock.sendall(_encode_frames(batch))
+                    self._room_event.set()
+                    self._send(_encode_frames(batch))
+        except SlowReader as exc:
+            _log.info("peer reads too slowly", unsent_bytes=exc.unsent_bytes)
         except OSError:
             pass
         finally:
             self.close()
 
+    def _send(self, data: bytes) -> None:
+        # The socket's own time limit would hold for the reader as well.
+        limit_s = STALL_S + len(data) / MIN_BYTES_PER_S
+        with gevent.Timeout(limit_s, SlowReader(len(data))):
+            self._sock.sendall(data)
+
 
 def _encode_frames(frames: list[Frame]) -> bytes:
     buffer = TMemoryBuffer()
--- a/toucanspool/wire/listener.py
+++ b/toucanspool/wire/listener.py
@@ -1,11 +1,14 @@
 """A TCP server whose connections carry frames."""
 
 from collections.abc import Callable
+from contextlib import ExitStack
 
 from gevent import socket
-from gevent.server import StreamServer
 
+from toucanspool.wire.client_limits import ClientLimits
 from toucanspool.wire.connection import Connection, Receiver
+from toucanspool.wire.gated_server import MAX_WAIT_S, GatedServer
+from toucanspool.wire.socket_buffers import BuffersExhausted
 
 
 class Listener:
@@ -28,7 +31,8 @@
     ) -> None:
         self._conns: set[Connection] = set()
         self._receiver_factory = receiver_factory
-        self._server = StreamServer((host, port), self._accept)
+        self._server = GatedServer((host, port), self._accept)
+        self._server.client_limits = ClientLimits()
 
     @property
     def port(self) -> int:
@@ -41,8 +45,15 @@
         self._conns = {conn for conn in self._conns if not conn.closed}
         return list(self._conns)
 
-    def start(self) -> None:
-        """Start accepting connections."""
+    def start(self, limits: ClientLimits | None = None) -> None:
+        """Start accepting connections.
+
+        Parameters
+        ----------
+        limits : ClientLimits, optional
+            Bounds on them; none by default.
+        """
+        self._server.client_limits = limits or self._server.client_limits
         self._server.start()
 
     def stop(self) -> None:
@@ -52,7 +63,25 @@
             conn.close()
 
     def _accept(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        self._conns = {conn for conn in self._conns if not conn.closed}
-        conn = Connection(sock, self._receiver_factory())
-        self._conns.add(conn)
-        conn.wait()
+        limits = self._server.client_limits
+        with ExitStack() as closing:
+            closing.callback(sock.close)
+            if not self._server.wait_for_place():
+                return
+            try:
+                buffers = limits.buffers.wait(
+                    sock,
+                    MAX_WAIT_S,
+                    make_room=limits.connections.evict_any,
+                    given_up=lambda: False,
+                )
+            except BuffersExhausted:
+                return
+            closing.callback(buffers.close)
+            self._conns = {conn for conn in self._conns if not conn.closed}
+            conn = Connection(sock, self._receiver_factory(), limits)
+            closing.callback(conn.close)
+            if limits.connections.add(conn):
+                closing.callback(limits.connections.remove, conn)
+                self._conns.add(conn)
+                conn.wait()
