Serve an entry's clients within the bounds on clients

What callers saw: 256 idle or slow clients took all descriptors of an entry that has 128, and nobody else was answered.

Cause: the entry's server had a time limit for idle connections and one for bodies, and none on heads, connections, what bodies hold together, or the parsing of chunks.

It is served by the same server as a gateway's callers, and its bodies count in the process's budget. Bodies in chunks, which were taken for empty ones, are read. What is held of whole replies and of streams is bounded by the machine's memory as well.

--- a/toucanspool/entry/admin_api.py
+++ b/toucanspool/entry/admin_api.py
@@ -31,10 +31,12 @@
 from toucanspool.entry.decision_log import DecisionLog
 from toucanspool.entry.lifecycle import Lifecycle
 from toucanspool.entry.problems import Problem
+from toucanspool.entry.request_body import read_body
 from toucanspool.entry.router import Router
 from toucanspool.settings.settings import Settings
 from toucanspool.wire.gen.messages.ttypes import Outcome
 
+CHANGE_TIMEOUT_S = 10.0
 MAX_CHANGE_BYTES = 1024 * 1024
 MAX_LISTED_CHANGES = 500
 RETRY_AFTER_S = 5.0
@@ -214,9 +216,7 @@
 
 
 def _read_body(req: falcon.Request) -> dict[str, Any]:
-    raw = req.bounded_stream.read(MAX_CHANGE_BYTES + 1)
-    if len(raw) > MAX_CHANGE_BYTES:
-        raise Problem(413, "body-too-large", "A change has at most 1 MiB.")
+    raw = read_body(req, MAX_CHANGE_BYTES, CHANGE_TIMEOUT_S)
     try:
         body = orjson.loads(raw)
     except orjson.JSONDecodeError as exc:
--- a/toucanspool/entry/http_service.py
+++ b/toucanspool/entry/http_service.py
@@ -11,6 +11,7 @@
 from toucanspool.backing.table import TableError
 from toucanspool.config.service import ConfigService
 from toucanspool.entry.admin_api import AdminResource
+from toucanspool.entry.attempt import WHOLE_REPLIES
 from toucanspool.entry.authenticator import Authenticator
 from toucanspool.entry.callers_api import (
     AddressResource,
@@ -22,6 +23,7 @@
 from toucanspool.entry.dispatcher import Dispatcher
 from toucanspool.entry.lifecycle import Lifecycle
 from toucanspool.entry.problems import Problem
+from toucanspool.entry.relayed import STREAM_MEMORY
 from toucanspool.entry.request_reader import RequestReader, new_request_id
 from toucanspool.entry.router import Router
 from toucanspool.entry.status_api import HealthResource, MetricsResource, ReadyResource
@@ -30,8 +32,10 @@
 from toucanspool.protected.clock import MonotonicClock
 from toucanspool.settings.settings import Settings
 from toucanspool.telemetry.metrics import Metrics
+from toucanspool.wire.bounded_server import BoundedServer
+from toucanspool.wire.client_limits import ClientLimits
 from toucanspool.wire.gen.messages.ttypes import Outcome
-from toucanspool.wire.http_server import HttpServer
+from toucanspool.wire.request_limits import RequestLimits
 
 REQUEST_ID_HEADER = "X-Request-Id"
 FIRST_BYTES_S = 0.2
@@ -113,11 +117,15 @@
         """Start the HTTP server; see `Service`."""
         self._dispatcher: Dispatcher = kernel.find("dispatcher")
         http = self._cfg.entry.http
-        self._server = HttpServer(
+        limits: ClientLimits = kernel.find("clients")
+        WHOLE_REPLIES.max_bytes = min(WHOLE_REPLIES.max_bytes, limits.memory.max_bytes)
+        STREAM_MEMORY.max_bytes = min(STREAM_MEMORY.max_bytes, limits.memory.max_bytes)
+        self._server = BoundedServer(
             self._cfg.host,
             http.port,
             self._make_app(kernel),
-            idle_timeout_s=http.idle_timeout_s,
+            limits=RequestLimits(idle_timeout_s=http.idle_timeout_s),
+            client_limits=limits,
         )
         self._server.start()
         self._closing.callback(self._server.stop, timeout=1.0)
--- a/toucanspool/entry/request_reader.py
+++ b/toucanspool/entry/request_reader.py
@@ -4,7 +4,6 @@
 import uuid
 
 import falcon
-import gevent
 import orjson
 
 from toucanspool.config.records import Team
@@ -13,6 +12,7 @@
 from toucanspool.entry.chat_body import parse_chat_body
 from toucanspool.entry.directory import Directory
 from toucanspool.entry.problems import Problem
+from toucanspool.entry.request_body import read_body
 from toucanspool.limits.share import parse_share
 from toucanspool.membership.addresses import team_entry_count
 from toucanspool.membership.service import InstancesService
@@ -208,23 +208,8 @@
         return any(target.platform_labels.get("guarded") == "yes" for target in targets)
 
     def _body(self, req: falcon.Request) -> bytes:
-        cfg = self._cfg.entry.http
-        if (req.content_length or 0) > cfg.max_body_bytes:
-            raise _body_too_large(cfg.max_body_bytes)
-        try:
-            with gevent.Timeout(cfg.body_timeout_s):
-                body = req.bounded_stream.read(cfg.max_body_bytes + 1)
-        except OSError as exc:
-            raise _body_cut_off() from exc
-        except gevent.Timeout as exc:
-            raise Problem(
-                408, "body-too-slow", "The request's body came too slowly."
-            ) from exc
-        if len(body) > cfg.max_body_bytes:
-            raise _body_too_large(cfg.max_body_bytes)
-        if req.content_length and len(body) < req.content_length:
-            raise _body_cut_off()
-        return body
+        http = self._cfg.entry.http
+        return read_body(req, http.max_body_bytes, http.body_timeout_s)
 
     def _deadline(self, req: falcon.Request) -> Deadline:
         entry = self._cfg.entry
@@ -288,13 +273,3 @@
 def _priority(labels: dict[str, str]) -> int:
     name = labels.get("priority") or labels.get("team.priority") or "normal"
     return PRIORITIES.get(name, 0)
-
-
-def _body_cut_off() -> Problem:
-    return Problem(400, "body-cut-off", "The request's body was cut off.")
-
-
-def _body_too_large(limit: int) -> Problem:
-    return Problem(
-        413, "body-too-large", f"The request's body has more than {limit} bytes."
-    )
