Take a reply whose status is none for a broken one

What callers saw: with status 000 or 001 to 099 a call waited for its whole time if the connection stayed open, as the reply was taken for an interim one; 101 likewise; 600 to 999 were passed on as answers.

Cause: all statuses below 200 counted as interim, and all others as final.

Statuses from 100 to 599 but 101, which nobody asks for, count; any other breaks the reply as its head ends, on the roads by which whole, streamed and resumed replies are read, and those of probes, the store, orders and the older agent. Clients with a pool of connections check how each reply begins, since their library waits for a final one as well.

--- a/tests/wire/test_reply_parser.py
+++ b/tests/wire/test_reply_parser.py
@@ -114,3 +114,21 @@
     for _ in range(100):
         parser.receive(b"9\r\ndata: x\n\n\r\n" * 1000)
         assert len(parser.take_body()) == 9000
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("framing", [b"Content-Length: 4", b"X-A: 1"])
+def test_a_status_that_is_none_breaks_the_reply_at_once(status, framing):
+    """Guards against waiting for another reply, or passing the status on."""
+    head = b"HTTP/1.1 " + status + b" What\r\n" + framing + b"\r\n\r\n"
+    parser = ReplyParser("GET")
+    with pytest.raises(BrokenReply):
+        parser.receive(head)
+    assert not parser.head_complete
+
+
+@pytest.mark.parametrize("status", [200, 299, 451, 599])
+def test_statuses_without_a_name_are_passed_on(status):
+    parser = ReplyParser("GET")
+    parser.receive(b"HTTP/1.1 %d What\r\nContent-Length: 0\r\n\r\n" % status)
+    assert (parser.complete, parser.status) == (True, status)
--- a/toucanspool/backing/bounded_client.py
+++ b/toucanspool/backing/bounded_client.py
@@ -1,6 +1,7 @@
 """HTTP clients with a connection pool whose replies are bounded in size."""
 
 import errno
+import re
 from typing import Any
 
 import gevent
@@ -18,6 +19,24 @@
 # Bytes after which other greenlets get a turn, even if more can be read.
 BURST_BYTES = 64 * 1024
 
+# How each reply begins. The client takes statuses below 200 for interim ones, whatever
+# they are, and waits for another reply.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?![0-9])")
+_STATUS_LINE_BYTES = 13
+
+
+class InvalidStatus(OSError):
+    """Report a reply whose status is none.
+
+    Parameters
+    ----------
+    line : bytes
+        How the reply begins.
+    """
+
+    def __init__(self, line: bytes) -> None:
+        super().__init__(errno.EBADMSG, f"a reply begins with {line!r}")
+
 
 class ReplyTooLarge(OSError):
     """Report a reply that exceeds a limit on its size, its head included.
@@ -61,6 +80,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._held = REPLY_MEMORY.part()
+        self._status_line = b""
 
     def sendall(self, data: Any, flags: int = 0) -> None:
         """Send a request; overrides the socket's method."""
@@ -70,6 +90,7 @@
     def recv(self, *args: int) -> bytes:
         """Receive a part of a reply; overrides the socket's method."""
         data = super().recv(*args)
+        self._check_status(data)
         self._received_bytes += len(data)
         if self._received_bytes > self.max_reply_bytes:
             raise ReplyTooLarge(f"more than {self.max_reply_bytes} bytes")
@@ -86,8 +107,17 @@
     def end_reply(self) -> None:
         """Hold none of the bytes received so far."""
         self._received_bytes = 0
+        self._status_line = b""
         self._held.close()
 
+    def _check_status(self, data: bytes) -> None:
+        missing = _STATUS_LINE_BYTES - len(self._status_line)
+        if missing and data:
+            self._status_line += data[:missing]
+            complete = len(self._status_line) == _STATUS_LINE_BYTES
+            if complete and not _STATUS_LINE.match(self._status_line):
+                raise InvalidStatus(self._status_line)
+
     def close(self) -> None:
         """Close the connection; overrides the socket's method."""
         self._held.close()
--- a/toucanspool/wire/reply_parser.py
+++ b/toucanspool/wire/reply_parser.py
@@ -6,6 +6,10 @@
 
 Header = tuple[str, str]
 FIRST_FINAL_STATUS = 200
+# All others say nothing about the request (RFC 9110, 15).
+STATUSES = range(100, 600)
+# Nobody asks an upstream for another protocol, and what follows is no HTTP.
+SWITCHING_PROTOCOLS = 101
 # Limit on bytes in a row that are no body: heads, chunk sizes and trailers.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_REPLIES = 16
@@ -58,6 +62,7 @@
         self._excess_bytes = 0
         self._header_lines = 0
         self._joined = False
+        self._invalid_status: int | None = None
         self._is_head_request = method == "HEAD"
         self._header_name = ""
         self._header_value: str | None = None
@@ -121,6 +126,8 @@
             self.ended_by_close = not was_complete
         if self._joined:
             raise BrokenReply("another reply begins inside the head")
+        if self._invalid_status is not None:
+            raise BrokenReply(f"{self._invalid_status:03d} is no status of a reply")
         if not self.complete:
             self._check_limits(len(data), self.body_bytes - body_bytes)
 
@@ -184,9 +191,15 @@
     def _on_headers_complete(self) -> bool:
         self._store_header()
         if not self.complete:
-            self.status = self.get_code()
+            self._set_status(self.get_code())
         return self._is_head_request
 
+    def _set_status(self, status: int) -> None:
+        if status in STATUSES and status != SWITCHING_PROTOCOLS:
+            self.status = status
+        elif self._invalid_status is None:
+            self._invalid_status = status
+
     def _on_body(self, data: bytearray) -> None:
         if not self.complete:
             self._body += data
