--- a/toucanspool/wire/connection.py
+++ b/toucanspool/wire/connection.py
@@ -205,7 +205,7 @@
     def _count_frame(self) -> None:
         """Keep the connection's place for as long as it sends frames, if not too many.
 
-        Peers that have sent none, or too many, are closed before the others.
+        Peers that have sent too many are closed first, then those that have sent none.
         """
         if self._limits is None:
             return
@@ -214,7 +214,7 @@
             self._second, self._frames_in_second = second, 0
         self._frames_in_second += 1
         if self._frames_in_second > MAX_FRAMES_PER_S:
-            self._limits.connections.move(self, Phase.IDLE)
+            self._limits.connections.move(self, Phase.CLOSING)
         else:
             self._limits.connections.move(self, Phase.SENDING, renew=True)
 
--- a/toucanspool/wire/frame_reader.py
+++ b/toucanspool/wire/frame_reader.py
@@ -16,7 +16,7 @@
 # Bytes after which other greenlets get a turn, even if more can be read.
 BURST_BYTES = 256 * 1024
 # Each frame takes the time of so many bytes, however short it is.
-MIN_FRAME_COST_BYTES = 8 * 1024
+MIN_FRAME_COST_BYTES = 32 * 1024
 
 _LENGTH = struct.Struct("!i")
 
--- a/toucanspool/wire/open_connections.py
+++ b/toucanspool/wire/open_connections.py
@@ -16,7 +16,8 @@
 class Phase(IntEnum):
     """What a connection waits for."""
 
-    # The client has been refused, and what it still sends is discarded.
+    # The client has been refused, and what it still sends is discarded; or it sends
+    # more requests than any that behaves.
     CLOSING = 0
     IDLE = 1
     # The client sends a request.
