Don't call a call not run that another upstream may have run, if buffers are short

What callers saw: nothing yet; a second attempt that found no buffers was told as 503, 'not run', though the first one may have run, and a stream to be resumed likewise.

It is now a kind of unreachable upstream that blames none: the relay refuses the call, as 'may have run' if an attempt before it may have, without trying others.

Tests: tests/gateway/test_no_buffers.py; of three, the one with an attempt before failed on the commit before.

--- a/toucanspool/gateway/attempt.py
+++ b/toucanspool/gateway/attempt.py
@@ -16,7 +16,6 @@
 from toucanspool.wire.exchange import Exchange
 from toucanspool.wire.reply_parser import BrokenReply
 from toucanspool.wire.reply_reader import Silent
-from toucanspool.wire.socket_buffers import BuffersExhausted
 
 MS_PER_S = 1000.0
 SUCCESS_STATUSES = range(200, 300)
@@ -149,10 +148,7 @@
             left_ms=call.deadline.left_ms(now),
             last_event_id=last_event_id,
         )
-        try:
-            self._exchange.send(call.target, headers, call.body, until=until)
-        except BuffersExhausted as exc:
-            raise Refused(RefusalCause.NO_MEMORY, retry_after_s=RETRY_AFTER_S) from exc
+        self._exchange.send(call.target, headers, call.body, until=until)
         self._exchange.read_head(until)
         parser = self._exchange.parser
         self.reply_head = self._dialect.parse_reply_head(parser.status, parser.headers)
--- a/toucanspool/gateway/attempt_results.py
+++ b/toucanspool/gateway/attempt_results.py
@@ -17,6 +17,7 @@
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.exchange import Unreachable
 from toucanspool.wire.reply_parser import BrokenReply
+from toucanspool.wire.upstream_connection import NoBuffers
 
 _log = structlog.get_logger()
 
@@ -97,7 +98,7 @@
         progress.runs += sent and not turned_away
         if isinstance(exc, NotContinued):
             self.record_status(call, upstream, exc.status)
-        elif not turned_away:
+        elif not turned_away and not isinstance(exc, NoBuffers):
             result = AttemptResult.UNREACHABLE if unreachable else AttemptResult.FAILED
             self._ejector.record(upstream.name, result, time.monotonic())
         if isinstance(exc, BrokenReply):
--- a/toucanspool/gateway/relay.py
+++ b/toucanspool/gateway/relay.py
@@ -16,11 +16,13 @@
 from toucanspool.gateway.progress import CallProgress
 from toucanspool.gateway.upstream_chooser import MIN_REMAINING_S, UpstreamChooser
 from toucanspool.limits.graceful_stop import GracefulStop
+from toucanspool.limits.memory_budget import RETRY_AFTER_S
 from toucanspool.retries.ejection import Ejector
 from toucanspool.retries.return_time import ReturnTimes
 from toucanspool.retries.shared_budget import SharedBudget
 from toucanspool.routing.upstream import Upstream
 from toucanspool.wire.exchange import Unreachable
+from toucanspool.wire.upstream_connection import NoBuffers
 
 MAX_SENDS = 3
 # Share of the remaining time for an attempt that may be retried. It leaves another
@@ -197,6 +199,13 @@
             ) from exc
         if progress.runs and not call.route.retryable:
             raise Refused(RefusalCause.MAYBE_RUN, may_have_run=True) from exc
+        if isinstance(exc, NoBuffers):
+            # Another upstream would need as much.
+            raise Refused(
+                RefusalCause.NO_MEMORY,
+                may_have_run=progress.runs > 0,
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
         now = time.monotonic()
         if not progress.runs and not self._graceful_stop.accepts(call.deadline, now):
             # It can still run elsewhere; one that may have run can't be sent back.
@@ -209,9 +218,9 @@
             return
         if self._may_retry(call, progress):
             return
-        cause = RefusalCause.TURNED_AWAY if turned_away else RefusalCause.BROKEN
-        if unreachable:
-            cause = RefusalCause.UNREACHABLE
+        cause = RefusalCause.UNREACHABLE if unreachable else RefusalCause.BROKEN
+        if turned_away:
+            cause = RefusalCause.TURNED_AWAY
         retry_after_s = self.chooser.retry_after_s(call)
         if turned_away:
             self.returns.record(call.service, turned_away=True)
--- a/toucanspool/wire/connection.py
+++ b/toucanspool/wire/connection.py
@@ -30,7 +30,7 @@
 
 # While more frames wait to be sent, no more are read: most of them answer others.
 MAX_QUEUED_FRAMES = 1024
-# Peers that send more lose their place first. The busiest ones send some 20 a second.
+# Peers that send more lose their place first.
 MAX_FRAMES_PER_S = 100
 # Time in which the peer may read nothing before the connection is closed.
 STALL_S = 5.0
--- a/toucanspool/wire/exchange.py
+++ b/toucanspool/wire/exchange.py
@@ -4,7 +4,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import ExitStack, closing
+from contextlib import ExitStack
 
 from toucanspool.wire.event_splitter import EventSplitter
 from toucanspool.wire.reply_end import check_end
@@ -15,27 +15,24 @@
     ReplyParser,
 )
 from toucanspool.wire.reply_reader import ReplyReader, Silent
-from toucanspool.wire.socket_buffers import SocketBuffers
+from toucanspool.wire.socket_buffers import BuffersExhausted, SocketBuffers
+from toucanspool.wire.upstream_connection import NoBuffers, open_connection
 from toucanspool.wire.upstream_connection import Unreachable as Unreachable
-from toucanspool.wire.upstream_connection import open_connection
 
 # Large bodies on slow links take longer; their senders set a limit of their own.
 SEND_TIMEOUT_S = 0.5
-# Time from the first byte of a head to its end. Upstreams send a head at once; this
-# covers retransmissions.
+# From the first byte of a head to its end. Upstreams send a head at once.
 HEAD_TIMEOUT_S = 1.0
 
 
 class Exchange:
     """Send one request and read the reply; must be closed.
 
-    Each connection serves one request. So a late reply to an earlier request can't be
-    mistaken for this one's, and no request is lost on an idle connection that the
-    upstream closes at the same moment.
+    Each connection serves one request, so that no late reply to an earlier one is taken
+    for this one's, and none is lost on an idle connection that the upstream closes.
 
-    A reply without framing ends with its connection, which a crash of the upstream
-    closes as well. Such a reply counts as complete only if the upstream still accepts
-    connections.
+    A reply without framing ends with its connection, which a crash closes as well. It
+    counts as complete only if the upstream still accepts connections.
 
     Parameters
     ----------
@@ -46,8 +43,7 @@
     method : str
         HTTP method.
     keepalive_s : int, default=0
-        Idle time before a TCP keepalive probe, in seconds. The connection is closed
-        if the probe isn't answered within the same time. 0 sends no probes.
+        As in `open_connection`.
     on_held : callable, optional
         Called with the bytes of the body that are held, as they arrive; may raise.
     buffers : SocketBuffers, optional
@@ -84,8 +80,7 @@
         buffers: SocketBuffers | None = None,
     ) -> None:
         self._on_held = on_held
-        self._buffers = buffers
-        self._closing = ExitStack()
+        self._buffers, self._closing = buffers, ExitStack()
         self._keepalive_s = keepalive_s
         self._conn = http.client.HTTPConnection(host, port)
         self._method = method
@@ -116,17 +111,14 @@
         Raises
         ------
         Unreachable
-            No connection could be opened.
+            No connection could be opened; `NoBuffers` if this process is the cause.
         BrokenReply
             The connection was lost while the request was sent.
-        BuffersExhausted
-            The connection can't have buffers; the upstream received nothing.
         """
         conn = self._conn
         conn.sock = open_connection(conn.host, conn.port, self._keepalive_s)
-        self._closing.callback(conn.close)
         if self._buffers is not None:
-            self._closing.enter_context(closing(self._buffers.reserve(conn.sock)))
+            self._reserve(self._buffers)
         self._reader = ReplyReader(conn.sock)
         conn.putrequest(self._method, target, skip_host=True, skip_accept_encoding=True)
         for name, value in headers:
@@ -284,10 +276,18 @@
 
     def close(self) -> None:
         """Close the connection; may be called repeatedly."""
+        self._conn.close()
         self._closing.close()
         # An error that refers to this exchange may live on for some time.
         self.parser.take_body()
 
+    def _reserve(self, buffers: SocketBuffers) -> None:
+        try:
+            part = buffers.reserve(self._conn.sock)
+        except BuffersExhausted as exc:
+            raise NoBuffers(str(exc)) from exc
+        self._closing.callback(part.close)
+
     def _receive(self, until: float) -> None:
         try:
             data = self._reader.read(until)
--- a/toucanspool/wire/upstream_connection.py
+++ b/toucanspool/wire/upstream_connection.py
@@ -11,6 +11,10 @@
     """Report that no connection could be opened; the upstream got no request."""
 
 
+class NoBuffers(Unreachable):
+    """Report that this process can hold no more for connections to upstreams."""
+
+
 def open_connection(host: str, port: int, keepalive_s: int = 0) -> socket.socket:
     """Return a new connection.
 
@@ -21,7 +25,8 @@
     port : int
         TCP port.
     keepalive_s : int, default=0
-        Idle time before a TCP keepalive probe, in seconds; 0 sends none.
+        Idle time before a TCP keepalive probe, in seconds. The connection is closed if
+        the probe isn't answered within the same time. 0 sends no probes.
 
     Returns
     -------
