Admit requests without a body whatever is held

What callers saw: nothing yet; with the budget full, a request without a body was refused with 503.

Cause: the block that is read next was counted before it was known whether there is one.

A request without length and chunks has no body, and nothing is counted for it. The test failed before.

--- a/tests/limits/test_memory_budget.py
+++ b/tests/limits/test_memory_budget.py
@@ -54,6 +54,13 @@
     assert budget.held_bytes == 1 << 40
 
 
+def test_a_request_without_a_body_needs_no_memory():
+    memory = MemoryBudget(MB)
+    memory.part().resize(MB)
+    with gateway(answering(b""), memory=memory) as gw:
+        assert gw.call("GET")[0] == 200
+
+
 def test_a_body_beyond_the_bound_is_refused_before_it_is_read():
     """Guards against reading large bodies into memory that is not there."""
     with gateway(answering(), routes=AT_MOST_ONCE, memory=MemoryBudget(MB)) as gw:
--- a/toucanspool/wire/request_body.py
+++ b/toucanspool/wire/request_body.py
@@ -99,8 +99,10 @@
         OSError
             The connection broke.
         """
-        body = bytearray()
         announced = self.content_length or 0
+        if not announced and not self.chunked_input:
+            return b""
+        body = bytearray()
         self.abandoned = True
         self._paced.max_bytes = FREE_FRAMING_BYTES + FRAMING_FACTOR * max_bytes
         if announced > max_bytes:
